Lay out the workspace, shared vocabulary, presets, wire messages and log records

Cause: nothing existed; every later crate needs ids, time, findings, messages and records that agree. Conclusion: one vocabulary crate, one preset crate with table-driven checks, generated records committed.

--- /dev/null
+++ b/crates/agate_core/src/trace/mod.rs
@@ -0,0 +1,5 @@
+//! W3C trace contexts, carried from hop to hop.
+
+mod context;
+
+pub use context::{TraceContext, TraceError};
--- /dev/null
+++ b/crates/agate_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/agate_preset/src/lib.rs
@@ -0,0 +1,17 @@
+//! Presets: the limits, weights, quotas and budgets that operators put in force together.
+//!
+//! A preset is a JSON document. [`Preset::parse`] checks the whole document and reports every
+//! problem with its place; what it returns needs no further checks.
+
+mod class;
+pub mod field;
+mod kind;
+pub mod policy;
+mod preset;
+mod reader;
+mod team;
+
+pub use class::ClassPolicy;
+pub use kind::DayKind;
+pub use preset::Preset;
+pub use team::TeamQuota;
--- /dev/null
+++ b/crates/agate_wire/src/rpc/agent.rs
@@ -0,0 +1,33 @@
+//! What an agent offers to entries.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::message::{
+    ConfigState, FateReply, FateRequest, ServeReply, ServeRequest, StartReply, StartRun, StopReply,
+    StopRun,
+};
+
+/// Calls that entries make on agents.
+#[rpc(server, client, namespace = "agent")]
+pub trait AgentRpc {
+    /// Serves one urgent request.
+    #[method(name = "serve")]
+    async fn serve(&self, request: ServeRequest) -> RpcResult<ServeReply>;
+
+    /// Tells what became of an idempotency key.
+    #[method(name = "fate")]
+    async fn fate(&self, request: FateRequest) -> RpcResult<FateReply>;
+
+    /// Starts a run.
+    #[method(name = "start")]
+    async fn start(&self, request: StartRun) -> RpcResult<StartReply>;
+
+    /// Acts on a run.
+    #[method(name = "stop")]
+    async fn stop(&self, request: StopRun) -> RpcResult<StopReply>;
+
+    /// Offers a configuration; answers the version that the agent holds afterwards.
+    #[method(name = "configure")]
+    async fn configure(&self, config: ConfigState) -> RpcResult<agate_core::Version>;
+}
