Add the entry's view of members

Pools of members that may get new work are kept per site and class on each change, so a draw of candidates does not scan members.

--- /dev/null
+++ b/crates/agate_members/src/pool.rs
@@ -0,0 +1,51 @@
+//! Members of one site that may get new work of one kind.
+
+use agate_wire::message::Load;
+
+use crate::{MemberKey, Occupancy};
+
+/// A set of members with the sums that decisions need, kept up to date on every change.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    keys: Vec<MemberKey>,
+    /// The most slots that any member of the pool has had.
+    top: u32,
+    sums: Occupancy,
+}
+
+impl Pool {
+    /// Adds a member and returns its index.
+    pub(crate) fn add(&mut self, key: MemberKey, slots: u32, load: Load) -> usize {
+        self.keys.push(key);
+        self.top = self.top.max(slots);
+        self.sums.add(slots, load);
+        self.keys.len() - 1
+    }
+
+    /// Removes the member at `index` and returns the member that takes its index, if any.
+    pub(crate) fn remove(&mut self, index: usize, slots: u32, load: Load) -> Option<MemberKey> {
+        self.keys.swap_remove(index);
+        self.sums.remove(slots, load);
+        if self.keys.is_empty() {
+            self.top = 0;
+        }
+        self.keys.get(index).copied()
+    }
+
+    /// Replaces the load of one member.
+    pub(crate) fn reload(&mut self, old: Load, new: Load) {
+        self.sums.reload(old, new);
+    }
+
+    pub(crate) const fn keys(&self) -> &[MemberKey] {
+        self.keys.as_slice()
+    }
+
+    pub(crate) const fn top(&self) -> u32 {
+        self.top
+    }
+
+    pub(crate) const fn sums(&self) -> Occupancy {
+        self.sums
+    }
+}
--- /dev/null
+++ b/crates/agate_members/src/site.rs
@@ -0,0 +1,74 @@
+//! Pools of one availability zone.
+
+use std::collections::HashMap;
+
+use agate_core::{ClassName, Host, Site};
+
+use crate::pool::Pool;
+use crate::{Occupancy, Scope};
+
+/// Index of a site in a view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct SiteKey(pub(crate) usize);
+
+/// The pools of one kind of host.
+#[derive(Debug, Default)]
+pub(crate) struct HostPools {
+    /// Members that serve every class.
+    pub(crate) any: Pool,
+    /// Members that serve only the classes they name.
+    pub(crate) named: HashMap<ClassName, Pool>,
+    /// All members, those included that may not get new work.
+    pub(crate) known: u32,
+    /// Sums over the members that may get new work.
+    pub(crate) active: Occupancy,
+}
+
+/// One availability zone and its pools.
+#[derive(Debug)]
+pub(crate) struct SitePools {
+    pub(crate) site: Site,
+    pub(crate) scope: Scope,
+    backends: HostPools,
+    workers: HostPools,
+}
+
+impl SitePools {
+    pub(crate) fn new(site: Site, scope: Scope) -> Self {
+        Self {
+            site,
+            scope,
+            backends: HostPools::default(),
+            workers: HostPools::default(),
+        }
+    }
+
+    pub(crate) const fn host(&self, host: Host) -> &HostPools {
+        match host {
+            Host::Backend => &self.backends,
+            Host::Worker => &self.workers,
+        }
+    }
+
+    pub(crate) const fn host_mut(&mut self, host: Host) -> &mut HostPools {
+        match host {
+            Host::Backend => &mut self.backends,
+            Host::Worker => &mut self.workers,
+        }
+    }
+}
+
+impl HostPools {
+    /// The pool of one place: of class `class`, or of every class.
+    pub(crate) fn pool_mut(&mut self, class: Option<&ClassName>) -> &mut Pool {
+        match class {
+            None => &mut self.any,
+            Some(class) => self.named.entry(class.clone()).or_default(),
+        }
+    }
+
+    /// The pools whose members serve `class`.
+    pub(crate) fn serving(&self, class: &ClassName) -> impl Iterator<Item = &Pool> {
+        std::iter::once(&self.any).chain(self.named.get(class))
+    }
+}
