--- a/crates/agate_members/src/view/announce.rs
+++ b/crates/agate_members/src/view/announce.rs
@@ -60,11 +60,19 @@
 
     /// Takes a member that serves badly out of new work; it may get probes.
     pub fn eject(&mut self, key: MemberKey) {
+        if self.is_ejected(key) {
+            return;
+        }
+        self.ejected += 1;
         self.set_reasons(key, |reasons| reasons.raise(Standing::Ejected));
     }
 
     /// Gives work again to a member that was ejected. Its share rises as that of a newcomer.
     pub fn reinstate(&mut self, key: MemberKey, now: Moment) {
+        if !self.is_ejected(key) {
+            return;
+        }
+        self.ejected -= 1;
         if let Some(member) = self.members.get_mut(key) {
             member.joined = now;
         }
@@ -73,6 +81,9 @@
 
     pub(super) fn remove(&mut self, key: MemberKey) -> Option<Member> {
         self.delist(key);
+        if self.is_ejected(key) {
+            self.ejected -= 1;
+        }
         let member = self.members.remove(key)?;
         let info = &member.info;
         self.incarnations.remove(&info.incarnation);
@@ -83,6 +94,11 @@
         Some(member)
     }
 
+    fn is_ejected(&self, key: MemberKey) -> bool {
+        let member = self.members.get(key);
+        member.is_some_and(|member| member.reasons.has(Standing::Ejected))
+    }
+
     /// Replaces what a known member announced.
     fn update(&mut self, key: MemberKey, info: MemberInfo, now: Moment) {
         if self.find_address(info.address) != Some(key) {
--- a/crates/agate_members/src/view/mod.rs
+++ b/crates/agate_members/src/view/mod.rs
@@ -35,6 +35,7 @@
     /// Until when nobody is suspected, because this process itself was not running.
     excused: Moment,
     expected: u32,
+    ejected: usize,
     members: SlotMap<MemberKey, Member>,
     incarnations: HashMap<Incarnation, MemberKey>,
     addresses: HashMap<SocketAddr, MemberKey>,
@@ -53,6 +54,7 @@
             swept: now,
             excused: now,
             expected: 0,
+            ejected: 0,
             members: SlotMap::with_key(),
             incarnations: HashMap::new(),
             addresses: HashMap::new(),
--- a/crates/agate_members/src/view/summary.rs
+++ b/crates/agate_members/src/view/summary.rs
@@ -13,6 +13,17 @@
         sums.fold(Occupancy::default(), Occupancy::plus)
     }
 
+    /// How full all members of one kind are that may get new work.
+    pub fn active(&self, host: Host) -> Occupancy {
+        let sums = self.sites.iter().map(|site| site.host(host).active);
+        sums.fold(Occupancy::default(), Occupancy::plus)
+    }
+
+    /// Members that are ejected.
+    pub const fn ejected(&self) -> usize {
+        self.ejected
+    }
+
     /// A summary per site and kind of host, for other entries.
     pub fn digest(&self) -> Vec<SiteDigest> {
         let mut lines = Vec::new();
