--- /dev/null
+++ b/crates/agate_settings/src/reference.rs
@@ -0,0 +1,52 @@
+//! Reference pages made from descriptions of settings.
+
+use std::fmt::Write as _;
+
+use crate::{Describe, Kind, Program, Setting};
+
+/// Writes the reference page of a program's settings in Markdown.
+pub fn reference<S: Describe>(program: &Program) -> String {
+    let mut page = format!("# Settings of `{}`\n\n{}\n\n", program.name, program.about);
+    page.push_str("Each setting is a flag or an environment variable; the flag wins. `--check` checks all of them, ");
+    page.push_str("prints them and exits.\n\n");
+    page.push_str("| flag | variable | unit | accepted | default | what it does |\n");
+    page.push_str("|---|---|---|---|---|---|\n");
+    for setting in S::iter() {
+        row(&mut page, &setting.describe());
+    }
+    page
+}
+
+fn row(page: &mut String, setting: &Setting) {
+    let default = match setting.default {
+        None => "required".to_owned(),
+        Some("") => "empty".to_owned(),
+        Some(text) => format!("`{text}`"),
+    };
+    let Setting {
+        flag,
+        variable,
+        unit,
+        about,
+        ..
+    } = setting;
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        page,
+        "| `--{flag}` | `{variable}` | {unit} | {} | {default} | {about} |",
+        accepted(&setting.kind)
+    );
+}
+
+fn accepted(kind: &Kind) -> String {
+    match kind {
+        Kind::Number(range) => format!("{} to {}", range.start(), range.end()),
+        Kind::Address => "IP address and port".to_owned(),
+        Kind::Addresses => "IP addresses and ports joined by commas".to_owned(),
+        Kind::Name => "a name".to_owned(),
+        Kind::Names => "names joined by commas".to_owned(),
+        Kind::Text => "text".to_owned(),
+        Kind::Secret => "at least 16 bytes, never shown".to_owned(),
+        Kind::Choice(words) => words.join(", "),
+    }
+}
