--- a/crates/agate_telemetry/src/lib.rs
+++ b/crates/agate_telemetry/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Logs, metrics and spans, the same in every process.
+
+pub mod logs;
+pub mod metrics;
+pub mod spans;
--- /dev/null
+++ b/crates/agate_telemetry/src/logs/line.rs
@@ -0,0 +1,50 @@
+//! The text of one event.
+
+use std::fmt::Write as _;
+
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+
+/// Writes one event as key=value pairs: time, level, target, the event's own pairs, message.
+///
+/// Values with spaces, quotes, equals signs or control characters are quoted and escaped, so that
+/// an event never takes more than one line, whatever it holds.
+pub fn line(record: &Record<'_>, time: &str) -> String {
+    let level = record.level().as_str().to_ascii_lowercase();
+    let mut pairs = Pairs(format!(
+        "time={time} level={level} target={}",
+        record.target()
+    ));
+    // Visiting fails only if a pair's own formatting fails; the rest of the line still stands.
+    let _ = record.key_values().visit(&mut pairs);
+    let message = record.args().to_string();
+    if !message.is_empty() {
+        pairs.push("message", &message);
+    }
+    pairs.0
+}
+
+struct Pairs(String);
+
+impl Pairs {
+    fn push(&mut self, key: &str, value: &str) {
+        // Writing to a string cannot fail.
+        let _ = if is_plain(value) {
+            write!(self.0, " {key}={value}")
+        } else {
+            write!(self.0, " {key}={value:?}")
+        };
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.push(key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
+
+fn is_plain(value: &str) -> bool {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=' | '\\');
+    !value.is_empty() && value.chars().all(plain)
+}
--- /dev/null
+++ b/crates/agate_telemetry/tests/logs.rs
@@ -0,0 +1,38 @@
+//! The text of log events.
+
+use agate_telemetry::logs::line;
+use log::{Level, Record};
+use rstest::rstest;
+
+fn text(pairs: &[(&str, &str)], message: &str) -> String {
+    line(
+        &Record::builder()
+            .level(Level::Info)
+            .target("agate_entry")
+            .key_values(&pairs)
+            .args(format_args!("{message}"))
+            .build(),
+        "2026-01-02T03:04:05.678Z",
+    )
+}
+
+#[rstest]
+#[case::plain(&[("event", "started")], "", "event=started")]
+#[case::space(&[("cause", "no room")], "", r#"cause="no room""#)]
+#[case::equals(&[("cause", "a=b")], "", r#"cause="a=b""#)]
+#[case::empty(&[("cause", "")], "", r#"cause="""#)]
+#[case::newline(&[("cause", "a\nb")], "", r#"cause="a\nb""#)]
+#[case::message(&[], "two words", r#"message="two words""#)]
+#[case::forged(&[("event", "x")], "a\ntime=0 level=error", r#"event=x message="a\ntime=0 level=error""#)]
+fn event_takes_one_line(
+    #[case] pairs: &[(&str, &str)],
+    #[case] message: &str,
+    #[case] expected: &str,
+) {
+    let line = text(pairs, message);
+    assert_eq!(
+        line,
+        format!("time=2026-01-02T03:04:05.678Z level=info target=agate_entry {expected}")
+    );
+    assert_eq!(line.lines().count(), 1);
+}
