Make a key's outcome final and take the lease out of start messages

Cause: a walk through the model's steps: a start message that waited in a frozen agent's socket would extend a lease from its arrival; an entry that refuses a bare key as not run may contradict an earlier attempt through an entry that died. Ruled out: a send time in the message, which needs clocks that agree across machines.

--- a/crates/agate_wire/src/message/run.rs
+++ b/crates/agate_wire/src/message/run.rs
@@ -5,6 +5,10 @@
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 /// Asks an agent to start a run that the log has bound to it.
+///
+/// The message carries no lease: it may have been under way for any time, and the agent can't tell.
+/// The run is held under the lease that the agent's own heartbeats have earned; if that has lapsed,
+/// the run starts paused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartRun {
     /// The run.
@@ -28,8 +32,6 @@
     pub checkpoint: Option<String>,
     /// Input of the task, opaque to the system.
     pub payload: String,
-    /// Lease on the run in milliseconds counted from the sending of this message.
-    pub lease_ms: u64,
     /// Trace that the run belongs to.
     pub trace: TraceContext,
 }
--- a/crates/agate_wire/src/message/serve.rs
+++ b/crates/agate_wire/src/message/serve.rs
@@ -41,8 +41,10 @@
     pub body: Blob,
 }
 
-/// Why an agent does not run a request. Each of them is a proof that it did not run and, for
-/// this attempt, never will.
+/// Why an agent does not run a request. Each of them is a proof that it did not run and never
+/// will: an agent that refuses a request with a key tombstones the key first, so that another
+/// attempt with the same key, late or at the same time, can't run after the caller was told.
+/// [`Refusal::KeyTooOld`] and [`Refusal::Gone`] prove it for this attempt only.
 #[derive(
     Debug,
     Clone,
