--- /dev/null
+++ b/crates/agate_bench/src/report/mod.rs
@@ -0,0 +1,52 @@
+//! Tables and bounds of one run.
+
+mod bound;
+mod table;
+
+use std::fmt;
+use std::process::ExitCode;
+
+pub use bound::{Bound, Limit};
+pub use table::Table;
+
+/// Everything that one run found.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    tables: Vec<Table>,
+    bounds: Vec<Bound>,
+}
+
+impl Report {
+    /// Adds a table.
+    pub fn table(&mut self, table: Table) {
+        self.tables.push(table);
+    }
+
+    /// Adds a bound with what was read.
+    pub fn bound(&mut self, bound: Bound) {
+        self.bounds.push(bound);
+    }
+
+    /// Failure if a bound is missed, or if none was checked.
+    pub fn exit_code(&self) -> ExitCode {
+        let met = self.bounds.iter().all(Bound::is_met);
+        if met && !self.bounds.is_empty() {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for table in &self.tables {
+            writeln!(f, "{table}")?;
+        }
+        let mut bounds = Table::new("bounds", &["bound", "limit", "read", "result"]);
+        for bound in &self.bounds {
+            bounds.row(bound.cells());
+        }
+        writeln!(f, "{bounds}")
+    }
+}
--- /dev/null
+++ b/crates/agate_bench/src/urgent/entry.rs
@@ -0,0 +1,144 @@
+//! One entry: a view of its own, and a way to choose.
+
+use std::collections::BTreeSet;
+
+use agate_core::{ClassName, Moment};
+use agate_members::{MemberKey, Standing, View};
+use agate_preset::Preset;
+use agate_route::budget::Deadline;
+use agate_route::choose::{Choice, Chooser, Request};
+use agate_route::outlier::OutlierDetector;
+use agate_route::retry::RetryBudgets;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::member::site;
+use super::scenario::{Routing, ZONES};
+
+/// Bytes of one request.
+const REQUEST_BYTES: u64 = 500;
+
+/// One entry.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) zone: usize,
+    pub(super) view: View,
+    pub(super) chooser: Chooser,
+    pub(super) detector: OutlierDetector,
+    pub(super) budgets: RetryBudgets,
+    pub(super) rng: SmallRng,
+    /// Attempts without a result, by the member that has them.
+    pub(super) open: BTreeSet<(MemberKey, usize)>,
+    turn: usize,
+}
+
+impl Entry {
+    pub(super) fn new(index: usize, preset: &Preset, seed: u64) -> Self {
+        let zone = index % ZONES;
+        let now = Moment::ZERO;
+        Self {
+            zone,
+            view: View::new(site(zone), preset.membership, now),
+            chooser: Chooser::new(preset.routing, preset.link, now),
+            detector: OutlierDetector::new(preset.routing),
+            budgets: RetryBudgets::new(now),
+            rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
+            open: BTreeSet::new(),
+            turn: index,
+        }
+    }
+
+    /// Chooses a member, or none.
+    pub(super) fn pick(
+        &mut self,
+        routing: Routing,
+        class: &ClassName,
+        deadline: Moment,
+        tried: &[MemberKey],
+        now: Moment,
+    ) -> Option<MemberKey> {
+        match routing {
+            Routing::Policy => self.pick_by_policy(class, deadline, tried, now),
+            Routing::RoundRobin => self.pick_in_turn(),
+            Routing::LeastLoaded => self.pick_least_loaded(),
+        }
+    }
+
+    /// Notes that an attempt was sent.
+    pub(super) fn sent(&mut self, key: MemberKey, attempt: usize, now: Moment) {
+        self.open.insert((key, attempt));
+        self.chooser.sent(key, REQUEST_BYTES, &self.view, now);
+    }
+
+    /// Notes that an attempt has ended; tells whether it was open.
+    pub(super) fn close(&mut self, key: MemberKey, attempt: usize, now: Moment) -> bool {
+        let was_open = self.open.remove(&(key, attempt));
+        if was_open {
+            self.chooser.ended(key, REQUEST_BYTES, &self.view, now);
+        }
+        was_open
+    }
+
+    /// Open attempts at a member.
+    pub(super) fn open_at(&self, key: MemberKey) -> Vec<usize> {
+        let all = (key, 0)..=(key, usize::MAX);
+        self.open.range(all).map(|(_, attempt)| *attempt).collect()
+    }
+
+    fn pick_by_policy(
+        &mut self,
+        class: &ClassName,
+        deadline: Moment,
+        tried: &[MemberKey],
+        now: Moment,
+    ) -> Option<MemberKey> {
+        let request = Request {
+            class,
+            deadline: Deadline::after(now, now.until(deadline)),
+            bytes: REQUEST_BYTES,
+            tried,
+        };
+        let (view, detector) = (&self.view, &mut self.detector);
+        match self
+            .chooser
+            .choose(&request, view, detector, now, &mut self.rng)
+        {
+            Choice::Send { key, .. } | Choice::Probe(key) => Some(key),
+            Choice::Refuse { .. } => None,
+        }
+    }
+
+    fn pick_in_turn(&mut self) -> Option<MemberKey> {
+        let active = self.active();
+        self.turn += 1;
+        let count = active.len().max(1);
+        active.get(self.turn % count).copied()
+    }
+
+    fn pick_least_loaded(&mut self) -> Option<MemberKey> {
+        self.turn += 1;
+        let mut active = self.active();
+        let count = active.len().max(1);
+        active.rotate_left(self.turn % count);
+        active.into_iter().min_by_key(|key| self.load(*key))
+    }
+
+    fn active(&self) -> Vec<MemberKey> {
+        let active = |key: &MemberKey| {
+            let member = self.view.get(*key);
+            member.is_some_and(|member| member.standing() == Standing::Active)
+        };
+        self.view
+            .iter()
+            .map(|(key, _)| key)
+            .filter(active)
+            .collect()
+    }
+
+    /// Requests at a member by its newest reading, but no fewer than this entry has there.
+    fn load(&self, key: MemberKey) -> u32 {
+        let reading = self.view.get(key).map(|member| member.reading().load);
+        let told = reading.map_or(0, |load| load.running + load.queued);
+        told.max(self.chooser.in_flight(key))
+    }
+}
--- /dev/null
+++ b/crates/agate_bench/src/urgent/world/attempts.rs
@@ -0,0 +1,61 @@
+//! Attempts on their way to a member and back.
+
+use super::super::event::{Event, Outcome};
+use super::super::scenario::{Fault, Repeats, Routing};
+use super::{Attempt, World};
+
+impl World {
+    /// Lets an attempt travel to its member, or be reset, or vanish.
+    pub(super) fn travel(&mut self, attempt: usize) {
+        let Attempt { call, member, .. } = self.attempts[attempt];
+        let delay = self.delay(self.calls[call].entry, member);
+        if !self.is_lost(self.members[member].zone) {
+            self.events.push(self.now + delay, Event::Reach { attempt });
+        } else if self.scenario.fault == Fault::ZoneReset {
+            let result = Outcome::Lost;
+            let reset = Event::Result {
+                attempt,
+                result,
+                load: None,
+            };
+            self.events.push(self.now + delay * 2, reset);
+        }
+    }
+
+    pub(super) fn reply(&mut self, attempt: usize, result: Outcome) {
+        let Attempt { call, member, .. } = self.attempts[attempt];
+        let load = Some(self.members[member].admission.load());
+        let delay = self.delay(self.calls[call].entry, member);
+        let event = Event::Result {
+            attempt,
+            result,
+            load,
+        };
+        self.events.push(self.now + delay, event);
+    }
+
+    pub(super) fn result(&mut self, attempt: usize, result: Outcome) {
+        let Attempt {
+            call, key, sent, ..
+        } = self.attempts[attempt];
+        let entry = &mut self.entries[self.calls[call].entry];
+        if !entry.close(key, attempt, self.now) {
+            return;
+        }
+        if self.plan.routing == Routing::Policy {
+            let (detector, view) = (&mut entry.detector, &mut entry.view);
+            match result {
+                Outcome::Answered => {
+                    let latency = self.now.since(sent);
+                    detector.answered(key, &self.class, latency, view, self.now);
+                }
+                Outcome::Refused => detector.refused(key),
+                Outcome::Failed | Outcome::Lost => detector.failed(key, view, self.now),
+            }
+        }
+        if result == Outcome::Lost && self.plan.repeats == Repeats::Budget {
+            entry.view.condemn(key);
+        }
+        self.settle(call, result);
+    }
+}
--- /dev/null
+++ b/crates/agate_bench/src/urgent/world/calls.rs
@@ -0,0 +1,164 @@
+//! Requests of callers: arrival, attempts, end.
+
+use std::time::Duration;
+
+use agate_core::Moment;
+use agate_members::MemberKey;
+use agate_route::budget::Deadline;
+use agate_route::retry::{Attempted, Retry, decide};
+use rand::Rng;
+
+use super::super::event::{Event, Outcome};
+use super::super::scenario::{DEADLINE, ENTRIES, Repeats, Routing, SERVICE, WARMUP};
+use super::{Attempt, Call, World};
+
+/// Time from the caller to an entry and back.
+const CALLER_TRIP: Duration = Duration::from_millis(2);
+
+/// Attempts after which even unlimited repeats stop, to keep the run short.
+const MAX_ATTEMPTS: u32 = 20;
+
+impl World {
+    pub(super) fn arrive(&mut self) {
+        let gap = -(1.0 - self.workload.random::<f64>()).ln() / self.scenario.rate();
+        let next = self.now + Duration::from_secs_f64(gap);
+        self.events.push(next, Event::Arrive);
+        let service = SERVICE.mul_f64(self.workload.random_range(0.5..1.5));
+        let mut entry = self.workload.random_range(0..ENTRIES);
+        if self.is_lost(self.entries[entry].zone) {
+            entry = (entry + 1) % ENTRIES;
+        }
+        self.calls.push(Call {
+            entry,
+            arrived: self.now,
+            service,
+            attempts: 0,
+            tried: Vec::new(),
+            open: true,
+        });
+        let request = self.calls.len() - 1;
+        if self.counts() {
+            self.tally.requests += 1;
+        }
+        let budgets = &mut self.entries[entry].budgets;
+        budgets.first(&self.preset.retries, &self.caller, &self.class, self.now);
+        self.events
+            .push(self.now + DEADLINE, Event::GiveUp { request });
+        self.send(request);
+    }
+
+    pub(super) fn send(&mut self, request: usize) {
+        let call = &mut self.calls[request];
+        if !call.open {
+            return;
+        }
+        let deadline = call.arrived + DEADLINE;
+        let entry = &mut self.entries[call.entry];
+        let picked = entry.pick(
+            self.plan.routing,
+            &self.class,
+            deadline,
+            &call.tried,
+            self.now,
+        );
+        let Some(key) = picked else {
+            self.close(request, Outcome::Refused);
+            return;
+        };
+        let attempt = self.attempts.len();
+        let port = entry.view.get(key).map_or(0, |m| m.info().address.port());
+        let member = usize::from(port);
+        call.attempts += 1;
+        call.tried.push(key);
+        entry.sent(key, attempt, self.now);
+        self.attempts.push(Attempt {
+            call: request,
+            member,
+            key,
+            sent: self.now,
+        });
+        if self.calls[request].attempts > 1 && self.counts() {
+            self.tally.extra += 1;
+            self.tally.wasted += 1;
+        }
+        self.travel(attempt);
+    }
+
+    /// Ends a call or repeats it.
+    pub(super) fn settle(&mut self, request: usize, result: Outcome) {
+        if !self.calls[request].open {
+            return;
+        }
+        let pause = match result {
+            Outcome::Answered => None,
+            Outcome::Refused | Outcome::Failed | Outcome::Lost => self.pause(request),
+        };
+        match pause {
+            Some(pause) => self.events.push(self.now + pause, Event::Send { request }),
+            None => self.close(request, result),
+        }
+    }
+
+    pub(super) fn pause(&mut self, request: usize) -> Option<Duration> {
+        let call = &self.calls[request];
+        let deadline = call.arrived + DEADLINE;
+        if self.plan.repeats == Repeats::Unlimited {
+            let more = call.attempts < MAX_ATTEMPTS && self.now < deadline;
+            return more.then_some(Duration::ZERO);
+        }
+        let attempted = Attempted {
+            caller: &self.caller,
+            class: &self.class,
+            repeatable: true,
+            attempts: call.attempts,
+            deadline: Deadline::after(self.now, self.now.until(deadline)),
+            expected: SERVICE,
+        };
+        let entry = &mut self.entries[call.entry];
+        let (budgets, rng) = (&mut entry.budgets, &mut entry.rng);
+        match decide(&self.preset.retries, budgets, &attempted, self.now, rng) {
+            Retry::After(pause) => Some(pause),
+            Retry::No(_) => None,
+        }
+    }
+
+    pub(super) fn close(&mut self, request: usize, result: Outcome) {
+        let call = &mut self.calls[request];
+        call.open = false;
+        if call.arrived < Moment::ZERO + WARMUP {
+            return;
+        }
+        match result {
+            Outcome::Answered => {
+                self.tally
+                    .answer(self.now.since(call.arrived) + CALLER_TRIP);
+                if call.attempts > 1 {
+                    self.tally.wasted -= 1;
+                }
+            }
+            Outcome::Refused => self.tally.refused += 1,
+            Outcome::Failed | Outcome::Lost => self.tally.failed += 1,
+        }
+    }
+
+    /// Ends a call whose deadline has come, and the attempts that it still has.
+    pub(super) fn give_up(&mut self, request: usize) {
+        if !self.calls[request].open {
+            return;
+        }
+        self.calls[request].open = false;
+        let entry = &mut self.entries[self.calls[request].entry];
+        let attempts = &self.attempts;
+        let mine = |(_, attempt): &&(MemberKey, usize)| attempts[*attempt].call == request;
+        let open: Vec<_> = entry.open.iter().filter(mine).copied().collect();
+        for (key, attempt) in open {
+            entry.close(key, attempt, self.now);
+            if self.plan.routing == Routing::Policy {
+                entry.detector.failed(key, &mut entry.view, self.now);
+            }
+        }
+        if self.calls[request].arrived >= Moment::ZERO + WARMUP {
+            self.tally.give_up(DEADLINE + CALLER_TRIP);
+        }
+    }
+}
