--- /dev/null
+++ b/crates/agate_bench/src/cost/urgent.rs
@@ -0,0 +1,261 @@
+//! What the instruction benchmarks of urgent requests work on.
+
+use std::time::Duration;
+
+use agate_core::{
+    ClassName, Host, Incarnation, Moment, RegionName, Resources, Site, Version, ZoneName,
+};
+use agate_members::{MemberKey, View};
+use agate_preset::Preset;
+use agate_preset::policy::Admission;
+use agate_route::admission::{AdmissionControl, Admit, Clocks, End, Limits, Offer};
+use agate_route::budget::Deadline;
+use agate_route::choose::{Choice, Chooser, Request};
+use agate_route::outlier::OutlierDetector;
+use agate_wire::message::{Capacity, Heartbeat, Load, MemberInfo, Verdict};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::budget::Decisions;
+use super::{Cost, Growth};
+
+/// The benchmarks of urgent requests.
+pub const COSTS: [Cost; 5] = [
+    Cost {
+        function: "choose",
+        id: "members_10",
+        decisions: Decisions::CHOOSE,
+    },
+    Cost {
+        function: "choose",
+        id: "members_1000",
+        decisions: Decisions::CHOOSE,
+    },
+    Cost {
+        function: "hear",
+        id: "members_10",
+        decisions: Decisions::HEARTBEAT,
+    },
+    Cost {
+        function: "hear",
+        id: "members_1000",
+        decisions: Decisions::HEARTBEAT,
+    },
+    Cost {
+        function: "offer_and_finish",
+        id: "busy",
+        decisions: Decisions::ADMIT,
+    },
+];
+
+/// How much dearer a decision may be with a hundred times the members.
+pub const GROWTH: [Growth; 2] = [grows_little("choose"), grows_little("hear")];
+
+const fn grows_little(function: &'static str) -> Growth {
+    Growth {
+        function,
+        small: "members_10",
+        large: "members_1000",
+        factor: 2.0,
+    }
+}
+
+/// When the benchmarks take place: well after the view has filled.
+const NOW: Moment = Moment::from_millis(60_000);
+
+/// Time that a request has left.
+const BUDGET: Duration = Duration::from_secs(1);
+
+/// Slots of each member.
+const SLOTS: u32 = 8;
+
+/// Zones that the members are spread over.
+const ZONES: u64 = 3;
+
+/// An entry that knows some members.
+#[derive(Debug)]
+pub struct Routing {
+    view: View,
+    chooser: Chooser,
+    detector: OutlierDetector,
+    class: ClassName,
+    rng: SmallRng,
+}
+
+impl Routing {
+    /// An entry that knows `members` members, each with some load.
+    pub fn with_members(members: u64) -> Self {
+        let preset = Preset::default();
+        let mut view = View::new(site(0), preset.membership, Moment::ZERO);
+        for index in 1..=members {
+            view.announce(member(index), Moment::ZERO);
+        }
+        for index in 1..=members {
+            view.heartbeat(&heartbeat(index, 1), NOW);
+        }
+        Self {
+            view,
+            chooser: Chooser::new(preset.routing, preset.link, Moment::ZERO),
+            detector: OutlierDetector::new(preset.routing),
+            class: class(),
+            rng: SmallRng::seed_from_u64(1),
+        }
+    }
+
+    /// Chooses a member and notes that a request was sent there.
+    ///
+    /// # Panics
+    ///
+    /// If no member is chosen, as that would measure something else.
+    pub fn choose(&mut self) -> MemberKey {
+        let request = Request {
+            class: &self.class,
+            deadline: Deadline::after(NOW, BUDGET),
+            bytes: 500,
+            tried: &[],
+        };
+        let (view, detector) = (&self.view, &mut self.detector);
+        let choice = self
+            .chooser
+            .choose(&request, view, detector, NOW, &mut self.rng);
+        let Choice::Send { key, .. } = choice else {
+            panic!("no member was chosen: {choice:?}");
+        };
+        self.chooser.sent(key, 500, view, NOW);
+        key
+    }
+
+    /// Takes over a heartbeat of a member.
+    ///
+    /// # Panics
+    ///
+    /// If the member is not known.
+    pub fn hear(&mut self, beat: &Heartbeat) {
+        assert_eq!(
+            self.view.heartbeat(beat, NOW),
+            Verdict::Known,
+            "the member is known"
+        );
+    }
+}
+
+/// The second heartbeat of the first member.
+pub fn second_heartbeat() -> Heartbeat {
+    heartbeat(1, 2)
+}
+
+/// An agent whose slots and half of whose queue are taken.
+#[derive(Debug)]
+pub struct Agent {
+    control: AdmissionControl,
+    class: ClassName,
+    running: agate_route::admission::AttemptKey,
+    rng: SmallRng,
+}
+
+impl Agent {
+    /// An agent under load.
+    ///
+    /// # Panics
+    ///
+    /// If the first request is not started.
+    pub fn busy() -> Self {
+        let limits = Limits {
+            slots: SLOTS,
+            connections: 64,
+        };
+        let mut control = AdmissionControl::new(limits, Admission::default());
+        let class = class();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let clocks = Clocks::new(NOW, Duration::ZERO);
+        let mut offer = || control.offer(&offer(&class), clocks, &mut rng);
+        let Admit::Start(running) = offer() else {
+            panic!("the first request was not started");
+        };
+        for _ in 1..SLOTS * 2 {
+            offer();
+        }
+        Self {
+            control,
+            class,
+            running,
+            rng,
+        }
+    }
+
+    /// Takes one request in and ends another, which starts a third.
+    ///
+    /// # Panics
+    ///
+    /// If nothing is started, as that would measure something else.
+    pub fn offer_and_finish(&mut self) {
+        let clocks = Clocks::new(NOW + Duration::from_millis(20), Duration::ZERO);
+        let admit = self
+            .control
+            .offer(&offer(&self.class), clocks, &mut self.rng);
+        assert!(
+            matches!(admit, Admit::Queue(_)),
+            "the request was not queued"
+        );
+        let turn = self
+            .control
+            .finish(self.running, End::Answered, clocks, &mut self.rng);
+        assert_eq!(turn.start.len(), 1, "nothing was started");
+    }
+}
+
+fn offer(class: &ClassName) -> Offer<'_> {
+    Offer {
+        class,
+        share_percent: 100,
+        budget: BUDGET,
+    }
+}
+
+fn member(index: u64) -> MemberInfo {
+    MemberInfo {
+        incarnation: Incarnation::new(index),
+        host: Host::Backend,
+        address: ([10, 0, 0, 0], u16::try_from(index).unwrap_or(u16::MAX)).into(),
+        site: site(index % ZONES),
+        capacity: Capacity {
+            slots: SLOTS,
+            connections: 64,
+            resources: Resources::ZERO,
+        },
+        classes: Vec::new(),
+    }
+}
+
+fn heartbeat(index: u64, sequence: u64) -> Heartbeat {
+    // Full enough that the own zone spills into the others, which makes a choice dearer.
+    let running = SLOTS - u32::try_from(index % 2).unwrap_or(0);
+    Heartbeat {
+        incarnation: Incarnation::new(index),
+        sequence,
+        leaving: false,
+        load: Load {
+            running,
+            queued: 0,
+            service_us: 20_000,
+            held: Resources::ZERO,
+        },
+        config: Version::default(),
+        runs: Vec::new(),
+        usage: Vec::new(),
+        urgent: Vec::new(),
+        entries: Vec::new(),
+    }
+}
+
+fn site(zone: u64) -> Site {
+    let zone = ZoneName::new(format!("zone-{zone}"));
+    Site {
+        region: RegionName::new("region").expect("the name is valid"),
+        zone: zone.expect("the name is valid"),
+    }
+}
+
+fn class() -> ClassName {
+    ClassName::new("seat-check").expect("the name is valid")
+}
--- a/crates/agate_bench/src/lib.rs
+++ b/crates/agate_bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measures the decisions: against baselines on seeded workloads, and in instructions.
 
+pub mod cost;
 pub mod report;
 pub mod urgent;
--- a/crates/agate_bench/src/main.rs
+++ b/crates/agate_bench/src/main.rs
@@ -1,7 +1,10 @@
-//! Prints what the decisions achieve against baselines, and fails on a missed bound.
+//! Prints what the decisions achieve against baselines and what they cost, and fails on a missed
+//! bound.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use agate_bench::cost::{self, Readings};
 use agate_bench::report::Report;
 use agate_bench::urgent;
 use bpaf::{Parser, construct, long};
@@ -9,9 +12,10 @@
 /// Seed of a run that names none.
 const DEFAULT_SEED: u64 = 1;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Options {
     seed: u64,
+    costs: Option<PathBuf>,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
@@ -19,7 +23,11 @@
         .help("Seed of the workloads; the same seed gives the same tables")
         .argument("N")
         .fallback(DEFAULT_SEED);
-    construct!(Options { seed })
+    let costs = long("costs")
+        .help("Folder in which gungraun has saved its summaries; without it no costs are checked")
+        .argument("FOLDER")
+        .optional();
+    construct!(Options { seed, costs })
         .to_options()
         .descr("Measures the decisions against baselines on seeded workloads")
 }
@@ -28,6 +36,21 @@
     let options = options().run();
     let mut report = Report::default();
     urgent::run(options.seed, &mut report);
+    if let Some(folder) = options.costs {
+        match Readings::below(&folder) {
+            Ok(readings) => check_costs(&readings, &mut report),
+            Err(error) => {
+                eprintln!("agate_bench: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
     print!("{report}");
     report.exit_code()
 }
+
+fn check_costs(readings: &Readings, report: &mut Report) {
+    use cost::urgent::{COSTS, GROWTH};
+
+    cost::run("cost of urgent requests", readings, &COSTS, &GROWTH, report);
+}
