Test the view of members

Each test was shown failing by a mutation of the code, among them: a late heartbeat is taken; a heartbeat clears a condemned connection; silence counts from the newest heartbeat instead of the oldest ping; silence while this process was frozen is held against members; no slow start; slow start or weight by slots while the view fills; the index of a moved member is not mended; no tombstone.

--- a/crates/agate_members/src/view/suspicion.rs
+++ b/crates/agate_members/src/view/suspicion.rs
@@ -12,6 +12,9 @@
 use crate::pace::suspect_after;
 use crate::{Member, MemberKey, Standing};
 
+/// The least time between two looks at one member.
+const MIN_LOOK: Duration = Duration::from_millis(1);
+
 /// What a sweep found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -125,6 +128,7 @@
         };
         let condemn = self.condemn_at(member).filter(|at| *at > now);
         let due = condemn.map_or(silence, |at| at.min(silence));
+        let due = due.max(now + MIN_LOOK);
         self.members[key].due = due;
         self.due.push(due, key);
     }
--- /dev/null
+++ b/crates/agate_members/tests/it/draw.rs
@@ -0,0 +1,216 @@
+//! Draws of candidates.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::support::{class, empty, join, member, ms, near, site};
+use agate_core::{ClassName, Moment};
+use agate_members::{Fill, MemberKey, Scope, Standing, View};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// How often each member is drawn first in `rounds` draws of one.
+fn shares(view: &View, warmup: Duration, now: Moment, rounds: u32) -> BTreeMap<MemberKey, f64> {
+    let class = class();
+    let mut draw = near(&class);
+    draw.warmup = warmup;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts = BTreeMap::new();
+    for _ in 0..rounds {
+        let mut out = Vec::new();
+        view.draw(&draw, 1, &mut out, now, &mut rng);
+        *counts.entry(out[0]).or_insert(0.0) += 1.0 / f64::from(rounds);
+    }
+    counts
+}
+
+#[test]
+fn members_are_drawn_by_their_slots() {
+    let mut view = empty();
+    let small = join(&mut view, member(1), Moment::ZERO);
+    let mut info = member(2);
+    info.capacity.slots *= 3;
+    join(&mut view, info, Moment::ZERO);
+    let shares = shares(&view, Duration::ZERO, ms(60_000), 10_000);
+    assert!((shares[&small] - 0.25).abs() < 0.03, "{shares:?}");
+}
+
+#[test]
+fn a_newcomers_share_rises_slowly() {
+    let mut view = empty();
+    for id in 1..=9 {
+        join(&mut view, member(id), Moment::ZERO);
+    }
+    let newcomer = join(&mut view, member(10), ms(60_000));
+    let warmup = Duration::from_secs(10);
+    let share = |at| shares(&view, warmup, ms(at), 10_000)[&newcomer];
+    assert!(share(60_500) < 0.03);
+    assert!((share(65_000) - 0.05).abs() < 0.02);
+    assert!((share(70_000) - 0.1).abs() < 0.02);
+}
+
+#[test]
+fn members_weigh_the_same_while_the_view_fills() {
+    let mut view = empty();
+    let warmup = Duration::from_secs(10);
+    for id in 1..=4 {
+        let mut info = member(id);
+        info.capacity.slots *= u32::from(id);
+        join(&mut view, info, ms(u64::from(id) * 400));
+    }
+    assert_eq!(view.fill(ms(1_600)), Fill::Filling);
+    let filling = shares(&view, warmup, ms(1_600), 10_000);
+    let even = filling.values().all(|share| (share - 0.25).abs() < 0.03);
+    assert!(even && filling.len() == 4, "{filling:?}");
+    let full = shares(&view, warmup, ms(2_500), 10_000);
+    let largest = full.values().fold(0.0_f64, |a, b| a.max(*b));
+    assert!((largest - 0.4).abs() < 0.03, "{full:?}");
+}
+
+#[test]
+fn a_view_that_lags_its_peers_is_still_filling() {
+    let mut view = empty();
+    join(&mut view, member(1), Moment::ZERO);
+    assert_eq!(view.fill(ms(2_000)), Fill::Full);
+    view.expect(10);
+    assert_eq!(view.fill(ms(2_000)), Fill::Filling);
+    assert_eq!(view.fill(ms(3_000)), Fill::Full);
+}
+
+#[test]
+fn only_members_that_serve_the_class_are_drawn() {
+    let mut view = empty();
+    let any = join(&mut view, member(1), Moment::ZERO);
+    let mut info = member(2);
+    info.classes = vec![ClassName::new("quote").unwrap(), class()];
+    let both = join(&mut view, info, Moment::ZERO);
+    let mut info = member(3);
+    info.classes = vec![ClassName::new("quote").unwrap()];
+    join(&mut view, info, Moment::ZERO);
+    let class = class();
+    let mut out = Vec::new();
+    let mut rng = SmallRng::seed_from_u64(1);
+    view.draw(&near(&class), 3, &mut out, ms(1), &mut rng);
+    out.sort_unstable();
+    assert_eq!(out, [any, both]);
+}
+
+/// One change of a view.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Join(u16),
+    Replace(u16),
+    Leave(u16),
+    Condemn(u16),
+    Restore(u16),
+    Eject(u16),
+    Reinstate(u16),
+    Lose(u16),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let id = 1_u16..12;
+    prop_oneof![
+        4 => id.clone().prop_map(Step::Join),
+        1 => id.clone().prop_map(Step::Replace),
+        1 => id.clone().prop_map(Step::Leave),
+        1 => id.clone().prop_map(Step::Condemn),
+        1 => id.clone().prop_map(Step::Restore),
+        1 => id.clone().prop_map(Step::Eject),
+        1 => id.clone().prop_map(Step::Reinstate),
+        1 => id.prop_map(Step::Lose),
+        1 => (1_u64..2_000).prop_map(Step::Pass),
+    ]
+}
+
+fn apply(view: &mut View, step: Step, generation: u64, now: &mut Moment) {
+    let find = |view: &View, id| view.find_address(member(id).address);
+    match step {
+        Step::Join(id) => {
+            let mut info = member(id);
+            info.classes = match id % 3 {
+                0 => Vec::new(),
+                1 => vec![class()],
+                _ => vec![ClassName::new("quote").expect("known and valid"), class()],
+            };
+            info.site = site("khomas", if id % 2 == 0 { "a" } else { "b" });
+            view.announce(info, *now);
+        }
+        Step::Replace(id) => {
+            let mut info = member(id);
+            info.incarnation = agate_core::Incarnation::new(1_000 + generation);
+            view.announce(info, *now);
+        }
+        Step::Pass(time) => {
+            *now = *now + Duration::from_millis(time);
+            view.sweep(*now);
+        }
+        Step::Leave(id) => drop(find(view, id).map(|key| view.leave(key))),
+        Step::Condemn(id) => drop(find(view, id).map(|key| view.condemn(key))),
+        Step::Restore(id) => drop(find(view, id).map(|key| view.restored(key))),
+        Step::Eject(id) => drop(find(view, id).map(|key| view.eject(key))),
+        Step::Reinstate(id) => drop(find(view, id).map(|key| view.reinstate(key, *now))),
+        Step::Lose(id) => {
+            if let Some(key) = find(view, id) {
+                let incarnation = view.get(key).expect("known and valid").info().incarnation;
+                view.lost(incarnation, *now);
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn exactly_the_members_that_may_get_work_are_drawn(
+        steps in proptest::collection::vec(step(), 1..80),
+        seed in any::<u64>(),
+    ) {
+        let mut view = empty();
+        let mut now = Moment::ZERO;
+        let class = class();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for (generation, step) in (0..).zip(steps) {
+            apply(&mut view, step, generation, &mut now);
+            for scope in [Scope::Zone, Scope::Region] {
+                let mut draw = near(&class);
+                draw.scope = scope;
+                let mut drawn = Vec::new();
+                view.draw(&draw, 100, &mut drawn, now, &mut rng);
+                drawn.sort_unstable();
+                let mut expected: Vec<MemberKey> = view
+                    .iter()
+                    .filter(|(_, m)| m.standing() == Standing::Active && m.scope() == scope)
+                    .map(|(key, _)| key)
+                    .collect();
+                expected.sort_unstable();
+                prop_assert_eq!(&drawn, &expected);
+                let sums = view.occupancy(&draw);
+                prop_assert_eq!(sums.members, expected.len());
+            }
+        }
+    }
+
+    #[test]
+    fn a_draw_holds_different_members_and_as_many_as_asked(
+        members in 1_u16..200,
+        wanted in 1_usize..10,
+        seed in any::<u64>(),
+    ) {
+        let mut view = empty();
+        for id in 1..=members {
+            join(&mut view, member(id), Moment::ZERO);
+        }
+        let class = class();
+        let mut drawn = Vec::new();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        view.draw(&near(&class), wanted, &mut drawn, ms(60_000), &mut rng);
+        let count = drawn.len();
+        drawn.sort_unstable();
+        drawn.dedup();
+        prop_assert_eq!(drawn.len(), count);
+        prop_assert!(count <= wanted);
+        prop_assert!(count >= 1);
+    }
+}
--- /dev/null
+++ b/crates/agate_members/tests/it/suspicion.rs
@@ -0,0 +1,116 @@
+//! Members that fall silent.
+
+use super::support::{active, beat, empty, join, member, ms, site};
+use agate_core::Moment;
+use agate_members::{Change, MemberKey, Standing, View};
+use rstest::rstest;
+
+/// Sweeps every quarter second from `from` to `to` and collects what is found.
+fn sweep(view: &mut View, from: u64, to: u64) -> Vec<(u64, Change)> {
+    let times = (from..=to).step_by(250);
+    times
+        .flat_map(|at| {
+            view.sweep(ms(at))
+                .into_iter()
+                .map(move |change| (at, change))
+        })
+        .collect()
+}
+
+fn standing(view: &View, key: MemberKey) -> Standing {
+    view.get(key).expect("the member is known").standing()
+}
+
+#[rstest]
+#[case("khomas", 3_000)]
+#[case("erongo", 9_000)]
+fn missing_heartbeats_make_a_member_suspect(#[case] region: &str, #[case] after: u64) {
+    let mut view = empty();
+    let mut info = member(7);
+    info.site = site(region, "b");
+    let key = join(&mut view, info, Moment::ZERO);
+    let changes = sweep(&mut view, 0, 10_000);
+    assert_eq!(changes, [(after, Change::Suspected(key))]);
+    view.heartbeat(&beat(7, 1), ms(10_000));
+    assert_eq!(standing(&view, key), Standing::Active);
+}
+
+#[test]
+fn a_silent_connection_is_condemned_though_heartbeats_flow() {
+    let mut view = empty();
+    let key = join(&mut view, member(7), Moment::ZERO);
+    let mut found = Vec::new();
+    for tick in 1..=20 {
+        let now = ms(tick * 250);
+        view.heartbeat(&beat(7, tick), now);
+        view.asked(key, now);
+        found.extend(
+            view.sweep(now)
+                .into_iter()
+                .map(|change| (tick * 250, change)),
+        );
+    }
+    assert_eq!(found, [(2_250, Change::Condemned(key))]);
+    assert_eq!(active(&view), 0);
+    view.restored(key);
+    assert_eq!(standing(&view, key), Standing::Active);
+}
+
+#[test]
+fn a_connection_that_answers_pings_is_kept() {
+    let mut view = empty();
+    let key = join(&mut view, member(7), Moment::ZERO);
+    for tick in 1..=40 {
+        let now = ms(tick * 250);
+        view.heartbeat(&beat(7, tick), now);
+        view.asked(key, now);
+        assert_eq!(view.sweep(now), []);
+        if tick % 4 == 0 {
+            view.progress(key);
+        }
+    }
+    assert_eq!(standing(&view, key), Standing::Active);
+}
+
+#[test]
+fn a_restored_connection_can_be_condemned_again() {
+    let mut view = empty();
+    let key = join(&mut view, member(7), Moment::ZERO);
+    view.condemn(key);
+    view.restored(key);
+    view.asked(key, ms(500));
+    let changes = sweep(&mut view, 500, 2_750);
+    assert_eq!(changes, [(2_500, Change::Condemned(key))]);
+}
+
+#[test]
+fn a_member_silent_for_long_is_forgotten_and_may_come_back() {
+    let mut view = empty();
+    let info = member(7);
+    let key = join(&mut view, info.clone(), Moment::ZERO);
+    let changes = sweep(&mut view, 0, 60_000);
+    let expected = [
+        (3_000, Change::Suspected(key)),
+        (60_000, Change::Forgotten(info.incarnation)),
+    ];
+    assert_eq!(changes, expected);
+    assert!(view.is_empty());
+    join(&mut view, info, ms(61_000));
+    assert_eq!(active(&view), 1);
+}
+
+#[test]
+fn nobody_is_suspected_for_silence_while_this_process_was_frozen() {
+    let mut view = empty();
+    let key = join(&mut view, member(7), Moment::ZERO);
+    view.asked(key, Moment::ZERO);
+    view.sweep(Moment::ZERO);
+    assert_eq!(view.sweep(ms(300_000)), []);
+    assert_eq!(standing(&view, key), Standing::Active);
+    let changes = sweep(&mut view, 300_250, 304_000);
+    let expected = [
+        (302_000, Change::Condemned(key)),
+        (303_000, Change::Suspected(key)),
+    ];
+    assert_eq!(changes, expected);
+}
