--- /dev/null
+++ b/crates/agate_route/tests/it/freeze.rs
@@ -0,0 +1,70 @@
+//! Agents that were frozen or suspended.
+
+use std::time::Duration;
+
+use agate_route::admission::{AdmissionControl, Admit, Clocks, End, Offer, Start};
+use agate_wire::message::Refusal;
+use rstest::rstest;
+
+use super::support::{at, class, clocks, control, ms, offer, queued, refused, rng, started};
+
+/// Five minutes pass: on both clocks if the process was stopped, on the boot clock alone if the
+/// machine was suspended.
+#[rstest]
+#[case::stopped(Clocks::new(at(300_000), Duration::ZERO))]
+#[case::suspended(Clocks::new(at(200), Duration::from_secs(300)))]
+fn a_thawed_agent_starts_nothing_past_its_deadline(#[case] thawed: Clocks) {
+    let mut control = control(1, 64);
+    let running = started(offer(&mut control, 1_000, 0));
+    let waiting = queued(offer(&mut control, 1_000, 0));
+    let _ = control.tick(clocks(100), &mut rng());
+    assert_eq!(control.check_start(running, clocks(100)), Start::Go);
+    assert_eq!(control.check_start(running, thawed), Start::Late);
+    let turn = control.finish(running, End::NotStarted, thawed, &mut rng());
+    assert_eq!(turn.start, []);
+    assert_eq!(turn.dropped[0].key, waiting);
+    assert_eq!(turn.dropped[0].refused.reason, Refusal::Late);
+}
+
+fn offer_at(control: &mut AdmissionControl, clocks: Clocks) -> Admit {
+    let class = class();
+    let offer = Offer {
+        class: &class,
+        share_percent: 100,
+        budget: ms(1_000),
+    };
+    control.offer(&offer, clocks, &mut rng())
+}
+
+#[test]
+fn what_waited_in_socket_buffers_through_a_freeze_is_refused() {
+    let mut control = control(1, 64);
+    let _ = control.tick(clocks(100), &mut rng());
+    let thawed = refused(offer_at(&mut control, clocks(300_000)));
+    assert_eq!(thawed.reason, Refusal::Late);
+    assert_eq!(
+        refused(offer_at(&mut control, clocks(300_249))).reason,
+        Refusal::Late
+    );
+    started(offer_at(&mut control, clocks(300_250)));
+}
+
+#[test]
+fn an_agent_that_ticks_is_not_taken_for_frozen() {
+    let mut control = control(1, 64);
+    for tick in 0..40 {
+        let _ = control.tick(clocks(tick * 250), &mut rng());
+    }
+    started(offer_at(&mut control, clocks(9_990)));
+}
+
+#[test]
+fn a_freeze_does_not_count_as_service_time() {
+    let mut control = control(1, 64);
+    let first = started(offer(&mut control, 1_000, 0));
+    let _ = control.finish(first, End::Answered, clocks(20), &mut rng());
+    let _ = control.tick(clocks(100), &mut rng());
+    let second = started(offer(&mut control, 1_000, 110));
+    let _ = control.finish(second, End::Answered, clocks(300_000), &mut rng());
+    assert_eq!(control.load().service_us, 20_000);
+}
--- /dev/null
+++ b/crates/agate_route/tests/it/race.rs
@@ -0,0 +1,123 @@
+//! Several entries that race for the last slot of one agent.
+
+use std::collections::BTreeMap;
+
+use agate_core::ClassName;
+use agate_preset::policy::Admission;
+use agate_route::admission::{AdmissionControl, Admit, AttemptKey, Cancelled, End, Limits};
+use proptest::prelude::*;
+
+use super::support::{clocks, offer_class, rng};
+
+/// Slots, connections and share of the class that is limited.
+const SLOTS: u32 = 4;
+const SHARE_PERCENT: u32 = 50;
+
+/// What reaches the agent next.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// An entry that believes in a free slot sends a request.
+    Send {
+        entry: u8,
+        limited: bool,
+        budget: u64,
+    },
+    /// The backend server ends a request.
+    End { which: usize, end: End },
+    /// An entry cancels a request.
+    Cancel { which: usize },
+    /// The agent looks at its queue.
+    Tick,
+    /// Time passes.
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ends = prop_oneof![
+        Just(End::Answered),
+        Just(End::Failed),
+        Just(End::NotStarted)
+    ];
+    prop_oneof![
+        6 => (0_u8..4, any::<bool>(), 1_u64..400)
+            .prop_map(|(entry, limited, budget)| Step::Send { entry, limited, budget }),
+        3 => (any::<usize>(), ends).prop_map(|(which, end)| Step::End { which, end }),
+        1 => any::<usize>().prop_map(|which| Step::Cancel { which }),
+        1 => Just(Step::Tick),
+        2 => (1_u64..60).prop_map(Step::Pass),
+    ]
+}
+
+/// The backend server's own record of what runs: the class of each, and who sent it.
+type Running = BTreeMap<AttemptKey, (bool, u8)>;
+
+fn check(running: &Running, limit: u32) -> Result<(), TestCaseError> {
+    prop_assert!(running.len() <= limit as usize, "over-committed");
+    let limited = running.values().filter(|(limited, _)| *limited).count();
+    let share = (limit * SHARE_PERCENT / 100).max(1);
+    prop_assert!(limited <= share as usize, "over the share of the class");
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn racing_entries_never_overfill_an_agent(
+        steps in proptest::collection::vec(step(), 1..300),
+        connections in 1_u32..8,
+    ) {
+        let limits = Limits { slots: SLOTS, connections };
+        let mut control = AdmissionControl::new(limits, Admission::default());
+        let mut running = Running::new();
+        let mut waiting = Running::new();
+        let mut now = 0;
+        for step in steps {
+            let turn = match step {
+                Step::Send { entry, limited, budget } => {
+                    let name = if limited { "quote" } else { "seat-check" };
+                    let share = if limited { SHARE_PERCENT } else { 100 };
+                    let class = ClassName::new(name).expect("the name is valid");
+                    match offer_class(&mut control, &class, share, budget, now) {
+                        Admit::Start(key) => {
+                            running.insert(key, (limited, entry));
+                        }
+                        Admit::Queue(key) => {
+                            waiting.insert(key, (limited, entry));
+                        }
+                        Admit::Refuse(_) => {}
+                    }
+                    continue;
+                }
+                Step::End { which, end } => {
+                    let Some(key) = running.keys().nth(which % SLOTS as usize).copied() else {
+                        continue;
+                    };
+                    running.remove(&key);
+                    control.finish(key, end, clocks(now), &mut rng())
+                }
+                Step::Cancel { which } => {
+                    let Some(key) = waiting.keys().nth(which % SLOTS as usize).copied() else {
+                        continue;
+                    };
+                    prop_assert_eq!(control.cancel(key), Cancelled::Removed);
+                    waiting.remove(&key);
+                    continue;
+                }
+                Step::Tick => control.tick(clocks(now), &mut rng()),
+                Step::Pass(time) => {
+                    now += time;
+                    continue;
+                }
+            };
+            for key in turn.start {
+                let sent = waiting.remove(&key).expect("a started attempt waited");
+                running.insert(key, sent);
+            }
+            for dropped in turn.dropped {
+                prop_assert!(waiting.remove(&dropped.key).is_some());
+            }
+            check(&running, SLOTS.min(connections))?;
+            prop_assert_eq!(control.load().queued as usize, waiting.len());
+        }
+        check(&running, SLOTS.min(connections))?;
+    }
+}
--- /dev/null
+++ b/crates/agate_route/tests/it/support.rs
@@ -0,0 +1,142 @@
+//! Members and requests for tests.
+
+use std::time::Duration;
+
+use agate_core::{
+    CallerName, ClassName, Host, Incarnation, Moment, RegionName, Resources, Site, ZoneName,
+};
+use agate_members::{Announced, MemberKey, View};
+use agate_preset::policy::{Admission, Membership};
+use agate_route::admission::{AdmissionControl, Admit, AttemptKey, Clocks, Limits, Offer, Refused};
+use agate_wire::message::{Capacity, Load, MemberInfo};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Slots of each member.
+pub const SLOTS: u32 = 8;
+
+pub fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+pub fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn clocks(now_ms: u64) -> Clocks {
+    Clocks::new(at(now_ms), Duration::ZERO)
+}
+
+pub fn class() -> ClassName {
+    ClassName::new("seat-check").expect("the name is valid")
+}
+
+pub fn caller() -> CallerName {
+    CallerName::new("gabbai").expect("the name is valid")
+}
+
+pub fn control(slots: u32, connections: u32) -> AdmissionControl {
+    AdmissionControl::new(Limits { slots, connections }, Admission::default())
+}
+
+/// Offers a request of the usual class.
+pub fn offer(control: &mut AdmissionControl, budget_ms: u64, now_ms: u64) -> Admit {
+    offer_class(control, &class(), 100, budget_ms, now_ms)
+}
+
+pub fn offer_class(
+    control: &mut AdmissionControl,
+    class: &ClassName,
+    share_percent: u32,
+    budget_ms: u64,
+    now_ms: u64,
+) -> Admit {
+    let offer = Offer {
+        class,
+        share_percent,
+        budget: ms(budget_ms),
+    };
+    control.offer(&offer, clocks(now_ms), &mut rng())
+}
+
+pub fn started(admit: Admit) -> AttemptKey {
+    match admit {
+        Admit::Start(key) => key,
+        other => panic!("not started: {other:?}"),
+    }
+}
+
+pub fn queued(admit: Admit) -> AttemptKey {
+    match admit {
+        Admit::Queue(key) => key,
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+pub fn refused(admit: Admit) -> Refused {
+    match admit {
+        Admit::Refuse(refused) => refused,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// A view from zone a of region khomas whose start lies long ago.
+pub fn view() -> View {
+    View::new(site("khomas", "a"), Membership::default(), Moment::ZERO)
+}
+
+fn site(region: &str, zone: &str) -> Site {
+    Site {
+        region: RegionName::new(region).expect("the name is valid"),
+        zone: ZoneName::new(zone).expect("the name is valid"),
+    }
+}
+
+/// Adds a member and lets it tell its load.
+pub fn join(view: &mut View, id: u16, place: (&str, &str), load: Load) -> MemberKey {
+    join_at(view, id, place, load, Moment::ZERO)
+}
+
+pub fn join_at(
+    view: &mut View,
+    id: u16,
+    place: (&str, &str),
+    load: Load,
+    now: Moment,
+) -> MemberKey {
+    let info = MemberInfo {
+        incarnation: Incarnation::new(u64::from(id)),
+        host: Host::Backend,
+        address: ([10, 0, 0, 1], id).into(),
+        site: site(place.0, place.1),
+        capacity: Capacity {
+            slots: SLOTS,
+            connections: 64,
+            resources: Resources::ZERO,
+        },
+        classes: Vec::new(),
+    };
+    let Announced::Joined(key) = view.announce(info, now) else {
+        panic!("the member is not new");
+    };
+    view.read_load(key, load, at(60_000));
+    key
+}
+
+/// A load of `running` requests that take 20 ms each.
+pub fn load(running: u32) -> Load {
+    served_in(running, 20)
+}
+
+pub fn served_in(running: u32, service_ms: u64) -> Load {
+    Load {
+        running,
+        queued: 0,
+        service_us: service_ms * 1_000,
+        held: Resources::ZERO,
+    }
+}
