--- a/crates/agate_route/tests/it/admission.rs
+++ b/crates/agate_route/tests/it/admission.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::support::{at, clocks, control, ms, offer, offer_class, queued, refused, rng, started};
+use super::support::{clocks, control, ms, offer, offer_class, queued, refused, rng, started};
 
 /// An agent with one slot that has learned a service time of 100 ms and is working again.
 fn busy() -> AdmissionControl {
@@ -166,7 +166,7 @@
         .collect();
     let (least, most) = (retries.iter().min().unwrap(), retries.iter().max().unwrap());
     assert!(*least >= ms(200) && *most <= ms(300));
-    assert!(*most - *least > ms(80));
+    assert!(*most > *least + ms(80));
 }
 
 #[test]
@@ -186,7 +186,6 @@
     let key = started(offer(&mut control, 1_000, 0));
     let _ = control.finish(key, End::Answered, clocks(5_000), &mut rng());
     started(offer(&mut control, 1_000, 5_000));
-    assert_eq!(at(5_000), clocks(5_000).now);
 }
 
 proptest! {
--- a/crates/agate_route/tests/it/freeze.rs
+++ b/crates/agate_route/tests/it/freeze.rs
@@ -12,7 +12,7 @@
 /// machine was suspended.
 #[rstest]
 #[case::stopped(Clocks::new(at(300_000), Duration::ZERO))]
-#[case::suspended(Clocks::new(at(200), Duration::from_secs(300)))]
+#[case::suspended(Clocks::new(at(200), Duration::from_mins(5)))]
 fn a_thawed_agent_starts_nothing_past_its_deadline(#[case] thawed: Clocks) {
     let mut control = control(1, 64);
     let running = started(offer(&mut control, 1_000, 0));
