Count only probes as probes, and only what is ahead as ahead

An answer or refusal of a request that was sent before an ejection was taken for the probe's, so a second probe went out, and a member that was back could be put among the ejected again. The record now says whether a probe is under way. Shown by what_was_sent_before_an_ejection_is_no_probe, which fails on the code before.

The expected wait of a request counted every waiting request of its class, those behind it included; it refused more than it had to, and hid the check that a newcomer makes no waiting request late from its test.

--- a/crates/agate_route/src/admission/rules.rs
+++ b/crates/agate_route/src/admission/rules.rs
@@ -169,32 +169,38 @@
     /// Whether an attempt at `place` is expected to be answered in time, and whether the waiting
     /// ones behind it still are once it has gone ahead of them.
     fn meets_deadlines(&self, lane: LaneKey, place: Place, time: Moment) -> bool {
-        let ahead = u32::try_from(self.queue.ahead(place).count()).unwrap_or(u32::MAX);
-        if !self.meets(lane, ahead, place.deadline, time) {
+        let mut ahead = u32::try_from(self.queue.ahead(place).count()).unwrap_or(u32::MAX);
+        let wait = self.wait(ahead).max(self.lane_wait(lane, place));
+        if !self.meets(lane, wait, place.deadline, time) {
             return false;
         }
-        let mut ahead = ahead;
         self.queue.behind(place).all(|key| {
             ahead += 1;
             let attempt = &self.attempts[key];
-            self.meets(attempt.lane, ahead, attempt.deadline, time)
+            self.meets(attempt.lane, self.wait(ahead), attempt.deadline, time)
         })
     }
 
-    /// Whether an attempt with `ahead` others before it is expected to be answered in time.
-    fn meets(&self, lane: LaneKey, ahead: u32, deadline: Moment, time: Moment) -> bool {
-        let own = self.lanes.service(lane, self.service);
-        let wait = self.each() * ahead.saturating_add(1);
-        time + wait.max(self.lane_wait(lane)) + own <= deadline
+    /// Whether an attempt that starts after `wait` is expected to be answered in time.
+    fn meets(&self, lane: LaneKey, wait: Duration, deadline: Moment, time: Moment) -> bool {
+        time + wait + self.lanes.service(lane, self.service) <= deadline
     }
 
-    /// Expected wait for the share of a class, if that share is what is short.
-    fn lane_wait(&self, key: LaneKey) -> Duration {
+    /// Expected wait for a slot with `ahead` others waiting before.
+    fn wait(&self, ahead: u32) -> Duration {
+        self.each() * ahead.saturating_add(1)
+    }
+
+    /// Expected wait at `place` for the share of a class, if that share is what is short.
+    fn lane_wait(&self, key: LaneKey, place: Place) -> Duration {
         let lane = self.lanes.get(key);
-        let limit = lane.limit(self.limits.running());
-        if lane.has_room(self.limits.running()) {
+        let slots = self.limits.running();
+        if lane.has_room(slots) {
             return Duration::ZERO;
         }
-        self.lanes.service(key, self.service) * (lane.queued + 1) / limit
+        let same = |other: &AttemptKey| self.attempts[*other].lane == key;
+        let ahead = self.queue.ahead(place).filter(same).count();
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.lanes.service(key, self.service) / lane.limit(slots) * ahead.saturating_add(1)
     }
 }
--- a/crates/agate_route/src/outlier/detector.rs
+++ b/crates/agate_route/src/outlier/detector.rs
@@ -7,7 +7,7 @@
 use agate_preset::policy::Routing;
 use slotmap::SecondaryMap;
 
-use super::record::{Finding, Phase, Record};
+use super::record::{Finding, Phase, Probe, Record};
 use super::waiting::Waiting;
 use crate::choose::Request;
 use crate::per_class::PerClass;
@@ -69,10 +69,7 @@
 
     /// Takes a refusal, which says nothing about how a member serves.
     pub fn refused(&mut self, key: MemberKey) {
-        let probing = |record: &Record| matches!(record.phase, Phase::Probing { .. });
-        if self.records.get(key).is_some_and(probing) {
-            self.waiting.ready(key);
-        }
+        self.probe_again(key);
     }
 
     /// The member that `request` should probe, if one is due. Each member has at most one probe
@@ -94,6 +91,7 @@
         let fits = serves && !request.tried.contains(&key) && self.has_time(key, request, now);
         self.waiting.pop_front();
         if fits {
+            self.records.get_mut(key)?.probe_sent();
             return Some(key);
         }
         self.waiting.ready(key);
@@ -114,7 +112,7 @@
                 self.records[key].take_back(now);
                 view.reinstate(key, now);
             }
-            (Finding::Nothing, Phase::Probing { .. }) => self.waiting.ready(key),
+            (Finding::Nothing, Phase::Probing { .. }) => self.probe_again(key),
             (Finding::Bad | Finding::Nothing, _) => {}
         }
     }
@@ -137,9 +135,13 @@
             let Some(record) = self.records.get_mut(key) else {
                 continue;
             };
+            if !matches!(record.phase, Phase::Ejected(_)) {
+                continue;
+            }
             record.phase = Phase::Probing {
                 since: now,
                 good: 0,
+                probe: Probe::None,
             };
             self.waiting.ready(key);
         }
@@ -163,9 +165,20 @@
     fn put_off(&mut self, key: MemberKey, now: Moment) {
         self.waiting.pop_front();
         let until = now + self.ejection();
+        if let Some(record) = self.records.get_mut(key) {
+            record.phase = Phase::Ejected(until);
+        }
         self.waiting.eject(key, until);
     }
 
+    /// Lets a member wait for its next probe if one of its probes has just ended.
+    fn probe_again(&mut self, key: MemberKey) {
+        let record = self.records.get_mut(key);
+        if record.is_some_and(Record::probe_ended) {
+            self.waiting.ready(key);
+        }
+    }
+
     fn ejection(&self) -> Duration {
         Duration::from_millis(u64::from(self.policy.ejection_ms))
     }
--- a/crates/agate_route/src/outlier/record.rs
+++ b/crates/agate_route/src/outlier/record.rs
@@ -34,7 +34,18 @@
     /// Out until the moment.
     Ejected(Moment),
     /// Ready for probes since the moment, with some answered well.
-    Probing { since: Moment, good: u32 },
+    Probing {
+        since: Moment,
+        good: u32,
+        probe: Probe,
+    },
+}
+
+/// Whether a probe is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Probe {
+    None,
+    Sent,
 }
 
 /// What an answer means for a member.
@@ -68,6 +79,11 @@
         self.latency.add(latency);
         match &mut self.phase {
             Phase::Serving => self.judge(ratio, limit),
+            // Sent before the ejection.
+            Phase::Ejected(_)
+            | Phase::Probing {
+                probe: Probe::None, ..
+            } => Finding::Nothing,
             Phase::Probing { .. } if ratio >= f64::from(limit) => Finding::Bad,
             Phase::Probing { good, .. } => {
                 *good += 1;
@@ -77,8 +93,24 @@
                     Finding::Nothing
                 }
             }
-            // Sent before the ejection.
-            Phase::Ejected(_) => Finding::Nothing,
+        }
+    }
+
+    /// Notes that a probe is sent.
+    pub(super) const fn probe_sent(&mut self) {
+        if let Phase::Probing { probe, .. } = &mut self.phase {
+            *probe = Probe::Sent;
+        }
+    }
+
+    /// Notes that a probe has ended without changing the phase; tells whether one was under way.
+    pub(super) const fn probe_ended(&mut self) -> bool {
+        match &mut self.phase {
+            Phase::Probing { probe, .. } if matches!(probe, Probe::Sent) => {
+                *probe = Probe::None;
+                true
+            }
+            _ => false,
         }
     }
 
@@ -87,8 +119,10 @@
         self.failures = self.failures.saturating_add(1);
         match self.phase {
             Phase::Serving if self.failures >= MAX_FAILURES => Finding::Bad,
-            Phase::Probing { .. } => Finding::Bad,
-            Phase::Serving | Phase::Ejected(_) => Finding::Nothing,
+            Phase::Probing {
+                probe: Probe::Sent, ..
+            } => Finding::Bad,
+            Phase::Serving | Phase::Ejected(_) | Phase::Probing { .. } => Finding::Nothing,
         }
     }
 
--- a/crates/agate_route/tests/it/outlier.rs
+++ b/crates/agate_route/tests/it/outlier.rs
@@ -172,3 +172,34 @@
     assert_eq!(entry.probe(1_000, at(5_000)), None);
     assert_eq!(entry.view.ejected(), 0);
 }
+
+#[test]
+fn what_was_sent_before_an_ejection_is_no_probe() {
+    let mut entry = Entry::new(10);
+    entry.serve(2, 0, at(0));
+    entry.fail(0, 5, at(0));
+    assert_eq!(entry.probe(1_000, at(5_000)), Some(entry.keys[0]));
+    entry.answer(0, 20, at(5_001));
+    for _ in 0..5 {
+        entry.answer(0, 20, at(5_002));
+        entry.detector.refused(entry.keys[0]);
+    }
+    assert_eq!(entry.standing(0), Standing::Ejected);
+    assert_eq!(entry.probe(1_000, at(5_003)), Some(entry.keys[0]));
+    assert_eq!(entry.probe(1_000, at(5_003)), None, "one probe at a time");
+}
+
+#[test]
+fn a_member_that_is_back_can_be_ejected_again() {
+    let mut entry = Entry::new(10);
+    entry.serve(2, 0, at(0));
+    entry.fail(0, 5, at(0));
+    for _ in 0..3 {
+        entry.probe(1_000, at(5_000));
+        entry.answer(0, 20, at(5_000));
+    }
+    assert_eq!(entry.standing(0), Standing::Active);
+    assert_eq!(entry.probe(1_000, at(60_000)), None);
+    entry.fail(0, 5, at(60_000));
+    assert_eq!(entry.standing(0), Standing::Ejected);
+}
