--- /dev/null
+++ b/crates/agate_records/src/error.rs
@@ -0,0 +1,37 @@
+//! Why something in the log is not a record.
+
+use agate_core::names::NameError;
+use displaydoc::Display;
+
+/// Why a record or a batch is malformed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum RecordError {
+    /// the bytes are no Protocol Buffers message of the expected type
+    Undecodable,
+    /// the batch has {bytes} bytes, more than the limit of 1048576
+    TooLarge {
+        /// Size of the batch.
+        bytes: usize,
+    },
+    /// the kind of the record is unknown to this release
+    UnknownKind,
+    /// the field {field:?} is missing
+    Missing {
+        /// The field.
+        field: &'static str,
+    },
+    /// the field {field:?} is out of its range
+    OutOfRange {
+        /// The field.
+        field: &'static str,
+    },
+    /// the field {field:?} is not a name: {error}
+    NotAName {
+        /// The field.
+        field: &'static str,
+        /// What is wrong with it.
+        error: NameError,
+    },
+}
+
+impl std::error::Error for RecordError {}
--- a/crates/agate_records/src/lib.rs
+++ b/crates/agate_records/src/lib.rs
@@ -1,4 +1,17 @@
 //! Records that the system keeps in the platform's log.
+//!
+//! [`Record`] and its parts are checked types; [`generated`] holds their encoded form. Decoding
+//! never panics: what is malformed becomes a [`Malformed`] with its position and is skipped.
+
+mod batch;
+mod config;
+mod convert;
+mod error;
+mod job;
+mod member;
+mod record;
+mod run;
+mod snapshot;
 
 #[expect(
     missing_docs,
@@ -8,3 +21,12 @@
 #[rustfmt::skip]
 #[path = "generated/agate.records.rs"]
 pub mod generated;
+
+pub use batch::{Batch, BatchId, DecodedBatch, MAX_BATCH_BYTES, Malformed, Placed};
+pub use config::{PresetPublished, PresetSwitched, Resumed, Withdrawn};
+pub use error::RecordError;
+pub use job::{JobCancelled, JobSubmitted, MAX_PAYLOAD_BYTES, MAX_TAGS, MAX_TASKS};
+pub use member::{KeyBound, MemberLost};
+pub use record::{Body, Record};
+pub use run::{RunBound, RunEnd, RunEnded};
+pub use snapshot::{SnapshotId, SnapshotPart};
