--- /dev/null
+++ b/crates/agate_state/src/config/mod.rs
@@ -0,0 +1,118 @@
+//! What operators have put in force: presets and withdrawals.
+
+mod presets;
+mod withdrawals;
+
+use std::sync::Arc;
+
+use agate_core::Version;
+use agate_records::{PresetPublished, PresetSwitched, Resumed, Withdrawn};
+use agate_wire::message::ConfigState;
+
+pub(crate) use presets::{InForce, Presets};
+pub use presets::{Published, Switch};
+pub(crate) use withdrawals::Withdrawals;
+
+use crate::{Effect, Event, StateLimits};
+
+/// The folded configuration, and a newer one taken over from a peer if there is one.
+#[derive(Debug, Clone)]
+pub(crate) struct Configuration {
+    pub(crate) presets: Presets,
+    pub(crate) withdrawals: Withdrawals,
+    folded: Arc<ConfigState>,
+    adopted: Option<Arc<ConfigState>>,
+}
+
+impl Configuration {
+    pub(crate) fn new(limits: &StateLimits) -> Self {
+        let none = ConfigState {
+            version: Version::default(),
+            preset: None,
+            withdrawals: Vec::new(),
+        };
+        Self {
+            presets: Presets::new(limits),
+            withdrawals: Withdrawals::new(limits.withdrawals),
+            folded: Arc::new(none),
+            adopted: None,
+        }
+    }
+
+    /// The newer of what was folded and what was adopted.
+    pub(crate) fn newest(&self) -> &Arc<ConfigState> {
+        self.adopted.as_ref().unwrap_or(&self.folded)
+    }
+
+    /// The version that the fold has reached.
+    pub(crate) fn folded_version(&self) -> Version {
+        self.folded.version
+    }
+
+    /// Takes over `config` if it is newer than what is held; returns whether it is.
+    pub(crate) fn adopt(&mut self, config: ConfigState) -> bool {
+        if config.version <= self.newest().version {
+            return false;
+        }
+        self.adopted = Some(Arc::new(config));
+        true
+    }
+
+    pub(crate) fn publish(&mut self, version: Version, record: &PresetPublished) -> Effect {
+        match self.presets.publish(version, record) {
+            Ok(()) => Effect::Applied(vec![Event::PresetPublished {
+                name: record.name.clone(),
+            }]),
+            Err(reason) => Effect::Void(reason),
+        }
+    }
+
+    pub(crate) fn switch(
+        &mut self,
+        version: Version,
+        record: &PresetSwitched,
+        wall_ms: u64,
+    ) -> Effect {
+        if let Err(reason) = self.presets.switch(version, record, wall_ms) {
+            return Effect::Void(reason);
+        }
+        self.rebuild(version);
+        Effect::Applied(vec![Event::PresetSwitched { version }])
+    }
+
+    pub(crate) fn withdraw(&mut self, version: Version, record: &Withdrawn) -> Effect {
+        if let Err(reason) = self.withdrawals.withdraw(version, record) {
+            return Effect::Void(reason);
+        }
+        self.rebuild(version);
+        Effect::Applied(vec![Event::Withdrawn {
+            selector: record.selector.clone(),
+            mode: record.mode,
+            version,
+        }])
+    }
+
+    pub(crate) fn resume(&mut self, version: Version, record: &Resumed) -> Effect {
+        if let Err(reason) = self.withdrawals.resume(&record.selector) {
+            return Effect::Void(reason);
+        }
+        self.rebuild(version);
+        Effect::Applied(vec![Event::Resumed {
+            selector: record.selector.clone(),
+        }])
+    }
+
+    /// Makes the state that is spread anew, at `version`.
+    pub(crate) fn rebuild(&mut self, version: Version) {
+        let state = ConfigState {
+            version,
+            preset: self.presets.in_force().map(InForce::to_message),
+            withdrawals: self.withdrawals.to_messages(),
+        };
+        self.folded = Arc::new(state);
+        let overtaken = |adopted: &Arc<ConfigState>| adopted.version <= version;
+        if self.adopted.as_ref().is_some_and(overtaken) {
+            self.adopted = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/config/presets.rs
@@ -0,0 +1,181 @@
+//! Published presets and the one in force.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use agate_core::Version;
+use agate_preset::Preset;
+use agate_records::{PresetPublished, PresetSwitched};
+use agate_wire::message::PresetInForce;
+
+use crate::{StateLimits, VoidReason};
+
+/// A preset as it was published last.
+#[derive(Debug, Clone)]
+pub struct Published {
+    /// The newest record under its name.
+    pub record: PresetPublished,
+    /// Version of that record.
+    pub version: Version,
+    preset: Arc<Preset>,
+}
+
+/// The preset in force. Publishing anew under its name does not change it.
+#[derive(Debug, Clone)]
+pub(crate) struct InForce {
+    pub(crate) name: String,
+    pub(crate) json: String,
+    pub(crate) version: Version,
+    preset: Arc<Preset>,
+}
+
+/// One switch of presets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Switch {
+    /// The preset that was put in force.
+    pub name: String,
+    /// Who switched.
+    pub operator: String,
+    /// Version of the switch.
+    pub version: Version,
+    /// Wall clock of the writer in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// Every published preset, the one in force and the newest switches.
+#[derive(Debug, Clone)]
+pub(crate) struct Presets {
+    limit: usize,
+    history: usize,
+    published: BTreeMap<String, Published>,
+    in_force: Option<InForce>,
+    switches: VecDeque<Switch>,
+}
+
+impl InForce {
+    pub(crate) fn to_message(&self) -> PresetInForce {
+        PresetInForce {
+            name: self.name.clone(),
+            version: self.version,
+            preset: Preset::clone(&self.preset),
+        }
+    }
+}
+
+fn parse(json: &str) -> Result<Arc<Preset>, VoidReason> {
+    match Preset::parse(json) {
+        Ok(preset) => Ok(Arc::new(preset)),
+        Err(findings) => Err(VoidReason::BadPreset(findings)),
+    }
+}
+
+impl Presets {
+    pub(crate) const fn new(limits: &StateLimits) -> Self {
+        Self {
+            limit: limits.presets,
+            history: limits.switches,
+            published: BTreeMap::new(),
+            in_force: None,
+            switches: VecDeque::new(),
+        }
+    }
+
+    pub(crate) const fn in_force(&self) -> Option<&InForce> {
+        self.in_force.as_ref()
+    }
+
+    pub(crate) fn published(&self) -> impl Iterator<Item = &Published> {
+        self.published.values()
+    }
+
+    pub(crate) fn switches(&self) -> impl DoubleEndedIterator<Item = &Switch> {
+        self.switches.iter()
+    }
+
+    /// Failed runs after which a task is given up.
+    pub(crate) fn attempts(&self) -> u32 {
+        match &self.in_force {
+            Some(in_force) => in_force.preset.placement.attempts,
+            None => Preset::default().placement.attempts,
+        }
+    }
+
+    pub(crate) fn publish(
+        &mut self,
+        version: Version,
+        record: &PresetPublished,
+    ) -> Result<(), VoidReason> {
+        let preset = parse(&record.json)?;
+        let known = self.published.contains_key(&record.name);
+        if !known && self.published.len() >= self.limit {
+            return Err(VoidReason::TooManyPresets);
+        }
+        let published = Published {
+            record: record.clone(),
+            version,
+            preset,
+        };
+        self.published.insert(record.name.clone(), published);
+        Ok(())
+    }
+
+    pub(crate) fn switch(
+        &mut self,
+        version: Version,
+        record: &PresetSwitched,
+        wall_ms: u64,
+    ) -> Result<(), VoidReason> {
+        self.check_expected(record.expected)?;
+        let Some(published) = self.published.get(&record.name) else {
+            return Err(VoidReason::UnknownPreset);
+        };
+        self.in_force = Some(InForce {
+            name: record.name.clone(),
+            json: published.record.json.clone(),
+            version,
+            preset: Arc::clone(&published.preset),
+        });
+        self.remember(Switch {
+            name: record.name.clone(),
+            operator: record.operator.clone(),
+            version,
+            wall_ms,
+        });
+        Ok(())
+    }
+
+    /// Puts a preset from a snapshot in force.
+    pub(crate) fn restore(
+        &mut self,
+        name: String,
+        json: String,
+        version: Version,
+    ) -> Result<(), VoidReason> {
+        let preset = parse(&json)?;
+        self.in_force = Some(InForce {
+            name,
+            json,
+            version,
+            preset,
+        });
+        Ok(())
+    }
+
+    pub(crate) fn remember(&mut self, switch: Switch) {
+        self.switches.push_back(switch);
+        if self.switches.len() > self.history {
+            self.switches.pop_front();
+        }
+    }
+
+    fn check_expected(&self, expected: Version) -> Result<(), VoidReason> {
+        let (name, version) = match &self.in_force {
+            Some(in_force) => (in_force.name.clone(), in_force.version),
+            None => (String::new(), Version::default()),
+        };
+        if version == expected {
+            return Ok(());
+        }
+        Err(VoidReason::NotInForce { name, version })
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/job/arena.rs
@@ -0,0 +1,181 @@
+//! Arenas of jobs and tasks with their indices.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use agate_core::{Incarnation, JobId, RunId, TaskId};
+use slotmap::SlotMap;
+
+use super::{EndedJobs, Hold, Job, JobKey, Task, TaskKey, TaskRange, TaskView};
+use crate::{StateLimits, TaskEnd};
+
+/// Every open job and the ones that ended lately.
+#[derive(Debug, Clone)]
+pub(crate) struct Jobs {
+    arena: SlotMap<JobKey, Job>,
+    tasks: SlotMap<TaskKey, Task>,
+    by_id: BTreeMap<JobId, JobKey>,
+    by_holder: BTreeMap<Incarnation, BTreeSet<TaskKey>>,
+    pub(crate) ended: EndedJobs,
+    failures: usize,
+}
+
+impl Jobs {
+    pub(crate) fn new(limits: &StateLimits) -> Self {
+        Self {
+            arena: SlotMap::with_key(),
+            tasks: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            by_holder: BTreeMap::new(),
+            ended: EndedJobs::new(limits.ended_jobs),
+            failures: limits.failures,
+        }
+    }
+
+    pub(crate) fn key(&self, job: JobId) -> Option<JobKey> {
+        self.by_id.get(&job).copied()
+    }
+
+    pub(crate) fn job(&self, key: JobKey) -> &Job {
+        &self.arena[key]
+    }
+
+    pub(crate) fn task(&self, key: TaskKey) -> &Task {
+        &self.tasks[key]
+    }
+
+    pub(crate) fn task_mut(&mut self, key: TaskKey) -> &mut Task {
+        &mut self.tasks[key]
+    }
+
+    /// Open jobs in the order of their ids.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.by_id.values().map(|key| &self.arena[*key])
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether the job is open or ended lately.
+    pub(crate) fn is_known(&self, job: JobId) -> bool {
+        self.by_id.contains_key(&job) || self.ended.get(job).is_some()
+    }
+
+    pub(crate) fn open(&mut self, job: Job) -> JobKey {
+        let id = job.submitted.job;
+        let key = self.arena.insert(job);
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Moves a job whose last task ended to the ended ones.
+    pub(crate) fn close(&mut self, key: JobKey) {
+        if let Some(job) = self.arena.remove(key) {
+            self.by_id.remove(&job.submitted.job);
+            self.ended.insert(job.into());
+        }
+    }
+
+    /// Adds a task that is bound for the first time, or comes from a snapshot.
+    pub(crate) fn touch(&mut self, task: Task) -> TaskKey {
+        let (job, index) = (task.job, task.id.index);
+        let key = self.tasks.insert(task);
+        self.arena[job].touched.insert(index, key);
+        key
+    }
+
+    pub(crate) fn hold(&mut self, key: TaskKey, hold: Hold) {
+        let task = &mut self.tasks[key];
+        task.hold = Some(hold);
+        self.arena[task.job].running += 1;
+        self.by_holder
+            .entry(hold.incarnation)
+            .or_default()
+            .insert(key);
+    }
+
+    pub(crate) fn release(&mut self, key: TaskKey) {
+        let task = &mut self.tasks[key];
+        let Some(hold) = task.hold.take() else {
+            return;
+        };
+        self.arena[task.job].running -= 1;
+        if let Some(held) = self.by_holder.get_mut(&hold.incarnation) {
+            held.remove(&key);
+            if held.is_empty() {
+                self.by_holder.remove(&hold.incarnation);
+            }
+        }
+    }
+
+    /// Ends a task for good.
+    pub(crate) fn end(&mut self, task: TaskId, end: TaskEnd, reason: &str) {
+        let Some(job) = self.key(task.job) else {
+            return;
+        };
+        let job = &mut self.arena[job];
+        if let Some(key) = job.touched.remove(&task.index) {
+            self.tasks.remove(key);
+        }
+        if !job.cancelled {
+            job.ended.insert(task.index);
+        }
+        job.counts.add(end);
+        if matches!(end, TaskEnd::Failed | TaskEnd::Impossible) {
+            job.note_failure(task.index, reason, self.failures);
+        }
+    }
+
+    /// Ends every task of a job that is not bound.
+    pub(crate) fn cancel(&mut self, key: JobKey) {
+        let tasks = &mut self.tasks;
+        let job = &mut self.arena[key];
+        job.cancelled = true;
+        job.touched.retain(|_, task| {
+            let held = tasks[*task].hold.is_some();
+            if !held {
+                tasks.remove(*task);
+            }
+            held
+        });
+        let ended = job.counts.total();
+        job.counts.cancelled += job.submitted.tasks - ended - job.running;
+    }
+
+    /// Runs bound to a holder, in the order of their ids.
+    pub(crate) fn runs_of(&self, holder: Incarnation) -> Vec<RunId> {
+        let held = self.by_holder.get(&holder).into_iter().flatten();
+        let mut runs: Vec<RunId> = held.map(|key| self.tasks[*key].run()).collect();
+        runs.sort_unstable();
+        runs
+    }
+
+    /// Holders of at least one run.
+    pub(crate) fn holders(&self) -> impl Iterator<Item = Incarnation> {
+        self.by_holder.keys().copied()
+    }
+
+    /// The task, if it is open.
+    pub(crate) fn view(&self, task: TaskId) -> Option<TaskView> {
+        let job = &self.arena[self.key(task.job)?];
+        if task.index >= job.submitted.tasks || job.has_ended(task.index) {
+            return None;
+        }
+        let touched = job.touched.get(&task.index);
+        Some(touched.map_or_else(TaskView::default, |key| (&self.tasks[*key]).into()))
+    }
+
+    /// Tasks of a job that can be bound.
+    pub(crate) fn runnable(&self, job: &Job) -> Vec<TaskRange> {
+        if job.cancelled {
+            return Vec::new();
+        }
+        let mut taken = job.ended.clone();
+        for (index, key) in &job.touched {
+            if self.tasks[*key].hold.is_some() {
+                taken.insert(*index);
+            }
+        }
+        taken.gaps(job.submitted.tasks)
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/job/mod.rs
@@ -0,0 +1,90 @@
+//! Jobs, their tasks and runs.
+
+mod arena;
+mod ended;
+mod task;
+mod task_set;
+mod view;
+
+use std::collections::BTreeMap;
+
+use agate_core::Position;
+use agate_records::JobSubmitted;
+use slotmap::new_key_type;
+
+pub(crate) use arena::Jobs;
+pub(crate) use ended::{EndedJob, EndedJobs};
+pub use task::{BoundRun, Hold, TaskView};
+pub(crate) use task::{Task, TaskKey};
+pub use task_set::TaskRange;
+pub(crate) use task_set::TaskSet;
+pub use view::{JobPhase, JobView, TaskCounts, TaskFailure};
+
+new_key_type! {
+    /// Key of a job in the arena.
+    pub(crate) struct JobKey;
+}
+
+/// Longest reason that is remembered, in bytes.
+const MAX_REASON_BYTES: usize = 256;
+
+/// An open job. A task that was never bound costs nothing here.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) submitted: JobSubmitted,
+    pub(crate) place: Position,
+    pub(crate) cancelled: bool,
+    /// Tasks that ended; not kept up after a cancellation, which ends all but the bound ones.
+    pub(crate) ended: TaskSet,
+    /// Tasks that have been bound and have not ended.
+    pub(crate) touched: BTreeMap<u32, TaskKey>,
+    /// Runs bound now.
+    pub(crate) running: u32,
+    pub(crate) counts: TaskCounts,
+    pub(crate) failures: Vec<TaskFailure>,
+}
+
+impl Job {
+    pub(crate) const fn new(submitted: JobSubmitted, place: Position) -> Self {
+        Self {
+            submitted,
+            place,
+            cancelled: false,
+            ended: TaskSet::new(),
+            touched: BTreeMap::new(),
+            running: 0,
+            counts: TaskCounts {
+                finished: 0,
+                failed: 0,
+                impossible: 0,
+                cancelled: 0,
+            },
+            failures: Vec::new(),
+        }
+    }
+
+    /// Whether the task has ended.
+    pub(crate) fn has_ended(&self, index: u32) -> bool {
+        if self.cancelled {
+            return !self.touched.contains_key(&index);
+        }
+        self.ended.contains(index)
+    }
+
+    /// Whether every task has ended.
+    pub(crate) const fn is_done(&self) -> bool {
+        self.counts.total() == self.submitted.tasks
+    }
+
+    /// Remembers why a task failed, up to `limit` tasks.
+    pub(crate) fn note_failure(&mut self, index: u32, reason: &str, limit: usize) {
+        if self.failures.len() >= limit {
+            return;
+        }
+        let end = reason.floor_char_boundary(MAX_REASON_BYTES);
+        self.failures.push(TaskFailure {
+            index,
+            reason: reason[..end].to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/lost.rs
@@ -0,0 +1,48 @@
+//! Members that were given up as lost.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use agate_core::{Incarnation, Position};
+
+/// A bounded set of lost members that forgets the oldest.
+#[derive(Debug, Clone)]
+pub(crate) struct LostMembers {
+    limit: usize,
+    order: VecDeque<Incarnation>,
+    places: BTreeMap<Incarnation, Position>,
+}
+
+impl LostMembers {
+    pub(crate) const fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            order: VecDeque::new(),
+            places: BTreeMap::new(),
+        }
+    }
+
+    /// Remembers a member; returns whether it was new. The first place stands.
+    pub(crate) fn insert(&mut self, member: Incarnation, place: Position) -> bool {
+        if self.places.contains_key(&member) {
+            return false;
+        }
+        self.places.insert(member, place);
+        self.order.push_back(member);
+        if self.order.len() > self.limit
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.places.remove(&oldest);
+        }
+        true
+    }
+
+    pub(crate) fn place(&self, member: Incarnation) -> Option<Position> {
+        self.places.get(&member).copied()
+    }
+
+    /// The members in the order in which they were lost.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Incarnation, Position)> {
+        let placed = |member: &Incarnation| Some((*member, self.place(*member)?));
+        self.order.iter().filter_map(placed)
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/snapshot/load.rs
@@ -0,0 +1,105 @@
+//! Collects the parts of snapshots and keeps the newest complete one.
+
+use std::collections::BTreeMap;
+
+use agate_core::Position;
+use agate_records::{SnapshotId, SnapshotPart};
+
+use super::restore::{LoadError, restore};
+use crate::{State, StateLimits};
+
+/// Incomplete snapshots that are kept at once.
+const MAX_INCOMPLETE: usize = 4;
+
+/// Collects parts in the order of the log.
+#[derive(Debug)]
+pub struct Loader {
+    limits: StateLimits,
+    newest: Option<State>,
+    incomplete: BTreeMap<SnapshotKey, Incomplete>,
+    failures: Vec<LoadError>,
+}
+
+/// Orders snapshots by what they hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SnapshotKey {
+    at: Position,
+    id: SnapshotId,
+}
+
+#[derive(Debug)]
+struct Incomplete {
+    parts: u32,
+    items: BTreeMap<u32, Vec<Vec<u8>>>,
+}
+
+impl Loader {
+    /// Starts without parts.
+    pub const fn new(limits: StateLimits) -> Self {
+        Self {
+            limits,
+            newest: None,
+            incomplete: BTreeMap::new(),
+            failures: Vec::new(),
+        }
+    }
+
+    /// Takes one part. A part that stands in the log twice counts once.
+    pub fn add(&mut self, part: SnapshotPart) {
+        let key = SnapshotKey {
+            at: part.at,
+            id: part.snapshot,
+        };
+        if self
+            .newest
+            .as_ref()
+            .is_some_and(|state| key.at <= state.applied)
+        {
+            return;
+        }
+        let snapshot = self.incomplete.entry(key).or_insert(Incomplete {
+            parts: part.parts,
+            items: BTreeMap::new(),
+        });
+        if snapshot.parts != part.parts {
+            self.incomplete.remove(&key);
+            self.failures.push(LoadError::Contradiction);
+            return;
+        }
+        snapshot.items.insert(part.part, part.items);
+        if snapshot.items.len() as u64 == u64::from(snapshot.parts) {
+            self.complete(key);
+        }
+        self.forget_surplus();
+    }
+
+    /// The state of the newest complete snapshot; `None` if there is none.
+    pub fn finish(self) -> Option<State> {
+        self.newest
+    }
+
+    /// Why complete snapshots could not be loaded.
+    pub fn failures(&self) -> &[LoadError] {
+        &self.failures
+    }
+
+    fn complete(&mut self, key: SnapshotKey) {
+        let Some(snapshot) = self.incomplete.remove(&key) else {
+            return;
+        };
+        let items = snapshot.items.values().flatten().map(Vec::as_slice);
+        match restore(self.limits, key.at, items) {
+            Ok(state) => {
+                self.incomplete.retain(|other, _| other.at > key.at);
+                self.newest = Some(state);
+            }
+            Err(error) => self.failures.push(error),
+        }
+    }
+
+    fn forget_surplus(&mut self) {
+        while self.incomplete.len() > MAX_INCOMPLETE {
+            self.incomplete.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/snapshot/restore.rs
@@ -0,0 +1,239 @@
+//! From the items of a snapshot to the state.
+
+use agate_core::{Incarnation, JobId, Position, TaskId, Version};
+use agate_records::generated::snapshot_item::Of;
+use agate_records::generated::{
+    EndedJobItem, HoldItem, InForceItem, JobItem, LostItem, PresetItem, SnapshotItem, SwitchItem,
+    TaskCounts as CountsItem, TaskFailure as FailureItem, TaskItem, WithdrawalItem,
+};
+use agate_records::{BatchId, JobSubmitted, PresetPublished, RecordError, Withdrawn};
+use displaydoc::Display;
+use prost::Message;
+
+use crate::config::Switch;
+use crate::job::{EndedJob, Hold, Job, Task, TaskCounts, TaskFailure, TaskRange};
+use crate::{State, StateLimits, VoidReason};
+
+/// Bytes of one batch id.
+const ID_BYTES: usize = 16;
+
+/// Why a snapshot can't be loaded.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum LoadError {
+    /// an item of the snapshot is malformed: {0}
+    Malformed(RecordError),
+    /// an item of the snapshot is refused: {0}
+    Refused(VoidReason),
+    /// the parts of the snapshot contradict each other
+    Contradiction,
+}
+
+impl std::error::Error for LoadError {}
+
+impl From<RecordError> for LoadError {
+    fn from(error: RecordError) -> Self {
+        Self::Malformed(error)
+    }
+}
+
+impl From<VoidReason> for LoadError {
+    fn from(reason: VoidReason) -> Self {
+        Self::Refused(reason)
+    }
+}
+
+fn required<T>(value: Option<T>, field: &'static str) -> Result<T, LoadError> {
+    value.ok_or(RecordError::Missing { field }.into())
+}
+
+/// Builds the state at a place from every item of a snapshot, in order.
+pub(crate) fn restore<'a>(
+    limits: StateLimits,
+    at: Position,
+    items: impl Iterator<Item = &'a [u8]>,
+) -> Result<State, LoadError> {
+    let mut state = State::new(limits);
+    state.applied = at;
+    for item in items {
+        let Ok(item) = SnapshotItem::decode(item) else {
+            return Err(RecordError::Undecodable.into());
+        };
+        restore_item(&mut state, required(item.of, "of")?)?;
+    }
+    Ok(state)
+}
+
+fn restore_item(state: &mut State, item: Of) -> Result<(), LoadError> {
+    match item {
+        Of::Preset(item) => restore_preset(state, item),
+        Of::Switch(item) => restore_switch(state, item),
+        Of::InForce(item) => restore_in_force(state, item),
+        Of::Withdrawal(item) => restore_withdrawal(state, item),
+        Of::Job(item) => restore_job(state, item),
+        Of::Task(item) => restore_task(state, item),
+        Of::EndedJob(item) => restore_ended(state, item),
+        Of::Lost(item) => restore_lost(state, item),
+        Of::Batches(ids) => restore_batches(state, &ids),
+        Of::Config(version) => {
+            state.config.rebuild(version.into());
+            Ok(())
+        }
+    }
+}
+
+fn restore_preset(state: &mut State, item: PresetItem) -> Result<(), LoadError> {
+    let record = PresetPublished::try_from(required(item.published, "published")?)?;
+    let version = required(item.version, "version")?.into();
+    state.config.presets.publish(version, &record)?;
+    Ok(())
+}
+
+fn restore_switch(state: &mut State, item: SwitchItem) -> Result<(), LoadError> {
+    state.config.presets.remember(Switch {
+        name: item.name,
+        operator: item.operator,
+        version: required(item.version, "version")?.into(),
+        wall_ms: item.wall_ms,
+    });
+    Ok(())
+}
+
+fn restore_in_force(state: &mut State, item: InForceItem) -> Result<(), LoadError> {
+    let version = required(item.version, "version")?.into();
+    state
+        .config
+        .presets
+        .restore(item.name, item.json, version)?;
+    Ok(())
+}
+
+fn restore_withdrawal(state: &mut State, item: WithdrawalItem) -> Result<(), LoadError> {
+    let record = Withdrawn::try_from(required(item.withdrawn, "withdrawn")?)?;
+    let version: Version = required(item.version, "version")?.into();
+    state.config.withdrawals.withdraw(version, &record)?;
+    Ok(())
+}
+
+fn restore_job(state: &mut State, item: JobItem) -> Result<(), LoadError> {
+    let submitted = JobSubmitted::try_from(required(item.submitted, "submitted")?)?;
+    let tasks = submitted.tasks;
+    if state.jobs.is_known(submitted.job) {
+        return Err(LoadError::Contradiction);
+    }
+    let mut job = Job::new(submitted, required(item.place, "place")?.into());
+    job.cancelled = item.cancelled;
+    job.counts = counts(item.counts, tasks)?;
+    job.failures = item.failures.into_iter().map(Into::into).collect();
+    let mut next = 0;
+    for range in item.ended {
+        if range.first < next || range.first > range.last || range.last >= tasks {
+            return Err(LoadError::Contradiction);
+        }
+        next = range.last + 1;
+        job.ended.insert_range(TaskRange {
+            first: range.first,
+            last: range.last,
+        });
+    }
+    state.jobs.open(job);
+    Ok(())
+}
+
+fn restore_task(state: &mut State, item: TaskItem) -> Result<(), LoadError> {
+    let id = TaskId {
+        job: JobId(item.job),
+        index: item.index,
+    };
+    let Some(job) = state.jobs.key(id.job) else {
+        return Err(LoadError::Contradiction);
+    };
+    let owner = state.jobs.job(job);
+    let known = owner.ended.contains(id.index) || owner.touched.contains_key(&id.index);
+    if known || id.index >= owner.submitted.tasks {
+        return Err(LoadError::Contradiction);
+    }
+    let checkpoint = (!item.checkpoint.is_empty()).then(|| item.checkpoint.into());
+    let key = state.jobs.touch(Task {
+        job,
+        id,
+        epoch: item.epoch,
+        attempts: item.attempts,
+        checkpoint,
+        hold: None,
+    });
+    if let Some(hold) = item.hold {
+        state.jobs.hold(key, Hold::try_from(hold)?);
+    }
+    Ok(())
+}
+
+fn restore_ended(state: &mut State, item: EndedJobItem) -> Result<(), LoadError> {
+    let name = |error| RecordError::NotAName {
+        field: "name",
+        error,
+    };
+    state.jobs.ended.insert(EndedJob {
+        job: JobId(item.job),
+        caller: item.caller.parse().map_err(name)?,
+        class: item.class.parse().map_err(name)?,
+        tasks: item.tasks,
+        cancelled: item.cancelled,
+        counts: counts(item.counts, item.tasks)?,
+        failures: item.failures.into_iter().map(Into::into).collect(),
+    });
+    Ok(())
+}
+
+fn restore_lost(state: &mut State, item: LostItem) -> Result<(), LoadError> {
+    let place = required(item.place, "place")?.into();
+    let incarnation = Incarnation::new(item.incarnation);
+    state.lost.insert(incarnation, place);
+    Ok(())
+}
+
+fn restore_batches(state: &mut State, ids: &[u8]) -> Result<(), LoadError> {
+    let (ids, rest) = ids.as_chunks::<ID_BYTES>();
+    if !rest.is_empty() {
+        return Err(RecordError::OutOfRange { field: "batches" }.into());
+    }
+    for id in ids {
+        state.batches.insert(BatchId(u128::from_be_bytes(*id)));
+    }
+    Ok(())
+}
+
+fn counts(item: Option<CountsItem>, tasks: u32) -> Result<TaskCounts, LoadError> {
+    let item = item.unwrap_or_default();
+    let parts = [item.finished, item.failed, item.impossible, item.cancelled];
+    let total: u64 = parts.into_iter().map(u64::from).sum();
+    if total > u64::from(tasks) {
+        return Err(LoadError::Contradiction);
+    }
+    Ok(TaskCounts {
+        finished: item.finished,
+        failed: item.failed,
+        impossible: item.impossible,
+        cancelled: item.cancelled,
+    })
+}
+
+impl TryFrom<HoldItem> for Hold {
+    type Error = LoadError;
+
+    fn try_from(item: HoldItem) -> Result<Self, LoadError> {
+        Ok(Self {
+            incarnation: Incarnation::new(item.incarnation),
+            demand: required(item.demand, "demand")?.into(),
+            place: required(item.place, "place")?.into(),
+        })
+    }
+}
+
+impl From<FailureItem> for TaskFailure {
+    fn from(item: FailureItem) -> Self {
+        Self {
+            index: item.index,
+            reason: item.reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_state/src/state.rs
@@ -0,0 +1,220 @@
+//! The folded state.
+
+use std::sync::Arc;
+
+use agate_core::{Incarnation, JobId, Offset, Position, RunId, TaskId, Version};
+use agate_records::{Body, DecodedBatch, JobSubmitted, Record};
+use agate_wire::message::ConfigState;
+
+use crate::config::{Configuration, Published, Switch};
+use crate::job::{BoundRun, Job, JobPhase, JobView, Jobs, TaskRange, TaskView};
+use crate::lost::LostMembers;
+use crate::window::BatchWindow;
+use crate::{BatchEffect, Effect, Event, PlacedEffect, StateLimits, VoidReason, fold};
+
+/// Everything folded from the main stream up to one place.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// Place of the last record folded.
+    pub(crate) applied: Position,
+    pub(crate) batches: BatchWindow,
+    pub(crate) config: Configuration,
+    pub(crate) jobs: Jobs,
+    pub(crate) lost: LostMembers,
+}
+
+impl State {
+    /// The state before the first record.
+    pub fn new(limits: StateLimits) -> Self {
+        Self {
+            applied: Position::default(),
+            batches: BatchWindow::new(limits.batches),
+            config: Configuration::new(&limits),
+            jobs: Jobs::new(&limits),
+            lost: LostMembers::new(limits.lost_members),
+        }
+    }
+
+    /// The last append that has been folded.
+    pub const fn applied(&self) -> Offset {
+        self.applied.offset
+    }
+
+    /// Folds one append. Appends must come in the order of their offsets; one that has been folded
+    /// before is ignored.
+    pub fn apply_batch(&mut self, batch: &DecodedBatch) -> BatchEffect {
+        if batch.offset <= self.applied.offset {
+            return BatchEffect::Old;
+        }
+        let last = batch
+            .records
+            .last()
+            .map_or(0, |placed| placed.position.index);
+        self.applied = Position::new(batch.offset, last);
+        let Some(id) = batch.id else {
+            return BatchEffect::Folded(Vec::new());
+        };
+        if !self.batches.insert(id) {
+            return BatchEffect::Duplicate;
+        }
+        let mut effects = Vec::with_capacity(batch.records.len());
+        for placed in &batch.records {
+            effects.push(PlacedEffect {
+                position: placed.position,
+                effect: self.apply(placed.position, &placed.record),
+            });
+        }
+        BatchEffect::Folded(effects)
+    }
+
+    /// Folds one record at its place.
+    pub fn apply(&mut self, position: Position, record: &Record) -> Effect {
+        self.applied = self.applied.max(position);
+        let version = Version(position);
+        match &record.body {
+            Body::PresetPublished(body) => self.config.publish(version, body),
+            Body::PresetSwitched(body) => self.config.switch(version, body, record.wall_ms),
+            Body::Withdrawn(body) => self.config.withdraw(version, body),
+            Body::Resumed(body) => self.config.resume(version, body),
+            Body::JobSubmitted(body) => fold::submit(&mut self.jobs, position, body),
+            Body::JobCancelled(body) => fold::cancel(&mut self.jobs, *body),
+            Body::RunBound(body) => fold::bind(&mut self.jobs, &self.config, position, *body),
+            Body::RunEnded(body) => fold::end(&mut self.jobs, self.config.presets.attempts(), body),
+            Body::MemberLost(body) => self.lose(position, body.incarnation),
+            Body::KeyBound(_) | Body::SnapshotPart(_) => Effect::Void(VoidReason::WrongStream),
+        }
+    }
+
+    fn lose(&mut self, position: Position, incarnation: Incarnation) -> Effect {
+        if !self.lost.insert(incarnation, position) {
+            return Effect::Duplicate;
+        }
+        Effect::Applied(vec![Event::MemberLost { incarnation }])
+    }
+
+    /// The newest configuration known.
+    pub fn config(&self) -> Arc<ConfigState> {
+        Arc::clone(self.config.newest())
+    }
+
+    /// Takes over a configuration from a peer if it is newer than the one known; returns whether
+    /// it is. The fold itself is not touched: it goes on from the log alone.
+    pub fn adopt(&mut self, config: ConfigState) -> bool {
+        self.config.adopt(config)
+    }
+
+    /// Published presets with their versions, by name.
+    pub fn presets(&self) -> impl Iterator<Item = &Published> {
+        self.config.presets.published()
+    }
+
+    /// The newest switches of presets, newest first.
+    pub fn switches(&self) -> impl Iterator<Item = &Switch> {
+        self.config.presets.switches().rev()
+    }
+
+    /// A job that is open or ended lately.
+    pub fn job(&self, job: JobId) -> Option<JobView<'_>> {
+        match self.jobs.key(job) {
+            Some(key) => Some(self.view(self.jobs.job(key))),
+            None => self.jobs.ended.get(job).map(|ended| ended.view()),
+        }
+    }
+
+    /// Open jobs in the order of their ids.
+    pub fn jobs(&self) -> impl Iterator<Item = JobView<'_>> {
+        self.jobs.iter().map(|job| self.view(job))
+    }
+
+    /// Number of open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// The submission of an open job.
+    pub fn submitted(&self, job: JobId) -> Option<&JobSubmitted> {
+        let key = self.jobs.key(job)?;
+        Some(&self.jobs.job(key).submitted)
+    }
+
+    /// A task, if it is open.
+    pub fn task(&self, task: TaskId) -> Option<TaskView> {
+        self.jobs.view(task)
+    }
+
+    /// Tasks of an open job that can be bound, withdrawals aside. Used to fill a queue after
+    /// recovery; the events of [`State::apply_batch`] keep it up to date.
+    pub fn runnable(&self, job: JobId) -> Vec<TaskRange> {
+        let Some(key) = self.jobs.key(job) else {
+            return Vec::new();
+        };
+        self.jobs.runnable(self.jobs.job(key))
+    }
+
+    /// Version of a withdrawal that applies to a job.
+    pub fn withdrawn(&self, job: &JobSubmitted) -> Option<Version> {
+        self.config.withdrawals.applying_to(job)
+    }
+
+    /// Runs bound to an incarnation.
+    pub fn runs_of(&self, incarnation: Incarnation) -> Vec<RunId> {
+        self.jobs.runs_of(incarnation)
+    }
+
+    /// Bound runs of a job.
+    pub fn runs_of_job(&self, job: JobId) -> Vec<BoundRun> {
+        let Some(key) = self.jobs.key(job) else {
+            return Vec::new();
+        };
+        let tasks = self.jobs.job(key).touched.values();
+        let bound = tasks.filter_map(|task| {
+            let task = self.jobs.task(*task);
+            Some(BoundRun {
+                run: task.run(),
+                incarnation: task.hold?.incarnation,
+            })
+        });
+        bound.collect()
+    }
+
+    /// Incarnations to which at least one run is bound.
+    pub fn holders(&self) -> impl Iterator<Item = Incarnation> {
+        self.jobs.holders()
+    }
+
+    /// Place of the record that gave up an incarnation as lost.
+    pub fn lost(&self, incarnation: Incarnation) -> Option<Position> {
+        self.lost.place(incarnation)
+    }
+
+    /// Lost incarnations that still hold runs. A writer that had not read the loss can bind a run
+    /// to a lost incarnation, so this must be asked again, not only at the loss.
+    pub fn lost_holders(&self) -> impl Iterator<Item = Incarnation> {
+        let holders = self.jobs.holders();
+        holders.filter(|holder| self.lost.place(*holder).is_some())
+    }
+
+    fn view<'a>(&'a self, job: &'a Job) -> JobView<'a> {
+        JobView {
+            job: job.submitted.job,
+            caller: &job.submitted.caller,
+            class: &job.submitted.class,
+            tasks: job.submitted.tasks,
+            phase: self.phase(job),
+            counts: job.counts,
+            running: job.running,
+            failures: &job.failures,
+            submitted: Some(&job.submitted),
+        }
+    }
+
+    fn phase(&self, job: &Job) -> JobPhase {
+        if job.cancelled {
+            return JobPhase::Cancelling;
+        }
+        match self.withdrawn(&job.submitted) {
+            Some(_) => JobPhase::Withdrawn,
+            None => JobPhase::Open,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_state/tests/cases/batches.rs
@@ -0,0 +1,70 @@
+//! A batch counts once, however often it stands in the log.
+
+use agate_core::{Offset, Version};
+use agate_records::DecodedBatch;
+use agate_state::{BatchEffect, Effect, StateLimits, VoidReason};
+
+use crate::support::{Folded, batch, class, publish, resume, switch, withdraw};
+
+#[test]
+fn a_late_copy_of_a_withdrawal_does_not_undo_the_resumption() {
+    let mut log = Folded::new();
+    let withdrawal = batch(1_000, vec![withdraw(class("rebalance")).into()]);
+    log.apply_batch(&withdrawal);
+    log.apply(resume(class("rebalance")));
+    assert_eq!(log.apply_batch(&withdrawal), BatchEffect::Duplicate);
+    assert_eq!(log.state.config().withdrawals, []);
+}
+
+#[test]
+fn a_copy_past_the_window_counts_again() {
+    let limits = StateLimits::builder().batches(1).build();
+    let mut log = Folded::with_limits(limits);
+    let publication = batch(1_000, vec![publish("day", 1).into()]);
+    log.apply_batch(&publication);
+    log.apply(publish("day", 2));
+    assert!(matches!(
+        log.apply_batch(&publication),
+        BatchEffect::Folded(_)
+    ));
+}
+
+#[test]
+fn an_offset_that_was_folded_is_ignored() {
+    let mut log = Folded::new();
+    let read = DecodedBatch::decode(
+        Offset(1),
+        &batch(1, vec![withdraw(class("rebalance")).into()]).encode(),
+    );
+    log.state.apply_batch(&read);
+    assert_eq!(log.state.apply_batch(&read), BatchEffect::Old);
+}
+
+#[test]
+fn an_append_that_is_no_batch_is_passed_over() {
+    let mut log = Folded::new();
+    let read = DecodedBatch::decode(Offset(1), b"\xff\xff");
+    assert_eq!(read.malformed.len(), 1);
+    assert_eq!(log.state.apply_batch(&read), BatchEffect::Folded(vec![]));
+    assert_eq!(log.state.applied(), Offset(1));
+}
+
+#[test]
+fn records_of_one_batch_see_each_other() {
+    let mut log = Folded::new();
+    let bodies = vec![
+        publish("day", 1).into(),
+        switch("day", Version::default()).into(),
+        switch("day", Version::default()).into(),
+    ];
+    let BatchEffect::Folded(effects) = log.apply_batch(&batch(1, bodies)) else {
+        panic!("the batch is new");
+    };
+    assert!(matches!(effects[1].effect, Effect::Applied(_)));
+    let version = Version(effects[1].position);
+    let reason = VoidReason::NotInForce {
+        name: "day".to_owned(),
+        version,
+    };
+    assert_eq!(effects[2].effect, Effect::Void(reason));
+}
--- /dev/null
+++ b/crates/agate_state/tests/cases/mod.rs
@@ -0,0 +1,9 @@
+//! The cases by kind of record.
+
+mod batches;
+mod keys;
+mod presets;
+mod recent;
+mod runs;
+mod snapshots;
+mod withdrawals;
--- /dev/null
+++ b/crates/agate_state/tests/cases/recent.rs
@@ -0,0 +1,33 @@
+//! Effects are found by the id of their batch.
+
+use agate_records::BatchId;
+use agate_state::{BatchEffect, Effect, RecentEffects, VoidReason};
+
+use crate::support::{Folded, batch, cancel, job};
+
+#[test]
+fn the_effect_of_the_first_copy_is_remembered() {
+    let mut log = Folded::new();
+    let mut recent = RecentEffects::new(2);
+    let read = batch(7, vec![job(1, 1).into(), cancel(2).into()]);
+    let first = log.apply_batch(&read);
+    recent.record(BatchId(7), &first);
+    recent.record(BatchId(7), &log.apply_batch(&read));
+    assert!(matches!(
+        recent.get(BatchId(7), 0),
+        Some(Effect::Applied(_))
+    ));
+    let void = Effect::Void(VoidReason::NoSuchJob);
+    assert_eq!(recent.get(BatchId(7), 1), Some(&void));
+    assert_eq!(recent.get(BatchId(7), 2), None);
+}
+
+#[test]
+fn the_oldest_batch_is_forgotten() {
+    let mut recent = RecentEffects::new(2);
+    for id in 1..=3 {
+        recent.record(BatchId(id), &BatchEffect::Folded(vec![]));
+    }
+    recent.record(BatchId(3), &BatchEffect::Duplicate);
+    assert_eq!(recent.get(BatchId(1), 0), None);
+}
--- /dev/null
+++ b/crates/agate_state/tests/cases/runs.rs
@@ -0,0 +1,296 @@
+//! One run of a task at a time, decided by the order of the log.
+
+use agate_records::{Body, RunEnd};
+use agate_state::{
+    Effect, Event, JobPhase, StateLimits, TaskCounts, TaskEnd, TaskRange, VoidReason,
+};
+use rstest::rstest;
+
+use crate::support::{
+    A, B, DEMAND, Folded, bind, cancel, class, end, evicted, failed, impossible, job, lost,
+    publish, run, switch, task, withdraw,
+};
+
+/// A job of two tasks, of which the first is bound to A as epoch 1.
+fn bound() -> Folded {
+    let mut log = Folded::new();
+    log.apply(job(1, 2));
+    log.apply(bind(run(1, 0, 1), A));
+    log
+}
+
+#[rstest]
+#[case::no_job(vec![], bind(run(9, 0, 1), A).into(), VoidReason::NoSuchJob)]
+#[case::no_task(vec![], bind(run(1, 2, 1), A).into(), VoidReason::NoSuchTask)]
+#[case::second_binding_of_a_race(
+    vec![],
+    bind(run(1, 0, 1), B).into(),
+    VoidReason::AlreadyBound { epoch: 1, incarnation: A }
+)]
+#[case::next_epoch_while_bound(
+    vec![],
+    bind(run(1, 0, 2), B).into(),
+    VoidReason::AlreadyBound { epoch: 1, incarnation: A }
+)]
+#[case::skipped_epoch(vec![], bind(run(1, 1, 2), A).into(), VoidReason::WrongEpoch { last: 0 })]
+#[case::old_epoch(
+    vec![end(run(1, 0, 1), A, RunEnd::Stopped).into()],
+    bind(run(1, 0, 1), B).into(),
+    VoidReason::WrongEpoch { last: 1 }
+)]
+#[case::binding_of_an_ended_task(
+    vec![end(run(1, 0, 1), A, RunEnd::Finished).into()],
+    bind(run(1, 0, 2), A).into(),
+    VoidReason::TaskEnded
+)]
+#[case::binding_in_a_cancelled_job(
+    vec![cancel(1).into()],
+    bind(run(1, 1, 1), A).into(),
+    VoidReason::TaskEnded
+)]
+#[case::end_by_another_holder(
+    vec![],
+    end(run(1, 0, 1), B, RunEnd::Finished).into(),
+    VoidReason::WrongHolder { incarnation: A }
+)]
+#[case::late_success_after_eviction(
+    vec![
+        end(run(1, 0, 1), A, evicted("c")).into(),
+        bind(run(1, 0, 2), B).into(),
+    ],
+    end(run(1, 0, 1), A, RunEnd::Finished).into(),
+    VoidReason::WrongEpoch { last: 2 }
+)]
+#[case::late_success_before_the_next_binding(
+    vec![end(run(1, 0, 1), A, evicted("c")).into()],
+    end(run(1, 0, 1), A, RunEnd::Finished).into(),
+    VoidReason::NotBound
+)]
+#[case::late_success_after_loss(
+    vec![lost(A).into(), end(run(1, 0, 1), A, RunEnd::Lost).into()],
+    end(run(1, 0, 1), A, RunEnd::Finished).into(),
+    VoidReason::NotBound
+)]
+#[case::end_of_an_unbound_task(
+    vec![],
+    end(run(1, 1, 0), A, RunEnd::Finished).into(),
+    VoidReason::NotBound
+)]
+#[case::verdict_on_an_older_epoch(
+    vec![end(run(1, 0, 1), A, RunEnd::Stopped).into()],
+    end(run(1, 0, 0), A, impossible("too large")).into(),
+    VoidReason::WrongEpoch { last: 1 }
+)]
+#[case::cancellation_of_nothing(vec![], cancel(9).into(), VoidReason::NoSuchJob)]
+fn does_not_count(#[case] before: Vec<Body>, #[case] body: Body, #[case] reason: VoidReason) {
+    let mut log = bound();
+    for body in before {
+        assert!(matches!(log.apply(body), Effect::Applied(_)));
+    }
+    assert_eq!(log.apply(body), Effect::Void(reason));
+}
+
+#[rstest]
+#[case::stopped(RunEnd::Stopped, 0, None)]
+#[case::evicted(evicted("place"), 0, Some("place"))]
+#[case::lost(RunEnd::Lost, 0, None)]
+#[case::not_started(RunEnd::NotStarted { reason: "full".to_owned() }, 0, None)]
+#[case::failed(failed("exit 1"), 1, None)]
+fn a_task_is_runnable_again(
+    #[case] how: RunEnd,
+    #[case] attempts: u32,
+    #[case] checkpoint: Option<&str>,
+) {
+    let mut log = bound();
+    let effect = log.apply(end(run(1, 0, 1), A, how));
+    let expected = vec![
+        Event::RunEnded {
+            run: run(1, 0, 1),
+            incarnation: A,
+        },
+        Event::TaskRunnable { task: task(1, 0) },
+    ];
+    assert_eq!(effect, Effect::Applied(expected));
+    let view = log.state.task(task(1, 0)).unwrap();
+    assert_eq!((view.epoch, view.attempts, view.hold), (1, attempts, None));
+    assert_eq!(view.checkpoint.as_deref(), checkpoint);
+    let bound = Event::RunBound {
+        run: run(1, 0, 2),
+        incarnation: B,
+        demand: DEMAND,
+    };
+    assert_eq!(
+        log.apply(bind(run(1, 0, 2), B)),
+        Effect::Applied(vec![bound])
+    );
+}
+
+#[test]
+fn a_later_end_without_checkpoint_keeps_the_recorded_one() {
+    let mut log = bound();
+    log.apply(end(run(1, 0, 1), A, evicted("first")));
+    log.apply(bind(run(1, 0, 2), B));
+    log.apply(end(run(1, 0, 2), B, RunEnd::Stopped));
+    let view = log.state.task(task(1, 0)).unwrap();
+    assert_eq!(view.checkpoint.as_deref(), Some("first"));
+}
+
+#[rstest]
+#[case::of_the_default_preset(None, 5)]
+#[case::of_the_preset_in_force(Some(2), 2)]
+fn a_task_is_given_up_after_as_many_failures(#[case] preset: Option<u32>, #[case] attempts: u32) {
+    let mut log = Folded::new();
+    if let Some(attempts) = preset {
+        log.apply(publish("strict", attempts));
+        log.apply(switch("strict", agate_core::Version::default()));
+    }
+    log.apply(job(1, 1));
+    for epoch in 1..attempts {
+        log.apply(bind(run(1, 0, epoch), A));
+        log.apply(end(run(1, 0, epoch), A, failed("exit 1")));
+        assert!(log.state.task(task(1, 0)).is_some());
+    }
+    log.apply(bind(run(1, 0, attempts), A));
+    log.apply(end(run(1, 0, attempts), A, failed("exit 2")));
+    let view = log.state.job(job(1, 1).job).unwrap();
+    assert_eq!(view.phase, JobPhase::Failed);
+    assert_eq!(view.failures[0].reason, "exit 2");
+}
+
+#[rstest]
+#[case::never_bound(0, vec![])]
+#[case::bound_before(1, vec![
+    bind(run(1, 0, 1), A).into(),
+    end(run(1, 0, 1), A, failed("killed")).into(),
+])]
+#[case::bound_now(1, vec![bind(run(1, 0, 1), A).into()])]
+fn a_task_that_can_never_run_ends_with_the_reason(#[case] last: u32, #[case] before: Vec<Body>) {
+    let mut log = Folded::new();
+    log.apply(job(1, 1));
+    for body in before {
+        log.apply(body);
+    }
+    log.apply(end(
+        run(1, 0, last),
+        A,
+        impossible("larger than any worker"),
+    ));
+    let view = log.state.job(job(1, 1).job).unwrap();
+    assert_eq!(view.phase, JobPhase::Failed);
+    assert_eq!(view.counts.impossible, 1);
+    assert_eq!(view.failures[0].reason, "larger than any worker");
+    assert_eq!(log.state.runs_of(A), []);
+}
+
+#[rstest]
+#[case::finished(RunEnd::Finished, TaskEnd::Finished)]
+#[case::stopped(RunEnd::Stopped, TaskEnd::Cancelled)]
+#[case::evicted(evicted("c"), TaskEnd::Cancelled)]
+#[case::failed(failed("killed"), TaskEnd::Cancelled)]
+#[case::lost(RunEnd::Lost, TaskEnd::Cancelled)]
+fn a_cancellation_crosses_the_end_of_a_run(#[case] how: RunEnd, #[case] task_end: TaskEnd) {
+    let mut log = bound();
+    let id = job(1, 2).job;
+    assert_eq!(
+        log.apply(cancel(1)),
+        Effect::Applied(vec![Event::JobCancelled { job: id }])
+    );
+    assert_eq!(log.state.job(id).unwrap().phase, JobPhase::Cancelling);
+    assert_eq!(log.state.runs_of_job(id).len(), 1);
+    let effect = log.apply(end(run(1, 0, 1), A, how));
+    let expected = vec![
+        Event::RunEnded {
+            run: run(1, 0, 1),
+            incarnation: A,
+        },
+        Event::TaskEnded {
+            task: task(1, 0),
+            end: task_end,
+        },
+        Event::JobEnded { job: id },
+    ];
+    assert_eq!(effect, Effect::Applied(expected));
+    let view = log.state.job(id).unwrap();
+    assert_eq!(view.phase, JobPhase::Cancelled);
+    assert_eq!(view.counts.total(), 2);
+}
+
+#[test]
+fn cancelling_twice_counts_once() {
+    let mut log = bound();
+    log.apply(cancel(1));
+    assert_eq!(log.apply(cancel(1)), Effect::Duplicate);
+}
+
+#[test]
+fn a_cancelled_job_without_runs_ends_at_once() {
+    let mut log = Folded::new();
+    log.apply(job(1, 1_000));
+    log.apply(cancel(1));
+    let view = log.state.job(job(1, 1).job).unwrap();
+    assert_eq!(view.phase, JobPhase::Cancelled);
+    assert_eq!(
+        view.counts,
+        TaskCounts {
+            cancelled: 1_000,
+            ..TaskCounts::default()
+        }
+    );
+    assert_eq!(log.state.open_jobs(), 0);
+}
+
+#[test]
+fn runnable_tasks_are_ranges() {
+    let mut log = Folded::new();
+    log.apply(job(1, 1_000_000));
+    for index in [0, 5, 6] {
+        log.apply(bind(run(1, index, 1), A));
+    }
+    log.apply(end(run(1, 5, 1), A, RunEnd::Finished));
+    log.apply(end(run(1, 0, 1), A, RunEnd::Stopped));
+    let ranges = vec![
+        TaskRange { first: 0, last: 4 },
+        TaskRange {
+            first: 7,
+            last: 999_999,
+        },
+    ];
+    assert_eq!(log.state.runnable(job(1, 1).job), ranges);
+}
+
+#[test]
+fn a_lost_member_keeps_its_runs_until_their_ends_are_recorded() {
+    let mut log = bound();
+    assert_eq!(
+        log.apply(lost(A)),
+        Effect::Applied(vec![Event::MemberLost { incarnation: A }])
+    );
+    assert_eq!(log.apply(lost(A)), Effect::Duplicate);
+    assert_eq!(log.state.lost_holders().collect::<Vec<_>>(), [A]);
+    assert_eq!(log.state.runs_of(A), [run(1, 0, 1)]);
+    log.apply(end(run(1, 0, 1), A, RunEnd::Lost));
+    assert_eq!(log.state.lost_holders().count(), 0);
+    assert!(log.state.lost(A).is_some());
+}
+
+#[test]
+fn ended_jobs_are_remembered_up_to_the_limit() {
+    let limits = StateLimits::builder().ended_jobs(2).build();
+    let mut log = Folded::with_limits(limits);
+    for id in 1..=3 {
+        log.apply(job(id, 1));
+        log.apply(cancel(id));
+    }
+    assert!(log.state.job(job(1, 1).job).is_none());
+    assert_eq!(log.apply(job(3, 1)), Effect::Duplicate);
+}
+
+#[test]
+fn a_withdrawn_job_says_so() {
+    let mut log = bound();
+    log.apply(withdraw(class("rebalance")));
+    assert_eq!(
+        log.state.job(job(1, 1).job).unwrap().phase,
+        JobPhase::Withdrawn
+    );
+}
--- /dev/null
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -0,0 +1,190 @@
+//! Folding on from a snapshot gives the same state as folding everything.
+
+use agate_core::{Incarnation, JobId, Offset};
+use agate_records::{Batch, Body, DecodedBatch, RunEnd, SnapshotId, SnapshotPart};
+use agate_state::{Loader, State, StateLimits};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
+
+use crate::support::{
+    A, B, Folded, batch, bind, cancel, class, end, evicted, failed, impossible, job, lost, publish,
+    resume, run, switch, tag, task, withdraw,
+};
+
+fn limits() -> StateLimits {
+    StateLimits::builder()
+        .batches(8)
+        .ended_jobs(3)
+        .lost_members(2)
+        .switches(3)
+        .withdrawals(2)
+        .failures(2)
+        .build()
+}
+
+/// Everything that can be asked of a state.
+fn answers(state: &State) -> String {
+    let jobs: Vec<_> = (0..6).map(|id| state.job(JobId(id))).collect();
+    let runnable: Vec<_> = (0..6).map(|id| state.runnable(JobId(id))).collect();
+    let ids = (0..6).flat_map(|id| (0..4).map(move |index| task(id, index)));
+    let tasks: Vec<_> = ids.map(|id| state.task(id)).collect();
+    let holders: Vec<_> = [A, B]
+        .map(|holder| (state.runs_of(holder), state.lost(holder)))
+        .into();
+    let parts = state.snapshot_parts(SnapshotId(0), 64);
+    let config = state.config();
+    let switches: Vec<_> = state.switches().collect();
+    format!("{jobs:?} {runnable:?} {tasks:?} {holders:?} {parts:?} {config:?} {switches:?}")
+}
+
+fn load(parts: Vec<SnapshotPart>) -> State {
+    let mut loader = Loader::new(limits());
+    for part in parts {
+        loader.add(part);
+    }
+    assert_eq!(loader.failures(), []);
+    loader.finish().expect("every part is there")
+}
+
+fn holder() -> impl Strategy<Value = Incarnation> {
+    prop_oneof![Just(A), Just(B)]
+}
+
+fn run_end() -> impl Strategy<Value = RunEnd> {
+    prop_oneof![
+        4 => Just(RunEnd::Finished),
+        4 => Just(failed("exit 1")),
+        4 => any::<u8>().prop_map(|n| evicted(&format!("checkpoint-{n}"))),
+        2 => Just(RunEnd::Stopped),
+        2 => Just(RunEnd::Lost),
+        1 => Just(impossible("too large")),
+    ]
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let names = prop_oneof![Just("day"), Just("peak"), Just("maintenance")];
+    let selector = prop_oneof![
+        Just(class("rebalance")),
+        Just(tag("season:1")),
+        Just(tag("x"))
+    ];
+    prop_oneof![
+        3 => (0..6_u64, 1..4_u32).prop_map(|(id, tasks)| job(id, tasks).into()),
+        1 => (0..6_u64).prop_map(|id| cancel(id).into()),
+        12 => (0..6_u64, 0..4_u32, 1..4_u32, holder())
+            .prop_map(|(id, index, epoch, at)| bind(run(id, index, epoch), at).into()),
+        8 => (0..6_u64, 0..4_u32, 0..4_u32, holder(), run_end())
+            .prop_map(|(id, index, epoch, at, how)| end(run(id, index, epoch), at, how).into()),
+        1 => holder().prop_map(|at| lost(at).into()),
+        1 => any::<u64>().prop_map(|id| lost(Incarnation::new(id)).into()),
+        1 => (names.clone(), 1..4_u32).prop_map(|(name, n)| publish(name, n).into()),
+        1 => names.prop_map(|name| switch(name, agate_core::Version::default()).into()),
+        1 => selector.clone().prop_map(|selector| withdraw(selector).into()),
+        1 => selector.prop_map(|selector| resume(selector).into()),
+    ]
+}
+
+/// Batches whose ids repeat now and then.
+fn batches() -> impl Strategy<Value = Vec<Batch>> {
+    let one = (0..40_u128, vec(body(), 1..4)).prop_map(|(id, bodies)| batch(id, bodies));
+    vec(one, 0..80)
+}
+
+proptest! {
+    #[test]
+    fn folding_on_from_a_snapshot_equals_folding_all(
+        log in batches(),
+        cut in any::<proptest::sample::Index>(),
+        max_bytes in 1..2_000_usize,
+        overlap in 0..5_usize,
+    ) {
+        let cut = cut.index(log.len() + 1);
+        let read: Vec<DecodedBatch> = (1..)
+            .zip(&log)
+            .map(|(offset, batch)| DecodedBatch::decode(Offset(offset), &batch.encode()))
+            .collect();
+        let mut all = State::new(limits());
+        for batch in &read[..cut] {
+            all.apply_batch(batch);
+        }
+        let mut loaded = load(all.snapshot_parts(SnapshotId(1), max_bytes));
+        prop_assert_eq!(answers(&loaded), answers(&all));
+        let again = cut.saturating_sub(overlap);
+        for batch in &read[cut..] {
+            all.apply_batch(batch);
+        }
+        for batch in &read[again..] {
+            loaded.apply_batch(batch);
+        }
+        prop_assert_eq!(answers(&loaded), answers(&all));
+    }
+
+    #[test]
+    fn hostile_items_never_panic(items in vec(vec(any::<u8>(), 0..40), 0..10)) {
+        let mut loader = Loader::new(limits());
+        loader.add(SnapshotPart {
+            snapshot: SnapshotId(1),
+            at: agate_core::Position::new(Offset(1), 0),
+            part: 0,
+            parts: 1,
+            items,
+        });
+        drop(loader.finish());
+    }
+}
+
+fn filled(jobs: u64) -> Folded {
+    let mut log = Folded::with_limits(limits());
+    for id in 0..jobs {
+        log.apply(job(id, 3));
+    }
+    log
+}
+
+#[test]
+fn the_newest_complete_snapshot_is_loaded() {
+    let old = filled(1).state.snapshot_parts(SnapshotId(1), 64);
+    let newer = filled(2).state.snapshot_parts(SnapshotId(2), 64);
+    let mut incomplete = filled(3).state.snapshot_parts(SnapshotId(3), 64);
+    incomplete.pop();
+    for parts in [
+        [old.clone(), newer.clone(), incomplete.clone()],
+        [incomplete, newer, old],
+    ] {
+        assert_eq!(load(parts.concat()).open_jobs(), 2);
+    }
+}
+
+#[test]
+fn parts_of_two_writers_may_stand_in_any_order_and_twice() {
+    let one = filled(2).state.snapshot_parts(SnapshotId(1), 64);
+    let two = filled(2).state.snapshot_parts(SnapshotId(2), 64);
+    let mut parts: Vec<SnapshotPart> = Vec::new();
+    for (a, b) in one.into_iter().rev().zip(two) {
+        parts.extend([a.clone(), b, a]);
+    }
+    assert_eq!(load(parts).open_jobs(), 2);
+}
+
+#[test]
+fn a_snapshot_holds_what_is_open_and_not_what_was() {
+    let mut log = Folded::with_limits(limits());
+    for id in 0..1_000 {
+        log.apply(job(id, 3));
+        log.apply(cancel(id));
+    }
+    let bytes = |state: &State| -> usize {
+        let parts = state.snapshot_parts(SnapshotId(1), 1_000);
+        parts
+            .iter()
+            .flat_map(|part| &part.items)
+            .map(Vec::len)
+            .sum()
+    };
+    let after_many = bytes(&log.state);
+    for id in 1_000..2_000 {
+        log.apply(job(id, 3));
+        log.apply(cancel(id));
+    }
+    assert!(bytes(&log.state) <= after_many + 64);
+}
--- /dev/null
+++ b/crates/agate_state/tests/state.rs
@@ -0,0 +1,4 @@
+//! What each record does to the state.
+
+mod cases;
+mod support;
