--- a/crates/agate_records/src/record.rs
+++ b/crates/agate_records/src/record.rs
@@ -1,5 +1,6 @@
 //! One record of any kind.
 
+use prost::Message;
 use strum::{EnumDiscriminants, IntoStaticStr};
 
 use crate::generated::{self, record};
@@ -17,6 +18,13 @@
     pub body: Body,
 }
 
+impl Record {
+    /// Size of the encoded record in bytes.
+    pub fn encoded_len(&self) -> usize {
+        generated::Record::from(self.clone()).encoded_len()
+    }
+}
+
 /// What a record says.
 #[derive(Debug, Clone, PartialEq, Eq, IntoStaticStr, EnumDiscriminants)]
 #[strum(serialize_all = "kebab-case")]
