--- /dev/null
+++ b/crates/agate_log/tests/cases/answers.rs
@@ -0,0 +1,149 @@
+//! Answers that are cut, crossed or missing, from a server that speaks raw HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use agate_core::Offset;
+use agate_log::{HttpSettings, HttpStore, LogStore, StoreError, Stream};
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A server that gives one fixed answer to each request and counts the requests.
+struct RawServer {
+    address: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+/// Serves the answers in turn on each connection, then closes it.
+async fn serve(answers: Vec<String>) -> RawServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&requests);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer(stream, answers.clone(), Arc::clone(&counter)));
+        }
+    });
+    RawServer { address, requests }
+}
+
+async fn answer(mut stream: TcpStream, answers: Vec<String>, requests: Arc<AtomicUsize>) {
+    for answer in answers {
+        let mut request = [0; 4_096];
+        if matches!(stream.read(&mut request).await, Ok(0) | Err(_)) {
+            return;
+        }
+        requests.fetch_add(1, Ordering::SeqCst);
+        if answer == "silence" {
+            tokio::time::sleep(Duration::from_mins(1)).await;
+        }
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn ok(body: &str) -> String {
+    with_length(body, body.len())
+}
+
+fn with_length(body: &str, length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+fn store(server: &RawServer) -> HttpStore {
+    let settings = HttpSettings::builder()
+        .address(server.address)
+        .call_timeout(Duration::from_millis(200))
+        .page_bytes(1_000)
+        .build();
+    HttpStore::new(settings)
+}
+
+#[rstest]
+#[case::no_answer(String::new())]
+#[case::silence("silence".to_owned())]
+#[case::no_http("hello\r\n".to_owned())]
+#[case::cut(with_length(r#"{"offset": 1}"#, 20))]
+#[case::cut_json(ok(r#"{"offset": 1"#))]
+#[case::another_shape(ok(r#"{"position": 1}"#))]
+#[case::offset_zero(ok(r#"{"offset": 0}"#))]
+#[case::server_error("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n".to_owned())]
+#[case::unavailable("HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n".to_owned())]
+#[tokio::test]
+async fn an_append_without_a_whole_answer_may_have_effect(#[case] answer: String) {
+    let server = serve(vec![answer]).await;
+    let appended = store(&server).append(Stream::Main, Bytes::new()).await;
+    assert!(appended.unwrap_err().may_have_effect());
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
+
+#[rstest]
+#[case::bad_request("400 Bad Request", StoreError::Refused("status 400 Bad Request: ".to_owned()))]
+#[case::over_the_limit("429 Busy\r\nretry-after: 7", StoreError::Busy(Duration::from_secs(7)))]
+#[case::over_the_limit_without_time("429 Busy", StoreError::Busy(Duration::from_secs(1)))]
+#[tokio::test]
+async fn a_refusal_has_no_effect(#[case] status: &str, #[case] error: StoreError) {
+    let server = serve(vec![format!(
+        "HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n"
+    )])
+    .await;
+    let appended = store(&server).append(Stream::Main, Bytes::new()).await;
+    assert_eq!(appended, Err(error.clone()));
+    assert!(!error.may_have_effect());
+}
+
+#[rstest]
+#[case::crossed(r#"{"earliest": 1, "end": 9, "entries": [{"offset": 7, "data": ""}]}"#)]
+#[case::gap_inside(
+    r#"{"earliest": 1, "end": 9, "entries": [{"offset": 3, "data": ""}, {"offset": 5, "data": ""}]}"#
+)]
+#[case::past_its_own_end(r#"{"earliest": 1, "end": 2, "entries": [{"offset": 3, "data": ""}]}"#)]
+#[case::not_base64(r#"{"earliest": 1, "end": 9, "entries": [{"offset": 3, "data": "%"}]}"#)]
+#[tokio::test]
+async fn a_page_that_was_not_asked_for_is_not_used(#[case] body: &str) {
+    let server = serve(vec![ok(body)]).await;
+    let page = store(&server)
+        .read(Stream::Main, Offset(3), Duration::ZERO)
+        .await;
+    assert!(matches!(page, Err(StoreError::Unanswered(_))), "{page:?}");
+}
+
+#[tokio::test]
+async fn an_answer_past_the_limit_is_not_read() {
+    let body = format!(
+        r#"{{"earliest": 1, "end": 0, "entries": []}}{}"#,
+        " ".repeat(300_000)
+    );
+    let server = serve(vec![ok(&body)]).await;
+    let page = store(&server)
+        .read(Stream::Main, Offset(1), Duration::ZERO)
+        .await;
+    assert!(matches!(page, Err(StoreError::Unanswered(_))));
+}
+
+#[tokio::test]
+async fn a_request_on_a_pooled_connection_that_closes_is_not_repeated() {
+    let server = serve(vec![ok(r#"{"offset": 1}"#), String::new()]).await;
+    let store = store(&server);
+    let first = store.append(Stream::Main, Bytes::new()).await;
+    assert_eq!(first, Ok(Offset(1)));
+    let second = store.append(Stream::Main, Bytes::new()).await;
+    assert!(second.unwrap_err().may_have_effect());
+    assert_eq!(server.requests.load(Ordering::SeqCst), 2);
+}
+
+#[tokio::test]
+async fn nothing_is_sent_where_nobody_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let store = HttpStore::new(HttpSettings::builder().address(address).build());
+    let appended = store.append(Stream::Main, Bytes::new()).await;
+    assert!(matches!(appended, Err(StoreError::Unreachable(_))));
+}
--- /dev/null
+++ b/crates/agate_log/tests/cases/appending.rs
@@ -0,0 +1,232 @@
+//! Grouped appends and their outcomes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_core::Offset;
+use agate_log::{
+    AppendOutcome, AppendSettings, Appender, LogStore, NotRecordedReason, StoreError, Stream,
+};
+use agate_records::DecodedBatch;
+use tokio::time::Instant;
+
+use crate::support::{
+    FakeStore, Step, append_settings, bodies, fold_all, recorded, rng, start_appender, withdrawal,
+};
+
+fn store() -> Arc<FakeStore> {
+    Arc::new(FakeStore::new(Duration::from_mins(10)))
+}
+
+const fn not_recorded(reason: NotRecordedReason) -> AppendOutcome {
+    AppendOutcome::NotRecorded {
+        reason,
+        retry_after: Duration::from_secs(1),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_of_a_few_milliseconds_go_out_as_one_append() {
+    let store = store();
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let calls = (0..100).map(|_| {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(bodies(3)).await })
+    });
+    let mut indices = Vec::new();
+    for call in calls.collect::<Vec<_>>() {
+        let recorded = recorded(call.await.unwrap());
+        assert_eq!(recorded.offset, Offset(1));
+        indices.push(recorded.index);
+    }
+    assert_eq!(store.appends(), 1);
+    indices.sort_unstable();
+    let expected: Vec<u32> = (0..100).map(|i| i * 3).collect();
+    assert_eq!(indices, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_group_holds_no_more_bytes_than_one_append_may() {
+    let store = store();
+    let settings = AppendSettings::builder().batch_bytes(100).build();
+    let (appender, _task) = start_appender(&store, settings, 1);
+    let calls = (0..20).map(|_| {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(bodies(1)).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        recorded(call.await.unwrap());
+    }
+    let page = store.page(Stream::Main);
+    assert!(page.entries.len() > 1);
+    assert!(page.entries.iter().all(|entry| entry.data.len() < 200));
+    let outcome = appender.append(bodies(50)).await;
+    assert_eq!(outcome, not_recorded(NotRecordedReason::TooLarge));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_settled_by_reading() {
+    let store = store();
+    store.put(Stream::Main, b"another writer's");
+    store.script([Step::LoseAnswer]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let recorded = recorded(appender.append(bodies(1)).await);
+    assert_eq!(recorded.offset, Offset(2));
+    assert_eq!(store.appends(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_append_is_sent_again_with_the_same_id() {
+    let store = store();
+    store.script([Step::LoseAppend, Step::LoseAppend]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let recorded = recorded(appender.append(bodies(1)).await);
+    assert_eq!(store.appends(), 3);
+    let page = store.page(Stream::Main);
+    assert_eq!(page.entries.len(), 1);
+    assert_eq!(
+        DecodedBatch::peek_id(&page.entries[0].data),
+        Some(recorded.batch)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_append_that_arrives_late_counts_once() {
+    let store = store();
+    store.script([Step::Delay(Duration::from_millis(500))]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let recorded = recorded(appender.append(vec![withdrawal("rebalance")]).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let page = store.page(Stream::Main);
+    let ids: Vec<_> = page
+        .entries
+        .iter()
+        .map(|entry| DecodedBatch::peek_id(&entry.data))
+        .collect();
+    assert_eq!(ids, [Some(recorded.batch), Some(recorded.batch)]);
+    let version = fold_all(&store).config().version;
+    assert_eq!(version.0.offset, Offset(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_in_an_outage_and_that_is_a_proof() {
+    let store = store();
+    store.go_down();
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let started = Instant::now();
+    let outcome = appender.append(bodies(1)).await;
+    assert_eq!(outcome, not_recorded(NotRecordedReason::Down));
+    assert!(started.elapsed() <= Duration::from_secs(5));
+    assert_eq!(store.appends(), 0);
+    store.come_back();
+    recorded(appender.append(bodies(1)).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn later_records_do_not_wait_for_the_same_outage_again() {
+    let store = store();
+    store.go_down();
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    appender.append(bodies(1)).await;
+    let started = Instant::now();
+    let outcome = appender.append(bodies(1)).await;
+    assert_eq!(outcome, not_recorded(NotRecordedReason::Down));
+    assert!(started.elapsed() < Duration::from_millis(100));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_append_that_may_stand_in_the_log_is_unknown() {
+    let store = store();
+    store.script([Step::LoseAnswerAndFail]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    assert_eq!(appender.append(bodies(1)).await, AppendOutcome::Unknown);
+    store.come_back();
+    assert_eq!(store.page(Stream::Main).entries.len(), 1);
+    let next = recorded(appender.append(bodies(1)).await);
+    assert_eq!(next.offset, Offset(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_that_ends_in_time_is_not_noticed() {
+    let store = store();
+    store.script([Step::LoseAnswerAndFail]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let back = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        store.come_back();
+    };
+    let (outcome, ()) = tokio::join!(appender.append(bodies(1)), back);
+    assert_eq!(recorded(outcome).offset, Offset(1));
+    assert_eq!(store.appends(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_search_that_retention_overtook_proves_nothing() {
+    let store = Arc::new(FakeStore::new(Duration::from_millis(5)));
+    let settings = AppendSettings::builder()
+        .first_pause(Duration::from_millis(100))
+        .build();
+    let (appender, _task) = start_appender(&store, settings, 1);
+    store.script([Step::LoseAnswer]);
+    assert_eq!(appender.append(bodies(1)).await, AppendOutcome::Unknown);
+    assert_eq!(store.appends(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn over_the_limit_the_time_named_is_waited() {
+    let store = store();
+    let wait = Duration::from_millis(1_500);
+    store.script([Step::Refuse(StoreError::Busy(wait))]);
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    let started = Instant::now();
+    recorded(appender.append(bodies(1)).await);
+    assert!(started.elapsed() >= wait);
+    assert_eq!(store.appends(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_buffer_refuses_at_once() {
+    let store = store();
+    store.go_down();
+    let settings = AppendSettings::builder().buffer_bytes(400).build();
+    let (appender, _task) = start_appender(&store, settings, 1);
+    let calls = (0..1_000).map(|_| {
+        let appender = appender.clone();
+        tokio::spawn(async move {
+            let started = Instant::now();
+            (appender.append(bodies(1)).await, started.elapsed())
+        })
+    });
+    let mut full = 0;
+    for call in calls.collect::<Vec<_>>() {
+        let (outcome, took) = call.await.unwrap();
+        if outcome == not_recorded(NotRecordedReason::Full) {
+            assert_eq!(took, Duration::ZERO);
+            full += 1;
+        }
+    }
+    assert!(full > 900, "only {full} were refused");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_that_is_run_anew_goes_on_with_the_queue() {
+    let store = store();
+    let shared = Arc::clone(&store) as Arc<dyn LogStore>;
+    let (appender, task) = Appender::new(shared, Stream::Main, append_settings());
+    store.script([Step::LoseAnswerAndFail]);
+    let first = tokio::spawn({
+        let appender = appender.clone();
+        async move { appender.append(bodies(1)).await }
+    });
+    let cut = tokio::time::timeout(Duration::from_millis(50), task.run(&mut rng(1))).await;
+    assert!(
+        cut.is_err(),
+        "the task runs for as long as there is an appender"
+    );
+    assert_eq!(first.await.unwrap(), AppendOutcome::Unknown);
+
+    let second = tokio::spawn(async move { appender.append(bodies(1)).await });
+    store.come_back();
+    task.run(&mut rng(2)).await;
+    assert_eq!(recorded(second.await.unwrap()).offset, Offset(2));
+}
--- /dev/null
+++ b/crates/agate_log/tests/cases/http.rs
@@ -0,0 +1,201 @@
+//! The whole client against the stand-in over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_core::{Offset, Version};
+use agate_log::{
+    AppendOutcome, AppendSettings, Appender, FollowSettings, HttpSettings, HttpStore, LogStore,
+    Stream, recover,
+};
+use agate_records::{Body, PresetPublished, PresetSwitched};
+use agate_state::{Effect, RecentEffects, State, StateLimits, VoidReason};
+use bytes::Bytes;
+use rstest::rstest;
+use standin_log::{Config, Faults, Handle, Limits, serve};
+
+use crate::support::{bodies, recorded, rng, start_appender};
+
+async fn start(appends_per_second: u32) -> Handle {
+    let limits = Limits {
+        retention: Duration::from_mins(1),
+        appends_per_second,
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let config = Config::builder().listen(listen).limits(limits).build();
+    serve(config).await.expect("a free port")
+}
+
+fn store(log: &Handle) -> Arc<HttpStore> {
+    let settings = HttpSettings::builder()
+        .address(log.address())
+        .call_timeout(Duration::from_millis(500))
+        .build();
+    Arc::new(HttpStore::new(settings))
+}
+
+async fn read_all(store: &Arc<HttpStore>) -> State {
+    let store = Arc::clone(store) as Arc<dyn LogStore>;
+    let limits = StateLimits::default();
+    let recovered = recover(store, limits, FollowSettings::default(), &mut rng(9)).await;
+    recovered.expect("nothing has expired").state
+}
+
+fn publish(name: &str) -> Body {
+    Body::from(PresetPublished {
+        name: name.to_owned(),
+        json: r#"{"kind": "peak"}"#.to_owned(),
+        operator: name.to_owned(),
+    })
+}
+
+fn switch(name: &str, expected: Version) -> Body {
+    Body::from(PresetSwitched {
+        name: name.to_owned(),
+        expected,
+        operator: name.to_owned(),
+    })
+}
+
+#[tokio::test]
+async fn what_is_appended_is_read_as_it_was() {
+    let log = start(1_000).await;
+    let store = store(&log);
+    let data = Bytes::from((0..=255).collect::<Vec<u8>>());
+    let offset = store.append(Stream::Keys, data.clone()).await;
+    assert_eq!(offset, Ok(Offset(1)));
+    let page = store
+        .read(Stream::Keys, Offset(1), Duration::ZERO)
+        .await
+        .unwrap();
+    assert_eq!(page.entries[0].data, data);
+    log.close().await.unwrap();
+}
+
+#[rstest]
+#[case::in_order(Faults::default())]
+#[case::with_lost_answers(Faults { lose_answers_percent: 60, ..Faults::default() })]
+#[case::on_a_slow_log(Faults { slow_ms: 30, ..Faults::default() })]
+#[tokio::test]
+async fn two_operators_race_and_every_reader_agrees_on_the_winner(#[case] faults: Faults) {
+    let log = start(1_000).await;
+    let one = store(&log);
+    let two = store(&log);
+    let (first, _task) = start_appender(&one, AppendSettings::default(), 1);
+    recorded(first.append(vec![publish("day"), publish("peak")]).await);
+    let (second, _task) = start_appender(&two, AppendSettings::default(), 2);
+    log.set_faults(faults);
+    let seen = Version::default();
+    let (day, peak) = tokio::join!(
+        first.append(vec![switch("day", seen)]),
+        second.append(vec![switch("peak", seen)]),
+    );
+    let (day, peak) = (recorded(day), recorded(peak));
+    let states = [read_all(&one).await, read_all(&two).await];
+    assert_eq!(states[0].config(), states[1].config());
+    let winner = if day.offset < peak.offset {
+        "day"
+    } else {
+        "peak"
+    };
+    let config = states[0].config();
+    assert_eq!(config.preset.as_ref().unwrap().name, winner);
+    log.close().await.unwrap();
+}
+
+#[tokio::test]
+async fn the_loser_of_a_race_is_told_the_winner() {
+    let log = start(1_000).await;
+    let store = store(&log);
+    let (appender, _task) = start_appender(&store, AppendSettings::default(), 1);
+    let seen = Version::default();
+    recorded(
+        appender
+            .append(vec![publish("day"), switch("day", seen)])
+            .await,
+    );
+    let loser = recorded(appender.append(vec![switch("day", seen)]).await);
+
+    let mut state = State::new(StateLimits::default());
+    let mut recent = RecentEffects::new(16);
+    let page = store
+        .read(Stream::Main, Offset(1), Duration::ZERO)
+        .await
+        .unwrap();
+    for entry in page.entries {
+        let batch = agate_records::DecodedBatch::decode(entry.offset, &entry.data);
+        let effect = state.apply_batch(&batch);
+        recent.record(batch.id.unwrap(), &effect);
+    }
+    let version = state.config().version;
+    let reason = VoidReason::NotInForce {
+        name: "day".to_owned(),
+        version,
+    };
+    assert_eq!(
+        recent.get(loser.batch, loser.index),
+        Some(&Effect::Void(reason))
+    );
+    log.close().await.unwrap();
+}
+
+#[tokio::test]
+async fn every_answer_lost_is_settled_by_reading() {
+    let log = start(1_000).await;
+    let store = store(&log);
+    log.set_faults(Faults {
+        lose_answers_percent: 100,
+        ..Faults::default()
+    });
+    let (appender, _task) = start_appender(&store, AppendSettings::default(), 1);
+    for offset in 1..=5 {
+        let recorded = recorded(appender.append(bodies(2)).await);
+        assert_eq!(recorded.offset, Offset(offset));
+    }
+    log.close().await.unwrap();
+}
+
+#[tokio::test]
+async fn an_outage_is_over_for_the_next_append_after_it() {
+    let log = start(1_000).await;
+    let store = store(&log);
+    log.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let settings = AppendSettings::builder()
+        .give_up(Duration::from_millis(300))
+        .build();
+    let (appender, _task) = start_appender(&store, settings, 1);
+    let outcome = appender.append(bodies(1)).await;
+    assert!(
+        matches!(outcome, AppendOutcome::NotRecorded { .. }),
+        "{outcome:?}"
+    );
+    log.set_faults(Faults::default());
+    assert_eq!(recorded(appender.append(bodies(1)).await).offset, Offset(1));
+    log.close().await.unwrap();
+}
+
+#[tokio::test]
+async fn many_callers_stay_within_the_limit_of_appends() {
+    let log = start(50).await;
+    let store = store(&log);
+    let (appender, _task) = start_appender(&store, AppendSettings::default(), 1);
+    let calls: Vec<_> = (0..2_000)
+        .map(|_| {
+            let appender: Appender = appender.clone();
+            tokio::spawn(async move { appender.append(bodies(1)).await })
+        })
+        .collect();
+    for call in calls {
+        recorded(call.await.unwrap());
+    }
+    let page = store
+        .read(Stream::Main, Offset(1), Duration::ZERO)
+        .await
+        .unwrap();
+    assert!(page.end.0 < 50, "{} appends for 2000 records", page.end);
+    log.close().await.unwrap();
+}
