--- a/crates/agate_records/src/config.rs
+++ b/crates/agate_records/src/config.rs
@@ -1,6 +1,7 @@
 //! Records by which operators configure the system.
 
 use agate_core::Version;
+use agate_core::names::MAX_NAME_BYTES;
 use agate_wire::message::{Selector, StopMode};
 
 use crate::convert::{name, required};
@@ -66,6 +67,9 @@
         if record.name.is_empty() {
             return Err(RecordError::Missing { field: "name" });
         }
+        if record.name.len() > MAX_NAME_BYTES {
+            return Err(RecordError::OutOfRange { field: "name" });
+        }
         Ok(Self {
             name: record.name,
             json: record.json,
