--- a/crates/agate_place/src/blame/mod.rs
+++ b/crates/agate_place/src/blame/mod.rs
@@ -1,7 +1,7 @@
 //! Whether a failure is the worker's or the job's.
 //!
 //! The failures of jobs and workers are crossed. A failure speaks against the worker unless the job
-//! is a suspect itself: it has never succeeded and has failed on another worker that is sound. It
+//! is a suspect itself: it has never succeeded and has failed on another worker too. It
 //! speaks against the job unless the worker is quarantined. Both are judged anew from what is
 //! remembered, so evidence that comes later clears the one or the other.
 
@@ -20,6 +20,10 @@
 use job::JobRecord;
 use worker::WorkerRecord;
 
+/// Factor on the preset's attempts after which a job that never succeeded is given up, even if too
+/// few of its workers are known to be sound.
+const MOST_FAILURES: u32 = 4;
+
 /// Largest factor on the time between two probes.
 const MAX_PROBE_FACTOR: u32 = 8;
 
@@ -103,23 +107,29 @@
 
     /// Whether failures on these workers speak against the work itself: on enough distinct workers
     /// that are sound, or on all of the `known` ones if they are fewer.
-    pub fn is_hopeless(&self, failed: &[WorkerKey], known: usize, policy: &Placement) -> bool {
-        let sound = failed
-            .iter()
-            .filter(|worker| !self.is_quarantined(**worker));
+    pub fn is_hopeless(
+        &self,
+        job: JobKey,
+        failed: &[WorkerKey],
+        known: usize,
+        policy: &Placement,
+    ) -> bool {
+        let sound = failed.iter().filter(|worker| self.is_sound(**worker, job));
         let others = known.saturating_sub(self.quarantined).max(1);
         let enough = (policy.attempts as usize).min(others);
         sound.count() >= enough
     }
 
-    /// Whether a whole job is to be given up: it never succeeded and failed on enough sound workers.
+    /// Whether a whole job is to be given up: it never succeeded and failed on enough sound workers, or
+    /// so often that no worker can be to blame.
     pub fn is_hopeless_job(&self, job: JobKey, known: usize, policy: &Placement) -> bool {
         let Some(record) = self.jobs.get(job) else {
             return false;
         };
-        !record.has_succeeded()
-            && record.failures() >= policy.attempts
-            && self.is_hopeless(record.failed_on(), known, policy)
+        let failures = record.failures();
+        let is_spent =
+            failures >= policy.attempts && self.is_hopeless(job, record.failed_on(), known, policy);
+        !record.has_succeeded() && (is_spent || failures >= policy.attempts * MOST_FAILURES)
     }
 
     /// Failures in a row that no suspect job explains.
@@ -146,16 +156,17 @@
         let Some(record) = self.jobs.get(job) else {
             return false;
         };
-        let is_sound = |other: &WorkerKey| *other != worker && self.is_sound(*other, job);
-        !record.has_succeeded() && record.failed_on().iter().any(is_sound)
+        let is_other = |other: &WorkerKey| *other != worker && !self.is_quarantined(*other);
+        !record.has_succeeded() && record.failed_on().iter().any(is_other)
     }
 
-    /// Whether nothing but `job` speaks against a worker.
+    /// Whether other work succeeds on a worker, or nothing but `job` speaks against it.
     fn is_sound(&self, worker: WorkerKey, job: JobKey) -> bool {
         let Some(record) = self.workers.get(worker) else {
             return true;
         };
-        record.probe_at().is_none() && record.streak().iter().all(|other| *other == job)
+        let is_alone = || record.streak().iter().all(|other| *other == job);
+        record.probe_at().is_none() && (record.is_proven() || is_alone())
     }
 
     fn is_quarantined(&self, worker: WorkerKey) -> bool {
--- a/crates/agate_place/src/choose.rs
+++ b/crates/agate_place/src/choose.rs
@@ -14,6 +14,10 @@
 /// Cost of a worker on which the task has failed, above that of any other worker.
 const FAILED_HERE: f64 = 1e6;
 
+/// A worker on which the task has failed is not taken at all while others are at least this many for
+/// each such worker.
+const OTHERS: usize = 2;
+
 /// What is placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -86,12 +90,13 @@
         let Some(cost) = cost(now, wanted, worker, model, rules, mode) else {
             continue;
         };
-        let avoided = if wanted.avoid.contains(&key) {
-            FAILED_HERE
+        let cost = if !wanted.avoid.contains(&key) {
+            cost
+        } else if wanted.avoid.len() * OTHERS < workers.len() {
+            continue;
         } else {
-            0.0
+            cost + FAILED_HERE
         };
-        let cost = cost + avoided;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
--- a/crates/agate_place/src/eviction/pressure.rs
+++ b/crates/agate_place/src/eviction/pressure.rs
@@ -157,7 +157,8 @@
         reading.slowdown += SMOOTHING * (slowdown - reading.slowdown);
     }
 
-    fn slowdown(&self) -> f64 {
+    /// The smoothed slowdown of the urgent class that suffers most.
+    pub(crate) fn slowdown(&self) -> f64 {
         let slowdowns = self.readings.iter().map(|reading| reading.slowdown);
         slowdowns.fold(0.0, f64::max)
     }
--- a/crates/agate_place/src/impossible.rs
+++ b/crates/agate_place/src/impossible.rs
@@ -142,6 +142,15 @@
         }
     }
 
+    /// Judges a task that is thought to need `learned` and declared to need `declared`. Either may be
+    /// off, so one that fits is enough to try.
+    pub fn judge_either(&self, now: Moment, learned: Resources, declared: Resources) -> Verdict {
+        match self.judge(now, learned) {
+            Verdict::Possible => Verdict::Possible,
+            Verdict::Unsettled | Verdict::Impossible(_) => self.judge(now, declared),
+        }
+    }
+
     /// Judges a task that ran out of memory with `given`.
     pub fn judge_exhausted(&self, now: Moment, given: Resources) -> Verdict {
         let offers_more = |shape: &Shape| {
--- a/crates/agate_place/src/interference/mod.rs
+++ b/crates/agate_place/src/interference/mod.rs
@@ -109,8 +109,10 @@
         let error = sample.slowdown.max(0.1).ln() - predicted;
         for (pair, share) in &inputs {
             if let Some(weight) = self.weights.get_mut(pair) {
+                let own = weight.variance() * share * share;
                 let gain = weight.variance() * share / spread;
-                weight.learn(gain * error, share * share / NOISE);
+                // What the other coefficients leave open is noise to this one.
+                weight.learn(gain * error, share * share / (spread - own));
             }
         }
     }
--- a/crates/agate_place/src/interference/weight.rs
+++ b/crates/agate_place/src/interference/weight.rs
@@ -55,10 +55,13 @@
     /// Moves the mean and adds the evidence of one sample.
     pub(super) fn learn(&mut self, change: f64, evidence: f64) {
         self.mean = (self.mean + change).clamp(MIN_MEAN, MAX_MEAN);
-        self.evidence += evidence;
+        self.evidence = (self.evidence + evidence).min(MAX_EVIDENCE);
     }
 }
 
+/// Most evidence that counts, so that a coefficient goes on learning: the share of the error that is
+/// laid to it rests on the other coefficients, which may have been off at first.
+const MAX_EVIDENCE: f64 = 50.0;
 /// Least natural logarithm of the slowdown by a whole machine of one class.
 const MIN_MEAN: f64 = -0.2;
 /// Largest natural logarithm of the slowdown by a whole machine of one class.
--- a/crates/agate_place/src/lib.rs
+++ b/crates/agate_place/src/lib.rs
@@ -21,5 +21,5 @@
 pub use names::{ClassKey, TeamKey};
 pub use scheduler::{
     Adopted, End, Ended, GivenUp, JobSpec, Placement, Policy, Scheduler, Selector, Step, StepKind,
-    UrgentReading, ViewState, WorkerSpec,
+    UrgentReading, ViewState, Why, WorkerSpec,
 };
--- a/crates/agate_place/src/scheduler/feedback.rs
+++ b/crates/agate_place/src/scheduler/feedback.rs
@@ -108,7 +108,7 @@
             return self.give_up_job(task, job);
         }
         let is_spent = failures >= policy.attempts;
-        if is_spent && self.blame.is_hopeless(&failed_on, known, &policy) {
+        if is_spent && self.blame.is_hopeless(job, &failed_on, known, &policy) {
             let workers = amount::count(failed_on.len());
             self.give_up(task.job, Some(task), Why::FailsEverywhere { workers });
             return Ended::GivenUp;
--- a/crates/agate_place/src/scheduler/place.rs
+++ b/crates/agate_place/src/scheduler/place.rs
@@ -75,18 +75,17 @@
             .sizing
             .demand(now, head.class, head.declared, Resources::ZERO);
         let shapes = self.workers.shapes();
-        if let Verdict::Impossible(_) = shapes.judge(now, needed)
-            && let Verdict::Impossible(reason) = shapes.judge(now, head.declared)
-        {
-            self.give_up(head.task.job, None, Why::Impossible(reason));
-            return None;
-        }
-        let demand = shapes.clamp(needed.max(self.floor(head)));
-        if shapes.judge(now, demand) != Verdict::Possible {
-            self.set_aside(now, head.key);
-            return None;
+        match shapes.judge_either(now, needed, head.declared) {
+            Verdict::Possible => Some(shapes.clamp(needed.max(self.floor(head)))),
+            Verdict::Unsettled => {
+                self.set_aside(now, head.key);
+                None
+            }
+            Verdict::Impossible(reason) => {
+                self.give_up(head.task.job, None, Why::Impossible(reason));
+                None
+            }
         }
-        Some(demand)
     }
 
     /// What earlier runs of the task, or of its job, proved to be too little.
--- a/crates/agate_place/src/scheduler/steps.rs
+++ b/crates/agate_place/src/scheduler/steps.rs
@@ -9,8 +9,8 @@
 use crate::interference::{Band, Sample};
 use crate::workers::{UrgentState, WorkerKey};
 
-/// Logarithm of the slowdown below which a well-known class is not worth a step.
-const HARMLESS: f64 = 0.02;
+/// Share of the measured slowdown below which the runs that could be restrained are left alone.
+const HARMLESS: f64 = 0.25;
 
 /// Which runs a step could be taken against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -135,21 +135,27 @@
     }
 
     fn victim(&self, now: Moment, key: WorkerKey, among: Among) -> Option<TaskId> {
-        let mut suspects = self.suspects(now, key, among);
-        suspects.retain(|suspect| !self.is_harmless(now, key, suspect));
+        let suspects = self.suspects(now, key, among);
+        if self.are_harmless(now, key, &suspects) {
+            return None;
+        }
         choose_victim(&suspects, &self.policy.weights)
     }
 
-    /// Whether a run's class is well known and does nothing to the urgent class that suffers most.
-    fn is_harmless(&self, now: Moment, key: WorkerKey, suspect: &Suspect) -> bool {
-        let Some(run) = self.runs.get(&suspect.task) else {
-            return true;
-        };
+    /// Whether the suspects are well known and together cause little of what is measured, so that a
+    /// step against them would cost batch work and help nobody.
+    fn are_harmless(&self, now: Moment, key: WorkerKey, suspects: &[Suspect]) -> bool {
         let Some(state) = self.worst(key) else {
             return false;
         };
-        let is_known = self.model.knows(now, state.class, state.band, run.class);
-        is_known && suspect.blame < HARMLESS
+        let is_known = |suspect: &Suspect| {
+            let run = self.runs.get(&suspect.task);
+            run.is_some_and(|r| self.model.knows(now, state.class, state.band, r.class))
+        };
+        let watch = self.watches.get(key);
+        let measured = watch.map_or(1.0, |watch| watch.pressure.slowdown());
+        let caused: f64 = suspects.iter().map(|suspect| suspect.blame).sum();
+        suspects.iter().all(is_known) && caused < measured.max(1.0).ln() * HARMLESS
     }
 
     fn suspects(&self, now: Moment, key: WorkerKey, among: Among) -> Vec<Suspect> {
--- /dev/null
+++ b/crates/agate_place/tests/place/blame.rs
@@ -0,0 +1,214 @@
+//! Bad workers and bad jobs, each found without harm to the other.
+
+use std::collections::BTreeSet;
+
+use agate_core::{Incarnation, JobId, Moment, Resources};
+use agate_place::blame::Trust;
+use agate_place::{End, Ended, GivenUp, Placement, Policy, Scheduler, Why};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::frame::{at, class, job, rng, scheduler, team};
+
+const USED: Resources = Resources::new(900, 900, 0);
+
+/// Runs a scheduler against workers that fail what `fails` names. A failure comes within a second,
+/// a success after a minute.
+struct World<F> {
+    scheduler: Scheduler,
+    rng: SmallRng,
+    running: Vec<(Moment, Placement, End)>,
+    fails: F,
+    failures: Vec<Placement>,
+    finished: u32,
+    given_up: Vec<GivenUp>,
+}
+
+impl<F: Fn(&Placement) -> bool> World<F> {
+    fn new(scheduler: Scheduler, fails: F) -> Self {
+        Self {
+            scheduler,
+            rng: rng(3),
+            running: Vec::new(),
+            fails,
+            failures: Vec::new(),
+            finished: 0,
+            given_up: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, from: u64, to: u64) {
+        for secs in from..to {
+            let now = at(secs);
+            self.end_due(now);
+            while let Some(placement) = self.scheduler.next(now, &mut self.rng) {
+                self.scheduler.started(now, placement.task);
+                let entry = if (self.fails)(&placement) {
+                    (at(secs + 1), placement, End::Failed)
+                } else {
+                    let length = self.rng.random_range(30..90);
+                    (at(secs + length), placement, End::Finished)
+                };
+                self.running.push(entry);
+            }
+            self.given_up.extend(self.scheduler.take_given_up());
+        }
+    }
+
+    fn end_due(&mut self, now: Moment) {
+        let running = std::mem::take(&mut self.running);
+        let (due, left): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, ..)| *end <= now);
+        self.running = left;
+        for (_, placement, end) in due {
+            let ended = self.scheduler.ended(now, placement.task, end, USED);
+            self.finished += u32::from(ended == Ended::Done);
+            if end == End::Failed {
+                self.failures.push(placement);
+            }
+        }
+    }
+
+    fn trust(&self, worker: u64) -> Trust {
+        let key = self.scheduler.workers().key(Incarnation::new(worker));
+        self.scheduler.blame().trust(key.unwrap())
+    }
+}
+
+fn is_quarantined(trust: Trust) -> bool {
+    matches!(trust, Trust::Quarantined { .. })
+}
+
+fn push_jobs(scheduler: &mut Scheduler, ids: std::ops::Range<u64>, tasks: u32) {
+    for id in ids {
+        let mut spec = job(id, tasks);
+        spec.class = class(["rebalance", "rerating"][usize::try_from(id % 2).unwrap()]);
+        spec.team = team(["kehilla", "kattegatt"][usize::try_from(id / 2 % 2).unwrap()]);
+        scheduler.push(at(0), &spec);
+    }
+}
+
+#[test]
+fn a_black_hole_is_found_within_few_failures_and_no_job_is_given_up() {
+    let mut s = scheduler(Policy::default(), 10);
+    push_jobs(&mut s, 0..8, 200);
+    let mut world = World::new(s, |p| p.worker == Incarnation::new(4));
+    world.run(0, 600);
+    assert!(is_quarantined(world.trust(4)));
+    // The first wave fills the worker before any failure is known: 14 runs. Then come trials up to
+    // the limit, and one probe every 30 s, 60 s, 120 s and 240 s.
+    let after_first = world.failures.len().saturating_sub(14);
+    assert!(
+        after_first <= 8,
+        "{after_first} failures after the first wave"
+    );
+    assert_eq!(world.given_up, []);
+    for other in (0..10).filter(|id| *id != 4) {
+        assert_eq!(world.trust(other), Trust::Full, "worker {other} is harmed");
+    }
+    world.run(600, 4_000);
+    assert_eq!(world.finished, 8 * 200);
+}
+
+#[test]
+fn a_worker_that_recovers_is_let_back_in() {
+    let mut s = scheduler(Policy::default(), 4);
+    push_jobs(&mut s, 0..8, 400);
+    let is_broken = std::cell::Cell::new(true);
+    let mut world = World::new(s, |p| is_broken.get() && p.worker == Incarnation::new(2));
+    world.run(0, 120);
+    assert!(is_quarantined(world.trust(2)));
+    is_broken.set(false);
+    world.run(120, 600);
+    assert_eq!(world.trust(2), Trust::Full);
+}
+
+#[test]
+fn a_poison_job_is_given_up_and_harms_no_worker() {
+    let mut s = scheduler(Policy::default(), 10);
+    push_jobs(&mut s, 0..8, 100);
+    let mut poison = job(99, 500);
+    poison.team = team("poison");
+    s.push(at(0), &poison);
+    let mut world = World::new(s, |p| p.task.job == JobId(99));
+    world.run(0, 200);
+    let [given_up] = world.given_up[..] else {
+        panic!("given up: {:?}", world.given_up);
+    };
+    assert_eq!((given_up.job, given_up.task), (JobId(99), None));
+    assert!(matches!(given_up.why, Why::FailsEverywhere { workers } if workers >= 5));
+    for worker in 0..10 {
+        assert_eq!(
+            world.trust(worker),
+            Trust::Full,
+            "worker {worker} is harmed"
+        );
+    }
+    assert!(world.failures.len() < 100, "{}", world.failures.len());
+}
+
+#[test]
+fn a_poison_job_and_a_black_hole_at_once_are_both_found() {
+    let mut s = scheduler(Policy::default(), 10);
+    push_jobs(&mut s, 0..8, 300);
+    let mut poison = job(99, 500);
+    poison.team = team("poison");
+    s.push(at(0), &poison);
+    let mut world = World::new(s, |p| {
+        p.task.job == JobId(99) || p.worker == Incarnation::new(7)
+    });
+    world.run(0, 400);
+    assert!(is_quarantined(world.trust(7)));
+    let jobs: BTreeSet<JobId> = world.given_up.iter().map(|g| g.job).collect();
+    assert_eq!(jobs, BTreeSet::from([JobId(99)]));
+    for other in (0..10).filter(|id| *id != 7) {
+        assert_eq!(world.trust(other), Trust::Full, "worker {other} is harmed");
+    }
+}
+
+#[test]
+fn many_poison_jobs_at_once_harm_no_worker() {
+    let mut s = scheduler(Policy::default(), 6);
+    push_jobs(&mut s, 0..4, 100);
+    for id in 90..98 {
+        let mut poison = job(id, 50);
+        poison.team = team("poison");
+        s.push(at(0), &poison);
+    }
+    let mut world = World::new(s, |p| p.task.job.0 >= 90);
+    for minute in 0..10 {
+        world.run(minute * 60, minute * 60 + 60);
+        for worker in 0..6 {
+            assert!(
+                !is_quarantined(world.trust(worker)),
+                "worker {worker} is harmed"
+            );
+        }
+    }
+    assert_eq!(world.given_up.len(), 8);
+}
+
+/// A pair that can't work together, such as a missing library on one worker.
+#[test]
+fn a_task_is_not_sent_back_to_where_it_failed() {
+    let mut s = scheduler(Policy::default(), 4);
+    push_jobs(&mut s, 0..4, 40);
+    let mut world = World::new(s, |p| p.task.job.0 % 2 == 0 && p.worker.get() == 1);
+    world.run(0, 900);
+    let pairs: BTreeSet<_> = world.failures.iter().map(|p| (p.task, p.worker)).collect();
+    assert!(!pairs.is_empty());
+    assert_eq!(pairs.len(), world.failures.len());
+    assert_eq!(world.finished, 160);
+}
+
+#[test]
+fn one_bad_task_is_given_up_and_its_job_goes_on() {
+    let mut s = scheduler(Policy::default(), 8);
+    s.push(at(0), &job(1, 50));
+    let mut world = World::new(s, |p| p.task.index == 7);
+    world.run(0, 400);
+    let [given_up] = world.given_up[..] else {
+        panic!("given up: {:?}", world.given_up);
+    };
+    assert_eq!(given_up.task.map(|task| task.index), Some(7));
+    assert_eq!(world.finished, 49);
+}
--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -1,7 +1,16 @@
 //! Tests of the decisions on batch work.
 #![expect(clippy::unwrap_used, reason = "a test may panic on a bug")]
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the numbers of these tests are small and positive"
+)]
 
+mod blame;
 mod capacity;
+mod eviction;
 mod frame;
+mod interference;
 mod order;
 mod queue;
+mod sizing;
