--- a/crates/agate_bind/src/lib.rs
+++ b/crates/agate_bind/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! What one incarnation of an agent remembers of the keys and runs bound to it.
+//!
+//! Both tables are pure: they do no I/O and read no clock. Each change is a named transition that
+//! either holds or is refused with a reason; nothing bound is ever forgotten in a way that would
+//! let it start a second time.
+
+pub mod key;
+pub mod run;
+
+pub use key::{KeyBind, KeyFate, KeyLimits, KeyRefusal, KeyTable};
+pub use run::{
+    Lease, Pace, RunBind, RunEnd, RunEvent, RunRefusal, RunState, RunStop, RunTable, Step,
+};
