--- /dev/null
+++ b/crates/agate_agent/src/clock.rs
@@ -0,0 +1,69 @@
+//! Readings of the clocks.
+
+use std::fmt::Debug;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_core::clock::{boot_time, wall_millis};
+use agate_core::Moment;
+use agate_route::admission::Clocks;
+use tokio::time::Instant;
+
+/// The machine's clocks that the runtime doesn't keep.
+pub trait Clock: Debug + Send + Sync + 'static {
+    /// Time since the machine booted, suspension included.
+    fn boot(&self) -> Duration;
+
+    /// Milliseconds since the Unix epoch.
+    fn wall_millis(&self) -> u64;
+}
+
+/// The clocks of this machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MachineClock;
+
+impl Clock for MachineClock {
+    fn boot(&self) -> Duration {
+        boot_time()
+    }
+
+    fn wall_millis(&self) -> u64 {
+        wall_millis()
+    }
+}
+
+/// All clocks of a process.
+#[derive(Debug, Clone)]
+pub(crate) struct Time {
+    clock: Arc<dyn Clock>,
+    start: Instant,
+    booted: Duration,
+}
+
+impl Time {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        let booted = clock.boot();
+        Self {
+            clock,
+            start: Instant::now(),
+            booted,
+        }
+    }
+
+    /// The boot clock, on which leases are counted.
+    pub(crate) fn boot(&self) -> Moment {
+        Moment::ZERO + self.clock.boot()
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub(crate) fn wall_millis(&self) -> u64 {
+        self.clock.wall_millis()
+    }
+
+    /// The runtime's clock and its lag behind the boot clock.
+    pub(crate) fn clocks(&self) -> Clocks {
+        let ran = self.start.elapsed();
+        let passed = self.clock.boot().saturating_sub(self.booted);
+        Clocks::new(Moment::ZERO + ran, passed.saturating_sub(ran))
+    }
+}
--- /dev/null
+++ b/crates/agate_agent/src/local/connection.rs
@@ -0,0 +1,67 @@
+//! One connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, timeout};
+
+/// Longest time to set up a connection to a process on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle time after which a connection is not used again; servers close idle ones at some point.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    used: Instant,
+}
+
+impl Connection {
+    /// Connects to `address`. The permit is given back once the connection is closed.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<Self, String> {
+        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = match connect {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(format!("connecting to {address} failed: {error}")),
+            Err(_) => return Err(format!("connecting to {address} took too long")),
+        };
+        // Small requests must not wait for the acknowledgement of earlier ones.
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(event = "nodelay_failed", cause:% = error; "");
+        }
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| format!("connecting to {address} failed: {error}"))?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!(event = "local_connection_ended", cause:% = error; "");
+            }
+            drop(permit);
+        });
+        Ok(Self {
+            sender,
+            used: Instant::now(),
+        })
+    }
+
+    /// Whether the connection is still open as far as can be told, and was used lately.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.used.elapsed() < MAX_IDLE
+    }
+
+    /// Notes that the connection has carried an exchange.
+    pub(crate) fn touch(&mut self) {
+        self.used = Instant::now();
+    }
+}
--- /dev/null
+++ b/crates/agate_agent/src/local/exchange.rs
@@ -0,0 +1,113 @@
+//! One request and its whole answer.
+
+use std::time::Duration;
+
+use agate_wire::MAX_BODY_BYTES;
+use bytes::Bytes;
+use displaydoc::Display;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::connection::Connection;
+use super::pool::Pool;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Whole {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) enum ExchangeError {
+    /// the request was not sent: {0}
+    NotSent(String),
+    /// the request may have been sent: {0}
+    Uncertain(String),
+}
+
+/// Connections tried for one request that each gives back unsent.
+const MAX_CONNECTIONS: usize = 4;
+
+/// A whole answer and the connection that it came on.
+#[derive(Debug)]
+pub(crate) struct Exchanged {
+    pub(crate) whole: Whole,
+    connection: Connection,
+}
+
+impl Exchanged {
+    /// Keeps the connection for the next exchange. Without this call it is closed, as it must be if
+    /// the answer turns out to be someone else's.
+    pub(crate) fn keep(self, pool: &Pool) -> Whole {
+        pool.put(self.connection);
+        self.whole
+    }
+}
+
+/// Sends `request` once and reads the whole answer.
+///
+/// The request is sent on another connection only if the first one gave it back unsent, as
+/// happens when an idle connection turns out to be closed.
+pub(crate) async fn exchange(
+    pool: &Pool,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Exchanged, ExchangeError> {
+    match timeout(limit, attempt(pool, request)).await {
+        Ok(result) => result,
+        Err(_) => Err(ExchangeError::Uncertain(
+            "no whole answer in time".to_owned(),
+        )),
+    }
+}
+
+async fn attempt(pool: &Pool, request: Request<Full<Bytes>>) -> Result<Exchanged, ExchangeError> {
+    let mut request = request;
+    for _ in 0..MAX_CONNECTIONS {
+        let mut connection = pool.take().await.map_err(ExchangeError::NotSent)?;
+        if connection.sender.ready().await.is_err() {
+            continue;
+        }
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return read(connection, response).await,
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => request = unsent,
+                None => return Err(ExchangeError::Uncertain(error.error().to_string())),
+            },
+        }
+    }
+    Err(ExchangeError::NotSent(
+        "every connection was closed before the request left".to_owned(),
+    ))
+}
+
+async fn read(
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Result<Exchanged, ExchangeError> {
+    let (head, body) = response.into_parts();
+    if !states_length(&head.headers) {
+        return Err(ExchangeError::Uncertain(
+            "the answer doesn't state its length".to_owned(),
+        ));
+    }
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body.map_err(|error| ExchangeError::Uncertain(error.to_string()))?;
+    let whole = Whole {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    };
+    Ok(Exchanged { whole, connection })
+}
+
+/// Whether a cut body can be told from a whole one.
+fn states_length(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/crates/agate_agent/src/local/mod.rs
@@ -0,0 +1,13 @@
+//! Plain HTTP/1.1 to the backend server or worker on the same machine.
+
+mod backend;
+mod connection;
+mod exchange;
+mod pool;
+mod worker;
+
+pub(crate) use backend::{Backend, Forward};
+pub(crate) use exchange::ExchangeError;
+pub(crate) use worker::{
+    Checkpoint, TaskStart, TaskStatus, WorkerClient, WorkerError, WorkerUsage,
+};
--- /dev/null
+++ b/crates/agate_agent/src/settings/describe.rs
@@ -0,0 +1,240 @@
+//! Descriptions of the agent's settings.
+
+use agate_core::Host;
+use agate_settings::{Describe, Kind, Program, Setting};
+use strum::{EnumIter, VariantNames};
+
+/// The binary.
+pub const PROGRAM: Program = Program {
+    name: "agate-agent",
+    about: "Serves the requests and runs that entries send to one backend server or worker.",
+    prefix: "AGATE_AGENT_",
+};
+
+/// One setting of the agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter)]
+pub enum AgentSetting {
+    /// Where entries connect.
+    Listen,
+    /// The address told to entries.
+    Advertise,
+    /// Where the first entry is looked for.
+    Seeds,
+    /// The region.
+    Region,
+    /// The availability zone.
+    Zone,
+    /// What the agent runs beside.
+    Host,
+    /// Address of the backend server or worker.
+    Local,
+    /// Requests at once.
+    Slots,
+    /// Connections at once.
+    Connections,
+    /// Processor time for batch runs.
+    Millicores,
+    /// Memory for batch runs.
+    Memory,
+    /// Accelerators for batch runs.
+    Accelerators,
+    /// Classes served.
+    Classes,
+    /// Time for a planned stop.
+    Drain,
+    /// Longest wait for an answer.
+    AnswerLimit,
+    /// Where metrics are served.
+    Metrics,
+    /// Where spans are sent.
+    Otlp,
+    /// Least severe event that is logged.
+    LogLevel,
+}
+
+impl Describe for AgentSetting {
+    fn describe(self) -> Setting {
+        match self {
+            Self::Listen
+            | Self::Advertise
+            | Self::Seeds
+            | Self::Region
+            | Self::Zone
+            | Self::Host
+            | Self::Local => self.place(),
+            Self::Slots
+            | Self::Connections
+            | Self::Millicores
+            | Self::Memory
+            | Self::Accelerators
+            | Self::Classes => self.capacity(),
+            Self::Drain | Self::AnswerLimit | Self::Metrics | Self::Otlp | Self::LogLevel => {
+                self.operation()
+            }
+        }
+    }
+}
+
+impl AgentSetting {
+    /// Settings that say where things are.
+    fn place(self) -> Setting {
+        match self {
+            Self::Advertise => Setting {
+                flag: "advertise",
+                variable: "AGATE_AGENT_ADVERTISE",
+                about: "Address told to entries; port 0 stands for the one listened on",
+                unit: "address",
+                kind: Kind::Address,
+                default: Some("0.0.0.0:0"),
+            },
+            Self::Seeds => Setting {
+                flag: "seeds",
+                variable: "AGATE_AGENT_SEEDS",
+                about: "Entries, or the balancer in front of them, to say hello to",
+                unit: "addresses",
+                kind: Kind::Addresses,
+                default: None,
+            },
+            Self::Region => Setting {
+                flag: "region",
+                variable: "AGATE_AGENT_REGION",
+                about: "Region that the agent runs in",
+                unit: "name",
+                kind: Kind::Name,
+                default: None,
+            },
+            Self::Zone => Setting {
+                flag: "zone",
+                variable: "AGATE_AGENT_ZONE",
+                about: "Availability zone that the agent runs in",
+                unit: "name",
+                kind: Kind::Name,
+                default: None,
+            },
+            Self::Host => Setting {
+                flag: "host",
+                variable: "AGATE_AGENT_HOST",
+                about: "What the agent runs beside",
+                unit: "kind",
+                kind: Kind::Choice(Host::VARIANTS),
+                default: None,
+            },
+            Self::Local => Setting {
+                flag: "local",
+                variable: "AGATE_AGENT_LOCAL",
+                about: "Address of the backend server or worker on this machine",
+                unit: "address",
+                kind: Kind::Address,
+                default: None,
+            },
+            _ => Setting {
+                flag: "listen",
+                variable: "AGATE_AGENT_LISTEN",
+                about: "Where entries connect",
+                unit: "address",
+                kind: Kind::Address,
+                default: None,
+            },
+        }
+    }
+
+    /// Settings that say what the host can carry.
+    fn capacity(self) -> Setting {
+        match self {
+            Self::Slots => Setting {
+                flag: "slots",
+                variable: "AGATE_AGENT_SLOTS",
+                about: "Requests that the backend server works on at once",
+                unit: "requests",
+                kind: Kind::Number(0..=65_535),
+                default: Some("8"),
+            },
+            Self::Connections => Setting {
+                flag: "connections",
+                variable: "AGATE_AGENT_CONNECTIONS",
+                about: "Connections that the backend server accepts from the agent",
+                unit: "connections",
+                kind: Kind::Number(0..=65_535),
+                default: Some("64"),
+            },
+            Self::Millicores => Setting {
+                flag: "millicores",
+                variable: "AGATE_AGENT_MILLICORES",
+                about: "Processor time that the worker has for batch runs",
+                unit: "thousandths of a core",
+                kind: Kind::Number(0..=10_000_000),
+                default: Some("0"),
+            },
+            Self::Memory => Setting {
+                flag: "memory",
+                variable: "AGATE_AGENT_MEMORY",
+                about: "Memory that the worker has for batch runs",
+                unit: "MiB",
+                kind: Kind::Number(0..=100_000_000),
+                default: Some("0"),
+            },
+            Self::Accelerators => Setting {
+                flag: "accelerators",
+                variable: "AGATE_AGENT_ACCELERATORS",
+                about: "Accelerators that the worker has for batch runs",
+                unit: "accelerators",
+                kind: Kind::Number(0..=1_024),
+                default: Some("0"),
+            },
+            _ => Setting {
+                flag: "classes",
+                variable: "AGATE_AGENT_CLASSES",
+                about: "Classes that the host serves; none stands for every class",
+                unit: "names",
+                kind: Kind::Names,
+                default: Some(""),
+            },
+        }
+    }
+
+    /// Settings for those who run the agent.
+    fn operation(self) -> Setting {
+        match self {
+            Self::Drain => Setting {
+                flag: "drain-seconds",
+                variable: "AGATE_AGENT_DRAIN_SECONDS",
+                about: "Time for a planned stop before what is left is cut off and reported",
+                unit: "s",
+                kind: Kind::Number(1..=3_600),
+                default: Some("30"),
+            },
+            Self::AnswerLimit => Setting {
+                flag: "answer-limit-ms",
+                variable: "AGATE_AGENT_ANSWER_LIMIT_MS",
+                about: "Longest wait for an answer of the backend server, past every deadline",
+                unit: "ms",
+                kind: Kind::Number(100..=3_600_000),
+                default: Some("60000"),
+            },
+            Self::Metrics => Setting {
+                flag: "metrics",
+                variable: "AGATE_AGENT_METRICS",
+                about: "Where metrics and health are served",
+                unit: "address",
+                kind: Kind::Address,
+                default: Some("127.0.0.1:0"),
+            },
+            Self::Otlp => Setting {
+                flag: "otlp-endpoint",
+                variable: "AGATE_AGENT_OTLP_ENDPOINT",
+                about: "URL that spans are sent to over OTLP; none sends none",
+                unit: "URL",
+                kind: Kind::Text,
+                default: Some(""),
+            },
+            _ => Setting {
+                flag: "log-level",
+                variable: "AGATE_AGENT_LOG_LEVEL",
+                about: "Least severe event that is logged",
+                unit: "level",
+                kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+                default: Some("info"),
+            },
+        }
+    }
+}
--- a/crates/agate_bind/src/key/state.rs
+++ b/crates/agate_bind/src/key/state.rs
@@ -47,10 +47,9 @@
     pub fn next(&self, event: KeyEvent) -> Result<Self, KeyRejected> {
         match (self, event) {
             (Self::Queued, KeyEvent::Start) => Ok(Self::Running),
-            (Self::Queued, KeyEvent::Refuse | KeyEvent::Tombstone)
-            | (Self::Tombstoned, KeyEvent::Tombstone) => Ok(Self::Tombstoned),
-            // A request that provably never left the agent did not run.
-            (Self::Running, KeyEvent::Refuse) => Ok(Self::Tombstoned),
+            // A request that is running but provably never left the agent did not run.
+            (Self::Queued | Self::Running, KeyEvent::Refuse)
+            | (Self::Queued | Self::Tombstoned, KeyEvent::Tombstone) => Ok(Self::Tombstoned),
             (Self::Running, KeyEvent::Finish) => Ok(Self::Done),
             (Self::Running, KeyEvent::Fail(reason)) => Ok(Self::Failed(reason)),
             _ => Err(KeyRejected),
--- a/crates/agate_bind/src/run/table.rs
+++ b/crates/agate_bind/src/run/table.rs
@@ -24,8 +24,6 @@
 pub enum RunRefusal {
     /// the incarnation was recorded as lost
     Lost,
-    /// the lease has lapsed
-    Lapsed,
     /// the worker has no room for it
     NoRoom,
     /// its binding is older than what is remembered here
@@ -83,18 +81,12 @@
     }
 
     /// Binds `run`, whose binding stands at `bound` in the log, and sets `demand` aside for it.
-    /// A refused run is tombstoned.
-    pub fn bind(
-        &mut self,
-        run: RunId,
-        bound: Position,
-        demand: Resources,
-        now: Moment,
-    ) -> RunBind {
+    /// A refused run is tombstoned. A run that is bound while the lease has lapsed starts paused.
+    pub fn bind(&mut self, run: RunId, bound: Position, demand: Resources) -> RunBind {
         if let Some(entry) = self.entries.get(&run) {
             return RunBind::Known(entry.state);
         }
-        let (state, reply) = match self.refusal(bound, demand, now) {
+        let (state, reply) = match self.refusal(bound, demand) {
             None => (RunState::Starting, RunBind::New),
             Some(refusal) => (RunState::Tombstoned, RunBind::Refused(refusal)),
         };
@@ -102,16 +94,13 @@
         reply
     }
 
-    fn refusal(&mut self, bound: Position, demand: Resources, now: Moment) -> Option<RunRefusal> {
+    fn refusal(&mut self, bound: Position, demand: Resources) -> Option<RunRefusal> {
         if self.lost {
             return Some(RunRefusal::Lost);
         }
         if bound <= self.floor {
             return Some(RunRefusal::TooOld);
         }
-        if self.lease.has_lapsed(now) {
-            return Some(RunRefusal::Lapsed);
-        }
         if !demand.fits_in(self.capacity.saturating_sub(self.held())) {
             return Some(RunRefusal::NoRoom);
         }
