Serve urgent requests and hold batch runs in an agent

Cause: entries need one authority beside each backend server and worker. Ruled out: execution inside the connection's handler, which the JSON-RPC library drops when the connection closes. Conclusion: handlers wait for detached tasks; admission, keys and runs are decided by the pure tables.

--- /dev/null
+++ b/crates/agate_agent/src/batch/clear.rs
@@ -0,0 +1,36 @@
+//! Stopping of tasks that belong to no run of this incarnation.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::local::WorkerError;
+use crate::state::Core;
+
+/// Time between two tries.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Stops every task on the worker; an incarnation starts with an empty worker. Does nothing beside
+/// a backend server.
+pub(crate) async fn until_clear(core: &Core) {
+    if !core.is_worker() {
+        return;
+    }
+    loop {
+        match clear(core).await {
+            Ok(()) => return,
+            Err(error) => {
+                log::info!(event = "worker_not_clear", cause:% = error; "");
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn clear(core: &Core) -> Result<(), WorkerError> {
+    for run in core.worker.open_tasks().await? {
+        core.worker.stop(run).await?;
+        log::info!(event = "foreign_run_stopped", run:% = run; "");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/agate_agent/src/batch/stop.rs
@@ -0,0 +1,39 @@
+//! Steps against runs.
+
+use agate_bind::{RunStop, Step};
+use agate_wire::message::{StopReply, StopRun};
+
+use super::status;
+use crate::state::{Bound, Core};
+
+/// Takes a step against a run.
+pub(crate) fn stop(core: &Core, request: &StopRun) -> StopReply {
+    let Some(bound) = core.bound_to(request.incarnation) else {
+        return StopReply::Gone;
+    };
+    let stopped = bound
+        .runs
+        .lock()
+        .table
+        .stop(request.run, status::step(request.kind));
+    match stopped {
+        RunStop::Active(_) => {
+            log::info!(event = "run_step", run:% = request.run, step:% = request.kind; "");
+            bound.runs.changed.notify_waiters();
+            StopReply::Accepted
+        }
+        RunStop::NotStarted => StopReply::NotStarted,
+        RunStop::Ended => StopReply::Ended,
+    }
+}
+
+/// Evicts every run.
+pub(crate) fn evict_all(bound: &Bound) {
+    {
+        let mut runs = bound.runs.lock();
+        for run in runs.table.active() {
+            runs.table.stop(run, Step::Evict);
+        }
+    }
+    bound.runs.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/agate_agent/src/bin/agate-agent.rs
@@ -0,0 +1,11 @@
+//! The agent as a process.
+
+use std::process::ExitCode;
+
+use agate_settings::Environment;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    agate_agent::run(&args, &Environment::of_process()).await
+}
--- a/crates/agate_agent/src/clock.rs
+++ b/crates/agate_agent/src/clock.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_core::clock::{boot_time, wall_millis};
 use agate_core::Moment;
+use agate_core::clock::{boot_time, wall_millis};
 use agate_route::admission::Clocks;
 use tokio::time::Instant;
 
--- /dev/null
+++ b/crates/agate_agent/src/entries/connect.rs
@@ -0,0 +1,27 @@
+//! Connections to entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agate_preset::Preset;
+use agate_wire::rpc::MAX_MESSAGE_BYTES;
+use jsonrpsee::core::client::Error;
+use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
+
+/// Connects to an entry. A connection without any sign of life for `membership.silent_ms` is given
+/// up, and a call without an answer for as long fails.
+pub(crate) async fn connect(address: SocketAddr, preset: &Preset) -> Result<WsClient, Error> {
+    let silent = Duration::from_millis(u64::from(preset.membership.silent_ms));
+    let ping = PingConfig::new()
+        .ping_interval(silent / 2)
+        .inactive_limit(silent)
+        .max_failures(1);
+    WsClientBuilder::default()
+        .connection_timeout(silent)
+        .request_timeout(silent)
+        .max_request_size(MAX_MESSAGE_BYTES)
+        .max_response_size(MAX_MESSAGE_BYTES)
+        .enable_ws_ping(ping)
+        .build(format!("ws://{address}"))
+        .await
+}
--- /dev/null
+++ b/crates/agate_agent/src/entries/links.rs
@@ -0,0 +1,43 @@
+//! One link for each known entry.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::task::JoinSet;
+
+use super::link;
+use crate::state::Core;
+
+/// Runs a link to each known entry, for as long as the agent runs.
+pub(crate) async fn keep_links(core: Arc<Core>) {
+    let mut links = JoinSet::new();
+    let mut linked = BTreeSet::new();
+    loop {
+        for address in core.entries.addresses() {
+            if linked.insert(address) {
+                links.spawn(run_link(Arc::clone(&core), address));
+            }
+        }
+        tokio::select! {
+            () = core.entries.learned.notified() => {}
+            Some(ended) = links.join_next() => match ended {
+                Ok(address) => {
+                    linked.remove(&address);
+                }
+                Err(error) => {
+                    log::error!(event = "link_failed", cause:% = error; "");
+                    // It is not known which link failed; all are started again.
+                    links.shutdown().await;
+                    linked.clear();
+                }
+            },
+        }
+    }
+}
+
+async fn run_link(core: Arc<Core>, address: SocketAddr) -> SocketAddr {
+    link::run(&core, address).await;
+    log::info!(event = "entry_forgotten", entry:% = address; "");
+    address
+}
--- /dev/null
+++ b/crates/agate_agent/src/entries/mod.rs
@@ -0,0 +1,12 @@
+//! The entries that the agent knows, and its connections to them.
+
+mod connect;
+mod directory;
+mod heartbeat;
+mod link;
+mod links;
+mod seeds;
+
+pub(crate) use directory::Directory;
+pub(crate) use links::keep_links;
+pub(crate) use seeds::keep_announced;
--- a/crates/agate_agent/src/lib.rs
+++ b/crates/agate_agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! It is the only authority on its host's slots, connections and resources. It announces itself to
 //! entries, serves what they send, and remembers each key and run that was bound to it.
 
+mod backoff;
 mod batch;
 mod clock;
 mod entries;
--- a/crates/agate_agent/src/local/mod.rs
+++ b/crates/agate_agent/src/local/mod.rs
@@ -8,6 +8,4 @@
 
 pub(crate) use backend::{Backend, Forward};
 pub(crate) use exchange::ExchangeError;
-pub(crate) use worker::{
-    Checkpoint, TaskStart, TaskStatus, WorkerClient, WorkerError, WorkerUsage,
-};
+pub(crate) use worker::{TaskStart, TaskStatus, WorkerClient, WorkerError, WorkerUsage};
--- a/crates/agate_agent/src/local/worker.rs
+++ b/crates/agate_agent/src/local/worker.rs
@@ -58,9 +58,6 @@
     Stopped,
 }
 
-/// Answer to a checkpoint request.
-pub(crate) type Checkpoint = TaskStatus;
-
 /// One lagging reading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 pub(crate) struct WorkerUsage {
@@ -143,7 +140,7 @@
         &self,
         run: RunId,
         limit: Duration,
-    ) -> Result<Checkpoint, WorkerError> {
+    ) -> Result<TaskStatus, WorkerError> {
         self.act(run, "checkpoint", limit).await
     }
 
@@ -190,8 +187,9 @@
         body: Option<&impl Serialize>,
     ) -> Result<Request<Full<Bytes>>, WorkerError> {
         let bytes = match body {
-            Some(body) => serde_json::to_vec(body)
-                .map_err(|error| WorkerError::Refused(error.to_string()))?,
+            Some(body) => {
+                serde_json::to_vec(body).map_err(|error| WorkerError::Refused(error.to_string()))?
+            }
             None => Vec::new(),
         };
         Request::builder()
--- /dev/null
+++ b/crates/agate_agent/src/process/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and gauges of the agent.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use agate_core::Incarnation;
+use agate_telemetry::metrics::text;
+use agate_wire::message::Load;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::state::Outcome;
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Counters and gauges of the agent.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    attempts: Family<OutcomeLabels, Counter>,
+    running: Gauge,
+    queued: Gauge,
+    millicores: Gauge,
+    memory: Gauge,
+    exchanges: AtomicU64,
+    heartbeats: AtomicU64,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("agate_agent");
+        let attempts = Family::<OutcomeLabels, Counter>::default();
+        registry.register(
+            "attempts",
+            "Attempts at urgent requests by how they ended",
+            attempts.clone(),
+        );
+        let mut gauge = |name, help| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let running = gauge("running", "Urgent requests being worked on");
+        let queued = gauge("queued", "Urgent requests waiting");
+        let millicores = gauge("held_millicores", "Processor time held by batch runs");
+        let memory = gauge("held_memory_mib", "Memory held by batch runs");
+        Self {
+            registry,
+            attempts,
+            running,
+            queued,
+            millicores,
+            memory,
+            exchanges: AtomicU64::new(0),
+            heartbeats: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts an attempt that has ended.
+    pub(crate) fn count(&self, outcome: &Outcome) {
+        let labels = match outcome {
+            Outcome::Done(_) => OutcomeLabels {
+                outcome: "done",
+                reason: "",
+            },
+            Outcome::Refused { reason, .. } => OutcomeLabels {
+                outcome: "refused",
+                reason: reason.into(),
+            },
+            Outcome::Failed(_) => OutcomeLabels {
+                outcome: "failed",
+                reason: "",
+            },
+        };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// The id of the next exchange with the backend server, unique among all agents.
+    pub(crate) fn next_exchange(&self, incarnation: Incarnation) -> String {
+        let number = self.exchanges.fetch_add(1, Ordering::Relaxed);
+        format!("{incarnation}-{number}")
+    }
+
+    /// The number of the next heartbeat.
+    pub(crate) fn next_heartbeat(&self) -> u64 {
+        self.heartbeats.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Everything as text, with the gauges set from `load`.
+    pub(crate) fn text(&self, load: &Load) -> Result<String, std::fmt::Error> {
+        self.running.set(i64::from(load.running));
+        self.queued.set(i64::from(load.queued));
+        self.millicores.set(i64::from(load.held.millicores));
+        self.memory.set(i64::from(load.held.memory_mib));
+        text(&self.registry)
+    }
+}
--- /dev/null
+++ b/crates/agate_agent/src/process/mod.rs
@@ -0,0 +1,13 @@
+//! The process: listeners, supervised tasks and the planned stop.
+
+mod agent;
+mod drain;
+mod metrics;
+mod observe;
+mod rpc;
+mod run;
+mod tree;
+
+pub use agent::{Agent, StartError};
+pub(crate) use metrics::Metrics;
+pub use run::run;
--- /dev/null
+++ b/crates/agate_agent/src/process/run.rs
@@ -0,0 +1,84 @@
+//! The life of the process, from settings to exit code.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use agate_settings::{Environment, Stop, load};
+use log::LevelFilter;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use super::Agent;
+use super::drain::Drained;
+use crate::MachineClock;
+use crate::settings::{AgentConfig, AgentSetting, PROGRAM};
+
+/// Exit code for bad settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Exit code of a planned stop that cut something off.
+const EXIT_CUT_OFF: u8 = 3;
+
+/// Runs an agent with settings from `args` and `environment` until it is told to stop.
+///
+/// The exit code is 0 after a planned stop that cut nothing off, 1 after a failure, 2 for bad
+/// settings and 3 after a planned stop that cut something off.
+pub async fn run(args: &[String], environment: &Environment) -> ExitCode {
+    let config = match configure(args, environment) {
+        Ok(config) => config,
+        Err(stop) => {
+            stop.print();
+            return ExitCode::from(stop.code);
+        }
+    };
+    match serve(config).await {
+        Ok(Drained::Whole) => ExitCode::SUCCESS,
+        Ok(Drained::CutOff) => ExitCode::from(EXIT_CUT_OFF),
+        Err(cause) => {
+            log::error!(event = "agent_failed", cause = cause.as_str(); "");
+            eprintln!("{cause}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn configure(args: &[String], environment: &Environment) -> Result<AgentConfig, Stop> {
+    let loaded = load::<AgentSetting>(&PROGRAM, args, environment)?;
+    let usage = |text: String| Stop {
+        text,
+        code: EXIT_USAGE,
+    };
+    let config =
+        AgentConfig::from_values(&loaded.values).map_err(|findings| usage(findings.to_string()))?;
+    let level = loaded.values.text(AgentSetting::LogLevel).parse();
+    let level = level.unwrap_or(LevelFilter::Info);
+    agate_telemetry::logs::init(level).map_err(|error| usage(error.to_string()))?;
+    Ok(config)
+}
+
+async fn serve(config: AgentConfig) -> Result<Drained, String> {
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut agent = Agent::start(config, Arc::new(MachineClock)).map_err(|e| e.to_string())?;
+    tokio::select! {
+        cause = agent.failed() => return Err(cause),
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let drained = {
+        let drain = agent.drain();
+        tokio::pin!(drain);
+        tokio::select! {
+            drained = &mut drain => drained,
+            _ = terminate.recv() => {
+                agent.cut_off();
+                drain.await
+            }
+        }
+    };
+    agent.shut_down().await;
+    Ok(drained)
+}
+
+fn listen(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|error| format!("signals can't be handled: {error}"))
+}
--- a/crates/agate_agent/src/settings/config.rs
+++ b/crates/agate_agent/src/settings/config.rs
@@ -55,11 +55,7 @@
         let mut findings = Findings::new();
         let listen = values.address(AgentSetting::Listen);
         let advertise = advertised(values, listen, &mut findings);
-        let host = if values.text(AgentSetting::Host) == <&str>::from(Host::Worker) {
-            Host::Worker
-        } else {
-            Host::Backend
-        };
+        let host = host(values);
         let capacity = capacity(values);
         check_capacity(host, &capacity, &mut findings);
         let otlp = values.text(AgentSetting::Otlp);
@@ -135,13 +131,15 @@
     }
 }
 
+fn host(values: &Values<AgentSetting>) -> Host {
+    let host = values.text(AgentSetting::Host).parse();
+    host.expect("choices are checked when settings are loaded")
+}
+
 fn site(values: &Values<AgentSetting>) -> Site {
     let checked = "names are checked when settings are loaded";
     Site {
-        region: values
-            .text(AgentSetting::Region)
-            .parse()
-            .expect(checked),
+        region: values.text(AgentSetting::Region).parse().expect(checked),
         zone: values.text(AgentSetting::Zone).parse().expect(checked),
     }
 }
--- /dev/null
+++ b/crates/agate_agent/src/state/incarnation.rs
@@ -0,0 +1,32 @@
+//! What is bound to one incarnation.
+
+use agate_core::{Incarnation, Resources};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::{Keys, Runs};
+
+/// One incarnation and everything bound to it.
+#[derive(Debug)]
+pub(crate) struct Bound {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) keys: Keys,
+    pub(crate) runs: Runs,
+    /// Cancelled once the incarnation was recorded as lost.
+    pub(crate) lost: CancellationToken,
+    /// Tasks that hold runs of this incarnation.
+    pub(crate) holders: TaskTracker,
+}
+
+impl Bound {
+    /// Draws a new incarnation that nothing is bound to.
+    pub(crate) fn new(capacity: Resources) -> Self {
+        Self {
+            incarnation: Incarnation::random(&mut rand::rng()),
+            keys: Keys::new(),
+            runs: Runs::new(capacity),
+            lost: CancellationToken::new(),
+            holders: TaskTracker::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_agent/src/state/runs.rs
@@ -0,0 +1,86 @@
+//! The runs of one incarnation with what is known of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use agate_bind::RunTable;
+use agate_core::{ClassName, Position, Resources, RunId, Tag};
+use agate_wire::message::{RunStatus, StartReply};
+use tokio::sync::{Notify, watch};
+
+use crate::batch::status;
+
+/// Runs remembered at once.
+const MAX_RUNS: usize = 50_000;
+
+/// What is known of a run that is not recorded as ended yet.
+#[derive(Debug, Clone)]
+pub(crate) struct Detail {
+    pub(crate) class: ClassName,
+    pub(crate) tags: Vec<Tag>,
+    pub(crate) bound: Position,
+    pub(crate) peak: Resources,
+    /// The answer to the request that started it, once there is one.
+    pub(crate) begun: watch::Receiver<Option<StartReply>>,
+}
+
+/// The runs of one incarnation.
+#[derive(Debug)]
+pub(crate) struct Runs {
+    inner: Mutex<RunsInner>,
+    /// Notified whenever a run has to be looked at: a new step, a new lease, a lost incarnation.
+    pub(crate) changed: Notify,
+}
+
+/// The part of [`Runs`] behind its lock.
+#[derive(Debug)]
+pub(crate) struct RunsInner {
+    pub(crate) table: RunTable,
+    pub(crate) details: BTreeMap<RunId, Detail>,
+    /// Runs reported as ended that the worker may still hold, paused.
+    pub(crate) leftovers: BTreeSet<RunId>,
+}
+
+impl Runs {
+    pub(crate) fn new(capacity: Resources) -> Self {
+        Self {
+            inner: Mutex::new(RunsInner {
+                table: RunTable::new(capacity, MAX_RUNS),
+                details: BTreeMap::new(),
+                leftovers: BTreeSet::new(),
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, RunsInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs that the worker may be executing, with the step in force against each.
+    pub(crate) fn statuses(&self) -> Vec<RunStatus> {
+        let inner = self.lock();
+        let active = inner.table.active().into_iter();
+        active
+            .filter_map(|run| {
+                let state = inner.table.state(run)?;
+                Some(RunStatus {
+                    run,
+                    step: status::step_in_force(state),
+                })
+            })
+            .collect()
+    }
+
+    /// Takes a grant of the lease, counted from the moment at which the heartbeat was sent.
+    pub(crate) fn renew(&self, sent: agate_core::Moment, length: Duration) {
+        self.lock().table.renew(sent, length);
+        self.changed.notify_waiters();
+    }
+
+    /// Room held by runs.
+    pub(crate) fn held(&self) -> Resources {
+        self.lock().table.held()
+    }
+}
--- a/crates/agate_bind/src/key/table.rs
+++ b/crates/agate_bind/src/key/table.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use agate_core::ids::KeyError;
 use agate_core::Key;
+use agate_core::ids::KeyError;
 use bon::Builder;
 use displaydoc::Display;
 
--- a/crates/agate_bind/src/run/state.rs
+++ b/crates/agate_bind/src/run/state.rs
@@ -98,9 +98,10 @@
                 Ok(Self::Ended(end))
             }
             (Self::Ended(_), RunEvent::Acknowledge) => Ok(Self::Acknowledged),
-            (Self::Starting | Self::Running(_) | Self::Stopping(_) | Self::Ended(_), RunEvent::Lose) => {
-                Ok(Self::Lost)
-            }
+            (
+                Self::Starting | Self::Running(_) | Self::Stopping(_) | Self::Ended(_),
+                RunEvent::Lose,
+            ) => Ok(Self::Lost),
             _ => Err(RunRejected),
         }
     }
--- a/crates/agate_bind/src/run/table.rs
+++ b/crates/agate_bind/src/run/table.rs
@@ -133,13 +133,11 @@
         }
     }
 
-    /// Takes `step` against the run; a run that has not started is tombstoned by a step that
-    /// would end it.
+    /// Takes `step` against the run. An unknown run is tombstoned, whatever the step, since the
+    /// answer tells that it will never start.
     pub fn stop(&mut self, run: RunId, step: Step) -> RunStop {
         let Some(entry) = self.entries.get_mut(&run) else {
-            if step >= Step::Evict {
-                self.tombstone(run);
-            }
+            self.tombstone(run);
             return RunStop::NotStarted;
         };
         match entry.state.next(RunEvent::Stop(step)) {
--- a/crates/agate_wire/src/blob.rs
+++ b/crates/agate_wire/src/blob.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Bytes that the wrapped body takes in memory.
+    pub const fn size(&self) -> usize {
+        self.data.len()
+    }
+
     /// Unwraps the body.
     ///
     /// # Errors
--- a/crates/standin_backend/src/settings.rs
+++ b/crates/standin_backend/src/settings.rs
@@ -49,12 +49,18 @@
                 "64",
                 "connections",
             ),
-            Self::ServiceLow => {
-                number("service-low-us", "STANDIN_BACKEND_SERVICE_LOW_US", "5000", "us")
-            }
-            Self::ServiceHigh => {
-                number("service-high-us", "STANDIN_BACKEND_SERVICE_HIGH_US", "5000", "us")
-            }
+            Self::ServiceLow => number(
+                "service-low-us",
+                "STANDIN_BACKEND_SERVICE_LOW_US",
+                "5000",
+                "us",
+            ),
+            Self::ServiceHigh => number(
+                "service-high-us",
+                "STANDIN_BACKEND_SERVICE_HIGH_US",
+                "5000",
+                "us",
+            ),
             Self::Seed => number("seed", "STANDIN_BACKEND_SEED", "1", "seed"),
         }
     }
