--- /dev/null
+++ b/crates/agate_entry/src/http/head.rs
@@ -0,0 +1,178 @@
+//! Headers of a caller's request.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use agate_core::{CallerName, ClassName, Findings, Key, TraceContext};
+use bon::Builder;
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, HeaderName};
+
+use crate::http::reply::TICKET;
+use crate::urgent::{Ticket, TicketSigner};
+
+const CALLER: HeaderName = HeaderName::from_static("agate-caller");
+const DEADLINE: HeaderName = HeaderName::from_static("agate-deadline-ms");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const TRACE: HeaderName = HeaderName::from_static("traceparent");
+
+/// Longest time that a caller may ask for.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+/// Caller of a request that names none.
+const ANONYMOUS: &str = "anonymous";
+
+/// What the headers of a request say.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    pub(crate) caller: CallerName,
+    pub(crate) class: ClassName,
+    /// Time allowed, if the caller names one.
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) binding: Binding,
+    pub(crate) trace: Option<TraceContext>,
+    pub(crate) media: String,
+}
+
+/// How the caller protects a request against running twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Binding {
+    /// Not at all.
+    None,
+    /// By a key, which the log binds.
+    Key(Key),
+    /// By a ticket, which names the incarnation.
+    Ticket(Ticket),
+}
+
+/// What is needed to check headers.
+#[derive(Debug, Clone, Copy, Builder)]
+pub(crate) struct HeadRules<'a> {
+    pub(crate) signer: &'a TicketSigner,
+    /// Wall clock in milliseconds since the Unix epoch.
+    pub(crate) now: u64,
+    /// Time for which keys are remembered.
+    pub(crate) window: Duration,
+}
+
+/// Reads the headers of a request for class `class` and collects every problem.
+pub(crate) fn read(
+    headers: &HeaderMap,
+    class: &str,
+    rules: HeadRules<'_>,
+    findings: &mut Findings,
+) -> Option<Head> {
+    let class = parse_at("path.class", class, findings);
+    let caller = read_caller(headers, findings);
+    let deadline = read_deadline(headers, findings);
+    let binding = read_binding(headers, rules, findings);
+    // A bad trace context is dropped, as W3C Trace Context asks for.
+    let trace = text(headers, &TRACE, &mut Findings::new()).and_then(|text| text.parse().ok());
+    let media = text(headers, &CONTENT_TYPE, findings).unwrap_or("application/octet-stream");
+    Some(Head {
+        caller: caller?,
+        class: class?,
+        deadline,
+        binding: binding?,
+        trace,
+        media: media.to_owned(),
+    })
+}
+
+/// Reads who sent the request.
+pub(crate) fn read_caller(headers: &HeaderMap, findings: &mut Findings) -> Option<CallerName> {
+    let name = text(headers, &CALLER, findings).unwrap_or(ANONYMOUS);
+    parse_at(CALLER.as_str(), name, findings)
+}
+
+fn read_deadline(headers: &HeaderMap, findings: &mut Findings) -> Option<Duration> {
+    let text = text(headers, &DEADLINE, findings)?;
+    match text.parse() {
+        Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Some(Duration::from_millis(ms)),
+        _ => {
+            findings.add(
+                DEADLINE.as_str(),
+                format!("expected the milliseconds left, from 1 to {MAX_DEADLINE_MS}, found {text:?}"),
+            );
+            None
+        }
+    }
+}
+
+fn read_binding(
+    headers: &HeaderMap,
+    rules: HeadRules<'_>,
+    findings: &mut Findings,
+) -> Option<Binding> {
+    let key = text(headers, &KEY, findings);
+    let ticket = text(headers, &TICKET, findings);
+    match (key, ticket) {
+        (None, None) => Some(Binding::None),
+        (Some(key), None) => read_key(key, rules, findings).map(Binding::Key),
+        (None, Some(ticket)) => read_ticket(ticket, rules, findings).map(Binding::Ticket),
+        (Some(_), Some(_)) => {
+            findings.add(
+                KEY.as_str(),
+                "send either a key or a ticket; a ticket has its own key",
+            );
+            None
+        }
+    }
+}
+
+fn read_key(text: &str, rules: HeadRules<'_>, findings: &mut Findings) -> Option<Key> {
+    let key: Key = parse_at(KEY.as_str(), text, findings)?;
+    if let Err(error) = key.check_age(rules.now, rules.window) {
+        findings.add(KEY.as_str(), error.to_string());
+        return None;
+    }
+    Some(key)
+}
+
+/// Reads a ticket found in the header.
+pub(crate) fn read_ticket(
+    text: &str,
+    rules: HeadRules<'_>,
+    findings: &mut Findings,
+) -> Option<Ticket> {
+    match rules.signer.open(text) {
+        Ok(ticket) => Some(ticket),
+        Err(error) => {
+            findings.add(TICKET.as_str(), error.to_string());
+            None
+        }
+    }
+}
+
+fn parse_at<T: FromStr<Err: ToString>>(
+    place: &str,
+    text: &str,
+    findings: &mut Findings,
+) -> Option<T> {
+    match text.parse() {
+        Ok(value) => Some(value),
+        Err(error) => {
+            findings.add(place, format!("{}; found {text:?}", error.to_string()));
+            None
+        }
+    }
+}
+
+/// The text of a header that may be given once.
+fn text<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+    findings: &mut Findings,
+) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    if values.next().is_some() {
+        findings.add(name.as_str(), "given more than once; give it once");
+        return None;
+    }
+    let Ok(text) = value.to_str() else {
+        findings.add(name.as_str(), "holds characters that are not visible ASCII");
+        return None;
+    };
+    Some(text)
+}
--- /dev/null
+++ b/crates/agate_entry/src/http/reply.rs
@@ -0,0 +1,108 @@
+//! Construction of HTTP responses.
+
+use std::time::Duration;
+
+use agate_core::{Finding, Findings, Outcome};
+use agate_wire::message::Answer;
+use dropshot::Body;
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use serde::Serialize;
+
+/// Header that tells what is known about the request.
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("agate-outcome");
+/// Header that carries a ticket.
+pub(crate) const TICKET: HeaderName = HeaderName::from_static("agate-ticket");
+
+/// A whole HTTP response.
+pub(crate) type Reply = Response<Body>;
+
+/// Body of every response that is not a success.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+    message: &'a str,
+    #[serde(skip_serializing_if = "<[Finding]>::is_empty")]
+    findings: &'a [Finding],
+}
+
+/// A JSON response.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+    // The types that are sent have string keys only, so serialising them cannot fail.
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    with_body(status, HeaderValue::from_static("application/json"), body)
+}
+
+/// A response with a body of the given media type.
+pub(crate) fn with_body(status: StatusCode, media: HeaderValue, body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Body::with_content(body));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, media);
+    reply
+}
+
+/// A response that names one problem.
+pub(crate) fn problem(status: StatusCode, error: &str, message: &str) -> Reply {
+    json(
+        status,
+        &Problem {
+            error,
+            message,
+            findings: &[],
+        },
+    )
+}
+
+/// A response that lists every problem found in the request. Bad input never runs.
+pub(crate) fn findings(status: StatusCode, findings: &Findings) -> Reply {
+    let reply = json(
+        status,
+        &Problem {
+            error: "invalid",
+            message: "the request was refused as a whole; correct each finding",
+            findings: findings.as_slice(),
+        },
+    );
+    with_outcome(reply, Outcome::NotRun)
+}
+
+/// Marks a response with what is known about the request.
+pub(crate) fn with_outcome(mut reply: Reply, outcome: Outcome) -> Reply {
+    let name: &'static str = outcome.into();
+    reply
+        .headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static(name));
+    reply
+}
+
+/// Tells the caller when to come back, in whole seconds, at least one.
+pub(crate) fn with_retry(mut reply: Reply, after: Duration) -> Reply {
+    let seconds = after.as_millis().div_ceil(1_000).max(1);
+    let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
+    reply
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
+
+/// Adds the ticket under which the fate of the request can be asked.
+pub(crate) fn with_ticket(mut reply: Reply, ticket: &str) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(ticket) {
+        reply.headers_mut().insert(TICKET, value);
+    }
+    reply
+}
+
+/// A request that did not run, with the time to come back.
+pub(crate) fn not_run(message: &str, after: Duration) -> Reply {
+    let reply = problem(StatusCode::SERVICE_UNAVAILABLE, "not-run", message);
+    with_retry(with_outcome(reply, Outcome::NotRun), after)
+}
+
+/// The answer of a backend server. The body must have been checked.
+pub(crate) fn answer(answer: &Answer, body: Vec<u8>) -> Reply {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let media = HeaderValue::from_str(&answer.media)
+        .unwrap_or(HeaderValue::from_static("application/octet-stream"));
+    with_outcome(with_body(status, media, body), Outcome::Done)
+}
--- /dev/null
+++ b/crates/agate_entry/src/members/mod.rs
@@ -0,0 +1,9 @@
+//! The agents that this entry knows.
+
+mod peers;
+mod sweep;
+mod table;
+
+pub(crate) use peers::Peers;
+pub(crate) use sweep::sweep;
+pub(crate) use table::{Members, Target};
--- /dev/null
+++ b/crates/agate_entry/src/settings.rs
@@ -0,0 +1,236 @@
+//! Settings of `agate-entry`.
+
+use agate_settings::{Describe, Kind, Program, Setting};
+use strum::EnumIter;
+
+/// The program as its settings pages name it.
+pub const PROGRAM: Program = Program {
+    name: "agate-entry",
+    about: "Takes requests and jobs from callers, routes requests to backend servers and places tasks on workers.",
+    prefix: "AGATE_ENTRY_",
+};
+
+/// The settings of `agate-entry`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter)]
+pub enum EntrySetting {
+    /// Listener for callers.
+    CallerListen,
+    /// Listener for operators.
+    OperatorListen,
+    /// Listener for agents and other entries.
+    RpcListen,
+    /// Address under which agents and other entries reach the RPC listener.
+    Advertise,
+    /// First contacts.
+    Seeds,
+    /// Region of this process.
+    Region,
+    /// Availability zone of this process.
+    Zone,
+    /// The platform's log.
+    Log,
+    /// Token of operators.
+    Token,
+    /// Least severe event that is logged.
+    LogLevel,
+    /// Collector of spans.
+    Otlp,
+    /// Time for a graceful shutdown.
+    Drain,
+    /// Time between the announcement of a shutdown and the closing of the listeners.
+    Leave,
+    /// Largest body.
+    BodyBytes,
+    /// RPC connections.
+    Connections,
+    /// Requests worked on at once.
+    Inflight,
+    /// Time for which records wait to share one append.
+    Group,
+}
+
+impl Describe for EntrySetting {
+    fn describe(self) -> Setting {
+        match self {
+            Self::CallerListen
+            | Self::OperatorListen
+            | Self::RpcListen
+            | Self::Advertise
+            | Self::Seeds
+            | Self::Log
+            | Self::Otlp => self.describe_network(),
+            Self::Region | Self::Zone | Self::Token | Self::LogLevel => self.describe_identity(),
+            Self::Drain
+            | Self::Leave
+            | Self::BodyBytes
+            | Self::Connections
+            | Self::Inflight
+            | Self::Group => self.describe_limit(),
+        }
+    }
+}
+
+impl EntrySetting {
+    fn describe_network(self) -> Setting {
+        match self {
+            Self::CallerListen => address(
+                "caller-listen",
+                "AGATE_ENTRY_CALLER_LISTEN",
+                "Where callers connect",
+            ),
+            Self::OperatorListen => address(
+                "operator-listen",
+                "AGATE_ENTRY_OPERATOR_LISTEN",
+                "Where operators connect; also serves /metrics and /health",
+            ),
+            Self::RpcListen => address(
+                "rpc-listen",
+                "AGATE_ENTRY_RPC_LISTEN",
+                "Where agents and other entries connect",
+            ),
+            Self::Advertise => address(
+                "advertise",
+                "AGATE_ENTRY_ADVERTISE",
+                "Address under which agents and other entries reach the RPC listener, past the balancer",
+            ),
+            Self::Log => address("log", "AGATE_ENTRY_LOG", "Address of the platform's log"),
+            Self::Seeds => Setting {
+                flag: "seeds",
+                variable: "AGATE_ENTRY_SEEDS",
+                about: "RPC addresses of the balancer or of other entries, asked for who is there",
+                unit: "addresses",
+                kind: Kind::Addresses,
+                default: Some(""),
+            },
+            _ => Setting {
+                flag: "otlp-endpoint",
+                variable: "AGATE_ENTRY_OTLP_ENDPOINT",
+                about: "OTLP/HTTP endpoint that spans are exported to; empty exports none",
+                unit: "URL",
+                kind: Kind::Text,
+                default: Some(""),
+            },
+        }
+    }
+
+    fn describe_identity(self) -> Setting {
+        match self {
+            Self::Region => name(
+                "region",
+                "AGATE_ENTRY_REGION",
+                "Region of this process",
+                "default",
+            ),
+            Self::Zone => name(
+                "zone",
+                "AGATE_ENTRY_ZONE",
+                "Availability zone of this process",
+                "default",
+            ),
+            Self::Token => Setting {
+                flag: "operator-token",
+                variable: "AGATE_ENTRY_OPERATOR_TOKEN",
+                about: "Token that operators present; the same for every entry, since tickets are signed with it",
+                unit: "text",
+                kind: Kind::Secret,
+                default: None,
+            },
+            _ => Setting {
+                flag: "log-level",
+                variable: "AGATE_ENTRY_LOG_LEVEL",
+                about: "Least severe event that is logged",
+                unit: "level",
+                kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+                default: Some("info"),
+            },
+        }
+    }
+
+    fn describe_limit(self) -> Setting {
+        let (flag, variable, about, unit, range, default) = match self {
+            Self::Drain => (
+                "drain-seconds",
+                "AGATE_ENTRY_DRAIN_SECONDS",
+                "Time for a graceful shutdown, after which open requests are reported as unknown",
+                "s",
+                1..=3_600,
+                "30",
+            ),
+            Self::Leave => (
+                "leave-ms",
+                "AGATE_ENTRY_LEAVE_MS",
+                "Time between the announcement of a shutdown and the closing of the listeners, for the balancer to turn away",
+                "ms",
+                0..=60_000,
+                "2000",
+            ),
+            Self::BodyBytes => (
+                "body-bytes",
+                "AGATE_ENTRY_BODY_BYTES",
+                "Largest body of a request",
+                "bytes",
+                1_024..=1_048_576,
+                "1048576",
+            ),
+            Self::Connections => (
+                "rpc-connections",
+                "AGATE_ENTRY_RPC_CONNECTIONS",
+                "Connections of agents and other entries",
+                "connections",
+                1..=100_000,
+                "4096",
+            ),
+            Self::Inflight => (
+                "inflight",
+                "AGATE_ENTRY_INFLIGHT",
+                "Requests of callers worked on at once; one more is refused as not run",
+                "requests",
+                1..=100_000,
+                "1024",
+            ),
+            _ => (
+                "group-ms",
+                "AGATE_ENTRY_GROUP_MS",
+                "Time for which records wait to share one append",
+                "ms",
+                0..=1_000,
+                "5",
+            ),
+        };
+        Setting {
+            flag,
+            variable,
+            about,
+            unit,
+            kind: Kind::Number(range),
+            default: Some(default),
+        }
+    }
+}
+
+const fn address(flag: &'static str, variable: &'static str, about: &'static str) -> Setting {
+    Setting {
+        flag,
+        variable,
+        about,
+        unit: "address",
+        kind: Kind::Address,
+        default: None,
+    }
+}
+
+const fn name(
+    flag: &'static str,
+    variable: &'static str,
+    about: &'static str,
+    default: &'static str,
+) -> Setting {
+    Setting {
+        flag,
+        variable,
+        about,
+        unit: "name",
+        kind: Kind::Name,
+        default: Some(default),
+    }
+}
--- /dev/null
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -0,0 +1,161 @@
+//! Requests that are bound to one incarnation.
+
+use std::time::Duration;
+
+use agate_wire::message::Refusal;
+
+use super::attempt::{Attempt, attempt};
+use super::call::{Call, Ending, Sent};
+use super::fate::{KnownFate, Tombstone, settle};
+use super::{Deadline, Ticket};
+use crate::entry::Entry;
+use crate::rpc::Link;
+
+/// Time between two attempts over connections that could not be made.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Time left below which a key that has not started is tombstoned rather than waited for, so that
+/// the caller gets a proof instead of "unknown".
+const PROOF_TIME: Duration = Duration::from_millis(100);
+
+/// Serves `call` at the incarnation that `ticket` names, and nowhere else.
+///
+/// The agent runs a key at most once, so the same key may be sent to the same incarnation again;
+/// before it is, its fate is asked.
+pub(crate) async fn serve(entry: &Entry, call: &Call, ticket: Ticket) -> Ending {
+    let link = entry.link(ticket.incarnation, ticket.address);
+    let mut sent = call.sent;
+    loop {
+        let request = call.request(
+            entry.next_attempt(),
+            ticket.incarnation,
+            Some(ticket.key),
+            entry.child_span(call.trace),
+        );
+        let tried = attempt(&link, request, &call.deadline).await;
+        entry.members.read_load(ticket.incarnation, tried.load);
+        match tried.attempt {
+            Attempt::Done(whole) => return Ending::Done(whole),
+            Attempt::Refused { reason, retry } => {
+                return refused(&link, ticket, reason, retry, sent, &call.deadline).await;
+            }
+            Attempt::Failed(reason) => {
+                return Ending::Unanswered {
+                    reason,
+                    ticket: Some(ticket),
+                };
+            }
+            Attempt::NotSent(reason) => {
+                if sent == Sent::First {
+                    return Ending::NotRun {
+                        reason,
+                        retry: PAUSE,
+                    };
+                }
+                if call.deadline.pause(PAUSE).await.is_err() {
+                    return unknown(reason, ticket);
+                }
+            }
+            Attempt::Late => return unknown("no answer arrived in time", ticket),
+            Attempt::Lost(reason) => {
+                sent = Sent::Maybe;
+                if let Some(ending) = after_loss(&link, ticket, reason, &call.deadline).await {
+                    return ending;
+                }
+            }
+        }
+    }
+}
+
+/// Asks the fate after a loss. `None` means that the key has not started and may be sent again.
+async fn after_loss(
+    link: &Link,
+    ticket: Ticket,
+    reason: String,
+    deadline: &Deadline,
+) -> Option<Ending> {
+    log::warn!(event = "fate_asked", key:% = ticket.key, incarnation:% = ticket.incarnation, reason; "");
+    let tombstone = if deadline.left() < PROOF_TIME {
+        Tombstone::Plant
+    } else {
+        Tombstone::Leave
+    };
+    match settle(link, ticket, tombstone, deadline).await {
+        KnownFate::Pending if !deadline.left().is_zero() => None,
+        known => Some(ending(known, ticket)),
+    }
+}
+
+/// Turns a refusal into a proof. While another copy of the key may be on its way, only a tombstone
+/// proves that the key never runs.
+async fn refused(
+    link: &Link,
+    ticket: Ticket,
+    reason: Refusal,
+    retry: Duration,
+    sent: Sent,
+    deadline: &Deadline,
+) -> Ending {
+    let text = refusal_text(reason);
+    match (sent, reason) {
+        (Sent::First, _) | (Sent::Maybe, Refusal::Tombstoned) => Ending::NotRun {
+            reason: text,
+            retry,
+        },
+        (Sent::Maybe, Refusal::Gone | Refusal::KeyTooOld) => unknown(text, ticket),
+        (
+            Sent::Maybe,
+            Refusal::Full
+            | Refusal::Late
+            | Refusal::Leaving
+            | Refusal::Withdrawn
+            | Refusal::Malformed,
+        ) => match settle(link, ticket, Tombstone::Plant, deadline).await {
+            KnownFate::NotRun => Ending::NotRun {
+                reason: text,
+                retry,
+            },
+            known => ending(known, ticket),
+        },
+    }
+}
+
+/// What the caller is told about a key whose fate is as known as it gets.
+pub(crate) fn ending(known: KnownFate, ticket: Ticket) -> Ending {
+    match known {
+        KnownFate::Done(whole) => Ending::Done(whole),
+        KnownFate::NotRun => Ending::NotRun {
+            reason: "the request was kept from starting".to_owned(),
+            retry: PAUSE,
+        },
+        KnownFate::Pending => unknown("the request has not started, and may", ticket),
+        KnownFate::Running => unknown("the request is still running", ticket),
+        KnownFate::Unanswered(reason) => Ending::Unanswered {
+            reason,
+            ticket: Some(ticket),
+        },
+        KnownFate::Gone => unknown("the agent that the request was bound to is gone", ticket),
+        KnownFate::Unreachable(reason) => unknown(reason, ticket),
+    }
+}
+
+fn unknown(reason: impl Into<String>, ticket: Ticket) -> Ending {
+    Ending::Unknown {
+        reason: reason.into(),
+        ticket: Some(ticket),
+    }
+}
+
+fn refusal_text(reason: Refusal) -> String {
+    match reason {
+        Refusal::Full => "every slot and every place in the queue is taken",
+        Refusal::Late => "the deadline can't be met",
+        Refusal::Leaving => "the agent is leaving",
+        Refusal::Withdrawn => "the class or a tag is withdrawn",
+        Refusal::Tombstoned => "the key was kept from starting by an earlier query; use a new key",
+        Refusal::KeyTooOld => "the key is older than the window in which keys are remembered",
+        Refusal::Gone => "the agent that the request was bound to is gone",
+        Refusal::Malformed => "the agent could not read the message",
+    }
+    .to_owned()
+}
--- /dev/null
+++ b/crates/agate_entry/src/urgent/call.rs
@@ -0,0 +1,100 @@
+//! One request of a caller.
+
+use std::time::Duration;
+
+use agate_core::{CallerName, ClassName, Incarnation, Key, TraceContext};
+use agate_preset::ClassPolicy;
+use agate_wire::Blob;
+use agate_wire::message::ServeRequest;
+
+use super::attempt::WholeAnswer;
+use super::{Deadline, Ticket};
+
+/// Whether the same key may have been sent before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// It can't have been: the entry drew the key, or the caller says that this is the first
+    /// attempt.
+    First,
+    /// It may have been, through this entry or another.
+    Maybe,
+}
+
+/// A request that passed every check.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) caller: CallerName,
+    pub(crate) class: ClassName,
+    pub(crate) policy: ClassPolicy,
+    pub(crate) media: String,
+    pub(crate) body: Blob,
+    pub(crate) trace: TraceContext,
+    pub(crate) deadline: Deadline,
+    pub(crate) sent: Sent,
+}
+
+impl Call {
+    /// The message that asks `incarnation` to serve this request.
+    pub(crate) fn request(
+        &self,
+        id: u64,
+        incarnation: Incarnation,
+        key: Option<Key>,
+        trace: TraceContext,
+    ) -> ServeRequest {
+        ServeRequest {
+            request: id,
+            incarnation,
+            key,
+            caller: self.caller.clone(),
+            class: self.class.clone(),
+            budget_ms: u64::try_from(self.deadline.left().as_millis()).unwrap_or(u64::MAX),
+            trace,
+            media: self.media.clone(),
+            body: self.body.clone(),
+        }
+    }
+}
+
+/// What the caller is told.
+#[derive(Debug)]
+pub(crate) enum Ending {
+    /// The request ran; this is its answer.
+    Done(WholeAnswer),
+    /// The request did not run and never will under its key.
+    NotRun {
+        /// Why.
+        reason: String,
+        /// When it is worth coming back.
+        retry: Duration,
+    },
+    /// The request ran, but its answer is lost.
+    Unanswered {
+        /// What was seen.
+        reason: String,
+        /// Under which its fate can be asked.
+        ticket: Option<Ticket>,
+    },
+    /// The request may have run.
+    Unknown {
+        /// What was seen.
+        reason: String,
+        /// Under which its fate can be asked.
+        ticket: Option<Ticket>,
+    },
+}
+
+impl Ending {
+    /// A request that can't be served now. It is known not to have run only if its key can't have
+    /// been sent before.
+    pub(crate) fn unsent(sent: Sent, reason: impl Into<String>, retry: Duration) -> Self {
+        let reason = reason.into();
+        match sent {
+            Sent::First => Self::NotRun { reason, retry },
+            Sent::Maybe => Self::Unknown {
+                reason: format!("{reason}; an earlier attempt with the same key may have run"),
+                ticket: None,
+            },
+        }
+    }
+}
