--- /dev/null
+++ b/crates/agate_entry/src/entry/mod.rs
@@ -0,0 +1,76 @@
+//! What every task of one entry shares.
+
+mod drain;
+mod limits;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use agate_core::Incarnation;
+use agate_preset::Preset;
+use agate_settings::Secret;
+use agate_telemetry::spans::Tracer;
+use agate_wire::message::EntryInfo;
+use bon::Builder;
+
+use crate::clock::ProcessClock;
+use crate::config::HeldConfig;
+use crate::members::{Members, Peers};
+use crate::metrics::Metrics;
+use crate::rpc::{Link, Links};
+use crate::urgent::{Router, TicketSigner};
+
+pub(crate) use drain::{Drain, Open};
+pub use limits::Limits;
+
+/// Time for which idempotency keys are remembered everywhere.
+pub(crate) const KEY_WINDOW: Duration = Duration::from_mins(15);
+
+/// What every task of one entry shares.
+#[derive(Debug, Builder)]
+pub(crate) struct Entry {
+    pub(crate) me: EntryInfo,
+    pub(crate) clock: ProcessClock,
+    pub(crate) limits: Limits,
+    pub(crate) token: Secret,
+    pub(crate) signer: TicketSigner,
+    pub(crate) members: Members,
+    pub(crate) peers: Peers,
+    pub(crate) router: Router,
+    pub(crate) tracer: Tracer,
+    pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
+    #[builder(default)]
+    pub(crate) links: Links,
+    #[builder(default = HeldConfig::new())]
+    pub(crate) config: HeldConfig,
+    #[builder(skip)]
+    attempts: AtomicU64,
+}
+
+impl Entry {
+    /// The preset in force.
+    pub(crate) fn preset(&self) -> Arc<Preset> {
+        self.config.get().preset
+    }
+
+    /// The link to an agent.
+    pub(crate) fn link(&self, incarnation: Incarnation, address: SocketAddr) -> Arc<Link> {
+        let silence = Duration::from_millis(u64::from(self.preset().membership.silent_ms));
+        self.links.get(incarnation, address, silence)
+    }
+
+    /// An id for one attempt, unique for this entry.
+    pub(crate) fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// This entry and every other that it knows.
+    pub(crate) fn entries(&self) -> Vec<EntryInfo> {
+        let mut entries = self.peers.list();
+        entries.push(self.me.clone());
+        entries
+    }
+}
--- a/crates/agate_entry/src/http/body.rs
+++ b/crates/agate_entry/src/http/body.rs
@@ -1,29 +1,44 @@
 //! Reading of request bodies within a bound.
 
+use std::time::Duration;
+
 use agate_core::Findings;
 use dropshot::StreamingBody;
 use futures::StreamExt;
+use tokio::time::timeout;
+
+/// Place of findings about a body as a whole.
+pub(crate) const PLACE: &str = "body";
+
+/// Time within which a body must have arrived.
+const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Reads a whole body of at most `limit` bytes.
 ///
-/// A longer or broken body is reported as a finding, so that it is listed together with the
-/// problems of the headers.
+/// A body that is longer, broken or late is reported as a finding, so that it is listed together
+/// with the problems of the headers.
 pub(crate) async fn read(body: StreamingBody, limit: usize, findings: &mut Findings) -> Vec<u8> {
+    match timeout(PATIENCE, collect(body, limit)).await {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) | Err(_) => {
+            findings.add(
+                PLACE,
+                format!("must arrive whole within 30 seconds and hold at most {limit} bytes"),
+            );
+            Vec::new()
+        }
+    }
+}
+
+async fn collect(body: StreamingBody, limit: usize) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
     let mut stream = std::pin::pin!(body.into_stream());
     while let Some(chunk) = stream.next().await {
-        let Ok(chunk) = chunk else {
-            findings.add(
-                "body",
-                format!("must arrive whole and hold at most {limit} bytes"),
-            );
-            return Vec::new();
-        };
+        let chunk = chunk.ok()?;
         if bytes.len() + chunk.len() > limit {
-            findings.add("body", format!("must hold at most {limit} bytes"));
-            return Vec::new();
+            return None;
         }
         bytes.extend_from_slice(&chunk);
     }
-    bytes
+    Some(bytes)
 }
--- a/crates/agate_entry/src/http/head.rs
+++ b/crates/agate_entry/src/http/head.rs
@@ -4,15 +4,15 @@
 use std::time::Duration;
 
 use agate_core::{CallerName, ClassName, Findings, Key, TraceContext};
-use bon::Builder;
 use http::HeaderMap;
 use http::header::{CONTENT_TYPE, HeaderName};
 
-use crate::http::reply::TICKET;
-use crate::urgent::{Ticket, TicketSigner};
+use super::reply::TICKET;
+use crate::urgent::{Sent, Ticket, TicketSigner};
 
 const CALLER: HeaderName = HeaderName::from_static("agate-caller");
 const DEADLINE: HeaderName = HeaderName::from_static("agate-deadline-ms");
+const ATTEMPT: HeaderName = HeaderName::from_static("agate-attempt");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const TRACE: HeaderName = HeaderName::from_static("traceparent");
 
@@ -22,6 +22,9 @@
 /// Caller of a request that names none.
 const ANONYMOUS: &str = "anonymous";
 
+/// Media type of a request that names none.
+const OCTETS: &str = "application/octet-stream";
+
 /// What the headers of a request say.
 #[derive(Debug, Clone)]
 pub(crate) struct Head {
@@ -30,7 +33,6 @@
     /// Time allowed, if the caller names one.
     pub(crate) deadline: Option<Duration>,
     pub(crate) binding: Binding,
-    pub(crate) trace: Option<TraceContext>,
     pub(crate) media: String,
 }
 
@@ -46,7 +48,7 @@
 }
 
 /// What is needed to check headers.
-#[derive(Debug, Clone, Copy, Builder)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct HeadRules<'a> {
     pub(crate) signer: &'a TicketSigner,
     /// Wall clock in milliseconds since the Unix epoch.
@@ -66,15 +68,12 @@
     let caller = read_caller(headers, findings);
     let deadline = read_deadline(headers, findings);
     let binding = read_binding(headers, rules, findings);
-    // A bad trace context is dropped, as W3C Trace Context asks for.
-    let trace = text(headers, &TRACE, &mut Findings::new()).and_then(|text| text.parse().ok());
-    let media = text(headers, &CONTENT_TYPE, findings).unwrap_or("application/octet-stream");
+    let media = text(headers, &CONTENT_TYPE, findings).unwrap_or(OCTETS);
     Some(Head {
         caller: caller?,
         class: class?,
         deadline,
         binding: binding?,
-        trace,
         media: media.to_owned(),
     })
 }
@@ -85,6 +84,30 @@
     parse_at(CALLER.as_str(), name, findings)
 }
 
+/// Reads the trace that the request belongs to. One that can't be read is ignored, as W3C Trace
+/// Context asks for.
+pub(crate) fn read_trace(headers: &HeaderMap) -> Option<TraceContext> {
+    headers.get(&TRACE)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads whether the same key may have been sent before. Without a key it can't have been; with
+/// one, only the caller can say that this is the first attempt.
+pub(crate) fn read_sent(headers: &HeaderMap, findings: &mut Findings) -> Sent {
+    let keyed = headers.contains_key(&KEY) || headers.contains_key(&TICKET);
+    let first = match text(headers, &ATTEMPT, findings).map(str::parse::<u32>) {
+        None => false,
+        Some(Ok(number)) if number > 0 => number == 1,
+        Some(_) => {
+            findings.add(
+                ATTEMPT.as_str(),
+                "expected the number of this attempt, counted from 1",
+            );
+            false
+        }
+    };
+    if first || !keyed { Sent::First } else { Sent::Maybe }
+}
+
 fn read_deadline(headers: &HeaderMap, findings: &mut Findings) -> Option<Duration> {
     let text = text(headers, &DEADLINE, findings)?;
     match text.parse() {
@@ -92,7 +115,9 @@
         _ => {
             findings.add(
                 DEADLINE.as_str(),
-                format!("expected the milliseconds left, from 1 to {MAX_DEADLINE_MS}, found {text:?}"),
+                format!(
+                    "expected the milliseconds left, from 1 to {MAX_DEADLINE_MS}, found {text:?}"
+                ),
             );
             None
         }
@@ -109,7 +134,9 @@
     match (key, ticket) {
         (None, None) => Some(Binding::None),
         (Some(key), None) => read_key(key, rules, findings).map(Binding::Key),
-        (None, Some(ticket)) => read_ticket(ticket, rules, findings).map(Binding::Ticket),
+        (None, Some(ticket)) => {
+            read_ticket(TICKET.as_str(), ticket, rules, findings).map(Binding::Ticket)
+        }
         (Some(_), Some(_)) => {
             findings.add(
                 KEY.as_str(),
@@ -129,22 +156,29 @@
     Some(key)
 }
 
-/// Reads a ticket found in the header.
+/// Reads a ticket found at `place`.
 pub(crate) fn read_ticket(
+    place: &str,
     text: &str,
     rules: HeadRules<'_>,
     findings: &mut Findings,
 ) -> Option<Ticket> {
-    match rules.signer.open(text) {
-        Ok(ticket) => Some(ticket),
+    let ticket = match rules.signer.open(text) {
+        Ok(ticket) => ticket,
         Err(error) => {
-            findings.add(TICKET.as_str(), error.to_string());
-            None
+            findings.add(place, error.to_string());
+            return None;
         }
+    };
+    if let Err(error) = ticket.key.check_age(rules.now, rules.window) {
+        findings.add(place, error.to_string());
+        return None;
     }
+    Some(ticket)
 }
 
-fn parse_at<T: FromStr<Err: ToString>>(
+/// Parses `text`, found at `place`.
+pub(crate) fn parse_at<T: FromStr<Err: ToString>>(
     place: &str,
     text: &str,
     findings: &mut Findings,
@@ -171,7 +205,10 @@
         return None;
     }
     let Ok(text) = value.to_str() else {
-        findings.add(name.as_str(), "holds characters that are not visible ASCII");
+        findings.add(
+            name.as_str(),
+            "holds characters that are not visible ASCII",
+        );
         return None;
     };
     Some(text)
--- /dev/null
+++ b/crates/agate_entry/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP for callers and operators.
+
+pub(crate) mod body;
+pub(crate) mod caller;
+pub(crate) mod head;
+mod listener;
+pub(crate) mod operator;
+pub(crate) mod reply;
+
+pub(crate) use listener::{Listener, serve};
--- a/crates/agate_entry/src/http/reply.rs
+++ b/crates/agate_entry/src/http/reply.rs
@@ -13,6 +13,8 @@
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("agate-outcome");
 /// Header that carries a ticket.
 pub(crate) const TICKET: HeaderName = HeaderName::from_static("agate-ticket");
+/// Header that tells when to come back in milliseconds; `retry-after` has whole seconds only.
+const RETRY_MS: HeaderName = HeaderName::from_static("agate-retry-ms");
 
 /// A whole HTTP response.
 pub(crate) type Reply = Response<Body>;
@@ -53,17 +55,25 @@
     )
 }
 
-/// A response that lists every problem found in the request. Bad input never runs.
-pub(crate) fn findings(status: StatusCode, findings: &Findings) -> Reply {
-    let reply = json(
+/// A response that lists every problem found in the request.
+pub(crate) fn invalid(findings: &Findings) -> Reply {
+    let too_large = findings
+        .as_slice()
+        .iter()
+        .any(|finding| finding.place == super::body::PLACE);
+    let status = if too_large {
+        StatusCode::PAYLOAD_TOO_LARGE
+    } else {
+        StatusCode::BAD_REQUEST
+    };
+    json(
         status,
         &Problem {
             error: "invalid",
             message: "the request was refused as a whole; correct each finding",
             findings: findings.as_slice(),
         },
-    );
-    with_outcome(reply, Outcome::NotRun)
+    )
 }
 
 /// Marks a response with what is known about the request.
@@ -75,31 +85,26 @@
     reply
 }
 
-/// Tells the caller when to come back, in whole seconds, at least one.
+/// Tells when to come back, in milliseconds and in whole seconds, at least one.
 pub(crate) fn with_retry(mut reply: Reply, after: Duration) -> Reply {
-    let seconds = after.as_millis().div_ceil(1_000).max(1);
-    let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
-    reply
-        .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    let ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+    let seconds = ms.div_ceil(1_000).max(1);
+    let headers = reply.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    headers.insert(RETRY_MS, HeaderValue::from(ms));
     reply
 }
 
 /// Adds the ticket under which the fate of the request can be asked.
 pub(crate) fn with_ticket(mut reply: Reply, ticket: &str) -> Reply {
+    // A ticket is Base64, which every header may hold.
     if let Ok(value) = HeaderValue::from_str(ticket) {
         reply.headers_mut().insert(TICKET, value);
     }
     reply
 }
 
-/// A request that did not run, with the time to come back.
-pub(crate) fn not_run(message: &str, after: Duration) -> Reply {
-    let reply = problem(StatusCode::SERVICE_UNAVAILABLE, "not-run", message);
-    with_retry(with_outcome(reply, Outcome::NotRun), after)
-}
-
-/// The answer of a backend server. The body must have been checked.
+/// The answer of a backend server, whose body has been checked.
 pub(crate) fn answer(answer: &Answer, body: Vec<u8>) -> Reply {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let media = HeaderValue::from_str(&answer.media)
--- /dev/null
+++ b/crates/agate_entry/src/members/sweep.rs
@@ -0,0 +1,50 @@
+//! Regular look for members and peers that fell silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_members::Change;
+use agate_super::ChildError;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::entry::Entry;
+
+/// Sweeps within one heartbeat interval.
+const SWEEPS: u32 = 4;
+
+/// Sweeps until `stop` is cancelled.
+pub(crate) async fn sweep(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    let heartbeat = Duration::from_millis(u64::from(entry.preset().membership.heartbeat_ms));
+    let mut ticks = interval(heartbeat / SWEEPS);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+        let policy = entry.preset().membership;
+        entry.members.set_policy(policy);
+        for change in entry.members.sweep() {
+            note(&entry, change);
+        }
+        let patience = Duration::from_millis(u64::from(policy.forget_ms));
+        entry.peers.forget(patience);
+    }
+    Ok(())
+}
+
+fn note(entry: &Entry, change: Change) {
+    match change {
+        Change::Suspected(member) => {
+            if let Some(target) = entry.members.target_of(member) {
+                log::warn!(event = "member_suspected", incarnation:% = target.incarnation, address:% = target.address; "");
+            }
+        }
+        Change::Condemned(member) => {
+            if let Some(target) = entry.members.target_of(member) {
+                log::warn!(event = "member_condemned", incarnation:% = target.incarnation, address:% = target.address; "");
+            }
+        }
+        Change::Forgotten(incarnation) => {
+            log::warn!(event = "member_forgotten", incarnation:%; "");
+            entry.links.retain(|held| held != incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agate_entry/src/members/table.rs
@@ -0,0 +1,148 @@
+//! The view of members, shared by every task of this entry.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use agate_core::{ClassName, Host, Incarnation, Site};
+use agate_members::{Announced, Change, MemberKey, View};
+use agate_preset::policy::Membership;
+use agate_wire::message::{Heartbeat, Load, MemberInfo, Verdict};
+
+use crate::clock::ProcessClock;
+
+/// The view of members behind a lock that is never held across an await.
+#[derive(Debug)]
+pub(crate) struct Members {
+    clock: ProcessClock,
+    view: Mutex<View>,
+}
+
+/// A member that work is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Target {
+    pub(crate) member: MemberKey,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: SocketAddr,
+}
+
+/// A member as operators see it.
+#[derive(Debug, Clone)]
+pub(crate) struct Listed {
+    pub(crate) info: MemberInfo,
+    pub(crate) standing: agate_members::Standing,
+    pub(crate) load: Load,
+    pub(crate) silent_ms: u64,
+}
+
+impl Members {
+    /// Starts an empty view of an entry at `here`.
+    pub(crate) fn new(here: Site, clock: ProcessClock) -> Self {
+        let view = View::new(here, Membership::default(), clock.now());
+        Self {
+            clock,
+            view: Mutex::new(view),
+        }
+    }
+
+    /// Runs `work` on the view.
+    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut View) -> T) -> T {
+        work(&mut self.lock())
+    }
+
+    /// Takes over an announcement.
+    pub(crate) fn announce(&self, info: MemberInfo) -> Announced {
+        let now = self.clock.now();
+        self.lock().announce(info, now)
+    }
+
+    /// Takes over a heartbeat.
+    pub(crate) fn heartbeat(&self, beat: &Heartbeat) -> Verdict {
+        let now = self.clock.now();
+        self.lock().heartbeat(beat, now)
+    }
+
+    /// Takes over the load that came with an answer.
+    pub(crate) fn read_load(&self, incarnation: Incarnation, load: Load) {
+        let now = self.clock.now();
+        let mut view = self.lock();
+        if let Some(key) = view.find(incarnation) {
+            view.read_load(key, load, now);
+        }
+    }
+
+    /// Removes an incarnation for good.
+    pub(crate) fn lost(&self, incarnation: Incarnation) {
+        let now = self.clock.now();
+        self.lock().lost(incarnation, now);
+    }
+
+    /// Finds the members that fell silent.
+    pub(crate) fn sweep(&self) -> Vec<Change> {
+        let now = self.clock.now();
+        self.lock().sweep(now)
+    }
+
+    /// Replaces the membership policy.
+    pub(crate) fn set_policy(&self, policy: Membership) {
+        self.lock().set_policy(policy);
+    }
+
+    /// Where `incarnation` is reached, if it is known.
+    pub(crate) fn target(&self, incarnation: Incarnation) -> Option<Target> {
+        let view = self.lock();
+        let member = view.find(incarnation)?;
+        target(&view, member)
+    }
+
+    /// Where a member is reached, if it is still known.
+    pub(crate) fn target_of(&self, member: MemberKey) -> Option<Target> {
+        target(&self.lock(), member)
+    }
+
+    /// Every member that is known.
+    pub(crate) fn targets(&self) -> Vec<Target> {
+        let view = self.lock();
+        let keys: Vec<MemberKey> = view.iter().map(|(key, _)| key).collect();
+        keys.into_iter().filter_map(|key| target(&view, key)).collect()
+    }
+
+    /// Every member with its standing and load, sorted by address.
+    pub(crate) fn list(&self) -> Vec<Listed> {
+        let now = self.clock.now();
+        let view = self.lock();
+        let listed = view.iter().map(|(_, member)| Listed {
+            info: member.info().clone(),
+            standing: member.standing(),
+            load: member.reading().load,
+            silent_ms: u64::try_from(now.since(member.heard()).as_millis()).unwrap_or(u64::MAX),
+        });
+        let mut listed: Vec<Listed> = listed.collect();
+        listed.sort_by_key(|member| member.info.address);
+        listed
+    }
+
+    /// Whether any backend server is known that announced `class` or every class.
+    pub(crate) fn serves(&self, class: &ClassName) -> bool {
+        let view = self.lock();
+        view.iter().any(|(_, member)| {
+            let info = member.info();
+            info.host == Host::Backend
+                && (info.classes.is_empty() || info.classes.contains(class))
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, View> {
+        // A panic inside the view is a bug; the entry goes on with what the view holds and heals
+        // with the next heartbeats.
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn target(view: &View, member: MemberKey) -> Option<Target> {
+    let info = view.get(member)?.info();
+    Some(Target {
+        member,
+        incarnation: info.incarnation,
+        address: info.address,
+    })
+}
--- a/crates/agate_entry/src/urgent/attempt.rs
+++ b/crates/agate_entry/src/urgent/attempt.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use agate_core::Incarnation;
-use agate_wire::message::{Answer, Load, Refusal, ServeReply, ServeRequest, ServeResult};
+use agate_core::{Incarnation, Key};
+use agate_telemetry::spans::Hop;
+use agate_wire::message::{Answer, Refusal, ServeReply, ServeRequest, ServeResult};
 use agate_wire::rpc::AgentRpcClient;
 
-use super::Deadline;
+use super::{Call, Deadline};
+use crate::entry::Entry;
 use crate::rpc::Link;
 
 /// A whole answer whose body has been checked.
@@ -48,45 +50,52 @@
     Late,
 }
 
-/// An attempt's end and the load that the agent told.
-#[derive(Debug)]
-pub(crate) struct Attempted {
-    pub(crate) attempt: Attempt,
-    pub(crate) load: Option<Load>,
+/// Whom an attempt is sent to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Addressee {
+    /// The incarnation that alone may take it.
+    pub(crate) incarnation: Incarnation,
+    /// The key, if the request may not be repeated.
+    pub(crate) key: Option<Key>,
 }
 
-impl Attempted {
-    const fn silent(attempt: Attempt) -> Self {
-        Self {
-            attempt,
-            load: None,
-        }
+/// Sends `call` over `link` once and waits for its answer.
+pub(crate) async fn try_once(
+    entry: &Entry,
+    call: &Call,
+    link: &Link,
+    to: Addressee,
+) -> Attempt {
+    let mut span = entry.tracer.start(Hop::EntryAttempt, Some(call.trace));
+    span.note("incarnation", to.incarnation);
+    let request = call.request(entry.next_attempt(), to, span.context());
+    let attempt = send(entry, link, request, &call.deadline).await;
+    entry.metrics.attempt(&attempt);
+    if !matches!(attempt, Attempt::Done(_)) {
+        span.fail(format_args!("{attempt:?}"));
     }
+    attempt
 }
 
-/// Sends `request` over `link` and waits for its answer.
-pub(crate) async fn attempt(link: &Link, request: ServeRequest, deadline: &Deadline) -> Attempted {
+async fn send(entry: &Entry, link: &Link, request: ServeRequest, deadline: &Deadline) -> Attempt {
     let (id, incarnation) = (request.request, request.incarnation);
     let client = match deadline.run(link.client()).await {
         Ok(Ok(client)) => client,
-        Ok(Err(error)) => return Attempted::silent(Attempt::NotSent(error.to_string())),
-        Err(_passed) => {
-            let reason = "no connection came about in time".to_owned();
-            return Attempted::silent(Attempt::NotSent(reason));
-        }
+        Ok(Err(error)) => return Attempt::NotSent(error.to_string()),
+        Err(_passed) => return Attempt::NotSent("no connection came about in time".to_owned()),
     };
     match deadline.run(client.serve(request)).await {
-        Ok(Ok(reply)) => Attempted {
-            load: Some(reply.load),
-            attempt: judge(reply, id, incarnation),
-        },
+        Ok(Ok(reply)) => {
+            entry.members.read_load(incarnation, reply.load);
+            judge(reply, id, incarnation)
+        }
         Ok(Err(error)) => {
             if !matches!(error, jsonrpsee::core::client::Error::Call(_)) {
                 link.condemn(&client).await;
             }
-            Attempted::silent(Attempt::Lost(error.to_string()))
+            Attempt::Lost(error.to_string())
         }
-        Err(_passed) => Attempted::silent(Attempt::Late),
+        Err(_passed) => Attempt::Late,
     }
 }
 
--- a/crates/agate_entry/src/urgent/bound.rs
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -4,7 +4,7 @@
 
 use agate_wire::message::Refusal;
 
-use super::attempt::{Attempt, attempt};
+use super::attempt::{Addressee, Attempt, try_once};
 use super::call::{Call, Ending, Sent};
 use super::fate::{KnownFate, Tombstone, settle};
 use super::{Deadline, Ticket};
@@ -26,15 +26,11 @@
     let link = entry.link(ticket.incarnation, ticket.address);
     let mut sent = call.sent;
     loop {
-        let request = call.request(
-            entry.next_attempt(),
-            ticket.incarnation,
-            Some(ticket.key),
-            entry.child_span(call.trace),
-        );
-        let tried = attempt(&link, request, &call.deadline).await;
-        entry.members.read_load(ticket.incarnation, tried.load);
-        match tried.attempt {
+        let to = Addressee {
+            incarnation: ticket.incarnation,
+            key: Some(ticket.key),
+        };
+        match try_once(entry, call, &link, to).await {
             Attempt::Done(whole) => return Ending::Done(whole),
             Attempt::Refused { reason, retry } => {
                 return refused(&link, ticket, reason, retry, sent, &call.deadline).await;
--- a/crates/agate_entry/src/urgent/call.rs
+++ b/crates/agate_entry/src/urgent/call.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use agate_core::{CallerName, ClassName, Incarnation, Key, TraceContext};
+use agate_core::{CallerName, ClassName, TraceContext};
 use agate_preset::ClassPolicy;
 use agate_wire::Blob;
 use agate_wire::message::ServeRequest;
 
-use super::attempt::WholeAnswer;
+use super::attempt::{Addressee, WholeAnswer};
 use super::{Deadline, Ticket};
 
 /// Whether the same key may have been sent before.
@@ -34,18 +34,12 @@
 }
 
 impl Call {
-    /// The message that asks `incarnation` to serve this request.
-    pub(crate) fn request(
-        &self,
-        id: u64,
-        incarnation: Incarnation,
-        key: Option<Key>,
-        trace: TraceContext,
-    ) -> ServeRequest {
+    /// The message that asks for this request to be served.
+    pub(crate) fn request(&self, id: u64, to: Addressee, trace: TraceContext) -> ServeRequest {
         ServeRequest {
             request: id,
-            incarnation,
-            key,
+            incarnation: to.incarnation,
+            key: to.key,
             caller: self.caller.clone(),
             class: self.class.clone(),
             budget_ms: u64::try_from(self.deadline.left().as_millis()).unwrap_or(u64::MAX),
