--- /dev/null
+++ b/crates/agate_entry/src/app/mod.rs
@@ -0,0 +1,12 @@
+//! The process: what is started, supervised and ended.
+
+mod config;
+mod error;
+mod parts;
+mod running;
+mod start;
+
+pub use config::EntryConfig;
+pub use error::StartError;
+pub use running::{Ending, Running, Shutdown};
+pub use start::start;
--- /dev/null
+++ b/crates/agate_entry/src/app/parts.rs
@@ -0,0 +1,51 @@
+//! Construction of the state that the tasks of an entry share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use agate_core::Incarnation;
+use agate_telemetry::spans::Tracer;
+use agate_wire::message::EntryInfo;
+
+use super::{EntryConfig, StartError};
+use crate::clock::ProcessClock;
+use crate::entry::{Drain, Entry};
+use crate::members::{Members, Peers};
+use crate::metrics::Metrics;
+use crate::urgent::{Router, TicketSigner};
+
+/// Name under which spans are exported.
+const SERVICE: &str = "agate-entry";
+
+/// Builds the shared state of an entry that is reached at `address`.
+pub(super) fn build(config: &EntryConfig, address: SocketAddr) -> Result<Arc<Entry>, StartError> {
+    let incarnation = Incarnation::random(&mut rand::rng());
+    let me = EntryInfo {
+        incarnation,
+        address,
+        site: config.site.clone(),
+    };
+    let clock = ProcessClock::start();
+    let entry = Entry::builder()
+        .me(me)
+        .clock(clock)
+        .limits(config.limits)
+        .token(config.token.clone())
+        .signer(TicketSigner::new(config.token.clone()))
+        .members(Members::new(config.site.clone(), clock))
+        .peers(Peers::new(incarnation))
+        .router(Router::new(clock))
+        .tracer(tracer(config, incarnation)?)
+        .metrics(Metrics::new())
+        .drain(Drain::new(config.limits.inflight))
+        .build();
+    Ok(Arc::new(entry))
+}
+
+fn tracer(config: &EntryConfig, incarnation: Incarnation) -> Result<Tracer, StartError> {
+    let Some(endpoint) = &config.otlp else {
+        return Ok(Tracer::silent(SERVICE));
+    };
+    Tracer::exporting(SERVICE, incarnation, endpoint)
+        .map_err(|error| StartError::Tracer(error.to_string()))
+}
--- a/crates/agate_entry/src/config/held.rs
+++ b/crates/agate_entry/src/config/held.rs
@@ -51,7 +51,9 @@
     /// The version held; zero before anything was put in force.
     pub(crate) fn version(&self) -> Version {
         let held = self.state.borrow();
-        held.state.as_ref().map_or(Version::default(), |state| state.version)
+        held.state
+            .as_ref()
+            .map_or(Version::default(), |state| state.version)
     }
 
     /// The configuration, if it is newer than `version`.
--- a/crates/agate_entry/src/config/push.rs
+++ b/crates/agate_entry/src/config/push.rs
@@ -1,4 +1,5 @@
-//! Sends each new configuration to every agent, without waiting for its heartbeat.
+//! Puts each new configuration in force here and sends it to every agent, without waiting for the
+//! agent's heartbeat.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +24,10 @@
 pub(crate) async fn push(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
     let mut changes = entry.config.subscribe();
     loop {
-        let held = changes.borrow_and_update().state.clone();
-        if let Some(state) = held {
+        let held = changes.borrow_and_update().clone();
+        entry.members.set_policy(held.preset.membership);
+        entry.router.set_policy(&held.preset);
+        if let Some(state) = held.state {
             tell_all(&entry, &state).await;
         }
         match stop.run_until_cancelled(changes.changed()).await {
--- a/crates/agate_entry/src/entry/mod.rs
+++ b/crates/agate_entry/src/entry/mod.rs
@@ -22,7 +22,7 @@
 use crate::rpc::{Link, Links};
 use crate::urgent::{Router, TicketSigner};
 
-pub(crate) use drain::{Drain, Open};
+pub(crate) use drain::Drain;
 pub use limits::Limits;
 
 /// Time for which idempotency keys are remembered everywhere.
--- a/crates/agate_entry/src/http/body.rs
+++ b/crates/agate_entry/src/http/body.rs
@@ -18,16 +18,15 @@
 /// A body that is longer, broken or late is reported as a finding, so that it is listed together
 /// with the problems of the headers.
 pub(crate) async fn read(body: StreamingBody, limit: usize, findings: &mut Findings) -> Vec<u8> {
-    match timeout(PATIENCE, collect(body, limit)).await {
-        Ok(Some(bytes)) => bytes,
-        Ok(None) | Err(_) => {
-            findings.add(
-                PLACE,
-                format!("must arrive whole within 30 seconds and hold at most {limit} bytes"),
-            );
-            Vec::new()
-        }
-    }
+    let collected = timeout(PATIENCE, collect(body, limit)).await;
+    let Ok(Some(bytes)) = collected else {
+        findings.add(
+            PLACE,
+            format!("must arrive whole within 30 seconds and hold at most {limit} bytes"),
+        );
+        return Vec::new();
+    };
+    bytes
 }
 
 async fn collect(body: StreamingBody, limit: usize) -> Option<Vec<u8>> {
--- /dev/null
+++ b/crates/agate_entry/src/http/caller/mod.rs
@@ -0,0 +1,24 @@
+//! What callers are offered.
+
+mod requests;
+mod tickets;
+
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, ApiDescriptionRegisterError};
+
+use crate::entry::Entry;
+
+/// The caller API.
+///
+/// # Errors
+///
+/// Fails if two endpoints clash, which is a bug that the first start of the program finds.
+pub(crate) fn api() -> Result<ApiDescription<Arc<Entry>>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(requests::serve_request)?;
+    api.register(requests::request_fate)?;
+    api.register(requests::withhold_request)?;
+    api.register(tickets::issue_ticket)?;
+    Ok(api)
+}
--- /dev/null
+++ b/crates/agate_entry/src/http/caller/tickets.rs
@@ -0,0 +1,70 @@
+//! `/v1/tickets`: bindings that the caller carries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_core::{ClassName, Findings};
+use agate_preset::reader::Reader;
+use dropshot::{HttpError, RequestContext, StreamingBody, endpoint};
+use http::StatusCode;
+use serde::Serialize;
+
+use crate::entry::Entry;
+use crate::http::reply::{self, Reply};
+use crate::http::{body, json};
+use crate::urgent::chosen::{none_text, ticket_for};
+
+/// Largest body of a request for a ticket in bytes.
+const MAX_BYTES: usize = 4_096;
+
+/// A ticket and what it binds.
+#[derive(Debug, Serialize)]
+struct IssuedTicket {
+    ticket: String,
+    key: String,
+    incarnation: String,
+    address: String,
+}
+
+/// Binds a new key to one incarnation; the body names the class.
+#[endpoint { method = POST, path = "/v1/tickets" }]
+pub(crate) async fn issue_ticket(
+    context: RequestContext<Arc<Entry>>,
+    content: StreamingBody,
+) -> Result<Reply, HttpError> {
+    let entry = context.context();
+    let mut findings = Findings::new();
+    let bytes = body::read(content, MAX_BYTES, &mut findings).await;
+    let class = read_class(&bytes, &mut findings);
+    let Some(class) = class.filter(|_| findings.is_empty()) else {
+        return Ok(reply::invalid(&findings));
+    };
+    let policy = entry.preset().class(&class);
+    let budget = Duration::from_millis(u64::from(policy.deadline_ms));
+    match entry.router.pick(&entry.members, &class, budget) {
+        Ok(target) => {
+            let ticket = ticket_for(target);
+            let issued = IssuedTicket {
+                ticket: entry.signer.sign(&ticket),
+                key: ticket.key.to_string(),
+                incarnation: ticket.incarnation.to_string(),
+                address: ticket.address.to_string(),
+            };
+            Ok(reply::json(StatusCode::CREATED, &issued))
+        }
+        Err(none) => {
+            let message = none_text(none.reason);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let reply = reply::problem(status, "no-backend", message);
+            Ok(reply::with_retry(reply, none.retry))
+        }
+    }
+}
+
+fn read_class(bytes: &[u8], findings: &mut Findings) -> Option<ClassName> {
+    let value = json::parse(bytes, findings)?;
+    let mut reader = Reader::new("", Some(&value), findings);
+    let class = json::required(&mut reader, "class", findings);
+    reader.finish(findings);
+    class
+}
--- a/crates/agate_entry/src/http/head.rs
+++ b/crates/agate_entry/src/http/head.rs
@@ -105,7 +105,11 @@
             false
         }
     };
-    if first || !keyed { Sent::First } else { Sent::Maybe }
+    if first || !keyed {
+        Sent::First
+    } else {
+        Sent::Maybe
+    }
 }
 
 fn read_deadline(headers: &HeaderMap, findings: &mut Findings) -> Option<Duration> {
@@ -193,11 +197,7 @@
 }
 
 /// The text of a header that may be given once.
-fn text<'a>(
-    headers: &'a HeaderMap,
-    name: &HeaderName,
-    findings: &mut Findings,
-) -> Option<&'a str> {
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName, findings: &mut Findings) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
     let value = values.next()?;
     if values.next().is_some() {
@@ -205,10 +205,7 @@
         return None;
     }
     let Ok(text) = value.to_str() else {
-        findings.add(
-            name.as_str(),
-            "holds characters that are not visible ASCII",
-        );
+        findings.add(name.as_str(), "holds characters that are not visible ASCII");
         return None;
     };
     Some(text)
--- a/crates/agate_entry/src/http/mod.rs
+++ b/crates/agate_entry/src/http/mod.rs
@@ -3,8 +3,9 @@
 pub(crate) mod body;
 pub(crate) mod caller;
 pub(crate) mod head;
+pub(crate) mod json;
 mod listener;
 pub(crate) mod operator;
 pub(crate) mod reply;
 
-pub(crate) use listener::{Listener, serve};
+pub(crate) use listener::{Listener, run, serve};
--- /dev/null
+++ b/crates/agate_entry/src/http/operator/mod.rs
@@ -0,0 +1,24 @@
+//! What operators are offered, on a listener of their own.
+
+mod auth;
+mod members;
+mod state;
+
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, ApiDescriptionRegisterError};
+
+use crate::entry::Entry;
+
+/// The operator API.
+///
+/// # Errors
+///
+/// Fails if two endpoints clash, which is a bug that the first start of the program finds.
+pub(crate) fn api() -> Result<ApiDescription<Arc<Entry>>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(state::health)?;
+    api.register(state::metrics)?;
+    api.register(members::list_members)?;
+    Ok(api)
+}
--- a/crates/agate_entry/src/lib.rs
+++ b/crates/agate_entry/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! The entry: takes requests and jobs from callers, routes requests to backend servers, places
+//! tasks on workers, and takes operators' changes.
+
+mod app;
+mod clock;
+mod config;
+mod entry;
+mod http;
+mod members;
+mod metrics;
+mod rpc;
+mod settings;
+mod urgent;
+
+pub use app::{Ending, EntryConfig, Running, Shutdown, StartError, start};
+pub use entry::Limits;
+pub use settings::{EntrySetting, PROGRAM};
+pub use urgent::{Ticket, TicketError, TicketSigner};
--- a/crates/agate_entry/src/members/mod.rs
+++ b/crates/agate_entry/src/members/mod.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use peers::Peers;
 pub(crate) use sweep::sweep;
-pub(crate) use table::{Members, Target};
+pub(crate) use table::{Listed, Members, Target};
--- a/crates/agate_entry/src/members/peers.rs
+++ b/crates/agate_entry/src/members/peers.rs
@@ -55,7 +55,8 @@
 
     /// Drops peers that have been silent for `patience`.
     pub(crate) fn forget(&self, patience: Duration) {
-        self.lock().retain(|_, peer| peer.heard.elapsed() < patience);
+        self.lock()
+            .retain(|_, peer| peer.heard.elapsed() < patience);
     }
 
     fn put(&self, info: EntryInfo, source: Heard) {
--- a/crates/agate_entry/src/members/sweep.rs
+++ b/crates/agate_entry/src/members/sweep.rs
@@ -20,7 +20,6 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let policy = entry.preset().membership;
-        entry.members.set_policy(policy);
         for change in entry.members.sweep() {
             note(&entry, change);
         }
--- a/crates/agate_entry/src/members/table.rs
+++ b/crates/agate_entry/src/members/table.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use agate_core::{ClassName, Host, Incarnation, Site};
+use agate_core::{Incarnation, Site};
 use agate_members::{Announced, Change, MemberKey, View};
 use agate_preset::policy::Membership;
 use agate_wire::message::{Heartbeat, Load, MemberInfo, Verdict};
@@ -87,23 +87,18 @@
         self.lock().set_policy(policy);
     }
 
-    /// Where `incarnation` is reached, if it is known.
-    pub(crate) fn target(&self, incarnation: Incarnation) -> Option<Target> {
-        let view = self.lock();
-        let member = view.find(incarnation)?;
-        target(&view, member)
-    }
-
     /// Where a member is reached, if it is still known.
     pub(crate) fn target_of(&self, member: MemberKey) -> Option<Target> {
-        target(&self.lock(), member)
+        Target::find(&self.lock(), member)
     }
 
     /// Every member that is known.
     pub(crate) fn targets(&self) -> Vec<Target> {
         let view = self.lock();
         let keys: Vec<MemberKey> = view.iter().map(|(key, _)| key).collect();
-        keys.into_iter().filter_map(|key| target(&view, key)).collect()
+        keys.into_iter()
+            .filter_map(|key| Target::find(&view, key))
+            .collect()
     }
 
     /// Every member with its standing and load, sorted by address.
@@ -121,16 +116,6 @@
         listed
     }
 
-    /// Whether any backend server is known that announced `class` or every class.
-    pub(crate) fn serves(&self, class: &ClassName) -> bool {
-        let view = self.lock();
-        view.iter().any(|(_, member)| {
-            let info = member.info();
-            info.host == Host::Backend
-                && (info.classes.is_empty() || info.classes.contains(class))
-        })
-    }
-
     fn lock(&self) -> MutexGuard<'_, View> {
         // A panic inside the view is a bug; the entry goes on with what the view holds and heals
         // with the next heartbeats.
@@ -138,11 +123,14 @@
     }
 }
 
-fn target(view: &View, member: MemberKey) -> Option<Target> {
-    let info = view.get(member)?.info();
-    Some(Target {
-        member,
-        incarnation: info.incarnation,
-        address: info.address,
-    })
+impl Target {
+    /// Where a member is reached, if it is still known.
+    pub(crate) fn find(view: &View, member: MemberKey) -> Option<Self> {
+        let info = view.get(member)?.info();
+        Some(Self {
+            member,
+            incarnation: info.incarnation,
+            address: info.address,
+        })
+    }
 }
--- /dev/null
+++ b/crates/agate_entry/src/metrics.rs
@@ -0,0 +1,152 @@
+//! Metrics of an entry.
+
+use std::fmt;
+
+use agate_core::ClassName;
+use agate_telemetry::metrics::text;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::entry::Entry;
+use crate::urgent::{Attempt, Ending};
+
+/// Classes that get labels of their own; the rest share one, so that hostile class names can't
+/// fill the memory.
+const MAX_CLASSES: usize = 200;
+
+/// Label of classes past [`MAX_CLASSES`].
+const OTHER: &str = "other";
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    class: String,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    end: &'static str,
+}
+
+/// Metrics of an entry.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    attempts: Family<AttemptLabels, Counter>,
+    invalid: Counter,
+    open: Gauge,
+    members: Gauge,
+    peers: Gauge,
+    classes: std::sync::Mutex<std::collections::HashSet<ClassName>>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    /// Registers every metric.
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("agate_entry");
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            attempts: Family::default(),
+            invalid: Counter::default(),
+            open: Gauge::default(),
+            members: Gauge::default(),
+            peers: Gauge::default(),
+            classes: std::sync::Mutex::default(),
+        };
+        registry.register(
+            "requests",
+            "Urgent requests by class and outcome",
+            metrics.requests.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts at agents by their end",
+            metrics.attempts.clone(),
+        );
+        registry.register(
+            "invalid",
+            "Requests refused for their form",
+            metrics.invalid.clone(),
+        );
+        registry.register("open", "Requests open now", metrics.open.clone());
+        registry.register("members", "Agents known", metrics.members.clone());
+        registry.register("peers", "Other entries known", metrics.peers.clone());
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn request(&self, class: &ClassName, ending: &Ending) {
+        let outcome = match ending {
+            Ending::Done(_) => "done",
+            Ending::NotRun { .. } => "not-run",
+            Ending::Unanswered { .. } => "no-answer",
+            Ending::Unknown { .. } => "unknown",
+        };
+        let class = self.label(class);
+        let labels = RequestLabels { class, outcome };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt.
+    pub(crate) fn attempt(&self, attempt: &Attempt) {
+        let end = match attempt {
+            Attempt::Done(_) => "done",
+            Attempt::Refused { .. } => "refused",
+            Attempt::NotSent(_) => "not-sent",
+            Attempt::Failed(_) => "failed",
+            Attempt::Lost(_) => "lost",
+            Attempt::Late => "late",
+        };
+        self.attempts.get_or_create(&AttemptLabels { end }).inc();
+    }
+
+    /// Counts a request that was refused for its form.
+    pub(crate) fn invalid(&self) {
+        self.invalid.inc();
+    }
+
+    /// Writes every metric.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be formatted.
+    pub(crate) fn text(&self, entry: &Entry) -> Result<String, fmt::Error> {
+        self.open.set(to_gauge(entry.drain.count()));
+        self.members
+            .set(to_gauge(entry.members.with(|view| view.len())));
+        self.peers.set(to_gauge(entry.peers.list().len()));
+        text(&self.registry)
+    }
+
+    fn label(&self, class: &ClassName) -> String {
+        let mut classes = self
+            .classes
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if classes.contains(class) {
+            return class.to_string();
+        }
+        if classes.len() >= MAX_CLASSES {
+            return OTHER.to_owned();
+        }
+        classes.insert(class.clone());
+        class.to_string()
+    }
+}
+
+fn to_gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/agate_entry/src/rpc/hello.rs
+++ b/crates/agate_entry/src/rpc/hello.rs
@@ -42,7 +42,7 @@
         addresses.extend(entry.peers.list().iter().map(|peer| peer.address));
         addresses.remove(&entry.me.address);
         let round = futures::stream::iter(addresses)
-            .for_each_concurrent(CONCURRENT, |address| greet(&entry, address));
+            .for_each_concurrent(CONCURRENT, |address| greet(Arc::clone(&entry), address));
         if stop.run_until_cancelled(round).await.is_none() {
             return Ok(());
         }
@@ -54,8 +54,8 @@
     }
 }
 
-async fn greet(entry: &Entry, address: SocketAddr) {
-    match timeout(PATIENCE, hello(entry, address)).await {
+async fn greet(entry: Arc<Entry>, address: SocketAddr) {
+    match timeout(PATIENCE, hello(&entry, address)).await {
         Ok(Ok(welcome)) => {
             entry.peers.heard(welcome.entry);
             entry.peers.mentioned(welcome.peers);
@@ -64,12 +64,16 @@
             }
         }
         Ok(Err(reason)) => log::debug!(event = "hello_failed", address:%, reason; ""),
-        Err(_elapsed) => log::debug!(event = "hello_failed", address:%, reason = "no answer in time"; ""),
+        Err(_elapsed) => {
+            log::debug!(event = "hello_failed", address:%, reason = "no answer in time"; "");
+        }
     }
 }
 
 async fn hello(entry: &Entry, address: SocketAddr) -> Result<Welcome, String> {
-    let client = dial(address, PATIENCE).await.map_err(|error| error.to_string())?;
+    let client = dial(address, PATIENCE)
+        .await
+        .map_err(|error| error.to_string())?;
     let hello = Hello {
         member: None,
         entry: Some(entry.me.clone()),
--- a/crates/agate_entry/src/rpc/link.rs
+++ b/crates/agate_entry/src/rpc/link.rs
@@ -91,7 +91,11 @@
     /// Gives up `client`, so that the next call dials. Does nothing if it has been replaced.
     pub(crate) async fn condemn(&self, client: &Arc<WsClient>) {
         let mut state = self.state.lock().await;
-        if state.client.as_ref().is_some_and(|held| Arc::ptr_eq(held, client)) {
+        if state
+            .client
+            .as_ref()
+            .is_some_and(|held| Arc::ptr_eq(held, client))
+        {
             state.client = None;
             log::info!(event = "connection_condemned", address:% = self.address; "will dial anew");
         }
--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -8,7 +8,7 @@
 use agate_members::Announced;
 use agate_super::ChildError;
 use agate_wire::message::{
-    Heartbeat, HeartbeatAck, Hello, MemberInfo, ReportAck, RunReport, Verdict, Welcome,
+    Heartbeat, HeartbeatAck, Hello, MemberInfo, ReportAck, RunReport, Welcome,
 };
 use agate_wire::rpc::{EntryRpcServer, MAX_MESSAGE_BYTES};
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -57,7 +57,11 @@
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .set_batch_request_config(BatchRequestConfig::Disabled)
-        .enable_ws_ping(PingConfig::new().ping_interval(PING).inactive_limit(SILENCE))
+        .enable_ws_ping(
+            PingConfig::new()
+                .ping_interval(PING)
+                .inactive_limit(SILENCE),
+        )
         .ws_only()
         .build();
     let socket = listener.0.try_clone().map_err(failed)?;
@@ -103,7 +107,7 @@
         self.0.peers.mentioned(heartbeat.entries);
         Ok(HeartbeatAck {
             verdict,
-            lease_ms: self.lease_ms(verdict),
+            lease_ms: 0,
             config,
             entries: self.0.entries(),
         })
@@ -128,18 +132,13 @@
                 log::info!(event = "member_replaced", incarnation:%, address:%, old:%; "");
             }
             Announced::Known(_) => {}
-            Announced::Gone => log::warn!(event = "member_refused", incarnation:%, address:%; "recorded as lost"),
+            Announced::Gone => {
+                log::warn!(event = "member_refused", incarnation:%, address:%; "recorded as lost");
+            }
         }
     }
 
     fn forget_link(&self, old: Incarnation) {
         self.0.links.retain(|held| held != old);
     }
-
-    fn lease_ms(&self, verdict: Verdict) -> u64 {
-        match verdict {
-            Verdict::Known => 0,
-            Verdict::Unknown | Verdict::Lost => 0,
-        }
-    }
 }
--- a/crates/agate_entry/src/urgent/attempt.rs
+++ b/crates/agate_entry/src/urgent/attempt.rs
@@ -50,6 +50,20 @@
     Late,
 }
 
+impl Attempt {
+    /// Bytes received in answers, as they crossed the border.
+    pub(crate) fn bytes(&self) -> u64 {
+        match self {
+            Self::Done(whole) => whole.body.len() as u64,
+            Self::Refused { .. }
+            | Self::NotSent(_)
+            | Self::Failed(_)
+            | Self::Lost(_)
+            | Self::Late => 0,
+        }
+    }
+}
+
 /// Whom an attempt is sent to.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Addressee {
@@ -60,12 +74,7 @@
 }
 
 /// Sends `call` over `link` once and waits for its answer.
-pub(crate) async fn try_once(
-    entry: &Entry,
-    call: &Call,
-    link: &Link,
-    to: Addressee,
-) -> Attempt {
+pub(crate) async fn try_once(entry: &Entry, call: &Call, link: &Link, to: Addressee) -> Attempt {
     let mut span = entry.tracer.start(Hop::EntryAttempt, Some(call.trace));
     span.note("incarnation", to.incarnation);
     let request = call.request(entry.next_attempt(), to, span.context());
--- a/crates/agate_entry/src/urgent/bound.rs
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use agate_wire::message::Refusal;
+use tokio::time::Instant;
 
 use super::attempt::{Addressee, Attempt, try_once};
 use super::call::{Call, Ending, Sent};
 use super::fate::{KnownFate, Tombstone, settle};
+use super::router::Trip;
 use super::{Deadline, Ticket};
 use crate::entry::Entry;
+use crate::members::Target;
 use crate::rpc::Link;
 
 /// Time between two attempts over connections that could not be made.
@@ -24,16 +27,46 @@
 /// before it is, its fate is asked.
 pub(crate) async fn serve(entry: &Entry, call: &Call, ticket: Ticket) -> Ending {
     let link = entry.link(ticket.incarnation, ticket.address);
+    let first = send(entry, call, &link, ticket).await;
+    follow(entry, call, &link, ticket, first).await
+}
+
+/// Serves `call` at a member that the router has chosen, and lets the router learn from it.
+pub(crate) async fn serve_chosen(
+    entry: &Entry,
+    call: &Call,
+    target: Target,
+    ticket: Ticket,
+) -> Ending {
+    let link = entry.link(ticket.incarnation, ticket.address);
+    let started = Instant::now();
+    let first = send(entry, call, &link, ticket).await;
+    let trip = Trip {
+        target,
+        attempt: &first,
+        took: started.elapsed(),
+    };
+    entry.router.ended(&entry.members, call, trip);
+    follow(entry, call, &link, ticket, first).await
+}
+
+async fn send(entry: &Entry, call: &Call, link: &Link, ticket: Ticket) -> Attempt {
+    let to = Addressee {
+        incarnation: ticket.incarnation,
+        key: Some(ticket.key),
+    };
+    try_once(entry, call, link, to).await
+}
+
+/// Follows the first attempt to the end of the request.
+async fn follow(entry: &Entry, call: &Call, link: &Link, ticket: Ticket, first: Attempt) -> Ending {
     let mut sent = call.sent;
+    let mut attempt = first;
     loop {
-        let to = Addressee {
-            incarnation: ticket.incarnation,
-            key: Some(ticket.key),
-        };
-        match try_once(entry, call, &link, to).await {
+        match attempt {
             Attempt::Done(whole) => return Ending::Done(whole),
             Attempt::Refused { reason, retry } => {
-                return refused(&link, ticket, reason, retry, sent, &call.deadline).await;
+                return refused(link, ticket, reason, retry, sent, &call.deadline).await;
             }
             Attempt::Failed(reason) => {
                 return Ending::Unanswered {
@@ -55,11 +88,12 @@
             Attempt::Late => return unknown("no answer arrived in time", ticket),
             Attempt::Lost(reason) => {
                 sent = Sent::Maybe;
-                if let Some(ending) = after_loss(&link, ticket, reason, &call.deadline).await {
+                if let Some(ending) = after_loss(link, ticket, reason, &call.deadline).await {
                     return ending;
                 }
             }
         }
+        attempt = send(entry, call, link, ticket).await;
     }
 }
 
@@ -92,7 +126,7 @@
     sent: Sent,
     deadline: &Deadline,
 ) -> Ending {
-    let text = refusal_text(reason);
+    let text = refusal_text(reason).to_owned();
     match (sent, reason) {
         (Sent::First, _) | (Sent::Maybe, Refusal::Tombstoned) => Ending::NotRun {
             reason: text,
@@ -142,7 +176,8 @@
     }
 }
 
-fn refusal_text(reason: Refusal) -> String {
+/// Tells a caller why an agent refused.
+pub(crate) const fn refusal_text(reason: Refusal) -> &'static str {
     match reason {
         Refusal::Full => "every slot and every place in the queue is taken",
         Refusal::Late => "the deadline can't be met",
@@ -153,5 +188,4 @@
         Refusal::Gone => "the agent that the request was bound to is gone",
         Refusal::Malformed => "the agent could not read the message",
     }
-    .to_owned()
 }
--- a/crates/agate_entry/src/urgent/call.rs
+++ b/crates/agate_entry/src/urgent/call.rs
@@ -28,12 +28,19 @@
     pub(crate) policy: ClassPolicy,
     pub(crate) media: String,
     pub(crate) body: Blob,
+    /// Length of the body.
+    pub(crate) length: usize,
     pub(crate) trace: TraceContext,
     pub(crate) deadline: Deadline,
     pub(crate) sent: Sent,
 }
 
 impl Call {
+    /// Bytes that the request takes to send, its envelope left out.
+    pub(crate) const fn bytes(&self) -> u64 {
+        self.length as u64
+    }
+
     /// The message that asks for this request to be served.
     pub(crate) fn request(&self, id: u64, to: Addressee, trace: TraceContext) -> ServeRequest {
         ServeRequest {
--- a/crates/agate_entry/src/urgent/deadline.rs
+++ b/crates/agate_entry/src/urgent/deadline.rs
@@ -1,6 +1,5 @@
 //! The time by which an answer must be with the caller.
 
-use std::future::Future;
 use std::time::Duration;
 
 use tokio::time::{Instant, timeout_at};
--- /dev/null
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -0,0 +1,298 @@
+//! A fake agent behind the real interface.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use agate_core::{Host, Incarnation, Key, Version};
+use agate_wire::Blob;
+use agate_wire::message::{
+    Answer, Capacity, ConfigState, Fate, FateReply, FateRequest, Heartbeat, Hello, Load,
+    MemberInfo, Refusal, ServeReply, ServeRequest, ServeResult, StartReply, StartRun, StopReply,
+    StopRun,
+};
+use agate_wire::rpc::{AgentRpcServer, EntryRpcClient, MAX_MESSAGE_BYTES};
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::ws_client::WsClientBuilder;
+use tokio::task::JoinHandle;
+
+use super::site;
+
+/// What the agent does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers at once.
+    Answer,
+    /// Runs the request and answers with the id of another one.
+    Crossed,
+    /// Runs the request and answers with a body that is cut short.
+    Cut,
+    /// Refuses.
+    Refuse(Refusal),
+    /// Runs the request and answers after a time.
+    Slow(Duration),
+    /// Reports that the backend server gave no answer.
+    Fail,
+}
+
+#[derive(Debug)]
+pub struct State {
+    pub behaviour: Behaviour,
+    /// Attempts that arrived.
+    pub attempts: usize,
+    /// Requests that ran, by key; those without a key are counted under none.
+    pub ran: Vec<Option<Key>>,
+    pub answers: HashMap<Key, Answer>,
+    pub tombstones: Vec<Key>,
+    pub fates: usize,
+    pub config: Option<ConfigState>,
+    pub starts: Vec<StartRun>,
+    pub stops: Vec<StopRun>,
+    pub start_reply: StartReply,
+}
+
+#[derive(Debug, Clone)]
+pub struct FakeAgent {
+    pub incarnation: Incarnation,
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    /// Keeps the server going.
+    _server: ServerHandle,
+}
+
+impl FakeAgent {
+    pub async fn start(incarnation: u64, behaviour: Behaviour) -> Self {
+        let state = State {
+            behaviour,
+            attempts: 0,
+            ran: Vec::new(),
+            answers: HashMap::new(),
+            tombstones: Vec::new(),
+            fates: 0,
+            config: None,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            start_reply: StartReply::Started,
+        };
+        let state = Arc::new(Mutex::new(state));
+        let incarnation = Incarnation::new(incarnation);
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE_BYTES)
+            .max_response_body_size(MAX_MESSAGE_BYTES)
+            .build();
+        let server = Server::builder()
+            .set_config(config)
+            .build("127.0.0.1:0")
+            .await
+            .unwrap();
+        let address = server.local_addr().unwrap();
+        let methods = Methods {
+            incarnation,
+            state: Arc::clone(&state),
+        };
+        let server = server.start(methods.into_rpc());
+        Self {
+            incarnation,
+            address,
+            state,
+            _server: server,
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    pub fn set(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Announces the agent to an entry under `address` and keeps sending heartbeats.
+    pub async fn join(&self, entry: SocketAddr, host: Host, address: SocketAddr) -> Heartbeats {
+        let client = WsClientBuilder::new()
+            .build(format!("ws://{entry}"))
+            .await
+            .unwrap();
+        let member = MemberInfo {
+            incarnation: self.incarnation,
+            host,
+            address,
+            site: site(),
+            capacity: Capacity {
+                slots: 8,
+                connections: 64,
+                resources: agate_core::Resources::new(16_000, 60_000, 0),
+            },
+            classes: Vec::new(),
+        };
+        let hello = Hello {
+            member: Some(member),
+            entry: None,
+        };
+        client.hello(hello).await.unwrap();
+        let (incarnation, state) = (self.incarnation, Arc::clone(&self.state));
+        Heartbeats(tokio::spawn(async move {
+            for sequence in 1.. {
+                let version = state.lock().unwrap().config.as_ref().map(|c| c.version);
+                let beat = Heartbeat {
+                    incarnation,
+                    sequence,
+                    leaving: false,
+                    load: Load::default(),
+                    config: version.unwrap_or_default(),
+                    runs: Vec::new(),
+                    usage: Vec::new(),
+                    urgent: Vec::new(),
+                    entries: Vec::new(),
+                };
+                let Ok(_ack) = client.heartbeat(beat).await else {
+                    return;
+                };
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }))
+    }
+}
+
+/// Heartbeats of an agent to one entry; they end when this is dropped.
+#[derive(Debug)]
+pub struct Heartbeats(JoinHandle<()>);
+
+impl Drop for Heartbeats {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct Methods {
+    incarnation: Incarnation,
+    state: Arc<Mutex<State>>,
+}
+
+fn answer(request: &ServeRequest) -> Answer {
+    let body = request.body.open().unwrap();
+    Answer {
+        status: 200,
+        media: "text/plain".to_owned(),
+        body: Blob::new(&[b"echo:", body.as_slice()].concat()),
+    }
+}
+
+fn cut(blob: &Blob) -> Blob {
+    let mut value = serde_json::to_value(blob).unwrap();
+    value["data"] = serde_json::Value::String("ZWNobw==".to_owned());
+    serde_json::from_value(value).unwrap()
+}
+
+impl Methods {
+    /// Runs a request unless its key has run or is tombstoned.
+    fn run(&self, request: &ServeRequest) -> Option<Answer> {
+        let mut state = self.state.lock().unwrap();
+        let Some(key) = request.key else {
+            state.ran.push(None);
+            return Some(answer(request));
+        };
+        if state.tombstones.contains(&key) {
+            return None;
+        }
+        if let Some(answer) = state.answers.get(&key) {
+            return Some(answer.clone());
+        }
+        let answer = answer(request);
+        state.ran.push(Some(key));
+        state.answers.insert(key, answer.clone());
+        Some(answer)
+    }
+
+    async fn result(&self, request: &ServeRequest, behaviour: Behaviour) -> ServeResult {
+        let refused = |reason| ServeResult::Refused {
+            reason,
+            retry_ms: 700,
+        };
+        match behaviour {
+            Behaviour::Refuse(reason) => return refused(reason),
+            Behaviour::Fail => {
+                return ServeResult::Failed {
+                    reason: "connection reset".to_owned(),
+                };
+            }
+            Behaviour::Answer | Behaviour::Crossed | Behaviour::Cut | Behaviour::Slow(_) => {}
+        }
+        let Some(mut answer) = self.run(request) else {
+            return refused(Refusal::Tombstoned);
+        };
+        if let Behaviour::Slow(time) = behaviour {
+            tokio::time::sleep(time).await;
+        }
+        if behaviour == Behaviour::Cut {
+            answer.body = cut(&answer.body);
+        }
+        ServeResult::Done(answer)
+    }
+}
+
+#[async_trait]
+impl AgentRpcServer for Methods {
+    async fn serve(&self, request: ServeRequest) -> RpcResult<ServeReply> {
+        let behaviour = {
+            let mut state = self.state.lock().unwrap();
+            state.attempts += 1;
+            state.behaviour
+        };
+        let result = if request.incarnation == self.incarnation {
+            self.result(&request, behaviour).await
+        } else {
+            ServeResult::Refused {
+                reason: Refusal::Gone,
+                retry_ms: 0,
+            }
+        };
+        let crossed = u64::from(behaviour == Behaviour::Crossed);
+        Ok(ServeReply {
+            request: request.request + crossed,
+            result,
+            load: Load::default(),
+        })
+    }
+
+    async fn fate(&self, request: FateRequest) -> RpcResult<FateReply> {
+        let mut state = self.state.lock().unwrap();
+        state.fates += 1;
+        let fate = if request.incarnation != self.incarnation {
+            Fate::Gone
+        } else if let Some(answer) = state.answers.get(&request.key) {
+            Fate::Done(answer.clone())
+        } else if state.tombstones.contains(&request.key) {
+            Fate::NotRun
+        } else if request.tombstone {
+            state.tombstones.push(request.key);
+            Fate::NotRun
+        } else {
+            Fate::Pending
+        };
+        Ok(FateReply {
+            key: request.key,
+            fate,
+            load: Load::default(),
+        })
+    }
+
+    async fn start(&self, request: StartRun) -> RpcResult<StartReply> {
+        let mut state = self.state.lock().unwrap();
+        state.starts.push(request);
+        Ok(state.start_reply.clone())
+    }
+
+    async fn stop(&self, request: StopRun) -> RpcResult<StopReply> {
+        self.state.lock().unwrap().stops.push(request);
+        Ok(StopReply::Accepted)
+    }
+
+    async fn configure(&self, config: ConfigState) -> RpcResult<Version> {
+        let version = config.version;
+        self.state.lock().unwrap().config = Some(config);
+        Ok(version)
+    }
+}
--- a/crates/agate_preset/src/lib.rs
+++ b/crates/agate_preset/src/lib.rs
@@ -8,7 +8,7 @@
 mod kind;
 pub mod policy;
 mod preset;
-mod reader;
+pub mod reader;
 mod team;
 
 pub use class::ClassPolicy;
--- a/crates/agate_preset/src/reader.rs
+++ b/crates/agate_preset/src/reader.rs
@@ -10,7 +10,7 @@
 
 /// A cursor over one JSON object.
 #[derive(Debug)]
-pub(crate) struct Reader<'a> {
+pub struct Reader<'a> {
     place: String,
     object: Option<&'a Map<String, Value>>,
     seen: BTreeSet<&'static str>,
@@ -18,7 +18,7 @@
 
 impl<'a> Reader<'a> {
     /// Opens `value` as an object found at `place`; a missing value counts as an empty object.
-    pub(crate) fn new(
+    pub fn new(
         place: impl Into<String>,
         value: Option<&'a Value>,
         findings: &mut Findings,
@@ -43,7 +43,7 @@
     }
 
     /// The place of field `name`.
-    pub(crate) fn place_of(&self, name: &str) -> String {
+    pub fn place_of(&self, name: &str) -> String {
         if self.place.is_empty() {
             name.to_owned()
         } else {
@@ -52,19 +52,19 @@
     }
 
     /// Takes the raw value of field `name`.
-    pub(crate) fn take(&mut self, name: &'static str) -> Option<&'a Value> {
+    pub fn take(&mut self, name: &'static str) -> Option<&'a Value> {
         self.seen.insert(name);
         self.object.and_then(|object| object.get(name))
     }
 
     /// Opens the object in field `name`.
-    pub(crate) fn section(&mut self, name: &'static str, findings: &mut Findings) -> Self {
+    pub fn section(&mut self, name: &'static str, findings: &mut Findings) -> Self {
         let place = self.place_of(name);
         Self::new(place, self.take(name), findings)
     }
 
     /// Opens every member of this object as an object of its own.
-    pub(crate) fn members(&self, findings: &mut Findings) -> Vec<(&'a str, Self)> {
+    pub fn members(&self, findings: &mut Findings) -> Vec<(&'a str, Self)> {
         let Some(object) = self.object else {
             return Vec::new();
         };
@@ -78,7 +78,7 @@
     }
 
     /// Reads a whole number within `range`.
-    pub(crate) fn number(
+    pub fn number(
         &mut self,
         name: &'static str,
         range: RangeInclusive<u32>,
@@ -103,7 +103,7 @@
     }
 
     /// Reads `true` or `false`.
-    pub(crate) fn flag(
+    pub fn flag(
         &mut self,
         name: &'static str,
         default: bool,
@@ -122,7 +122,7 @@
     }
 
     /// Reads one of the names of a closed set.
-    pub(crate) fn choice<T: FromStr + VariantNames>(
+    pub fn choice<T: FromStr + VariantNames>(
         &mut self,
         name: &'static str,
         default: T,
@@ -143,7 +143,7 @@
     }
 
     /// Reports every field that was never taken.
-    pub(crate) fn finish(self, findings: &mut Findings) {
+    pub fn finish(self, findings: &mut Findings) {
         let Some(object) = self.object else { return };
         for name in object
             .keys()
