--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use crate::support::{
+    Behaviour, FakeAgent, SilentProxy, backend, callers, entry, eventually, header, text, value,
+};
 use agate_core::Host;
 use agate_wire::message::Refusal;
 use http::StatusCode;
 use rstest::rstest;
-use crate::support::{
-    Behaviour, FakeAgent, SilentProxy, backend, callers, entry, eventually, header, text, value,
-};
 
 const ONCE: &str = "/v1/requests/bench-bind";
 
@@ -106,11 +106,7 @@
     let agent = FakeAgent::start(1, Behaviour::Slow(Duration::from_millis(300))).await;
     let proxy = SilentProxy::start(agent.address).await;
     let _beats = agent
-        .join(
-            entry.rpc_address(),
-            Host::Backend,
-            proxy.address,
-        )
+        .join(entry.rpc_address(), Host::Backend, proxy.address)
         .await;
     let caller = callers(&entry).with("agate-deadline-ms", 20_000);
     let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
