Report a refused key that the entry did not make as unknown

Cause: an entry's own refusal of a caller's key says nothing about an earlier attempt through another entry. Ruled out: a header in which callers count their attempts; the decision is that only keys made by the entry are proved. Conclusion: not-run needs a key of the entry's own or the agent's tombstone.

--- a/crates/agate_entry/src/http/caller/requests.rs
+++ b/crates/agate_entry/src/http/caller/requests.rs
@@ -44,7 +44,7 @@
         .tracer
         .start(Hop::EntryRequest, head::read_trace(headers));
     let mut findings = Findings::new();
-    let sent = head::read_sent(headers, &mut findings);
+    let sent = head::sent(headers);
     let Some(_open) = entry.drain.open() else {
         let ending = Ending::unsent(sent, "this entry has as many requests as it takes", RETRY);
         return Ok(reply_to(entry, &mut span, ending));
--- a/crates/agate_entry/src/http/head.rs
+++ b/crates/agate_entry/src/http/head.rs
@@ -12,7 +12,6 @@
 
 const CALLER: HeaderName = HeaderName::from_static("agate-caller");
 const DEADLINE: HeaderName = HeaderName::from_static("agate-deadline-ms");
-const ATTEMPT: HeaderName = HeaderName::from_static("agate-attempt");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const TRACE: HeaderName = HeaderName::from_static("traceparent");
 
@@ -90,25 +89,12 @@
     headers.get(&TRACE)?.to_str().ok()?.parse().ok()
 }
 
-/// Reads whether the same key may have been sent before. Without a key it can't have been; with
-/// one, only the caller can say that this is the first attempt.
-pub(crate) fn read_sent(headers: &HeaderMap, findings: &mut Findings) -> Sent {
-    let keyed = headers.contains_key(&KEY) || headers.contains_key(&TICKET);
-    let first = match text(headers, &ATTEMPT, findings).map(str::parse::<u32>) {
-        None => false,
-        Some(Ok(number)) if number > 0 => number == 1,
-        Some(_) => {
-            findings.add(
-                ATTEMPT.as_str(),
-                "expected the number of this attempt, counted from 1",
-            );
-            false
-        }
-    };
-    if first || !keyed {
-        Sent::First
-    } else {
+/// Whether the request brings a key, which may have been sent before.
+pub(crate) fn sent(headers: &HeaderMap) -> Sent {
+    if headers.contains_key(&KEY) || headers.contains_key(&TICKET) {
         Sent::Maybe
+    } else {
+        Sent::First
     }
 }
 
--- a/crates/agate_entry/src/urgent/bound.rs
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -66,7 +66,7 @@
         match attempt {
             Attempt::Done(whole) => return Ending::Done(whole),
             Attempt::Refused { reason, retry } => {
-                return refused(link, ticket, reason, retry, sent, &call.deadline).await;
+                return refused(ticket, reason, retry, sent);
             }
             Attempt::Failed(reason) => {
                 return Ending::Unanswered {
@@ -116,36 +116,26 @@
     }
 }
 
-/// Turns a refusal into a proof. While another copy of the key may be on its way, only a tombstone
-/// proves that the key never runs.
-async fn refused(
-    link: &Link,
-    ticket: Ticket,
-    reason: Refusal,
-    retry: Duration,
-    sent: Sent,
-    deadline: &Deadline,
-) -> Ending {
-    let text = refusal_text(reason).to_owned();
+/// What a refusal proves. An agent that refuses a key tombstones it first, so that no other copy of
+/// the key can run; but an incarnation that is gone, or a key too old to be remembered, proves
+/// nothing about earlier copies.
+fn refused(ticket: Ticket, reason: Refusal, retry: Duration, sent: Sent) -> Ending {
+    let text = refusal_text(reason);
     match (sent, reason) {
-        (Sent::First, _) | (Sent::Maybe, Refusal::Tombstoned) => Ending::NotRun {
-            reason: text,
-            retry,
-        },
         (Sent::Maybe, Refusal::Gone | Refusal::KeyTooOld) => unknown(text, ticket),
         (
-            Sent::Maybe,
+            Sent::First | Sent::Maybe,
             Refusal::Full
             | Refusal::Late
             | Refusal::Leaving
             | Refusal::Withdrawn
+            | Refusal::Tombstoned
+            | Refusal::KeyTooOld
+            | Refusal::Gone
             | Refusal::Malformed,
-        ) => match settle(link, ticket, Tombstone::Plant, deadline).await {
-            KnownFate::NotRun => Ending::NotRun {
-                reason: text,
-                retry,
-            },
-            known => ending(known, ticket),
+        ) => Ending::NotRun {
+            reason: text.to_owned(),
+            retry,
         },
     }
 }
--- a/crates/agate_entry/src/urgent/call.rs
+++ b/crates/agate_entry/src/urgent/call.rs
@@ -13,8 +13,7 @@
 /// Whether the same key may have been sent before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Sent {
-    /// It can't have been: the entry drew the key, or the caller says that this is the first
-    /// attempt.
+    /// It can't have been: the entry drew the key for this one attempt.
     First,
     /// It may have been, through this entry or another.
     Maybe,
