--- a/crates/agate_entry/src/app/config.rs
+++ b/crates/agate_entry/src/app/config.rs
@@ -1,6 +1,7 @@
 //! Configuration of one entry, as the settings give it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use agate_core::names::NameError;
 use agate_core::{RegionName, Site, ZoneName};
@@ -71,10 +72,9 @@
         .body_bytes(size(EntrySetting::BodyBytes))
         .connections(values.small(EntrySetting::Connections))
         .inflight(size(EntrySetting::Inflight))
-        .drain(std::time::Duration::from_secs(
-            values.number(EntrySetting::Drain),
-        ))
+        .drain(Duration::from_secs(values.number(EntrySetting::Drain)))
         .leave(values.millis(EntrySetting::Leave))
         .group(values.millis(EntrySetting::Group))
+        .snapshot(Duration::from_secs(values.number(EntrySetting::Snapshot)))
         .build()
 }
--- a/crates/agate_entry/src/app/parts.rs
+++ b/crates/agate_entry/src/app/parts.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 
 use agate_core::Incarnation;
+use agate_log::{HttpSettings, HttpStore, LogStore, Stream};
 use agate_telemetry::spans::Tracer;
 use agate_wire::message::EntryInfo;
 
 use super::{EntryConfig, StartError};
+use crate::batch::Batch;
 use crate::clock::ProcessClock;
 use crate::entry::{Drain, Entry};
+use crate::ledger::Writer;
 use crate::members::{Members, Peers};
 use crate::metrics::Metrics;
 use crate::urgent::{Router, TicketSigner};
@@ -26,6 +29,9 @@
         site: config.site.clone(),
     };
     let clock = ProcessClock::start();
+    let settings = HttpSettings::builder().address(config.log).build();
+    let store: Arc<dyn LogStore> = Arc::new(HttpStore::new(settings));
+    let writer = |stream| Writer::new(Arc::clone(&store), stream, config.limits.group);
     let entry = Entry::builder()
         .me(me)
         .clock(clock)
@@ -38,6 +44,10 @@
         .tracer(tracer(config, incarnation)?)
         .metrics(Metrics::new())
         .drain(Drain::new(config.limits.inflight))
+        .writer(writer(Stream::Main))
+        .key_writer(writer(Stream::Keys))
+        .batch(Batch::new())
+        .store(Arc::clone(&store))
         .build();
     Ok(Arc::new(entry))
 }
--- a/crates/agate_entry/src/app/start.rs
+++ b/crates/agate_entry/src/app/start.rs
@@ -3,16 +3,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use agate_log::Stream;
 use agate_super::{ChildError, Policy, Restart, Supervisor};
 use dropshot::{ApiDescription, ApiDescriptionRegisterError};
+use tokio_util::sync::CancellationToken;
 
 use super::parts;
 use super::running::{Addresses, Running};
 use super::{EntryConfig, StartError};
 use crate::entry::Entry;
 use crate::http::{self, Listener};
+use crate::ledger::Writer;
 use crate::rpc::{self, RpcListener};
-use crate::{config as configuration, members};
+use crate::{batch, config as configuration, keys, ledger, members};
 
 /// Starts an entry and returns once its listeners are open.
 ///
@@ -75,24 +78,53 @@
         operators,
         http::operator::api,
     );
-    let shared = Arc::clone(entry);
-    back.child("rpc", Restart::Permanent, move |stop| {
-        rpc::serve(Arc::clone(&shared), rpc.clone(), stop)
+    add(&mut back, "rpc", entry, move |entry, stop| {
+        rpc::serve(entry, rpc.clone(), stop)
     });
-    let shared = Arc::clone(entry);
     let seeds: Arc<[SocketAddr]> = config.seeds.clone().into();
-    back.child("hello", Restart::Permanent, move |stop| {
-        rpc::announce(Arc::clone(&shared), Arc::clone(&seeds), stop)
+    add(&mut back, "hello", entry, move |entry, stop| {
+        rpc::announce(entry, Arc::clone(&seeds), stop)
     });
-    let shared = Arc::clone(entry);
-    back.child("sweep", Restart::Permanent, move |stop| {
-        members::sweep(Arc::clone(&shared), stop)
+    add(&mut back, "sweep", entry, members::sweep);
+    add(&mut back, "config-push", entry, configuration::push);
+    add_log(&mut back, entry);
+    add(&mut back, "place", entry, batch::place);
+    add(&mut back, "dispatch", entry, batch::dispatch);
+    add(&mut back, "rehome", entry, batch::rehome);
+    add(&mut back, "reap", entry, batch::reap);
+    back
+}
+
+/// Adds what reads and writes the log.
+fn add_log(back: &mut Supervisor, entry: &Arc<Entry>) {
+    let snapshots = Writer::new(Arc::clone(&entry.store), Stream::Snap, entry.limits.group);
+    let appender = snapshots.appender.clone();
+    add(back, "main-writer", entry, |entry, stop| {
+        ledger::append(entry.writer.clone(), stop)
     });
-    let shared = Arc::clone(entry);
-    back.child("config-push", Restart::Permanent, move |stop| {
-        configuration::push(Arc::clone(&shared), stop)
+    add(back, "key-writer", entry, |entry, stop| {
+        ledger::append(entry.key_writer.clone(), stop)
+    });
+    add(back, "snapshot-writer", entry, move |_entry, stop| {
+        ledger::append(snapshots.clone(), stop)
+    });
+    add(back, "snapshots", entry, move |entry, stop| {
+        ledger::write_snapshots(entry, appender.clone(), stop)
+    });
+    add(back, "main-follower", entry, ledger::follow);
+    add(back, "key-follower", entry, keys::follow);
+}
+
+/// Adds a task that is started again whenever it ends.
+fn add<F, Fut>(supervisor: &mut Supervisor, name: &'static str, entry: &Arc<Entry>, mut run: F)
+where
+    F: FnMut(Arc<Entry>, CancellationToken) -> Fut + Send + 'static,
+    Fut: Future<Output = Result<(), ChildError>> + Send + 'static,
+{
+    let entry = Arc::clone(entry);
+    supervisor.child(name, Restart::Permanent, move |stop| {
+        run(Arc::clone(&entry), stop)
     });
-    back
 }
 
 /// Adds an HTTP listener that is bound again to the same address if its task fails.
--- /dev/null
+++ b/crates/agate_entry/src/batch/place.rs
@@ -0,0 +1,182 @@
+//! Places tasks: asks the scheduler, binds in the log, and takes steps against runs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_core::RunId;
+use agate_place::{Placement, Step, StepKind};
+use agate_records::RunBound;
+use agate_state::{Effect, VoidReason};
+use agate_super::ChildError;
+use agate_wire::message::StopKind;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::dispatch::Order;
+use super::home::{self, Homes};
+use super::{give_up, reconcile};
+use crate::entry::Entry;
+use crate::ledger::CommitError;
+
+/// Bindings under way at once.
+const CONCURRENT: usize = 256;
+
+/// Longest time between two looks at the scheduler.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Age of the state above which nothing is placed.
+const MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Places tasks until `stop` is cancelled.
+pub(crate) async fn place(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    let slots = Arc::new(Semaphore::new(CONCURRENT));
+    let mut rng = StdRng::from_os_rng();
+    loop {
+        if is_fresh(&entry) && !entry.drain.leaving.is_cancelled() {
+            place_all(&entry, &slots, &mut rng);
+            give_up::take(&entry);
+            take_steps(&entry);
+        }
+        reconcile::set_view(&entry);
+        let wait = timeout(INTERVAL, entry.batch.changed());
+        if stop.run_until_cancelled(wait).await.is_none() {
+            return Ok(());
+        }
+    }
+}
+
+fn is_fresh(entry: &Entry) -> bool {
+    entry.folded.age().is_some_and(|age| age <= MAX_AGE)
+}
+
+/// Binds what the scheduler proposes for as long as there is room for bindings under way.
+fn place_all(entry: &Arc<Entry>, slots: &Arc<Semaphore>, rng: &mut StdRng) {
+    while let Ok(slot) = Arc::clone(slots).try_acquire_owned() {
+        let now = entry.clock.now();
+        let next = entry.batch.quietly(|inner| inner.scheduler.next(now, rng));
+        let Some(placement) = next else {
+            return;
+        };
+        let entry = Arc::clone(entry);
+        tokio::spawn(async move {
+            bind(&entry, placement).await;
+            drop(slot);
+        });
+    }
+}
+
+/// Binds a run in the log. If the binding counts, the fold has ordered its start already.
+async fn bind(entry: &Entry, placement: Placement) {
+    let epoch = entry.folded.with(|state| {
+        let task = state.task(placement.task)?;
+        task.hold.is_none().then_some(task.epoch)
+    });
+    let Some(last) = epoch else {
+        return void(entry, placement, None);
+    };
+    let run = RunId {
+        task: placement.task,
+        epoch: last.saturating_add(1),
+    };
+    let record = RunBound {
+        run,
+        incarnation: placement.worker,
+        demand: placement.demand,
+    };
+    match entry.commit().one(record).await {
+        Ok(Effect::Applied(_) | Effect::Duplicate) => {
+            log::info!(event = "run_bound", run:%, incarnation:% = placement.worker; "");
+        }
+        Ok(Effect::Void(reason)) => {
+            log::info!(event = "binding_void", run:%, reason:%; "");
+            void(entry, placement, Some(&reason));
+        }
+        Err(CommitError::NotRecorded { retry }) => {
+            sleep(retry).await;
+            void(entry, placement, None);
+        }
+        Err(CommitError::Unknown) => {
+            log::warn!(event = "binding_unknown", run:%; "");
+            settle(entry, placement, run).await;
+        }
+    }
+}
+
+/// Gives the room of a placement back unless another binding has taken its place.
+fn void(entry: &Entry, placement: Placement, reason: Option<&VoidReason>) {
+    let now = entry.clock.now();
+    let job = placement.task.job;
+    entry.folded.with(|state| {
+        entry.batch.with(|inner| {
+            let bound = state.task(placement.task).and_then(|task| task.hold);
+            if bound.is_some_and(|hold| hold.incarnation == placement.worker) {
+                return;
+            }
+            if inner.scheduler.worker_of(placement.task) == Some(placement.worker) {
+                inner.scheduler.refused(now, placement.task, None);
+            }
+            let over = matches!(
+                reason,
+                None | Some(
+                    VoidReason::TaskEnded
+                        | VoidReason::NoSuchJob
+                        | VoidReason::NoSuchTask
+                        | VoidReason::JobCancelled
+                )
+            );
+            let open = state.task(placement.task).is_some();
+            if over && !open {
+                home::requeue(entry, state, inner, job);
+            }
+        });
+    });
+}
+
+/// Waits until the log can be read to its end again; by then a binding that stands there has been
+/// folded.
+async fn settle(entry: &Entry, placement: Placement, run: RunId) {
+    while !is_fresh(entry) {
+        sleep(MAX_AGE).await;
+    }
+    sleep(MAX_AGE).await;
+    log::info!(event = "binding_settled", run:%; "");
+    void(entry, placement, None);
+}
+
+/// Sends the steps that are due against runs on the workers that this entry looks after.
+fn take_steps(entry: &Entry) {
+    let now = entry.clock.now();
+    let steps = entry.batch.quietly(|inner| inner.scheduler.steps(now));
+    if steps.is_empty() {
+        return;
+    }
+    let homes = Homes::of(entry);
+    for step in steps.into_iter().filter(|s| homes.is_my_worker(s.worker)) {
+        if let Some(order) = order_for(entry, step) {
+            log::info!(event = "step", task:% = step.task, incarnation:% = step.worker, kind:% = step.kind; "");
+            entry.batch.order(order);
+        }
+    }
+}
+
+fn order_for(entry: &Entry, step: Step) -> Option<Order> {
+    let task = entry.folded.with(|state| state.task(step.task))?;
+    let hold = task.hold?;
+    let kind = match step.kind {
+        StepKind::Throttle => StopKind::Throttle,
+        StepKind::Release => StopKind::Release,
+        StepKind::Evict => StopKind::Evict,
+        StepKind::Stop => StopKind::Stop,
+    };
+    Some(Order::Stop {
+        run: RunId {
+            task: step.task,
+            epoch: task.epoch,
+        },
+        incarnation: hold.incarnation,
+        kind,
+    })
+}
--- a/crates/agate_entry/src/config/held.rs
+++ b/crates/agate_entry/src/config/held.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Replaces what is held if `state` is newer.
+    pub(crate) fn offer_shared(&self, state: &ConfigState) {
+        if state.version > self.version() {
+            self.offer(state.clone());
+        }
+    }
+
     /// What is held now.
     pub(crate) fn get(&self) -> Held {
         self.state.borrow().clone()
--- a/crates/agate_entry/src/entry/limits.rs
+++ b/crates/agate_entry/src/entry/limits.rs
@@ -25,4 +25,7 @@
     /// Time for which records wait to share one append.
     #[builder(default = Duration::from_millis(5))]
     pub group: Duration,
+    /// Mean time between two looks at whether a snapshot is due.
+    #[builder(default = Duration::from_mins(5))]
+    pub snapshot: Duration,
 }
--- a/crates/agate_entry/src/entry/mod.rs
+++ b/crates/agate_entry/src/entry/mod.rs
@@ -9,14 +9,18 @@
 use std::time::Duration;
 
 use agate_core::Incarnation;
+use agate_log::LogStore;
 use agate_preset::Preset;
 use agate_settings::Secret;
 use agate_telemetry::spans::Tracer;
 use agate_wire::message::EntryInfo;
 use bon::Builder;
 
+use crate::batch::Batch;
 use crate::clock::ProcessClock;
 use crate::config::HeldConfig;
+use crate::keys::KeyTable;
+use crate::ledger::{Commit, Folded, Writer};
 use crate::members::{Members, Peers};
 use crate::metrics::Metrics;
 use crate::rpc::{Link, Links};
@@ -42,6 +46,14 @@
     pub(crate) tracer: Tracer,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
+    pub(crate) store: Arc<dyn LogStore>,
+    pub(crate) writer: Writer,
+    pub(crate) key_writer: Writer,
+    pub(crate) batch: Batch,
+    #[builder(default = Folded::new())]
+    pub(crate) folded: Folded,
+    #[builder(default = KeyTable::new())]
+    pub(crate) keys: KeyTable,
     #[builder(default)]
     pub(crate) links: Links,
     #[builder(default = HeldConfig::new())]
@@ -62,6 +74,14 @@
         self.links.get(incarnation, address, silence)
     }
 
+    /// Writes records to the main stream.
+    pub(crate) const fn commit(&self) -> Commit<'_> {
+        Commit {
+            appender: &self.writer.appender,
+            folded: &self.folded,
+        }
+    }
+
     /// An id for one attempt, unique for this entry.
     pub(crate) fn next_attempt(&self) -> u64 {
         self.attempts.fetch_add(1, Ordering::Relaxed)
--- /dev/null
+++ b/crates/agate_entry/src/http/caller/jobs.rs
@@ -0,0 +1,161 @@
+//! `/v1/jobs`: batch jobs.
+
+use std::sync::Arc;
+
+use agate_core::{Findings, JobId};
+use agate_records::{JobCancelled, JobSubmitted};
+use agate_state::{Effect, JobView, TaskFailure};
+use dropshot::{HttpError, Path, RequestContext, StreamingBody, endpoint};
+use http::StatusCode;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::job_body;
+use crate::entry::Entry;
+use crate::http::reply::{self, Reply};
+use crate::http::{body, head, ledger};
+
+/// Largest body of a submission in bytes.
+const MAX_BYTES: usize = 128 * 1024;
+
+/// The variable part of the path.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(crate) struct JobPath {
+    /// The job.
+    job: String,
+}
+
+/// A job as callers see it.
+#[derive(Debug, Serialize)]
+struct JobReply {
+    job: String,
+    caller: String,
+    class: String,
+    phase: String,
+    tasks: u32,
+    running: u32,
+    finished: u32,
+    failed: u32,
+    impossible: u32,
+    cancelled: u32,
+    failures: Vec<TaskFailure>,
+}
+
+impl From<JobView<'_>> for JobReply {
+    fn from(view: JobView<'_>) -> Self {
+        Self {
+            job: view.job.to_string(),
+            caller: view.caller.to_string(),
+            class: view.class.to_string(),
+            phase: view.phase.to_string(),
+            tasks: view.tasks,
+            running: view.running,
+            finished: view.counts.finished,
+            failed: view.counts.failed,
+            impossible: view.counts.impossible,
+            cancelled: view.counts.cancelled,
+            failures: view.failures.to_vec(),
+        }
+    }
+}
+
+/// The open jobs.
+#[derive(Debug, Serialize)]
+struct JobList {
+    jobs: Vec<JobReply>,
+}
+
+/// Accepts a job once the log holds it. A job that was accepted before is not accepted twice.
+#[endpoint { method = POST, path = "/v1/jobs" }]
+pub(crate) async fn submit_job(
+    context: RequestContext<Arc<Entry>>,
+    input: StreamingBody,
+) -> Result<Reply, HttpError> {
+    let entry = context.context();
+    let mut findings = Findings::new();
+    let caller = head::read_caller(context.request.headers(), &mut findings);
+    let bytes = body::read(input, MAX_BYTES, &mut findings).await;
+    let submitted = job_body::read(&bytes, caller, &mut findings);
+    let Some(submitted) = submitted.filter(|_| findings.is_empty()) else {
+        entry.metrics.invalid();
+        return Ok(reply::invalid(&findings));
+    };
+    Ok(submit(entry, submitted).await)
+}
+
+async fn submit(entry: &Entry, submitted: JobSubmitted) -> Reply {
+    let job = submitted.job;
+    match entry.commit().one(submitted).await {
+        Ok(Effect::Applied(_)) => {
+            log::info!(event = "job_accepted", job:%; "");
+            show(entry, job, StatusCode::CREATED)
+        }
+        Ok(Effect::Duplicate) => show(entry, job, StatusCode::OK),
+        Ok(Effect::Void(reason)) => {
+            reply::problem(StatusCode::CONFLICT, "void", &reason.to_string())
+        }
+        Err(error) => ledger::failed(error),
+    }
+}
+
+/// Lists the open jobs.
+#[endpoint { method = GET, path = "/v1/jobs" }]
+pub(crate) async fn list_jobs(context: RequestContext<Arc<Entry>>) -> Result<Reply, HttpError> {
+    let entry = context.context();
+    let jobs = entry
+        .folded
+        .with(|state| state.jobs().map(JobReply::from).collect());
+    Ok(reply::json(StatusCode::OK, &JobList { jobs }))
+}
+
+/// Shows a job.
+#[endpoint { method = GET, path = "/v1/jobs/{job}" }]
+pub(crate) async fn show_job(
+    context: RequestContext<Arc<Entry>>,
+    path: Path<JobPath>,
+) -> Result<Reply, HttpError> {
+    let entry = context.context();
+    Ok(match read_path(&path.into_inner()) {
+        Ok(job) => show(entry, job, StatusCode::OK),
+        Err(findings) => reply::invalid(&findings),
+    })
+}
+
+/// Cancels a job: nothing of it starts any more, and what runs is stopped.
+#[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
+pub(crate) async fn cancel_job(
+    context: RequestContext<Arc<Entry>>,
+    path: Path<JobPath>,
+) -> Result<Reply, HttpError> {
+    let entry = context.context();
+    let job = match read_path(&path.into_inner()) {
+        Ok(job) => job,
+        Err(findings) => return Ok(reply::invalid(&findings)),
+    };
+    Ok(match entry.commit().one(JobCancelled { job }).await {
+        Ok(Effect::Applied(_) | Effect::Duplicate | Effect::Void(_)) => {
+            show(entry, job, StatusCode::OK)
+        }
+        Err(error) => ledger::failed(error),
+    })
+}
+
+fn read_path(path: &JobPath) -> Result<JobId, Findings> {
+    let mut findings = Findings::new();
+    let job = head::parse_at("path.job", &path.job, &mut findings);
+    job.ok_or(findings)
+}
+
+fn show(entry: &Entry, job: JobId, status: StatusCode) -> Reply {
+    let view = entry
+        .folded
+        .with(|state| state.job(job).map(JobReply::from));
+    match view {
+        Some(view) => reply::json(status, &view),
+        None => reply::problem(
+            StatusCode::NOT_FOUND,
+            "no-such-job",
+            "no job with this id is open or ended lately",
+        ),
+    }
+}
--- a/crates/agate_entry/src/http/caller/mod.rs
+++ b/crates/agate_entry/src/http/caller/mod.rs
@@ -1,5 +1,7 @@
 //! What callers are offered.
 
+mod job_body;
+mod jobs;
 mod requests;
 mod tickets;
 
@@ -20,5 +22,9 @@
     api.register(requests::request_fate)?;
     api.register(requests::withhold_request)?;
     api.register(tickets::issue_ticket)?;
+    api.register(jobs::submit_job)?;
+    api.register(jobs::list_jobs)?;
+    api.register(jobs::show_job)?;
+    api.register(jobs::cancel_job)?;
     Ok(api)
 }
--- a/crates/agate_entry/src/http/caller/requests.rs
+++ b/crates/agate_entry/src/http/caller/requests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_core::{ClassName, Findings, Outcome, clock};
+use agate_core::{ClassName, Findings, Key, Outcome, clock};
 use agate_telemetry::spans::{Hop, HopSpan};
 use agate_wire::Blob;
 use dropshot::{HttpError, Path, RequestContext, StreamingBody, endpoint};
@@ -15,6 +15,7 @@
 use crate::http::body;
 use crate::http::head::{self, Binding, Head, HeadRules};
 use crate::http::reply::{self, Reply};
+use crate::keys::{self, BindError};
 use crate::urgent::fate::{KnownFate, Tombstone};
 use crate::urgent::{Call, Deadline, Ending, Sent, Ticket, bound, chosen, fate};
 
@@ -36,7 +37,7 @@
 pub(crate) async fn serve_request(
     context: RequestContext<Arc<Entry>>,
     path: Path<RequestPath>,
-    content: StreamingBody,
+    input: StreamingBody,
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
     let headers = context.request.headers();
@@ -51,7 +52,7 @@
     };
     let class = path.into_inner().target;
     let head = head::read(headers, &class, rules(entry), &mut findings);
-    let bytes = body::read(content, entry.limits.body_bytes, &mut findings).await;
+    let bytes = body::read(input, entry.limits.body_bytes, &mut findings).await;
     let Some(head) = head.filter(|_| findings.is_empty()) else {
         span.fail("invalid");
         entry.metrics.invalid();
@@ -117,12 +118,20 @@
     entry.router.arrived(call, &entry.preset());
     match binding {
         Binding::Ticket(ticket) => bound::serve(entry, call, ticket).await,
-        Binding::Key(_key) => Ending::unsent(call.sent, "the log can't be read", RETRY),
+        Binding::Key(key) => serve_key(entry, call, key).await,
         Binding::None if call.policy.repeatable => chosen::serve_repeatable(entry, call).await,
         Binding::None => chosen::serve_once(entry, call).await,
     }
 }
 
+async fn serve_key(entry: &Entry, call: &Call, key: Key) -> Ending {
+    let bound = call.deadline.run(keys::bind(entry, call, key)).await;
+    match bound.unwrap_or(Err(BindError::Unknown)) {
+        Ok(ticket) => bound::serve(entry, call, ticket).await,
+        Err(error) => error.ending(call),
+    }
+}
+
 fn is_withdrawn(entry: &Entry, class: &ClassName) -> bool {
     entry.config.withdrawn(class, &[]).is_some()
 }
--- a/crates/agate_entry/src/http/caller/tickets.rs
+++ b/crates/agate_entry/src/http/caller/tickets.rs
@@ -30,11 +30,11 @@
 #[endpoint { method = POST, path = "/v1/tickets" }]
 pub(crate) async fn issue_ticket(
     context: RequestContext<Arc<Entry>>,
-    content: StreamingBody,
+    input: StreamingBody,
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
     let mut findings = Findings::new();
-    let bytes = body::read(content, MAX_BYTES, &mut findings).await;
+    let bytes = body::read(input, MAX_BYTES, &mut findings).await;
     let class = read_class(&bytes, &mut findings);
     let Some(class) = class.filter(|_| findings.is_empty()) else {
         return Ok(reply::invalid(&findings));
--- a/crates/agate_entry/src/http/mod.rs
+++ b/crates/agate_entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod caller;
 pub(crate) mod head;
 pub(crate) mod json;
+pub(crate) mod ledger;
 mod listener;
 pub(crate) mod operator;
 pub(crate) mod reply;
--- a/crates/agate_entry/src/http/operator/mod.rs
+++ b/crates/agate_entry/src/http/operator/mod.rs
@@ -2,7 +2,9 @@
 
 mod auth;
 mod members;
+mod presets;
 mod state;
+mod withdrawals;
 
 use std::sync::Arc;
 
@@ -20,5 +22,13 @@
     api.register(state::health)?;
     api.register(state::metrics)?;
     api.register(members::list_members)?;
+    api.register(presets::publish_preset)?;
+    api.register(presets::list_presets)?;
+    api.register(presets::switch_preset)?;
+    api.register(presets::preset_in_force)?;
+    api.register(presets::preset_history)?;
+    api.register(withdrawals::withdraw)?;
+    api.register(withdrawals::resume)?;
+    api.register(withdrawals::list_withdrawals)?;
     Ok(api)
 }
--- /dev/null
+++ b/crates/agate_entry/src/ledger/follow.rs
@@ -0,0 +1,88 @@
+//! Follows the main stream and hands what it did to batch work and configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_log::{FollowSettings, Followed, Follower, recover};
+use agate_records::DecodedBatch;
+use agate_state::{BatchEffect, StateLimits};
+use agate_super::ChildError;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::batch;
+use crate::entry::Entry;
+
+/// Pause before the state is rebuilt after the log has lost what is needed.
+const REBUILD_PAUSE: Duration = Duration::from_secs(5);
+
+/// Follows the main stream until `stop` is cancelled. While the log is down this waits, and urgent
+/// requests are served as before.
+pub(crate) async fn follow(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    while let Some(()) = stop.run_until_cancelled(follow_once(&entry)).await {
+        entry.folded.distrust();
+        if stop
+            .run_until_cancelled(sleep(REBUILD_PAUSE))
+            .await
+            .is_none()
+        {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Rebuilds the state and follows the stream until the log no longer holds what is needed.
+async fn follow_once(entry: &Entry) {
+    let mut rng = StdRng::from_os_rng();
+    let store = Arc::clone(&entry.store);
+    let settings = FollowSettings::default();
+    let recovered = recover(store, StateLimits::default(), settings, &mut rng).await;
+    let mut recovered = match recovered {
+        Ok(recovered) => recovered,
+        Err(error) => {
+            log::error!(event = "state_not_rebuilt", cause:% = error; "");
+            return;
+        }
+    };
+    let follower = &mut recovered.follower;
+    let state = recovered.state;
+    log::info!(event = "state_rebuilt", offset:% = state.applied(), jobs = state.open_jobs(), malformed = recovered.malformed; "");
+    entry.folded.install(state, follower.tip());
+    entry
+        .config
+        .offer_shared(&entry.folded.with(|state| state.config()));
+    batch::rebuild(entry);
+    follow_on(entry, follower, &mut rng).await;
+}
+
+async fn follow_on(entry: &Entry, follower: &mut Follower, rng: &mut StdRng) {
+    loop {
+        match follower.next(rng).await {
+            Followed::Batches(batches) => batches.iter().for_each(|batch| fold(entry, batch)),
+            Followed::Gap { wanted, earliest } => {
+                log::error!(event = "log_gap", wanted:%, earliest:%; "retention has passed this entry");
+                return;
+            }
+            Followed::Rewound { wanted, end } => {
+                log::error!(event = "log_rewound", wanted:%, end:%; "the log has lost appends");
+                return;
+            }
+        }
+    }
+}
+
+fn fold(entry: &Entry, batch: &DecodedBatch) {
+    for malformed in &batch.malformed {
+        log::error!(event = "record_malformed", place:% = malformed.position, cause:% = malformed.error; "");
+    }
+    if let BatchEffect::Folded(effects) = entry.folded.apply(batch) {
+        entry
+            .config
+            .offer_shared(&entry.folded.with(|state| state.config()));
+        batch::on_folded(entry, batch, &effects);
+    }
+    entry.folded.announce(batch.offset);
+}
--- a/crates/agate_entry/src/lib.rs
+++ b/crates/agate_entry/src/lib.rs
@@ -2,10 +2,13 @@
 //! tasks on workers, and takes operators' changes.
 
 mod app;
+mod batch;
 mod clock;
 mod config;
 mod entry;
 mod http;
+mod keys;
+mod ledger;
 mod members;
 mod metrics;
 mod rpc;
--- a/crates/agate_entry/src/members/sweep.rs
+++ b/crates/agate_entry/src/members/sweep.rs
@@ -8,6 +8,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use crate::batch;
 use crate::entry::Entry;
 
 /// Sweeps within one heartbeat interval.
@@ -44,6 +45,7 @@
         Change::Forgotten(incarnation) => {
             log::warn!(event = "member_forgotten", incarnation:%; "");
             entry.links.retain(|held| held != incarnation);
+            batch::left(entry, incarnation);
         }
     }
 }
--- a/crates/agate_entry/src/members/table.rs
+++ b/crates/agate_entry/src/members/table.rs
@@ -87,6 +87,13 @@
         self.lock().set_policy(policy);
     }
 
+    /// Where `incarnation` is reached, if it is known.
+    pub(crate) fn target(&self, incarnation: Incarnation) -> Option<Target> {
+        let view = self.lock();
+        let member = view.find(incarnation)?;
+        Target::find(&view, member)
+    }
+
     /// Where a member is reached, if it is still known.
     pub(crate) fn target_of(&self, member: MemberKey) -> Option<Target> {
         Target::find(&self.lock(), member)
--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_core::{Incarnation, Version};
+use agate_core::{Host, Incarnation, Version};
 use agate_members::Announced;
 use agate_super::ChildError;
 use agate_wire::message::{
-    Heartbeat, HeartbeatAck, Hello, MemberInfo, ReportAck, RunReport, Welcome,
+    Heartbeat, HeartbeatAck, Hello, MemberInfo, ReportAck, RunReport, Verdict, Welcome,
 };
 use agate_wire::rpc::{EntryRpcServer, MAX_MESSAGE_BYTES};
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::batch;
 use crate::entry::Entry;
 
 /// Time between two pings on a connection.
@@ -103,19 +104,22 @@
         if heartbeat.leaving {
             log::debug!(event = "member_leaving", incarnation:% = heartbeat.incarnation; "");
         }
+        if verdict == Verdict::Known {
+            batch::reconcile(&self.0, &heartbeat);
+        }
+        let lease = batch::lease(&self.0, heartbeat.incarnation, verdict);
         let config = self.0.config.newer_than(heartbeat.config);
         self.0.peers.mentioned(heartbeat.entries);
         Ok(HeartbeatAck {
             verdict,
-            lease_ms: 0,
+            lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
             config,
             entries: self.0.entries(),
         })
     }
 
     async fn report(&self, report: RunReport) -> RpcResult<ReportAck> {
-        log::debug!(event = "run_reported", run:% = report.run; "");
-        Ok(ReportAck::Again)
+        Ok(batch::report(&self.0, report).await)
     }
 }
 
@@ -123,12 +127,15 @@
     fn announced(&self, member: MemberInfo) {
         let (incarnation, address) = (member.incarnation, member.address);
         let host = member.host;
+        if host == Host::Worker {
+            batch::joined(&self.0, &member);
+        }
         match self.0.members.announce(member) {
             Announced::Joined(_) => {
                 log::info!(event = "member_joined", incarnation:%, address:%, host:%; "");
             }
             Announced::Replaced { old, .. } => {
-                self.forget_link(old);
+                self.replaced(old);
                 log::info!(event = "member_replaced", incarnation:%, address:%, old:%; "");
             }
             Announced::Known(_) => {}
@@ -138,7 +145,10 @@
         }
     }
 
-    fn forget_link(&self, old: Incarnation) {
+    /// Forgets an incarnation whose address another one has taken.
+    fn replaced(&self, old: Incarnation) {
         self.0.links.retain(|held| held != old);
+        batch::left(&self.0, old);
+        self.0.batch.quietly(|inner| inner.replaced.insert(old));
     }
 }
--- a/crates/agate_entry/src/settings.rs
+++ b/crates/agate_entry/src/settings.rs
@@ -47,6 +47,8 @@
     Inflight,
     /// Time for which records wait to share one append.
     Group,
+    /// Time between two looks at whether a snapshot is due.
+    Snapshot,
 }
 
 impl Describe for EntrySetting {
@@ -65,7 +67,8 @@
             | Self::BodyBytes
             | Self::Connections
             | Self::Inflight
-            | Self::Group => self.describe_limit(),
+            | Self::Group
+            | Self::Snapshot => self.describe_limit(),
         }
     }
 }
@@ -188,7 +191,7 @@
                 1..=100_000,
                 "1024",
             ),
-            _ => (
+            Self::Group => (
                 "group-ms",
                 "AGATE_ENTRY_GROUP_MS",
                 "Time for which records wait to share one append",
@@ -196,6 +199,14 @@
                 0..=1_000,
                 "5",
             ),
+            _ => (
+                "snapshot-seconds",
+                "AGATE_ENTRY_SNAPSHOT_SECONDS",
+                "Mean time between two looks at whether a snapshot is due; at most an eighth of the log's retention",
+                "s",
+                1..=86_400,
+                "300",
+            ),
         };
         Setting {
             flag,
--- a/crates/agate_state/src/config/presets.rs
+++ b/crates/agate_state/src/config/presets.rs
@@ -20,6 +20,13 @@
     preset: Arc<Preset>,
 }
 
+impl Published {
+    /// The checked contents.
+    pub fn preset(&self) -> &Preset {
+        &self.preset
+    }
+}
+
 /// The preset in force. Publishing anew under its name does not change it.
 #[derive(Debug, Clone)]
 pub(crate) struct InForce {
