Generate reference pages and test the shared vocabulary

Cause: settings, presets and decisions each stand in one list in the code; pages written by hand would drift from it. Ruled out: doc comments scraped from rustdoc output, which needs a nightly toolchain.

--- a/crates/agate_docs/src/lib.rs
+++ b/crates/agate_docs/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder.
+//! Reference pages made from the same lists that drive the programs.
+
+mod decisions;
+mod preset;
+
+use agate_agent::AgentSetting;
+use agate_entry::EntrySetting;
+use agate_settings::reference;
+
+/// One generated page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// File name within `docs/reference`.
+    pub file: &'static str,
+    /// Its text.
+    pub text: String,
+}
+
+/// Every generated page.
+pub fn pages() -> Vec<Page> {
+    vec![
+        Page {
+            file: "agate-entry.md",
+            text: reference::<EntrySetting>(&agate_entry::PROGRAM),
+        },
+        Page {
+            file: "agate-agent.md",
+            text: reference::<AgentSetting>(&agate_agent::PROGRAM),
+        },
+        Page {
+            file: "preset.md",
+            text: preset::page(),
+        },
+        Page {
+            file: "decisions.md",
+            text: decisions::page(),
+        },
+    ]
+}
--- a/crates/agate_preset/src/lib.rs
+++ b/crates/agate_preset/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use class::ClassPolicy;
 pub use kind::DayKind;
-pub use preset::Preset;
+pub use preset::{MAX_PRESET_BYTES, Preset};
 pub use team::TeamQuota;
--- a/crates/agate_preset/src/reader.rs
+++ b/crates/agate_preset/src/reader.rs
@@ -103,12 +103,7 @@
     }
 
     /// Reads `true` or `false`.
-    pub fn flag(
-        &mut self,
-        name: &'static str,
-        default: bool,
-        findings: &mut Findings,
-    ) -> bool {
+    pub fn flag(&mut self, name: &'static str, default: bool, findings: &mut Findings) -> bool {
         let Some(value) = self.take(name) else {
             return default;
         };
