--- a/crates/agate_place/src/scheduler/place.rs
+++ b/crates/agate_place/src/scheduler/place.rs
@@ -52,7 +52,9 @@
             self.wait_for_quota(now, head, demand);
             return Turn::Passed;
         }
-        if self.blame.is_doubtful(head.key) && head.taken >= DOUBTFUL_RUNS {
+        if let Some(until) = self.blame.doubtful_until(head.key)
+            && (head.taken >= DOUBTFUL_RUNS || now < until)
+        {
             self.set_aside(now, head.key);
             return Turn::Passed;
         }
--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -9,6 +9,7 @@
 mod blame;
 mod capacity;
 mod eviction;
+mod evidence;
 mod frame;
 mod interference;
 mod order;
