--- a/crates/agate_entry/src/batch/events.rs
+++ b/crates/agate_entry/src/batch/events.rs
@@ -10,6 +10,7 @@
 
 use super::dispatch::Order;
 use super::home::{self, Homes};
+use super::lease;
 use super::reconcile::wanted_stop;
 use super::table::Inner;
 use crate::entry::Entry;
@@ -21,6 +22,8 @@
     entry.folded.with(|state| {
         entry.batch.with(|inner| {
             inner.scheduler.configure(now, policy);
+            let bound = lease::bound(entry, state);
+            inner.leases.get_or_insert(bound);
             for withdrawal in &state.config().withdrawals {
                 inner.scheduler.withdraw(&picked(&withdrawal.selector));
             }
@@ -128,6 +131,9 @@
         if let Some(in_force) = &config.preset {
             let policy = Policy::from(&in_force.preset);
             self.inner.scheduler.configure(now, policy);
+            if let Some(leases) = &mut self.inner.leases {
+                leases.put_in_force(lease::length(self.state), now);
+            }
         }
     }
 
--- a/crates/agate_entry/src/batch/lease.rs
+++ b/crates/agate_entry/src/batch/lease.rs
@@ -3,16 +3,13 @@
 use std::time::Duration;
 
 use agate_core::Incarnation;
+use agate_preset::policy::Leases;
+use agate_state::State;
 use agate_wire::message::Verdict;
 
+use super::LeaseBound;
 use crate::entry::Entry;
 
-/// Addition to the longest lease that covers the drift of clocks, as a divisor of the lease.
-const DRIFT_SHARE: u32 = 20;
-
-/// Addition to the longest lease that covers what takes a fixed time.
-const MARGIN: Duration = Duration::from_secs(1);
-
 /// The lease that a heartbeat earns: the time for which a run may be held, less the age of the
 /// state. An entry that can't read the log grants nothing, and neither does one that knows of the
 /// sender's loss.
@@ -25,28 +22,29 @@
     let Some(age) = entry.folded.age() else {
         return Duration::ZERO;
     };
-    let (lost, run_ms) = entry.folded.with(|state| {
-        let preset = state.config().preset.clone();
-        let leases = preset.map(|in_force| in_force.preset.leases);
-        let run_ms = leases.unwrap_or_default().run_ms;
-        (state.lost(holder).is_some(), run_ms)
-    });
-    if lost {
+    let (is_lost, length) = entry
+        .folded
+        .with(|state| (state.lost(holder).is_some(), length(state)));
+    if is_lost {
         return Duration::ZERO;
     }
-    Duration::from_millis(u64::from(run_ms)).saturating_sub(age)
+    length.saturating_sub(age)
+}
+
+/// The length of leases that the folded state puts in force.
+pub(super) fn length(state: &State) -> Duration {
+    let config = state.config();
+    let leases = config.preset.as_ref().map(|p| p.preset.leases);
+    millis(leases.unwrap_or_default())
+}
+
+/// Bounds the leases that may be held when this process reads the log for the first time.
+pub(super) fn bound(entry: &Entry, state: &State) -> LeaseBound {
+    let published = state.presets().map(|p| millis(p.preset().leases));
+    let earlier = published.chain([millis(Leases::default())]);
+    LeaseBound::new(length(state), earlier, entry.clock.now())
 }
 
-/// How long after the record of its loss a holder may still be running: the longest lease that any
-/// entry may have granted, and a margin for the drift of clocks.
-pub(crate) fn lapse(entry: &Entry) -> Duration {
-    let longest = entry.folded.with(|state| {
-        let config = state.config();
-        let in_force = config.preset.as_ref().map(|p| p.preset.leases.run_ms);
-        let published = state.presets().map(|p| p.preset().leases.run_ms);
-        let usual = agate_preset::policy::Leases::default().run_ms;
-        published.chain(in_force).chain([usual]).max()
-    });
-    let longest = Duration::from_millis(u64::from(longest.unwrap_or_default()));
-    longest + longest / DRIFT_SHARE + MARGIN
+fn millis(leases: Leases) -> Duration {
+    Duration::from_millis(u64::from(leases.run_ms))
 }
--- a/crates/agate_entry/src/batch/reap.rs
+++ b/crates/agate_entry/src/batch/reap.rs
@@ -11,7 +11,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::home::Homes;
-use super::lease::lapse;
 use crate::entry::Entry;
 
 /// Time between two looks.
@@ -92,7 +91,11 @@
     /// Ends the runs of a lost holder once its leases have lapsed.
     async fn end_runs(&mut self, entry: &Entry, holder: Incarnation) {
         let since = *self.lost.entry(holder).or_insert_with(Instant::now);
-        if since.elapsed() < lapse(entry) {
+        let now = entry.clock.now();
+        let lapse = entry
+            .batch
+            .quietly(|inner| Some(inner.leases.as_ref()?.lapse(now)));
+        if lapse.is_none_or(|lapse| since.elapsed() < lapse) {
             return;
         }
         let runs = entry.folded.with(|state| state.runs_of(holder));
--- a/crates/agate_entry/src/batch/table.rs
+++ b/crates/agate_entry/src/batch/table.rs
@@ -8,6 +8,7 @@
 use agate_preset::Preset;
 use tokio::sync::{Notify, mpsc};
 
+use super::LeaseBound;
 use super::dispatch::Order;
 
 /// The scheduler behind a lock that is never held across an await. Where the folded state is
@@ -29,6 +30,8 @@
     pub(crate) queued: HashSet<JobId>,
     /// Starts that are under way.
     pub(crate) starting: HashSet<RunId>,
+    /// Leases that may be held; none before the log has been read.
+    pub(crate) leases: Option<LeaseBound>,
     /// Incarnations that are known to have been replaced.
     pub(crate) replaced: HashSet<Incarnation>,
 }
@@ -41,6 +44,7 @@
             scheduler: Scheduler::new(Policy::from(&Preset::default())),
             queued: HashSet::new(),
             starting: HashSet::new(),
+            leases: None,
             replaced: HashSet::new(),
         };
         Self {
--- a/crates/agate_entry/src/keys/follow.rs
+++ b/crates/agate_entry/src/keys/follow.rs
@@ -25,7 +25,9 @@
     while let Some(followed) = stop.run_until_cancelled(follower.next(&mut rng)).await {
         match followed {
             Followed::Batches(batches) => {
-                batches.iter().for_each(|batch| entry.keys.apply(batch));
+                for batch in &batches {
+                    entry.keys.apply(batch);
+                }
                 reading = Reading::Begun;
             }
             Followed::Gap { wanted, earliest } => {
--- a/crates/agate_entry/src/ledger/follow.rs
+++ b/crates/agate_entry/src/ledger/follow.rs
@@ -61,7 +61,11 @@
 async fn follow_on(entry: &Entry, follower: &mut Follower, rng: &mut StdRng) {
     loop {
         match follower.next(rng).await {
-            Followed::Batches(batches) => batches.iter().for_each(|batch| fold(entry, batch)),
+            Followed::Batches(batches) => {
+                for batch in &batches {
+                    fold(entry, batch);
+                }
+            }
             Followed::Gap { wanted, earliest } => {
                 log::error!(event = "log_gap", wanted:%, earliest:%; "retention has passed this entry");
                 return;
--- a/crates/agate_entry/src/ledger/snapshot.rs
+++ b/crates/agate_entry/src/ledger/snapshot.rs
@@ -50,8 +50,8 @@
     if !fresh || !writer.is_due().await? {
         return Ok(());
     }
-    let written = entry.folded.with(|state| writer.write(state, rng));
-    written.await?;
+    let pending = entry.folded.with(|state| writer.take(state, rng));
+    pending.write().await?;
     log::info!(event = "snapshot_written"; "");
     Ok(())
 }
--- a/crates/agate_entry/src/lib.rs
+++ b/crates/agate_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod urgent;
 
 pub use app::{Ending, EntryConfig, Running, Shutdown, StartError, start};
+pub use batch::LeaseBound;
 pub use entry::Limits;
 pub use settings::{EntrySetting, PROGRAM};
 pub use urgent::{Ticket, TicketError, TicketSigner};
--- /dev/null
+++ b/crates/agate_entry/tests/it/drain.rs
@@ -0,0 +1,65 @@
+//! The way to a graceful shutdown, and what survives the end of a task.
+
+use std::time::Duration;
+
+use agate_entry::Ending;
+use http::StatusCode;
+
+use crate::support::{Behaviour, Http, backend, callers, entry, eventually, header, text, value};
+
+const ONCE: &str = "/v1/requests/bench-bind";
+
+#[tokio::test]
+async fn planned_stop_cuts_off_no_request() {
+    let entry = entry().await;
+    let (agent, _beats) = backend(&entry, 1, Behaviour::Slow(Duration::from_millis(600))).await;
+    let caller = callers(&entry);
+    let monitor = Http::new(entry.operator_address());
+    let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
+    eventually("the request runs", async || agent.lock().ran.len() == 1).await;
+    let shutdown = entry.shutdown();
+    let caller = callers(&entry);
+    let ended = tokio::spawn(entry.wait());
+    shutdown.leave();
+    eventually("health says leaving", async || {
+        let health = monitor.get("/health").await;
+        health.status() == StatusCode::SERVICE_UNAVAILABLE && value(&health)["status"] == "leaving"
+    })
+    .await;
+    let during = caller.post(ONCE, "row 5").await;
+    assert_eq!(text(&during), "echo:row 5");
+    assert_eq!(text(&request.await.unwrap()), "echo:row 4");
+    assert_eq!(ended.await.unwrap().unwrap(), Ending::Clean);
+}
+
+#[tokio::test]
+async fn second_signal_reports_every_open_request_as_unknown() {
+    let entry = entry().await;
+    let (agent, _beats) = backend(&entry, 1, Behaviour::Slow(Duration::from_secs(30))).await;
+    let caller = callers(&entry).with("agate-deadline-ms", 60_000);
+    let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
+    eventually("the request runs", async || agent.lock().ran.len() == 1).await;
+    let shutdown = entry.shutdown();
+    let ended = tokio::spawn(entry.wait());
+    shutdown.leave();
+    shutdown.abort();
+    let answer = request.await.unwrap();
+    assert_eq!(header(&answer, "agate-outcome"), "unknown");
+    assert!(!header(&answer, "agate-ticket").is_empty());
+    assert_eq!(ended.await.unwrap().unwrap(), Ending::Cut);
+}
+
+#[tokio::test]
+async fn killed_listener_comes_back_at_the_same_address() {
+    let entry = entry().await;
+    let (_agent, _beats) = backend(&entry, 1, Behaviour::Answer).await;
+    let [front, _back] = entry.controls();
+    front.kill("callers");
+    let address = entry.caller_address();
+    eventually("the listener is back", async || {
+        tokio::net::TcpStream::connect(address).await.is_ok()
+    })
+    .await;
+    let answer = callers(&entry).post(ONCE, "row 4").await;
+    assert_eq!(text(&answer), "echo:row 4");
+}
--- /dev/null
+++ b/crates/agate_entry/tests/it/jobs.rs
@@ -0,0 +1,246 @@
+//! Batch jobs from submission to the end of their tasks.
+
+use std::time::Duration;
+
+use agate_core::RunId;
+use agate_entry::Running;
+use agate_wire::message::{ReportAck, RunResult, StartReply, StopKind, Verdict};
+use http::StatusCode;
+use serde_json::{Value, json};
+
+use crate::support::{
+    Answer, FakeAgent, callers, entry_on, eventually, header, log, operators, outage, value, worker,
+};
+
+async fn submit(entry: &Running, tasks: u32) -> Answer {
+    let body = json!({
+        "job": "2a",
+        "team": "board",
+        "class": "rebalance",
+        "tags": ["season:2026"],
+        "tasks": tasks,
+        "resources": {"millicores": 1_000, "memory_mib": 512},
+        "payload": "high holy days",
+    });
+    callers(entry).post("/v1/jobs", body.to_string()).await
+}
+
+async fn job(entry: &Running) -> Value {
+    value(&callers(entry).get("/v1/jobs/2a").await)
+}
+
+fn started(agent: &FakeAgent) -> Vec<RunId> {
+    agent.lock().starts.iter().map(|start| start.run).collect()
+}
+
+async fn runs(agent: &FakeAgent, count: usize) -> Vec<RunId> {
+    eventually("runs start", async || started(agent).len() >= count).await;
+    started(agent)
+}
+
+#[tokio::test]
+async fn job_runs_to_its_end_and_counts_once() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    assert_eq!(submit(&entry, 3).await.status(), StatusCode::CREATED);
+    assert_eq!(submit(&entry, 3).await.status(), StatusCode::OK);
+    for run in runs(&agent, 3).await {
+        let ack = agent.report(entry.rpc_address(), run, RunResult::Finished);
+        assert_eq!(ack.await, ReportAck::Recorded);
+    }
+    eventually("the job is finished", async || {
+        job(&entry).await["phase"] == "finished"
+    })
+    .await;
+    assert_eq!(started(&agent).len(), 3);
+    assert_eq!(agent.lock().starts[0].payload, "high holy days");
+}
+
+#[tokio::test]
+async fn evicted_run_resumes_once_from_its_checkpoint() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    let first = runs(&agent, 1).await[0];
+    let evicted = RunResult::Evicted {
+        checkpoint: "step 7".to_owned(),
+    };
+    for _ in 0..2 {
+        let ack = agent.report(entry.rpc_address(), first, evicted.clone());
+        assert_eq!(ack.await, ReportAck::Recorded);
+    }
+    let second = runs(&agent, 2).await[1];
+    assert_eq!(second.epoch, 2);
+    assert_eq!(agent.lock().starts[1].checkpoint.as_deref(), Some("step 7"));
+    let late = agent.report(entry.rpc_address(), first, RunResult::Finished);
+    assert_eq!(late.await, ReportAck::Recorded);
+    assert_eq!(job(&entry).await["finished"], 0);
+}
+
+#[tokio::test]
+async fn refused_start_is_recorded_and_bound_again() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    agent.lock().start_reply = StartReply::Refused {
+        reason: "no room".to_owned(),
+    };
+    submit(&entry, 1).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    agent.lock().start_reply = StartReply::Started;
+    let run = runs(&agent, 1).await[0];
+    assert!(run.epoch > 1, "the refused run was not ended");
+}
+
+#[tokio::test]
+async fn run_bound_by_an_entry_that_died_is_started_by_the_next() {
+    let log = log().await;
+    let first = entry_on(&log, vec![]).await;
+    let (agent, beats) = worker(&first, 1).await;
+    submit(&first, 1).await;
+    let run = runs(&agent, 1).await[0];
+    first.shutdown().abort();
+    first.wait().await.unwrap();
+    drop(beats);
+    agent.lock().held.clear();
+    agent.lock().starts.clear();
+    let second = entry_on(&log, vec![]).await;
+    let _beats = agent
+        .join(
+            second.rpc_address(),
+            agate_core::Host::Worker,
+            agent.address,
+        )
+        .await;
+    assert_eq!(runs(&agent, 1).await, [run]);
+}
+
+#[tokio::test]
+async fn outage_refuses_jobs_and_reports_and_grants_no_lease() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    let run = runs(&agent, 1).await[0];
+    let lease = |agent: &FakeAgent| agent.lock().ack.as_ref().map_or(0, |ack| ack.lease_ms);
+    eventually("a lease is granted", async || lease(&agent) > 55_000).await;
+    let granted = lease(&agent);
+    outage(&log);
+    let body = json!({"team": "board", "class": "rebalance", "resources": {"millicores": 1}});
+    let refused = callers(&entry).post("/v1/jobs", body.to_string()).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!header(&refused, "retry-after").is_empty());
+    let ack = agent.report(entry.rpc_address(), run, RunResult::Finished);
+    assert_eq!(ack.await, ReportAck::Again);
+    eventually("leases shrink", async || lease(&agent) + 1_000 < granted).await;
+    log.set_faults(standin_log::Faults::default());
+    eventually("the report is recorded", async || {
+        let ack = agent.report(entry.rpc_address(), run, RunResult::Finished);
+        ack.await == ReportAck::Recorded
+    })
+    .await;
+    assert_eq!(job(&entry).await["phase"], "finished");
+}
+
+#[tokio::test]
+async fn withdrawn_tag_evicts_what_runs_and_resumes_once() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    let run = runs(&agent, 1).await[0];
+    let operator = operators(&entry);
+    let body = r#"{"tag": "season:2026", "mode": "checkpoint"}"#;
+    operator.post("/v1/withdrawals", body).await;
+    eventually("the run is evicted", async || {
+        let state = agent.lock();
+        state
+            .stops
+            .iter()
+            .any(|stop| stop.run == run && stop.kind == StopKind::Evict)
+    })
+    .await;
+    let evicted = RunResult::Evicted {
+        checkpoint: "step 7".to_owned(),
+    };
+    agent.report(entry.rpc_address(), run, evicted).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(started(&agent), [run], "withdrawn work came back");
+    operator
+        .delete_with("/v1/withdrawals", r#"{"tag": "season:2026"}"#)
+        .await;
+    assert_eq!(runs(&agent, 2).await.len(), 2);
+}
+
+#[tokio::test]
+async fn cancelled_job_is_stopped_and_never_starts_again() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    let run = runs(&agent, 1).await[0];
+    callers(&entry).delete("/v1/jobs/2a").await;
+    eventually("the run is cancelled", async || {
+        let state = agent.lock();
+        state.stops.iter().any(|stop| stop.kind == StopKind::Cancel)
+    })
+    .await;
+    agent
+        .report(entry.rpc_address(), run, RunResult::Stopped)
+        .await;
+    eventually("the job is cancelled", async || {
+        job(&entry).await["phase"] == "cancelled"
+    })
+    .await;
+    assert_eq!(started(&agent), [run]);
+}
+
+#[tokio::test]
+async fn job_that_no_worker_can_run_is_told_so() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (_agent, _beats) = worker(&entry, 1).await;
+    let body = json!({
+        "job": "2a",
+        "team": "board",
+        "class": "rebalance",
+        "resources": {"millicores": 1_000_000},
+    });
+    callers(&entry).post("/v1/jobs", body.to_string()).await;
+    let mut seen = Value::Null;
+    for _ in 0..60 {
+        seen = job(&entry).await;
+        if seen["phase"] == "failed" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(seen["impossible"], 1, "{seen}");
+    let reason = seen["failures"][0]["reason"].as_str().unwrap();
+    assert!(reason.contains("processors"), "{reason}");
+}
+
+#[tokio::test]
+async fn replaced_holder_is_lost_and_earns_no_lease() {
+    let log = log().await;
+    let entry = entry_on(&log, vec![]).await;
+    let (agent, _beats) = worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    let run = runs(&agent, 1).await[0];
+    let other = FakeAgent::start(2, crate::support::Behaviour::Answer).await;
+    let _other_beats = other
+        .join(entry.rpc_address(), agate_core::Host::Worker, agent.address)
+        .await;
+    eventually("the holder is told", async || {
+        let state = agent.lock();
+        let ack = state.ack.as_ref().unwrap();
+        ack.verdict == Verdict::Lost && ack.lease_ms == 0
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(started(&other), [], "bound again before the lease lapsed");
+    let ended = agent.report(entry.rpc_address(), run, RunResult::Stopped);
+    assert_eq!(ended.await, ReportAck::Recorded);
+}
--- /dev/null
+++ b/crates/agate_entry/tests/it/leases.rs
@@ -0,0 +1,43 @@
+//! The bound on leases that may be held after a loss.
+
+use std::time::Duration;
+
+use agate_core::Moment;
+use agate_entry::LeaseBound;
+use rstest::rstest;
+
+const MINUTE: Duration = Duration::from_mins(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn at(seconds: u64) -> Moment {
+    Moment::ZERO + Duration::from_secs(seconds)
+}
+
+#[rstest]
+#[case::longer_lease_may_be_held(59, MINUTE)]
+#[case::longer_lease_has_lapsed(61, SECOND)]
+fn lease_of_an_earlier_preset_counts_until_it_has_lapsed(
+    #[case] seconds: u64,
+    #[case] longest: Duration,
+) {
+    let mut bound = LeaseBound::new(MINUTE, [], at(0));
+    bound.put_in_force(SECOND, at(0));
+    let lapse = bound.lapse(at(seconds));
+    assert!(lapse > longest, "{lapse:?}");
+    assert!(lapse < longest * 2 + SECOND * 2, "{lapse:?}");
+}
+
+#[test]
+fn lease_granted_before_this_process_began_counts() {
+    let bound = LeaseBound::new(SECOND, [MINUTE], at(100));
+    assert!(bound.lapse(at(159)) > MINUTE);
+    assert!(bound.lapse(at(161)) < MINUTE);
+}
+
+#[test]
+fn shorter_lease_switched_to_and_back_keeps_the_longer() {
+    let mut bound = LeaseBound::new(MINUTE, [], at(0));
+    bound.put_in_force(SECOND, at(0));
+    bound.put_in_force(SECOND * 2, at(30));
+    assert!(bound.lapse(at(59)) > MINUTE);
+}
--- a/crates/agate_entry/tests/it/main.rs
+++ b/crates/agate_entry/tests/it/main.rs
@@ -4,5 +4,12 @@
     reason = "a fixture that fails is a test that fails"
 )]
 
+mod drain;
+mod input;
+mod jobs;
+mod keys;
+mod leases;
+mod operators;
 mod requests;
 mod support;
+mod tickets;
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -5,12 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use agate_core::{Host, Incarnation, Key, Version};
+use agate_core::{Host, Incarnation, Key, Resources, RunId, Version};
 use agate_wire::Blob;
 use agate_wire::message::{
-    Answer, Capacity, ConfigState, Fate, FateReply, FateRequest, Heartbeat, Hello, Load,
-    MemberInfo, Refusal, ServeReply, ServeRequest, ServeResult, StartReply, StartRun, StopReply,
-    StopRun,
+    Answer, Capacity, ConfigState, Fate, FateReply, FateRequest, Heartbeat, HeartbeatAck, Hello,
+    Load, MemberInfo, Refusal, ReportAck, RunReport, RunResult, RunStatus, ServeReply,
+    ServeRequest, ServeResult, StartReply, StartRun, StopReply, StopRun,
 };
 use agate_wire::rpc::{AgentRpcServer, EntryRpcClient, MAX_MESSAGE_BYTES};
 use jsonrpsee::core::{RpcResult, async_trait};
@@ -51,6 +51,10 @@
     pub starts: Vec<StartRun>,
     pub stops: Vec<StopRun>,
     pub start_reply: StartReply,
+    /// Runs held, as heartbeats list them.
+    pub held: Vec<RunStatus>,
+    /// The newest answer to a heartbeat.
+    pub ack: Option<HeartbeatAck>,
 }
 
 #[derive(Debug, Clone)]
@@ -75,6 +79,8 @@
             starts: Vec::new(),
             stops: Vec::new(),
             start_reply: StartReply::Started,
+            held: Vec::new(),
+            ack: None,
         };
         let state = Arc::new(Mutex::new(state));
         let incarnation = Incarnation::new(incarnation);
@@ -109,6 +115,26 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Reports the end of a run and returns the entry's answer.
+    pub async fn report(&self, entry: SocketAddr, run: RunId, result: RunResult) -> ReportAck {
+        let client = WsClientBuilder::new()
+            .build(format!("ws://{entry}"))
+            .await
+            .unwrap();
+        let report = RunReport {
+            run,
+            incarnation: self.incarnation,
+            result,
+            peak: Resources::ZERO,
+            ran_ms: 1,
+        };
+        let ack = client.report(report).await.unwrap();
+        if ack == ReportAck::Recorded {
+            self.lock().held.retain(|status| status.run != run);
+        }
+        ack
+    }
+
     /// Announces the agent to an entry under `address` and keeps sending heartbeats.
     pub async fn join(&self, entry: SocketAddr, host: Host, address: SocketAddr) -> Heartbeats {
         let client = WsClientBuilder::new()
@@ -123,7 +149,7 @@
             capacity: Capacity {
                 slots: 8,
                 connections: 64,
-                resources: agate_core::Resources::new(16_000, 60_000, 0),
+                resources: Resources::new(16_000, 60_000, 0),
             },
             classes: Vec::new(),
         };
@@ -135,21 +161,26 @@
         let (incarnation, state) = (self.incarnation, Arc::clone(&self.state));
         Heartbeats(tokio::spawn(async move {
             for sequence in 1.. {
-                let version = state.lock().unwrap().config.as_ref().map(|c| c.version);
+                let (version, runs) = {
+                    let state = state.lock().unwrap();
+                    let version = state.config.as_ref().map(|c| c.version);
+                    (version, state.held.clone())
+                };
                 let beat = Heartbeat {
                     incarnation,
                     sequence,
                     leaving: false,
                     load: Load::default(),
                     config: version.unwrap_or_default(),
-                    runs: Vec::new(),
+                    runs,
                     usage: Vec::new(),
                     urgent: Vec::new(),
                     entries: Vec::new(),
                 };
-                let Ok(_ack) = client.heartbeat(beat).await else {
+                let Ok(ack) = client.heartbeat(beat).await else {
                     return;
                 };
+                state.lock().unwrap().ack = Some(ack);
                 tokio::time::sleep(Duration::from_millis(200)).await;
             }
         }))
@@ -284,8 +315,16 @@
 
     async fn start(&self, request: StartRun) -> RpcResult<StartReply> {
         let mut state = self.state.lock().unwrap();
-        state.starts.push(request);
-        Ok(state.start_reply.clone())
+        let reply = state.start_reply.clone();
+        let status = RunStatus {
+            run: request.run,
+            step: None,
+        };
+        if reply == StartReply::Started && !state.held.contains(&status) {
+            state.held.push(status);
+            state.starts.push(request);
+        }
+        Ok(reply)
     }
 
     async fn stop(&self, request: StopRun) -> RpcResult<StopReply> {
--- a/crates/agate_entry/tests/it/support/client.rs
+++ b/crates/agate_entry/tests/it/support/client.rs
@@ -43,6 +43,10 @@
         self.send(Method::DELETE, path, "").await
     }
 
+    pub async fn delete_with(&self, path: &str, body: impl Into<Bytes>) -> Answer {
+        self.send(Method::DELETE, path, body).await
+    }
+
     pub async fn post(&self, path: &str, body: impl Into<Bytes>) -> Answer {
         self.send(Method::POST, path, body).await
     }
--- a/crates/agate_entry/tests/it/support/mod.rs
+++ b/crates/agate_entry/tests/it/support/mod.rs
@@ -43,6 +43,41 @@
     start(config).await.unwrap()
 }
 
+/// Starts a log of its own.
+pub async fn log() -> standin_log::Handle {
+    let limits = standin_log::Limits {
+        retention: Duration::from_hours(1),
+        appends_per_second: 500,
+    };
+    let config = standin_log::Config::builder()
+        .listen(any())
+        .limits(limits)
+        .build();
+    standin_log::serve(config).await.unwrap()
+}
+
+/// Takes the log down.
+pub fn outage(log: &standin_log::Handle) {
+    log.set_faults(standin_log::Faults {
+        outage: true,
+        ..standin_log::Faults::default()
+    });
+}
+
+/// Starts an entry that follows `log` and knows the entries in `seeds`.
+pub async fn entry_on(log: &standin_log::Handle, seeds: Vec<SocketAddr>) -> Running {
+    let entry = entry_with(log.address(), seeds, quick()).await;
+    let operator = operators(&entry);
+    eventually("the entry reads the log", async || {
+        let probe = operator
+            .post("/v1/presets/switch", r#"{"name":"none","expected":"0+0"}"#)
+            .await;
+        probe.status() != http::StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    entry
+}
+
 /// Starts an entry without a log.
 pub async fn entry() -> Running {
     let nowhere = "127.0.0.1:1".parse().unwrap();
@@ -78,6 +113,15 @@
     (agent, beats)
 }
 
+/// Starts a fake worker's agent and announces it to `entry`.
+pub async fn worker(entry: &Running, incarnation: u64) -> (FakeAgent, Heartbeats) {
+    let agent = FakeAgent::start(incarnation, Behaviour::Answer).await;
+    let beats = agent
+        .join(entry.rpc_address(), Host::Worker, agent.address)
+        .await;
+    (agent, beats)
+}
+
 /// Waits until `check` holds, for at most ten seconds.
 pub async fn eventually(what: &str, mut check: impl AsyncFnMut() -> bool) {
     for _ in 0..500 {
--- /dev/null
+++ b/crates/agate_entry/tests/it/tickets.rs
@@ -0,0 +1,53 @@
+//! Tickets as text.
+
+use agate_core::{Incarnation, Key};
+use agate_entry::{Ticket, TicketError, TicketSigner};
+use agate_settings::Secret;
+use proptest::prelude::*;
+
+fn signer(secret: &str) -> TicketSigner {
+    TicketSigner::new(Secret::new(secret))
+}
+
+fn ticket(address: &str) -> Ticket {
+    Ticket {
+        key: Key::from_parts(1_765_000_000_000, [7; 10]),
+        incarnation: Incarnation::new(42),
+        address: address.parse().unwrap(),
+    }
+}
+
+#[test]
+fn ticket_survives_its_text() {
+    let signer = signer("0123456789abcdef");
+    for address in ["10.0.0.7:7000", "[::1]:7000"] {
+        let ticket = ticket(address);
+        assert_eq!(signer.open(&signer.sign(&ticket)), Ok(ticket));
+    }
+}
+
+#[test]
+fn ticket_of_another_secret_is_refused() {
+    let text = signer("another secret text").sign(&ticket("10.0.0.7:7000"));
+    let opened = signer("0123456789abcdef").open(&text);
+    assert_eq!(opened, Err(TicketError::BadSignature));
+}
+
+proptest! {
+    #[test]
+    fn changed_ticket_is_refused(index in 0_usize..100, byte in any::<u8>()) {
+        let signer = signer("0123456789abcdef");
+        let mut text = signer.sign(&ticket("10.0.0.7:7000")).into_bytes();
+        let index = index % text.len();
+        prop_assume!(text[index] != byte);
+        text[index] = byte;
+        if let Ok(text) = String::from_utf8(text) {
+            prop_assert!(signer.open(&text).is_err());
+        }
+    }
+
+    #[test]
+    fn any_text_is_no_ticket(text in ".{0,300}") {
+        prop_assert!(signer("0123456789abcdef").open(&text).is_err());
+    }
+}
