Stand in for a worker; test runs and planned stops

Cause: runs, leases and the planned stop need a worker whose own record can be checked. Ruled out: nothing; the first run of the tests showed two faults of the planned stop. A stop that was cut off counted as whole, since work ends at once when it is cut off; and a request that waited could be sent after the cut, by the slot that the cut had freed.

--- a/crates/agate_agent/src/process/drain.rs
+++ b/crates/agate_agent/src/process/drain.rs
@@ -44,9 +44,10 @@
     core.work.close();
     let finished = tokio::select! {
         finished = timeout_at(deadline, core.work.wait()) => finished.is_ok(),
-        () = core.reached(Phase::Ending) => core.work.is_empty(),
+        () = core.reached(Phase::Ending) => false,
     };
-    if finished {
+    // Work ends at once when it is cut off, so that its end alone proves nothing.
+    if finished && core.phase() < Phase::Ending {
         log::info!(event = "drained"; "");
         return Drained::Whole;
     }
--- a/crates/agate_agent/src/process/mod.rs
+++ b/crates/agate_agent/src/process/mod.rs
@@ -9,5 +9,6 @@
 mod tree;
 
 pub use agent::{Agent, StartError};
+pub use drain::Drained;
 pub(crate) use metrics::Metrics;
 pub use run::run;
--- a/crates/agate_agent/src/urgent/attempt.rs
+++ b/crates/agate_agent/src/urgent/attempt.rs
@@ -63,6 +63,9 @@
     request: &ServeRequest,
     permit: &Permit,
 ) -> Result<(), Refusal> {
+    if core.phase() == Phase::Ending {
+        return Err(Refusal::Leaving);
+    }
     if core.policy.held().withdraws_class(&request.class) {
         return Err(Refusal::Withdrawn);
     }
--- /dev/null
+++ b/crates/agate_agent/tests/agent/drain.rs
@@ -0,0 +1,111 @@
+//! The planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_agent::Drained;
+use agate_wire::message::{RunResult, ServeResult, StartReply};
+use agate_wire::rpc::AgentRpcClient;
+use standin_backend::{Config, Fault, Handle, ServiceTime, serve};
+
+use crate::support::{Choice, FakeEntry, OnWorker, dial, quick_config, request, until};
+
+async fn backend() -> Handle {
+    let service = ServiceTime::Fixed(Duration::from_millis(300));
+    let config = Config::builder().slots(1).service(service).build();
+    serve(config).await.expect("loopback has free ports")
+}
+
+#[tokio::test]
+async fn planned_stop_cuts_off_no_request() {
+    let backend = backend().await;
+    let entry = FakeEntry::start().await;
+    entry.state().config = Some(quick_config(1));
+    let mut choice = Choice::backend(backend.address());
+    choice.slots = 1;
+    choice.seeds = vec![entry.info.address];
+    let agent = choice.start();
+    entry
+        .until("a heartbeat", |state| !state.heartbeats.is_empty())
+        .await;
+    let client = Arc::new(dial(agent.address()).await);
+    let requests: Vec<_> = (0..3)
+        .map(|id| {
+            let (client, request) = (Arc::clone(&client), request(&agent, id));
+            tokio::spawn(async move { client.serve(request).await })
+        })
+        .collect();
+    until("a request that runs", || backend.ran().runs.len() == 1).await;
+
+    let drained = agent.drain().await;
+    agent.shut_down().await;
+    assert_eq!(drained, Drained::Whole);
+    for request in requests {
+        let reply = request.await.expect("no panic").expect("a reply");
+        assert!(matches!(reply.result, ServeResult::Done(_)), "{reply:?}");
+    }
+    assert_eq!(backend.ran().runs.len(), 3);
+    let state = entry.state();
+    let last = state.heartbeats.last().expect("heartbeats were seen");
+    assert!(last.leaving);
+}
+
+#[tokio::test]
+async fn stop_that_is_cut_off_still_answers_everyone() {
+    let backend = backend().await;
+    let mut choice = Choice::backend(backend.address());
+    choice.slots = 1;
+    let agent = choice.start();
+    let client = Arc::new(dial(agent.address()).await);
+    backend.set_fault(Fault::Silence);
+    let requests: Vec<_> = (0..2)
+        .map(|id| {
+            let (client, request) = (Arc::clone(&client), request(&agent, id));
+            tokio::spawn(async move { client.serve(request).await })
+        })
+        .collect();
+    until("a request that runs", || backend.ran().runs.len() == 1).await;
+    let (drained, ()) = tokio::join!(agent.drain(), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        agent.cut_off();
+    });
+    agent.shut_down().await;
+    assert_eq!(drained, Drained::CutOff);
+    let mut kinds = Vec::new();
+    for request in requests {
+        let reply = request.await.expect("no panic").expect("a reply");
+        kinds.push(match reply.result {
+            ServeResult::Done(_) => "done",
+            ServeResult::Refused { .. } => "refused",
+            ServeResult::Failed { .. } => "failed",
+        });
+    }
+    kinds.sort_unstable();
+    assert_eq!(kinds, ["failed", "refused"]);
+    assert_eq!(backend.ran().runs.len(), 1);
+}
+
+#[tokio::test]
+async fn planned_stop_evicts_runs_and_waits_until_that_is_on_record() {
+    let on = OnWorker::start().await;
+    let run = on.run(0, 1, r#"{"duration_ms": 600000}"#);
+    let reply = on.client.start(run.clone()).await.expect("a reply");
+    assert_eq!(reply, StartReply::Started);
+    assert_eq!(on.agent.drain().await, Drained::Whole);
+    let result = on.report(run.run).await.result;
+    assert!(matches!(result, RunResult::Evicted { .. }), "{result:?}");
+}
+
+#[tokio::test]
+async fn stop_that_is_cut_off_stops_and_reports_runs() {
+    let on = OnWorker::start().await;
+    let slow = r#"{"duration_ms": 600000, "checkpoint_ms": 600000}"#;
+    let run = on.run(0, 1, slow);
+    on.client.start(run.clone()).await.expect("a reply");
+    let (drained, ()) = tokio::join!(on.agent.drain(), async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        on.agent.cut_off();
+    });
+    assert_eq!(drained, Drained::CutOff);
+    assert_eq!(on.report(run.run).await.result, RunResult::Stopped);
+}
--- a/crates/agate_agent/tests/agent/main.rs
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -1,5 +1,7 @@
 //! One agent beside a stand-in, called by an entry that the tests play.
 
+mod drain;
 mod entries;
+mod runs;
 mod support;
 mod urgent;
--- a/crates/agate_agent/tests/agent/support.rs
+++ b/crates/agate_agent/tests/agent/support.rs
@@ -7,18 +7,21 @@
 use agate_agent::{Agent, AgentConfig, Clock, MachineClock};
 use agate_core::clock::{boot_time, wall_millis};
 use agate_core::ids::Offset;
-use agate_core::{Host, Incarnation, Key, Position, Resources, Site, TraceContext, Version};
+use agate_core::{
+    Host, Incarnation, JobId, Key, Position, Resources, RunId, Site, TaskId, TraceContext, Version,
+};
 use agate_preset::Preset;
 use agate_wire::Blob;
 use agate_wire::message::{
     Capacity, ConfigState, EntryInfo, Heartbeat, HeartbeatAck, Hello, PresetInForce, ReportAck,
-    RunReport, ServeRequest, Verdict, Welcome,
+    RunReport, ServeRequest, StartRun, StopKind, StopReply, StopRun, Verdict, Welcome,
 };
-use agate_wire::rpc::EntryRpcServer;
+use agate_wire::rpc::{AgentRpcClient, EntryRpcServer};
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerHandle};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use rand::Rng;
+use standin_worker::RanTask;
 
 /// Longest wait for something that takes milliseconds on an idle machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -284,3 +287,92 @@
         withdrawals: Vec::new(),
     }
 }
+
+/// An agent beside a worker, known to one entry and under a lease.
+pub struct OnWorker {
+    pub entry: FakeEntry,
+    pub worker: standin_worker::Handle,
+    pub agent: Agent,
+    pub client: WsClient,
+}
+
+impl OnWorker {
+    pub async fn start() -> Self {
+        Self::start_with(|_| {}).await
+    }
+
+    /// Starts with an entry that `prepare` has changed first.
+    pub async fn start_with(prepare: fn(&mut EntryState)) -> Self {
+        let lag = Duration::from_millis(50);
+        let config = standin_worker::Config::builder().lag(lag).build();
+        let worker = standin_worker::serve(&config).expect("loopback has free ports");
+        let entry = FakeEntry::start().await;
+        entry.state().config = Some(quick_config(1));
+        prepare(&mut entry.state());
+        let mut choice = Choice::backend(worker.address());
+        choice.host = Host::Worker;
+        choice.seeds = vec![entry.info.address];
+        let agent = choice.start();
+        entry
+            .until("two heartbeats", |state| state.heartbeats.len() >= 2)
+            .await;
+        let client = dial(agent.address()).await;
+        Self {
+            entry,
+            worker,
+            agent,
+            client,
+        }
+    }
+
+    /// A request to start run `epoch` of task `index`, bound in that order, with half of the
+    /// worker's memory and the given payload.
+    pub fn run(&self, index: u32, epoch: u32, payload: &str) -> StartRun {
+        let task = TaskId {
+            job: JobId(1),
+            index,
+        };
+        StartRun {
+            run: RunId { task, epoch },
+            incarnation: self.agent.incarnation(),
+            bound: Position::new(Offset(100 + u64::from(index * 10 + epoch)), 0),
+            class: "rebalance".parse().expect("a valid name"),
+            tags: vec!["season:2026".parse().expect("a valid name")],
+            team: "holiday".parse().expect("a valid name"),
+            demand: Resources::new(1_000, 2_048, 0),
+            declared: Resources::new(1_000, 2_048, 0),
+            checkpoint: None,
+            payload: payload.to_owned(),
+            trace: TraceContext::root(&mut rand::rng(), true),
+        }
+    }
+
+    pub async fn take_step(&self, run: RunId, kind: StopKind) -> StopReply {
+        let request = StopRun {
+            run,
+            incarnation: self.agent.incarnation(),
+            kind,
+        };
+        self.client.stop(request).await.expect("a reply")
+    }
+
+    /// Waits for a report of `run`.
+    pub async fn report(&self, run: RunId) -> RunReport {
+        let of_run = |state: &EntryState| state.reports.iter().any(|report| report.run == run);
+        self.entry.until("a report", of_run).await;
+        let state = self.entry.state();
+        let mut reports = state.reports.iter();
+        reports
+            .find(|report| report.run == run)
+            .cloned()
+            .expect("a report was seen")
+    }
+
+    /// The worker's record of `run`, if it was started there.
+    pub fn task(&self, run: RunId) -> Option<RanTask> {
+        let ran = self.worker.ran();
+        ran.tasks
+            .into_iter()
+            .find(|task| task.run == run.to_string())
+    }
+}
--- /dev/null
+++ b/crates/standin_worker/src/task/mod.rs
@@ -0,0 +1,9 @@
+//! Tasks.
+
+mod payload;
+mod run;
+mod status;
+
+pub use payload::Payload;
+pub(crate) use run::{Clocked, Speed, Task};
+pub use status::TaskStatus;
