--- /dev/null
+++ b/crates/agate_entry/src/http/operator/mod.rs
@@ -0,0 +1,34 @@
+//! What operators are offered, on a listener of their own.
+
+mod auth;
+mod members;
+mod presets;
+mod state;
+mod withdrawals;
+
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, ApiDescriptionRegisterError};
+
+use crate::entry::Entry;
+
+/// The operator API.
+///
+/// # Errors
+///
+/// Fails if two endpoints clash, which is a bug that the first start of the program finds.
+pub(crate) fn api() -> Result<ApiDescription<Arc<Entry>>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(state::health)?;
+    api.register(state::metrics)?;
+    api.register(members::list_members)?;
+    api.register(presets::publish_preset)?;
+    api.register(presets::list_presets)?;
+    api.register(presets::switch_preset)?;
+    api.register(presets::preset_in_force)?;
+    api.register(presets::preset_history)?;
+    api.register(withdrawals::withdraw)?;
+    api.register(withdrawals::resume)?;
+    api.register(withdrawals::list_withdrawals)?;
+    Ok(api)
+}
