--- a/crates/agate_entry/tests/it/drain.rs
+++ b/crates/agate_entry/tests/it/drain.rs
@@ -36,7 +36,7 @@
 async fn second_signal_reports_every_open_request_as_unknown() {
     let entry = entry().await;
     let (agent, _beats) = backend(&entry, 1, Behaviour::Slow(Duration::from_secs(30))).await;
-    let caller = callers(&entry).with("agate-deadline-ms", 60_000);
+    let caller = callers(&entry).with("agate-deadline-ms", "60000");
     let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
     eventually("the request runs", async || agent.lock().ran.len() == 1).await;
     let shutdown = entry.shutdown();
--- a/crates/agate_entry/tests/it/input.rs
+++ b/crates/agate_entry/tests/it/input.rs
@@ -22,7 +22,7 @@
     let (agent, _beats) = backend(&entry, 1, Behaviour::Answer).await;
     let caller = callers(&entry)
         .with("agate-caller", "The Family")
-        .with("agate-deadline-ms", 0)
+        .with("agate-deadline-ms", "0")
         .with("idempotency-key", "7");
     let body = vec![0; 1024 * 1024 + 1];
     let answer = caller.post("/v1/requests/Bench", body).await;
@@ -75,7 +75,7 @@
     let entry = entry().await;
     let key = Key::from_parts(clock::wall_millis(), [7; 10]);
     let caller = callers(&entry)
-        .with("idempotency-key", key)
+        .with("idempotency-key", key.to_string())
         .with("agate-ticket", "x");
     let answer = caller.post("/v1/requests/bench-bind", "").await;
     assert_eq!(places(&answer), ["idempotency-key"]);
--- a/crates/agate_entry/tests/it/keys.rs
+++ b/crates/agate_entry/tests/it/keys.rs
@@ -20,10 +20,10 @@
     let (agent, _one) = backend(&first, 1, Behaviour::Answer).await;
     let (other, _two) = backend(&second, 2, Behaviour::Answer).await;
     let key = key();
-    let sent = callers(&first).with("idempotency-key", key);
+    let sent = callers(&first).with("idempotency-key", key.to_string());
     let answer = sent.post(ONCE, "row 4").await;
     assert_eq!(text(&answer), "echo:row 4");
-    let again = callers(&second).with("idempotency-key", key);
+    let again = callers(&second).with("idempotency-key", key.to_string());
     let answer = again.post(ONCE, "row 4").await;
     assert_eq!(text(&answer), "echo:row 4");
     assert_eq!(agent.lock().ran, [Some(key)]);
@@ -38,8 +38,8 @@
     let (two, _two) = backend(&second, 2, Behaviour::Answer).await;
     for _ in 0..10 {
         let key = key();
-        let left = callers(&first).with("idempotency-key", key);
-        let right = callers(&second).with("idempotency-key", key);
+        let left = callers(&first).with("idempotency-key", key.to_string());
+        let right = callers(&second).with("idempotency-key", key.to_string());
         let (left, right) = tokio::join!(left.post(ONCE, "x"), right.post(ONCE, "x"));
         assert_eq!((text(&left), text(&right)), ("echo:x", "echo:x"));
         let ran = |agent: &crate::support::FakeAgent| {
@@ -56,15 +56,15 @@
     let entry = entry_on(&log, vec![]).await;
     let (agent, _beats) = backend(&entry, 1, Behaviour::Answer).await;
     outage(&log);
-    let keyed = callers(&entry).with("agate-deadline-ms", 15_000);
+    let keyed = callers(&entry).with("agate-deadline-ms", "15000");
     eventually("bare keys are refused", async || {
-        let answer = keyed.clone().with("idempotency-key", key());
+        let answer = keyed.clone().with("idempotency-key", key().to_string());
         let answer = answer.post(ONCE, "x").await;
         answer.status() != StatusCode::OK && !header(&answer, "retry-after").is_empty()
     })
     .await;
     let ran = agent.lock().ran.len();
-    let refused = keyed.clone().with("idempotency-key", key());
+    let refused = keyed.clone().with("idempotency-key", key().to_string());
     let refused = refused.post(ONCE, "x").await;
     assert_eq!(header(&refused, "agate-outcome"), "unknown");
     assert_eq!(agent.lock().ran.len(), ran);
--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -87,7 +87,7 @@
     let beats = agent
         .join(entry.rpc_address(), Host::Backend, proxy.address)
         .await;
-    let caller = callers(&entry).with("agate-deadline-ms", 1_500);
+    let caller = callers(&entry).with("agate-deadline-ms", "1500");
     let request = tokio::spawn(async move { caller.post(ONCE, "x").await });
     eventually("the request runs", async || agent.lock().ran.len() == 1).await;
     let (other, _beats) = backend(&entry, 2, Behaviour::Answer).await;
@@ -108,7 +108,7 @@
     let _beats = agent
         .join(entry.rpc_address(), Host::Backend, proxy.address)
         .await;
-    let caller = callers(&entry).with("agate-deadline-ms", 20_000);
+    let caller = callers(&entry).with("agate-deadline-ms", "20000");
     let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
     eventually("the request runs", async || agent.lock().ran.len() == 1).await;
     let muted = Instant::now();
@@ -191,3 +191,13 @@
     assert_eq!(header(&answer, "agate-outcome"), "unknown");
     assert!(agent.lock().ran.is_empty());
 }
+
+#[tokio::test]
+async fn request_whose_answer_the_backend_server_lost_is_unknown() {
+    let entry = entry().await;
+    let (agent, _beats) = backend(&entry, 1, Behaviour::Fail).await;
+    let answer = callers(&entry).post(ONCE, "x").await;
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(header(&answer, "agate-outcome"), "unknown");
+    assert_eq!(agent.lock().attempts, 1);
+}
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -111,10 +111,6 @@
         self.state.lock().unwrap()
     }
 
-    pub fn set(&self, behaviour: Behaviour) {
-        self.lock().behaviour = behaviour;
-    }
-
     /// Reports the end of a run and returns the entry's answer.
     pub async fn report(&self, entry: SocketAddr, run: RunId, result: RunResult) -> ReportAck {
         let client = WsClientBuilder::new()
--- a/crates/agate_entry/tests/it/support/client.rs
+++ b/crates/agate_entry/tests/it/support/client.rs
@@ -30,8 +30,8 @@
         }
     }
 
-    pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
-        self.headers.push((name, value.to_string()));
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
         self
     }
 
