--- a/crates/agate_log/tests/cases/answers.rs
+++ b/crates/agate_log/tests/cases/answers.rs
@@ -1,5 +1,6 @@
 //! Answers that are cut, crossed or missing, from a server that speaks raw HTTP.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -138,6 +139,41 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 2);
 }
 
+/// The pool of `hyper-util` finds the connection closed only when it hands over the request, which
+/// it would send again on a new connection by default.
+#[tokio::test]
+async fn a_request_is_not_moved_to_another_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&requests);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4_096];
+            if stream.read(&mut request).is_ok_and(|bytes| bytes > 0) {
+                counter.fetch_add(1, Ordering::SeqCst);
+                let answer = ok(r#"{"offset": 1}"#);
+                stream.write_all(answer.as_bytes()).expect("a listener");
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+    });
+    let store = store(&RawServer {
+        address,
+        requests: Arc::clone(&requests),
+    });
+    let first = store.append(Stream::Main, Bytes::new()).await;
+    assert_eq!(first, Ok(Offset(1)));
+    // The connection closes while this thread, which also drives the connection, does not look.
+    std::thread::sleep(Duration::from_millis(200));
+    // The runtime learns of it; the connection's task runs after this one.
+    tokio::task::yield_now().await;
+    let second = store.append(Stream::Main, Bytes::new()).await;
+    assert!(second.unwrap_err().may_have_effect());
+    assert_eq!(requests.load(Ordering::SeqCst), 1);
+}
+
 #[tokio::test]
 async fn nothing_is_sent_where_nobody_listens() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
