Test the tables of keys and runs

Cause: each table promises that nothing starts twice or after its refusal, and that room and lease are never passed. Ruled out: the first property run found that a forgotten run was refused as lost, which says that it never ran; a forgotten run is now refused as too old first. A table that was full and met a key from the future kept out every other key until then; such a key stays unknown now.

--- a/crates/agate_bind/src/key/table.rs
+++ b/crates/agate_bind/src/key/table.rs
@@ -89,7 +89,7 @@
             Err(_) => return KeyBind::Refused(KeyRefusal::TooOld),
         }
         if self.is_full() {
-            self.refuse_unknown(key);
+            self.refuse_unknown(key, wall_ms);
             return KeyBind::Refused(KeyRefusal::Full);
         }
         self.states.insert(key, KeyState::Queued);
@@ -138,7 +138,7 @@
     pub fn tombstone(&mut self, key: Key, wall_ms: u64) -> KeyFate<A> {
         self.prune(wall_ms);
         match self.fate(key) {
-            KeyFate::Fresh => self.plant(key),
+            KeyFate::Fresh => self.plant(key, wall_ms),
             KeyFate::Queued => self.states.extend([(key, KeyState::Tombstoned)]),
             _ => {}
         }
@@ -192,17 +192,20 @@
         self.states.len() >= self.limits.keys
     }
 
-    fn plant(&mut self, key: Key) {
+    fn plant(&mut self, key: Key, wall_ms: u64) {
         if self.is_full() {
-            self.refuse_unknown(key);
+            self.refuse_unknown(key, wall_ms);
         } else {
             self.states.insert(key, KeyState::Tombstoned);
         }
     }
 
     /// Refuses for good, without an entry of its own, every unknown key made up to that of `key`.
-    fn refuse_unknown(&mut self, key: Key) {
-        self.refused = self.refused.max(key.made_millis());
+    /// A key from the future stays as it is, or it would keep out every other until then.
+    fn refuse_unknown(&mut self, key: Key, wall_ms: u64) {
+        if key.check_age(wall_ms, self.limits.window) != Err(KeyError::FromFuture) {
+            self.refused = self.refused.max(key.made_millis());
+        }
     }
 
     fn apply(&mut self, key: Key, event: KeyEvent) -> Result<(), KeyRejected> {
--- a/crates/agate_bind/src/run/table.rs
+++ b/crates/agate_bind/src/run/table.rs
@@ -15,7 +15,7 @@
     New,
     /// The run is known here; the request must not start it again.
     Known(RunState),
-    /// The run has not started here and never will.
+    /// The run never starts here; unless it is refused as too old, it never has.
     Refused(RunRefusal),
 }
 
@@ -95,12 +95,13 @@
     }
 
     fn refusal(&mut self, bound: Position, demand: Resources) -> Option<RunRefusal> {
-        if self.lost {
-            return Some(RunRefusal::Lost);
-        }
+        // A run that was forgotten may have run and be on record; nothing else may be said of it.
         if bound <= self.floor {
             return Some(RunRefusal::TooOld);
         }
+        if self.lost {
+            return Some(RunRefusal::Lost);
+        }
         if !demand.fits_in(self.capacity.saturating_sub(self.held())) {
             return Some(RunRefusal::NoRoom);
         }
--- /dev/null
+++ b/crates/agate_bind/tests/keys.rs
@@ -0,0 +1,236 @@
+//! Keys of one incarnation: each starts at most once, and never after it was refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use agate_bind::key::{KeyEvent, KeyState};
+use agate_bind::{KeyBind, KeyFate, KeyLimits, KeyRefusal, KeyTable};
+use agate_core::Key;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// The time at which the tests begin, in milliseconds since the epoch.
+const NOW: u64 = 1_800_000_000_000;
+
+const WINDOW: Duration = Duration::from_mins(15);
+
+fn table(keys: usize, bytes: usize) -> KeyTable<&'static str> {
+    let limits = KeyLimits::builder().window(WINDOW).keys(keys).bytes(bytes);
+    KeyTable::new(limits.build())
+}
+
+fn key(made: u64, tail: u8) -> Key {
+    Key::from_parts(made, [tail; 10])
+}
+
+#[rstest]
+#[case::start(KeyState::Queued, KeyEvent::Start, Some(KeyState::Running))]
+#[case::refuse(KeyState::Queued, KeyEvent::Refuse, Some(KeyState::Tombstoned))]
+#[case::tombstone(KeyState::Queued, KeyEvent::Tombstone, Some(KeyState::Tombstoned))]
+#[case::unsent(KeyState::Running, KeyEvent::Refuse, Some(KeyState::Tombstoned))]
+#[case::finish(KeyState::Running, KeyEvent::Finish, Some(KeyState::Done))]
+#[case::too_late(KeyState::Running, KeyEvent::Tombstone, None)]
+#[case::twice(KeyState::Running, KeyEvent::Start, None)]
+#[case::again(KeyState::Done, KeyEvent::Start, None)]
+#[case::done_stays(KeyState::Done, KeyEvent::Refuse, None)]
+#[case::dead_stays(KeyState::Tombstoned, KeyEvent::Start, None)]
+#[case::dead_twice(KeyState::Tombstoned, KeyEvent::Tombstone, Some(KeyState::Tombstoned))]
+#[case::failed_stays(KeyState::Failed(String::new()), KeyEvent::Start, None)]
+fn transition(#[case] state: KeyState, #[case] event: KeyEvent, #[case] next: Option<KeyState>) {
+    assert_eq!(state.next(event).ok(), next);
+}
+
+#[rstest]
+#[case::inside(0, None)]
+#[case::at_the_edge(15 * 60_000, None)]
+#[case::past(15 * 60_000 + 1, Some(KeyRefusal::TooOld))]
+#[case::ahead(-60_000, None)]
+#[case::far_ahead(-60_001, Some(KeyRefusal::FromFuture))]
+fn age_of_an_unknown_key(#[case] age_ms: i64, #[case] refusal: Option<KeyRefusal>) {
+    let made = NOW
+        .checked_add_signed(-age_ms)
+        .expect("a time after the epoch");
+    let bind = table(8, 100).bind(key(made, 1), NOW);
+    let expected = refusal.map_or(KeyBind::New, KeyBind::Refused);
+    assert_eq!(bind, expected);
+}
+
+#[test]
+fn full_table_refuses_for_good_and_forgets_nothing() {
+    let minute = 60_000;
+    let mut table = table(2, 100);
+    let (open, closed, refused) = (key(NOW, 1), key(NOW, 2), key(NOW + 14 * minute, 3));
+    assert_eq!(table.bind(open, NOW), KeyBind::New);
+    assert_eq!(table.bind(closed, NOW), KeyBind::New);
+    table.refuse(closed).expect("it is queued");
+    let full = KeyBind::Refused(KeyRefusal::Full);
+    assert_eq!(table.bind(refused, NOW + 14 * minute), full);
+
+    // The closed key expires and makes room; what was refused stays refused, what is open stays.
+    let later = NOW + 17 * minute;
+    assert_eq!(table.bind(key(later, 4), later), KeyBind::New);
+    assert_eq!(table.bind(refused, later), KeyBind::Known(KeyFate::NotRun));
+    assert_eq!(table.fate(open), KeyFate::Queued);
+}
+
+#[test]
+fn key_from_the_future_does_not_keep_out_others() {
+    let mut table = table(1, 100);
+    assert_eq!(table.bind(key(NOW, 1), NOW), KeyBind::New);
+    let far = key(NOW + 86_400_000, 2);
+    assert_eq!(table.tombstone(far, NOW), KeyFate::Fresh);
+    table.refuse(key(NOW, 1)).expect("it is queued");
+    let later = NOW + 17 * 60_000;
+    assert_eq!(table.bind(key(later, 3), later), KeyBind::New);
+}
+
+#[test]
+fn dropped_answer_is_told_as_dropped_and_does_not_run_again() {
+    let mut table = table(8, 10);
+    for tail in 1..=3 {
+        let key = key(NOW, tail);
+        table.bind(key, NOW);
+        table.start(key).expect("it is queued");
+        table.finish(key, "answer", 6).expect("it is running");
+        assert!(table.answer_bytes() <= 10);
+    }
+    let fates: Vec<_> = (1..=3).map(|tail| table.fate(key(NOW, tail))).collect();
+    let dropped = KeyFate::Dropped;
+    assert_eq!(
+        fates,
+        [dropped.clone(), dropped.clone(), KeyFate::Done("answer")]
+    );
+    assert_eq!(table.bind(key(NOW, 1), NOW), KeyBind::Known(dropped));
+}
+
+#[test]
+fn clock_that_steps_back_revives_no_forgotten_key() {
+    let mut table = table(8, 100);
+    let old = key(NOW, 1);
+    table.bind(old, NOW);
+    table.start(old).expect("it is queued");
+    table.finish(old, "answer", 6).expect("it is running");
+    let later = NOW + 20 * 60_000;
+    table.bind(key(later, 2), later);
+    assert_eq!(table.fate(old), KeyFate::Forgotten);
+    assert_eq!(table.bind(old, NOW), KeyBind::Refused(KeyRefusal::TooOld));
+    assert_eq!(table.tombstone(old, NOW), KeyFate::Forgotten);
+}
+
+/// One thing that may happen to a table.
+#[derive(Debug, Clone, Copy)]
+enum Op {
+    Bind(u8),
+    Start(u8),
+    Refuse(u8),
+    Tombstone(u8),
+    Finish(u8),
+    Fail(u8),
+    /// The wall clock moves by so many minutes, back if negative.
+    Clock(i8),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let tail = 0..12_u8;
+    prop_oneof![
+        3 => tail.clone().prop_map(Op::Bind),
+        2 => tail.clone().prop_map(Op::Start),
+        1 => tail.clone().prop_map(Op::Refuse),
+        1 => tail.clone().prop_map(Op::Tombstone),
+        2 => tail.clone().prop_map(Op::Finish),
+        1 => tail.prop_map(Op::Fail),
+        1 => (-10..20_i8).prop_map(Op::Clock),
+    ]
+}
+
+/// What an observer of a table has seen.
+#[derive(Debug, Default)]
+struct Seen {
+    started: BTreeMap<u8, u32>,
+    answered: BTreeSet<u8>,
+    not_run: BTreeSet<u8>,
+}
+
+impl Seen {
+    fn fate(&mut self, tail: u8, fate: &KeyFate<u8>) {
+        match fate {
+            KeyFate::NotRun => {
+                self.not_run.insert(tail);
+            }
+            KeyFate::Done(answer) => {
+                assert_eq!(*answer, tail, "the answer of another key");
+                assert!(self.answered.contains(&tail));
+            }
+            KeyFate::Running | KeyFate::Dropped | KeyFate::Failed(_) => {
+                assert!(self.started.contains_key(&tail));
+            }
+            KeyFate::Queued | KeyFate::Fresh | KeyFate::Forgotten => {}
+        }
+    }
+
+    fn check(&self) {
+        assert!(self.started.values().all(|count| *count == 1), "{self:?}");
+        let both = self
+            .not_run
+            .iter()
+            .find(|tail| self.started.contains_key(tail));
+        assert_eq!(both, None, "told not run, but it ran: {self:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn key_starts_at_most_once_and_never_after_it_was_refused(
+        ops in proptest::collection::vec(op(), 1..120),
+        limit in 1..8_usize,
+    ) {
+        let limits = KeyLimits::builder().window(WINDOW).keys(limit).bytes(3).build();
+        let mut table = KeyTable::new(limits);
+        let mut seen = Seen::default();
+        let mut now = NOW;
+        let key = |tail: u8| key(NOW + u64::from(tail) * 120_000, tail);
+        for op in ops {
+            match op {
+                Op::Bind(tail) => match table.bind(key(tail), now) {
+                    KeyBind::Known(fate) => seen.fate(tail, &fate),
+                    KeyBind::Refused(KeyRefusal::Full) => {
+                        seen.not_run.insert(tail);
+                    }
+                    KeyBind::New | KeyBind::Refused(_) => {}
+                },
+                Op::Start(tail) => {
+                    if table.start(key(tail)).is_ok() {
+                        *seen.started.entry(tail).or_default() += 1;
+                    }
+                }
+                Op::Refuse(tail) => {
+                    // Only a request that has not left yet is refused after its start.
+                    if table.fate(key(tail)) == KeyFate::Queued {
+                        table.refuse(key(tail)).expect("it is queued");
+                        seen.not_run.insert(tail);
+                    }
+                }
+                Op::Tombstone(tail) => {
+                    let fate = table.tombstone(key(tail), now);
+                    seen.fate(tail, &fate);
+                }
+                Op::Finish(tail) => {
+                    if table.finish(key(tail), tail, 1).is_ok() {
+                        seen.answered.insert(tail);
+                    }
+                }
+                Op::Fail(tail) => {
+                    // A key that is not running can't fail; the table says so.
+                    let _ = table.fail(key(tail), "cut");
+                }
+                Op::Clock(minutes) => {
+                    now = now.saturating_add_signed(i64::from(minutes) * 60_000);
+                }
+            }
+            seen.check();
+            prop_assert!(table.len() <= limit);
+            prop_assert!(table.answer_bytes() <= 3);
+        }
+    }
+}
--- a/crates/agate_core/tests/ids.rs
+++ b/crates/agate_core/tests/ids.rs
@@ -51,7 +51,8 @@
 #[case::signed("00-+000000000000000000000000000000a-000000000000000b-01")]
 #[case::empty("")]
 fn bad_traceparent_is_refused(#[case] text: &str) {
-    text.parse::<TraceContext>().expect_err("the context is bad");
+    text.parse::<TraceContext>()
+        .expect_err("the context is bad");
 }
 
 #[rstest]
