Test the agent as a process: signals, freezes, crashes, settings

Cause: a signal, a freeze and a crash can't be shown within one runtime. Conclusion: a planned stop exits with 0, a second signal with 3; a thawed agent starts nothing that waited in its socket; a successor of a crashed agent stops what it finds before it is announced.

--- a/crates/agate_agent/tests/agent/main.rs
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod entries;
+mod process;
 mod runs;
 mod support;
 mod urgent;
--- a/crates/agate_agent/tests/agent/support.rs
+++ b/crates/agate_agent/tests/agent/support.rs
@@ -256,11 +256,16 @@
     Key::from_parts(wall_millis(), rand::rng().random())
 }
 
-/// A request of class `seat-check` without a key, with a body of its own.
+/// A request to `agent` of class `seat-check` without a key, with a body of its own.
 pub fn request(agent: &Agent, id: u64) -> ServeRequest {
+    request_to(agent.incarnation(), id)
+}
+
+/// As [`request`], to an incarnation in another process.
+pub fn request_to(incarnation: Incarnation, id: u64) -> ServeRequest {
     ServeRequest {
         request: id,
-        incarnation: agent.incarnation(),
+        incarnation,
         key: None,
         caller: "family-1".parse().expect("a valid name"),
         class: "seat-check".parse().expect("a valid name"),
@@ -271,6 +276,28 @@
     }
 }
 
+/// A request to start the first run of task `index`, bound in the order of the tasks, with half of
+/// the worker's memory and the given payload.
+pub fn run_to(incarnation: Incarnation, index: u32, payload: &str) -> StartRun {
+    let task = TaskId {
+        job: JobId(1),
+        index,
+    };
+    StartRun {
+        run: RunId { task, epoch: 1 },
+        incarnation,
+        bound: Position::new(Offset(100 + u64::from(index * 10)), 0),
+        class: "rebalance".parse().expect("a valid name"),
+        tags: vec!["season:2026".parse().expect("a valid name")],
+        team: "holiday".parse().expect("a valid name"),
+        demand: Resources::new(1_000, 2_048, 0),
+        declared: Resources::new(1_000, 2_048, 0),
+        checkpoint: None,
+        payload: payload.to_owned(),
+        trace: TraceContext::root(&mut rand::rng(), true),
+    }
+}
+
 /// A configuration whose heartbeats and time limits are short.
 pub fn quick_config(offset: u64) -> ConfigState {
     let preset = Preset::parse(
@@ -325,26 +352,12 @@
         }
     }
 
-    /// A request to start run `epoch` of task `index`, bound in that order, with half of the
-    /// worker's memory and the given payload.
+    /// A request to start run `epoch` of task `index`; see [`run_to`].
     pub fn run(&self, index: u32, epoch: u32, payload: &str) -> StartRun {
-        let task = TaskId {
-            job: JobId(1),
-            index,
-        };
-        StartRun {
-            run: RunId { task, epoch },
-            incarnation: self.agent.incarnation(),
-            bound: Position::new(Offset(100 + u64::from(index * 10 + epoch)), 0),
-            class: "rebalance".parse().expect("a valid name"),
-            tags: vec!["season:2026".parse().expect("a valid name")],
-            team: "holiday".parse().expect("a valid name"),
-            demand: Resources::new(1_000, 2_048, 0),
-            declared: Resources::new(1_000, 2_048, 0),
-            checkpoint: None,
-            payload: payload.to_owned(),
-            trace: TraceContext::root(&mut rand::rng(), true),
-        }
+        let mut run = run_to(self.agent.incarnation(), index, payload);
+        run.run.epoch = epoch;
+        run.bound.index = epoch;
+        run
     }
 
     pub async fn take_step(&self, run: RunId, kind: StopKind) -> StopReply {
