Wait in a test until the scheduler is sure of its verdict

Cause: a job that fits no worker is given up only 30 s after the last change of worker sizes. Conclusion: the test waits up to 50 s.

--- a/crates/agate_entry/tests/it/jobs.rs
+++ b/crates/agate_entry/tests/it/jobs.rs
@@ -210,7 +210,8 @@
     });
     callers(&entry).post("/v1/jobs", body.to_string()).await;
     let mut seen = Value::Null;
-    for _ in 0..60 {
+    // The scheduler waits until it is sure to know every worker.
+    for _ in 0..100 {
         seen = job(&entry).await;
         if seen["phase"] == "failed" {
             break;
