Add the operator's command

Cause: operators need presets, withdrawals, jobs and members from a shell. Ruled out: calls to the caller listener for jobs; the operator listener now carries them behind the token, so that one address and one token do. Conclusion: entries are tried in turn; each write is idempotent, so a repeated call counts once.

--- /dev/null
+++ b/crates/agate_ctl/src/cli/mod.rs
@@ -0,0 +1,8 @@
+//! The command line.
+
+mod command;
+mod options;
+
+pub use command::{Command, JobCommand, PresetCommand, WorkSelector};
+pub(crate) use options::parser;
+pub use options::{Options, OutputFormat, parse};
--- /dev/null
+++ b/crates/agate_ctl/src/output/mod.rs
@@ -0,0 +1,6 @@
+//! Tables for people.
+
+mod grid;
+mod tables;
+
+pub use tables::table;
--- /dev/null
+++ b/crates/agate_ctl/tests/against_entry.rs
@@ -0,0 +1,171 @@
+//! Commands against an entry and a log.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use agate_core::{RegionName, Site, ZoneName};
+use agate_ctl::{ExitStatus, Report, parse, run};
+use agate_entry::{EntryConfig, Limits, Running};
+use agate_settings::Secret;
+use rstest::rstest;
+use standin_log::{Config, Faults, Handle};
+
+const TOKEN: &str = "0123456789abcdef";
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+async fn start_log() -> Handle {
+    let limits = standin_log::Limits {
+        retention: Duration::from_hours(1),
+        appends_per_second: 500,
+    };
+    let config = Config::builder().listen(any()).limits(limits).build();
+    standin_log::serve(config).await.expect("the log starts")
+}
+
+async fn start_entry(log: &Handle) -> Running {
+    let site = Site {
+        region: RegionName::new("khomas").expect("a region"),
+        zone: ZoneName::new("khomas-1").expect("a zone"),
+    };
+    let config = EntryConfig::builder()
+        .caller_listen(any())
+        .operator_listen(any())
+        .rpc_listen(any())
+        .site(site)
+        .log(log.address())
+        .token(Secret::new(TOKEN))
+        .limits(Limits::builder().build())
+        .build();
+    agate_entry::start(config).await.expect("the entry starts")
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("the file is written");
+    path
+}
+
+async fn ctl(entries: &[SocketAddr], token: &str, args: &[&str]) -> Report {
+    let entries: Vec<String> = entries.iter().map(ToString::to_string).collect();
+    let mut all = vec![
+        format!("--entry={}", entries.join(",")),
+        format!("--token={token}"),
+    ];
+    all.extend(args.iter().map(ToString::to_string));
+    run(&parse(&all).expect("the command line is right")).await
+}
+
+#[tokio::test]
+async fn preset_is_published_switched_and_shown() {
+    let log = start_log().await;
+    let entry = start_entry(&log).await;
+    let entries = [entry.operator_address()];
+    let peak = file("peak.json", r#"{"kind": "peak"}"#);
+    let peak = peak.to_str().expect("a path");
+    let publish = ["preset", "publish", "--name", "peak", peak];
+    assert_eq!(
+        ctl(&entries, TOKEN, &publish).await.status,
+        ExitStatus::Done
+    );
+    let switch = ["preset", "switch", "peak"];
+    let switched = ctl(&entries, TOKEN, &switch).await;
+    assert_eq!(switched.status, ExitStatus::Done, "{}", switched.message);
+    assert!(switched.output.contains("peak"), "{}", switched.output);
+    let stale = ["preset", "switch", "--expected=0+0", "peak"];
+    let lost = ctl(&entries, TOKEN, &stale).await;
+    assert_eq!(lost.status, ExitStatus::Conflict);
+    assert!(lost.message.contains("peak"), "{}", lost.message);
+    let unknown = ctl(&entries, TOKEN, &["preset", "switch", "gone"]).await;
+    assert_eq!(unknown.status, ExitStatus::Refused);
+}
+
+#[tokio::test]
+async fn job_is_submitted_once_although_the_first_entry_is_gone() {
+    let log = start_log().await;
+    let entry = start_entry(&log).await;
+    let nobody: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let entries = [nobody, entry.operator_address()];
+    let job =
+        r#"{"job": "2a", "team": "board", "class": "rebalance", "resources": {"millicores": 1}}"#;
+    let job = file("job.json", job);
+    let job = job.to_str().expect("a path");
+    for _ in 0..2 {
+        let submitted = ctl(&entries, TOKEN, &["job", "submit", job]).await;
+        assert_eq!(submitted.status, ExitStatus::Done, "{}", submitted.message);
+    }
+    let list = ctl(&entries, TOKEN, &["--output=json", "job", "list"]).await;
+    assert_eq!(
+        list.output.matches("000000000000002a").count(),
+        1,
+        "{}",
+        list.output
+    );
+    let cancelled = ctl(&entries, TOKEN, &["job", "cancel", "2a"]).await;
+    assert!(
+        cancelled.output.contains("cancelled"),
+        "{}",
+        cancelled.output
+    );
+}
+
+#[rstest]
+#[case::wrong_token("fedcba9876543210", &["members"], ExitStatus::Unauthorized)]
+#[case::nothing_to_resume(TOKEN, &["resume", "--class", "rebalance"], ExitStatus::Refused)]
+#[case::no_such_job(TOKEN, &["job", "status", "7"], ExitStatus::Refused)]
+#[case::no_such_file(TOKEN, &["job", "submit", "/no/such/file"], ExitStatus::Usage)]
+#[tokio::test]
+async fn refusal_has_its_exit_code(
+    #[case] token: &str,
+    #[case] args: &[&str],
+    #[case] expected: ExitStatus,
+) {
+    let log = start_log().await;
+    let entry = start_entry(&log).await;
+    let report = ctl(&[entry.operator_address()], token, args).await;
+    assert_eq!(report.status, expected, "{}", report.message);
+}
+
+#[tokio::test]
+async fn every_finding_in_a_preset_is_printed() {
+    let log = start_log().await;
+    let entry = start_entry(&log).await;
+    let preset = file(
+        "bad.json",
+        r#"{"kind": "peek", "routing": {"candidates": 0}}"#,
+    );
+    let preset = preset.to_str().expect("a path");
+    let publish = ["preset", "publish", "--name", "bad", preset];
+    let report = ctl(&[entry.operator_address()], TOKEN, &publish).await;
+    assert_eq!(report.status, ExitStatus::Usage);
+    insta::assert_snapshot!(report.message, @r#"
+    the request was refused as a whole; correct each finding
+    preset.kind: expected one of ordinary, peak, maintenance, found "peek"
+    preset.routing.candidates: expected a whole number from 1 to 16, found 0
+    "#);
+}
+
+#[tokio::test]
+async fn outage_and_absence_have_their_exit_codes() {
+    let log = start_log().await;
+    let entry = start_entry(&log).await;
+    let entries = [entry.operator_address()];
+    ctl(&entries, TOKEN, &["withdraw", "--class", "a"]).await;
+    log.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let down = ctl(&entries, TOKEN, &["withdraw", "--class", "b"]).await;
+    assert!(
+        matches!(down.status, ExitStatus::LogDown | ExitStatus::Unknown),
+        "{}",
+        down.message
+    );
+    let nobody: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let absent = ctl(&[nobody], TOKEN, &["members"]).await;
+    assert_eq!(absent.status, ExitStatus::Unreachable);
+}
--- /dev/null
+++ b/crates/agate_ctl/tests/command_line.rs
@@ -0,0 +1,73 @@
+//! The command line.
+
+use agate_core::JobId;
+use agate_ctl::{Command, ExitStatus, JobCommand, PresetCommand, WorkSelector, parse};
+use agate_wire::message::StopMode;
+use rstest::rstest;
+
+const GLOBAL: [&str; 2] = ["--entry=10.0.0.2:7002,10.0.0.3:7002", "--token=t"];
+
+fn run(args: &[&str]) -> Result<agate_ctl::Options, agate_settings::Stop> {
+    let args = GLOBAL.iter().chain(args).map(ToString::to_string);
+    parse(&args.collect::<Vec<String>>())
+}
+
+#[rstest]
+#[case::publish(
+    &["preset", "publish", "peak.json"],
+    Command::Preset(PresetCommand::Publish { file: "peak.json".into(), name: None })
+)]
+#[case::switch(
+    &["preset", "switch", "peak", "--expected", "3+0"],
+    Command::Preset(PresetCommand::Switch { name: "peak".into(), expected: Some("3+0".into()) })
+)]
+#[case::history(&["preset", "history"], Command::Preset(PresetCommand::History))]
+#[case::withdraw(
+    &["withdraw", "--tag", "season:2026", "--mode", "checkpoint"],
+    Command::Withdraw {
+        selector: WorkSelector::Tag("season:2026".parse().expect("a tag")),
+        mode: StopMode::Checkpoint,
+    }
+)]
+#[case::resume(
+    &["resume", "--class", "rebalance"],
+    Command::Resume(WorkSelector::Class("rebalance".parse().expect("a class")))
+)]
+#[case::cancel(&["job", "cancel", "2a"], Command::Job(JobCommand::Cancel(JobId(42))))]
+#[case::members(&["members"], Command::Members)]
+fn command_is_understood(#[case] args: &[&str], #[case] expected: Command) {
+    let options = run(args).expect("the command line is right");
+    assert_eq!(options.command, expected);
+    assert_eq!(options.entries.len(), 2);
+}
+
+#[rstest]
+#[case::no_command(&[])]
+#[case::class_and_tag(&["resume", "--class", "a", "--tag", "b"])]
+#[case::bad_mode(&["withdraw", "--class", "a", "--mode", "slowly"])]
+#[case::bad_job(&["job", "status", "zz"])]
+#[case::bad_class(&["resume", "--class", "Rebalance"])]
+#[case::unknown(&["preset", "delete", "peak"])]
+fn bad_command_line_is_a_usage_error(#[case] args: &[&str]) {
+    let stop = run(args).expect_err("the command line is wrong");
+    assert_eq!(stop.code, ExitStatus::Usage.code());
+}
+
+#[rstest]
+#[case::none(&["--token=t", "members"], "AGATECTL_ENTRY")]
+#[case::malformed(&["--entry=entry-1", "--token=t", "members"], "10.0.0.7:7002")]
+fn bad_entry_is_named(#[case] args: &[&str], #[case] remedy: &str) {
+    let args: Vec<String> = args.iter().map(ToString::to_string).collect();
+    let stop = parse(&args).expect_err("the entry is missing or malformed");
+    assert!(stop.text.contains(remedy), "{}", stop.text);
+}
+
+#[test]
+fn reference_lists_every_exit_code() {
+    let page = agate_ctl::reference();
+    for code in 0..=7 {
+        assert!(page.contains(&format!("| {code} | ")), "{code}");
+    }
+    assert!(page.contains("### `agatectl preset switch`"));
+    assert!(page.contains("--expected=VERSION"), "{page}");
+}
--- a/crates/agate_entry/src/http/caller/jobs.rs
+++ b/crates/agate_entry/src/http/caller/jobs.rs
@@ -6,7 +6,7 @@
 use agate_records::{JobCancelled, JobSubmitted};
 use agate_state::{Effect, JobView, TaskFailure};
 use dropshot::{HttpError, Path, RequestContext, StreamingBody, endpoint};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -72,25 +72,54 @@
     input: StreamingBody,
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
+    Ok(submit(entry, context.request.headers(), input).await)
+}
+
+/// Lists the open jobs.
+#[endpoint { method = GET, path = "/v1/jobs" }]
+pub(crate) async fn list_jobs(context: RequestContext<Arc<Entry>>) -> Result<Reply, HttpError> {
+    Ok(list(context.context()))
+}
+
+/// Shows a job.
+#[endpoint { method = GET, path = "/v1/jobs/{job}" }]
+pub(crate) async fn show_job(
+    context: RequestContext<Arc<Entry>>,
+    path: Path<JobPath>,
+) -> Result<Reply, HttpError> {
+    Ok(show(context.context(), &path.into_inner()))
+}
+
+/// Cancels a job: nothing of it starts any more, and what runs is stopped.
+#[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
+pub(crate) async fn cancel_job(
+    context: RequestContext<Arc<Entry>>,
+    path: Path<JobPath>,
+) -> Result<Reply, HttpError> {
+    Ok(cancel(context.context(), &path.into_inner()).await)
+}
+
+/// Reads a submission and writes it to the log.
+pub(crate) async fn submit(entry: &Entry, headers: &HeaderMap, input: StreamingBody) -> Reply {
     let mut findings = Findings::new();
-    let caller = head::read_caller(context.request.headers(), &mut findings);
+    let caller = head::read_caller(headers, &mut findings);
     let bytes = body::read(input, MAX_BYTES, &mut findings).await;
     let submitted = job_body::read(&bytes, caller, &mut findings);
     let Some(submitted) = submitted.filter(|_| findings.is_empty()) else {
         entry.metrics.invalid();
-        return Ok(reply::invalid(&findings));
+        return reply::invalid(&findings);
     };
-    Ok(submit(entry, submitted).await)
+    record(entry, submitted).await
 }
 
-async fn submit(entry: &Entry, submitted: JobSubmitted) -> Reply {
+async fn record(entry: &Entry, submitted: JobSubmitted) -> Reply {
     let job = submitted.job;
     match entry.commit().one(submitted).await {
         Ok(Effect::Applied(_)) => {
             log::info!(event = "job_accepted", job:%; "");
-            show(entry, job, StatusCode::CREATED)
+            view(entry, job, StatusCode::CREATED)
         }
-        Ok(Effect::Duplicate) => show(entry, job, StatusCode::OK),
+        Ok(Effect::Duplicate) => view(entry, job, StatusCode::OK),
         Ok(Effect::Void(reason)) => {
             reply::problem(StatusCode::CONFLICT, "void", &reason.to_string())
         }
@@ -99,45 +128,33 @@
 }
 
 /// Lists the open jobs.
-#[endpoint { method = GET, path = "/v1/jobs" }]
-pub(crate) async fn list_jobs(context: RequestContext<Arc<Entry>>) -> Result<Reply, HttpError> {
-    let entry = context.context();
+pub(crate) fn list(entry: &Entry) -> Reply {
     let jobs = entry
         .folded
         .with(|state| state.jobs().map(JobReply::from).collect());
-    Ok(reply::json(StatusCode::OK, &JobList { jobs }))
+    reply::json(StatusCode::OK, &JobList { jobs })
 }
 
-/// Shows a job.
-#[endpoint { method = GET, path = "/v1/jobs/{job}" }]
-pub(crate) async fn show_job(
-    context: RequestContext<Arc<Entry>>,
-    path: Path<JobPath>,
-) -> Result<Reply, HttpError> {
-    let entry = context.context();
-    Ok(match read_path(&path.into_inner()) {
-        Ok(job) => show(entry, job, StatusCode::OK),
+/// Shows the job in the path.
+pub(crate) fn show(entry: &Entry, path: &JobPath) -> Reply {
+    match read_path(path) {
+        Ok(job) => view(entry, job, StatusCode::OK),
         Err(findings) => reply::invalid(&findings),
-    })
+    }
 }
 
-/// Cancels a job: nothing of it starts any more, and what runs is stopped.
-#[endpoint { method = DELETE, path = "/v1/jobs/{job}" }]
-pub(crate) async fn cancel_job(
-    context: RequestContext<Arc<Entry>>,
-    path: Path<JobPath>,
-) -> Result<Reply, HttpError> {
-    let entry = context.context();
-    let job = match read_path(&path.into_inner()) {
+/// Cancels the job in the path.
+pub(crate) async fn cancel(entry: &Entry, path: &JobPath) -> Reply {
+    let job = match read_path(path) {
         Ok(job) => job,
-        Err(findings) => return Ok(reply::invalid(&findings)),
+        Err(findings) => return reply::invalid(&findings),
     };
-    Ok(match entry.commit().one(JobCancelled { job }).await {
+    match entry.commit().one(JobCancelled { job }).await {
         Ok(Effect::Applied(_) | Effect::Duplicate | Effect::Void(_)) => {
-            show(entry, job, StatusCode::OK)
+            view(entry, job, StatusCode::OK)
         }
         Err(error) => ledger::failed(error),
-    })
+    }
 }
 
 fn read_path(path: &JobPath) -> Result<JobId, Findings> {
@@ -146,7 +163,7 @@
     job.ok_or(findings)
 }
 
-fn show(entry: &Entry, job: JobId, status: StatusCode) -> Reply {
+fn view(entry: &Entry, job: JobId, status: StatusCode) -> Reply {
     let view = entry
         .folded
         .with(|state| state.job(job).map(JobReply::from));
--- a/crates/agate_entry/src/http/caller/mod.rs
+++ b/crates/agate_entry/src/http/caller/mod.rs
@@ -1,7 +1,7 @@
 //! What callers are offered.
 
 mod job_body;
-mod jobs;
+pub(crate) mod jobs;
 mod requests;
 mod tickets;
 
--- a/crates/agate_entry/src/http/operator/mod.rs
+++ b/crates/agate_entry/src/http/operator/mod.rs
@@ -1,6 +1,7 @@
 //! What operators are offered, on a listener of their own.
 
 mod auth;
+mod jobs;
 mod members;
 mod presets;
 mod state;
@@ -30,5 +31,9 @@
     api.register(withdrawals::withdraw)?;
     api.register(withdrawals::resume)?;
     api.register(withdrawals::list_withdrawals)?;
+    api.register(jobs::operator_submits_job)?;
+    api.register(jobs::operator_lists_jobs)?;
+    api.register(jobs::operator_shows_job)?;
+    api.register(jobs::operator_cancels_job)?;
     Ok(api)
 }
--- a/crates/agate_entry/tests/it/operators.rs
+++ b/crates/agate_entry/tests/it/operators.rs
@@ -37,16 +37,25 @@
         "/v1/presets/history",
         "/v1/withdrawals",
         "/v1/members",
+        "/v1/jobs",
+        "/v1/jobs/2a",
     ] {
         let answer = operator.get(path).await;
         assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{path}");
     }
-    for path in ["/v1/presets", "/v1/presets/switch", "/v1/withdrawals"] {
+    for path in [
+        "/v1/presets",
+        "/v1/presets/switch",
+        "/v1/withdrawals",
+        "/v1/jobs",
+    ] {
         let answer = operator.post(path, "{}").await;
         assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{path}");
     }
-    let answer = operator.delete("/v1/withdrawals").await;
-    assert_eq!(answer.status(), StatusCode::UNAUTHORIZED);
+    for path in ["/v1/withdrawals", "/v1/jobs/2a"] {
+        let answer = operator.delete(path).await;
+        assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{path}");
+    }
 }
 
 #[tokio::test]
