Run the whole path as separate processes in a demo

Cause: nothing showed caller, entry, agent and back ends together. The demo's callers now come back, as callers do; its count stays 100.

--- /dev/null
+++ b/crates/agate_frame/src/demo/tour.rs
@@ -0,0 +1,286 @@
+//! The steps of the demo.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use agate_core::JobId;
+use displaydoc::Display;
+use rand::Rng;
+use rand::rngs::StdRng;
+use standin_worker::Payload;
+
+use super::{ordinary_day, peak_day};
+use crate::client::CallError;
+use crate::process::Signal;
+use crate::site::{Frame, FrameError, Layout, until};
+use crate::table::Checks;
+use crate::truth::{
+    gather, overlaps, repeated_finishes, runs_by_body, runs_by_key, tasks_finished,
+};
+use crate::work::{
+    Bound, Submission, Told, Urgent, in_force, job_state, new_key, publish, resume, send,
+    send_until_done, submit, switch, withdraw,
+};
+
+/// Repeatable requests sent at once in each wave: more than slots and queues hold, so that some are
+/// refused and their callers come back.
+const WAVE: usize = 100;
+
+/// Tasks of each job.
+const TASKS: u32 = 40;
+
+/// Longest wait for a job.
+const JOB_TIME: Duration = Duration::from_mins(1);
+
+/// Longest time in which a configuration must be in force everywhere.
+const SPREAD_TIME: Duration = Duration::from_secs(12);
+
+/// the demo broke off: {0}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct DemoError(pub String);
+
+impl std::error::Error for DemoError {}
+
+impl From<FrameError> for DemoError {
+    fn from(error: FrameError) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<CallError> for DemoError {
+    fn from(error: CallError) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// Runs the demo and returns its checks.
+///
+/// # Errors
+///
+/// Fails if the frame can't be started or a record can't be read.
+pub async fn tour(logs: &Path, rng: &mut StdRng) -> Result<Checks, DemoError> {
+    let mut frame = Frame::start(Layout::demo(), logs).await?;
+    let mut checks = Checks::default();
+    preset_in_force(&frame, &mut checks, "ordinary-day", &ordinary_day()).await;
+    urgent_wave(&frame, &mut checks, "urgent requests answered whole", rng).await;
+    not_repeated(&frame, &mut checks, rng).await?;
+    let rebalance = batch_job(&frame, &mut checks, "rebalance", rng).await;
+    preset_in_force(&frame, &mut checks, "peak-day", &peak_day()).await;
+    kill_agents(&mut frame, &mut checks, rng).await?;
+    let rerating = withdrawn_job(&frame, &mut checks, rng).await?;
+    finish_jobs(&frame, &mut checks, &[rebalance, rerating]).await?;
+    planned_stop(&mut frame, &mut checks).await?;
+    Ok(checks)
+}
+
+async fn preset_in_force(
+    frame: &Frame,
+    checks: &mut Checks,
+    name: &str,
+    preset: &serde_json::Value,
+) {
+    let published = publish(frame, 0, name, preset).await;
+    checks.equal(&format!("preset {name} published"), &true, &published);
+    let before = in_force(frame, 0)
+        .await
+        .map_or_else(|| "0+0".to_owned(), |preset| preset.version);
+    let won = switch(frame, 0, name, &before).await;
+    checks.equal(&format!("switch to {name} counted"), &true, &won);
+    let lost = switch(frame, 1, name, &before).await;
+    checks.equal(
+        &format!("second switch from the same version to {name} counted"),
+        &false,
+        &lost,
+    );
+    let everywhere = until(SPREAD_TIME, async || {
+        for entry in 0..frame.entries.len() {
+            let held = in_force(frame, entry).await.and_then(|preset| preset.name);
+            if held.as_deref() != Some(name) {
+                return false;
+            }
+        }
+        true
+    });
+    checks.equal(
+        &format!("preset {name} in force in every entry"),
+        &true,
+        &everywhere.await,
+    );
+}
+
+async fn urgent_wave(frame: &Frame, checks: &mut Checks, name: &str, rng: &mut StdRng) {
+    let mut calls = Vec::new();
+    for index in 0..WAVE {
+        let entry = frame.entries[index % frame.entries.len()].callers;
+        let urgent = Urgent::builder()
+            .class("seat-check")
+            .body(format!("family {}", rng.random::<u64>()))
+            .build();
+        calls.push(tokio::spawn(async move {
+            send_until_done(entry, &urgent).await
+        }));
+    }
+    let mut told: BTreeMap<String, usize> = BTreeMap::new();
+    for call in calls {
+        let answer = call.await.unwrap_or(Told::Nothing);
+        *told.entry(answer.to_string()).or_default() += 1;
+    }
+    checks.equal(name, &WAVE, &told.get("done").copied().unwrap_or(0));
+}
+
+async fn not_repeated(
+    frame: &Frame,
+    checks: &mut Checks,
+    rng: &mut StdRng,
+) -> Result<(), DemoError> {
+    let key = new_key(rng);
+    let body = format!("bench 7 for household {}", rng.random::<u64>());
+    let urgent = Urgent::builder()
+        .class("seat-assign")
+        .body(body.clone())
+        .bound(Bound::Key(key))
+        .build();
+    for entry in &frame.entries {
+        let told = send(entry.callers, &urgent).await;
+        checks.equal("the same key through each entry", &Told::Done, &told);
+    }
+    let truth = gather(frame).await?;
+    checks.equal(
+        "runs of that key on all backend servers",
+        &1,
+        &runs_by_body(&truth, &body),
+    );
+    Ok(())
+}
+
+async fn batch_job(frame: &Frame, checks: &mut Checks, class: &str, rng: &mut StdRng) -> JobId {
+    let job = JobId(rng.random());
+    let payload = Payload {
+        duration_ms: 1_500,
+        ..Payload::default()
+    };
+    let submission = Submission::builder()
+        .job(job)
+        .class(class)
+        .tasks(TASKS)
+        .payload(payload)
+        .build();
+    let accepted = submit(frame.entries[0].callers, &submission).await;
+    checks.equal(&format!("{class} job accepted"), &true, &accepted);
+    job
+}
+
+/// Kills an agent beside a backend server and one beside a worker, and starts others in their place.
+async fn kill_agents(
+    frame: &mut Frame,
+    checks: &mut Checks,
+    rng: &mut StdRng,
+) -> Result<(), DemoError> {
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    frame.workers[0].agent.signal(Signal::Kill);
+    frame.backends[0].agent.signal(Signal::Kill);
+    urgent_wave(
+        frame,
+        checks,
+        "urgent requests answered whole after two agents were killed",
+        rng,
+    )
+    .await;
+    let (zone, local) = (frame.workers[0].zone, frame.workers[0].address);
+    (frame.workers[0].agent, frame.workers[0].agent_address) =
+        frame.new_worker_agent(zone, local)?;
+    let (zone, local) = (frame.backends[0].zone, frame.backends[0].address);
+    (frame.backends[0].agent, frame.backends[0].agent_address) =
+        frame.new_backend_agent(zone, local)?;
+    Ok(())
+}
+
+async fn withdrawn_job(
+    frame: &Frame,
+    checks: &mut Checks,
+    rng: &mut StdRng,
+) -> Result<JobId, DemoError> {
+    checks.equal(
+        "rerating withdrawn",
+        &true,
+        &withdraw(frame, 1, "rerating").await,
+    );
+    let job = batch_job(frame, checks, "rerating", rng).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let started = started_of(frame, job).await?;
+    checks.equal("rerating tasks started while withdrawn", &0, &started);
+    checks.equal(
+        "rerating resumed",
+        &true,
+        &resume(frame, 0, "rerating").await,
+    );
+    Ok(job)
+}
+
+async fn started_of(frame: &Frame, job: JobId) -> Result<usize, DemoError> {
+    let truth = gather(frame).await?;
+    let prefix = format!("{job}.");
+    let tasks = truth.workers.iter().flat_map(|ran| &ran.tasks);
+    Ok(tasks.filter(|task| task.run.starts_with(&prefix)).count())
+}
+
+async fn finish_jobs(frame: &Frame, checks: &mut Checks, jobs: &[JobId]) -> Result<(), DemoError> {
+    for job in jobs {
+        until(JOB_TIME, async || {
+            job_state(frame.entries[1].callers, *job)
+                .await
+                .is_some_and(|job| job.is_over())
+        })
+        .await;
+        let finished = job_state(frame.entries[1].callers, *job)
+            .await
+            .map_or(0, |job| job.finished);
+        checks.equal("tasks of the job finished by the log", &TASKS, &finished);
+    }
+    let truth = gather(frame).await?;
+    for job in jobs {
+        let wanted = usize::try_from(TASKS).unwrap_or(usize::MAX);
+        checks.at_least(
+            "tasks of the job finished by the workers",
+            wanted,
+            tasks_finished(&truth, *job),
+        );
+    }
+    checks.none("tasks that ran in two places at once", &overlaps(&truth));
+    checks.none("tasks that finished twice", &repeated_finishes(&truth));
+    let repeated = runs_by_key(&truth)
+        .into_iter()
+        .filter(|(_, runs)| *runs > 1);
+    checks.none(
+        "keys that ran twice",
+        &repeated.map(|(key, _)| key).collect::<Vec<_>>(),
+    );
+    Ok(())
+}
+
+async fn planned_stop(frame: &mut Frame, checks: &mut Checks) -> Result<(), DemoError> {
+    const STOP_TIME: Duration = Duration::from_secs(20);
+    let mut codes = Vec::new();
+    let entries = frame.entries.iter_mut().map(|entry| &mut entry.process);
+    let backends = frame.backends.iter_mut().map(|node| &mut node.agent);
+    let workers = frame.workers.iter_mut().map(|node| &mut node.agent);
+    let mut processes: Vec<_> = backends.chain(workers).chain(entries).collect();
+    for process in &processes {
+        process.signal(Signal::Terminate);
+    }
+    for process in &mut processes {
+        let status = process
+            .wait(STOP_TIME)
+            .await
+            .map_err(|error| DemoError(error.to_string()))?;
+        codes.push(
+            status
+                .code()
+                .map_or_else(|| "signal".to_owned(), |code| code.to_string()),
+        );
+    }
+    let bad: Vec<String> = codes.into_iter().filter(|code| code != "0").collect();
+    checks.none("processes whose planned stop did not end with 0", &bad);
+    Ok(())
+}
--- a/crates/agate_frame/src/lib.rs
+++ b/crates/agate_frame/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Starts the real processes with the stand-ins on loopback, for the demo and the fault driver.
+//!
+//! Nothing of this is shipped: the product's own processes start no process.
+
+pub mod client;
+pub mod demo;
+pub mod process;
+pub mod site;
+pub mod table;
+pub mod truth;
+pub mod work;
--- /dev/null
+++ b/crates/agate_frame/src/site/mod.rs
@@ -0,0 +1,11 @@
+//! The processes of a small site.
+
+mod layout;
+mod node;
+mod processes;
+mod wait;
+
+pub use layout::{Layout, Zone};
+pub use node::{BackendNode, EntryNode, WorkerNode};
+pub use processes::{Frame, FrameError, OPERATOR_TOKEN};
+pub use wait::until;
--- /dev/null
+++ b/crates/agate_frame/src/site/processes.rs
@@ -0,0 +1,340 @@
+//! The frame: starting, replacing and asking its processes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use displaydoc::Display;
+use serde_json::Value;
+
+use super::{BackendNode, EntryNode, Layout, WorkerNode, until};
+use crate::client::{Call, CallError, Method, Reply, call};
+use crate::process::{Child, ChildError, free_port};
+
+/// Token of operators in the frame.
+pub const OPERATOR_TOKEN: &str = "frame-operator-token";
+
+/// Longest wait for the frame to be ready.
+const READY_TIME: Duration = Duration::from_secs(30);
+
+/// Appends that the log takes each second.
+const APPENDS_PER_S: u32 = 400;
+
+/// the frame could not be started: {0}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct FrameError(pub String);
+
+impl std::error::Error for FrameError {}
+
+impl From<ChildError> for FrameError {
+    fn from(error: ChildError) -> Self {
+        Self(error.to_string())
+    }
+}
+
+impl From<std::io::Error> for FrameError {
+    fn from(error: std::io::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+/// A running frame; its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Frame {
+    layout: Layout,
+    logs: PathBuf,
+    starts: u32,
+    /// The stand-in for the log.
+    pub log: Child,
+    /// Where it listens.
+    pub log_address: SocketAddr,
+    /// The entries.
+    pub entries: Vec<EntryNode>,
+    /// The backend servers.
+    pub backends: Vec<BackendNode>,
+    /// The workers.
+    pub workers: Vec<WorkerNode>,
+}
+
+impl Frame {
+    /// Starts every process and waits until each entry sees every agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be started or the entries don't see every agent in time.
+    pub async fn start(layout: Layout, logs: &Path) -> Result<Self, FrameError> {
+        std::fs::create_dir_all(logs)?;
+        let log_address = free_port()?;
+        let log = start_log(log_address, layout.retention_s, logs)?;
+        let mut frame = Self {
+            layout,
+            logs: logs.to_owned(),
+            starts: 0,
+            log,
+            log_address,
+            entries: Vec::new(),
+            backends: Vec::new(),
+            workers: Vec::new(),
+        };
+        frame.start_entries()?;
+        frame.start_backends()?;
+        frame.start_workers()?;
+        frame.wait_ready().await?;
+        Ok(frame)
+    }
+
+    fn start_entries(&mut self) -> Result<(), FrameError> {
+        for (index, zone) in self.layout.zones.clone().into_iter().enumerate() {
+            for _ in 0..zone.entries {
+                let entry = self.new_entry(index)?;
+                self.entries.push(entry);
+            }
+        }
+        Ok(())
+    }
+
+    fn start_backends(&mut self) -> Result<(), FrameError> {
+        for (index, zone) in self.layout.zones.clone().into_iter().enumerate() {
+            for _ in 0..zone.backends {
+                let node = self.new_backend(index)?;
+                self.backends.push(node);
+            }
+        }
+        Ok(())
+    }
+
+    fn start_workers(&mut self) -> Result<(), FrameError> {
+        for (index, zone) in self.layout.zones.clone().into_iter().enumerate() {
+            for _ in 0..zone.workers {
+                let node = self.new_worker(index)?;
+                self.workers.push(node);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts an entry in the zone with the given index.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn new_entry(&mut self, zone: usize) -> Result<EntryNode, FrameError> {
+        let (callers, operators, rpc) = (free_port()?, free_port()?, free_port()?);
+        let mut args = vec![
+            format!("--caller-listen={callers}"),
+            format!("--operator-listen={operators}"),
+            format!("--rpc-listen={rpc}"),
+            format!("--advertise={rpc}"),
+            format!("--seeds={}", self.seeds()),
+            format!("--log={}", self.log_address),
+            format!("--operator-token={OPERATOR_TOKEN}"),
+            "--leave-ms=200".to_owned(),
+        ];
+        args.extend(self.site_args(zone));
+        let process = self.child("entry", "agate-entry", &args)?;
+        Ok(EntryNode {
+            process,
+            callers,
+            operators,
+            rpc,
+            zone,
+        })
+    }
+
+    fn new_backend(&mut self, zone: usize) -> Result<BackendNode, FrameError> {
+        let address = free_port()?;
+        let (low, high) = self.layout.service_us;
+        let args = vec![
+            format!("--listen={address}"),
+            format!("--slots={}", self.layout.slots),
+            format!("--service-low-us={low}"),
+            format!("--service-high-us={high}"),
+            format!("--seed={}", self.starts),
+        ];
+        let backend = self.child("backend", "standin-backend", &args)?;
+        let (agent, agent_address) = self.new_backend_agent(zone, address)?;
+        Ok(BackendNode {
+            backend,
+            agent,
+            address,
+            agent_address,
+            zone,
+        })
+    }
+
+    /// Starts an agent beside the backend server at `local`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn new_backend_agent(
+        &mut self,
+        zone: usize,
+        local: SocketAddr,
+    ) -> Result<(Child, SocketAddr), FrameError> {
+        let slots = format!("--slots={}", self.layout.slots);
+        self.new_agent(
+            zone,
+            local,
+            vec![
+                "--host=backend".to_owned(),
+                slots,
+                "--connections=64".to_owned(),
+            ],
+        )
+    }
+
+    fn new_worker(&mut self, zone: usize) -> Result<WorkerNode, FrameError> {
+        let address = free_port()?;
+        let args = vec![format!("--listen={address}")];
+        let worker = self.child("worker", "standin-worker", &args)?;
+        let (agent, agent_address) = self.new_worker_agent(zone, address)?;
+        Ok(WorkerNode {
+            worker,
+            agent,
+            address,
+            agent_address,
+            zone,
+        })
+    }
+
+    /// Starts an agent beside the worker at `local`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn new_worker_agent(
+        &mut self,
+        zone: usize,
+        local: SocketAddr,
+    ) -> Result<(Child, SocketAddr), FrameError> {
+        let args = vec![
+            "--host=worker".to_owned(),
+            format!("--millicores={}", self.layout.millicores),
+            format!("--memory={}", self.layout.memory_mib),
+        ];
+        self.new_agent(zone, local, args)
+    }
+
+    fn new_agent(
+        &mut self,
+        zone: usize,
+        local: SocketAddr,
+        mut args: Vec<String>,
+    ) -> Result<(Child, SocketAddr), FrameError> {
+        let listen = free_port()?;
+        args.push(format!("--listen={listen}"));
+        args.push(format!("--local={local}"));
+        args.push(format!("--seeds={}", self.seeds()));
+        args.extend(self.site_args(zone));
+        Ok((self.child("agent", "agate-agent", &args)?, listen))
+    }
+
+    fn child(&mut self, role: &str, binary: &str, args: &[String]) -> Result<Child, FrameError> {
+        self.starts += 1;
+        Ok(Child::start(
+            &format!("{role}-{:03}", self.starts),
+            binary,
+            args,
+            &self.logs,
+        )?)
+    }
+
+    fn seeds(&self) -> String {
+        let seeds: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.rpc.to_string())
+            .collect();
+        seeds.join(",")
+    }
+
+    fn site_args(&self, zone: usize) -> [String; 2] {
+        let zone = &self.layout.zones[zone];
+        [
+            format!("--region={}", zone.region),
+            format!("--zone={}", zone.name),
+        ]
+    }
+
+    /// Waits until each entry sees every agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_ready(&self) -> Result<(), FrameError> {
+        let agents = self.backends.len() + self.workers.len();
+        let ready = until(READY_TIME, async || {
+            for entry in &self.entries {
+                if members(entry).await != agents {
+                    return false;
+                }
+            }
+            true
+        });
+        if ready.await {
+            Ok(())
+        } else {
+            Err(FrameError("the entries don't see every agent".to_owned()))
+        }
+    }
+
+    /// Makes a call on an entry's operator listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer came.
+    pub async fn operate(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Reply, CallError> {
+        operate(&self.entries[entry], method, path, body).await
+    }
+}
+
+async fn operate(
+    entry: &EntryNode,
+    method: Method,
+    path: &str,
+    body: &Value,
+) -> Result<Reply, CallError> {
+    let headers = vec![
+        ("authorization", format!("Bearer {OPERATOR_TOKEN}")),
+        ("content-type", "application/json".to_owned()),
+    ];
+    let body = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    call(
+        Call::builder()
+            .to(entry.operators)
+            .method(method)
+            .path(path)
+            .headers(headers)
+            .body(body)
+            .build(),
+    )
+    .await
+}
+
+async fn members(entry: &EntryNode) -> usize {
+    let Ok(reply) = operate(entry, Method::Get, "/v1/members", &Value::Null).await else {
+        return 0;
+    };
+    let view: Value = reply.json().unwrap_or_default();
+    view["members"].as_array().map_or(0, Vec::len)
+}
+
+fn start_log(address: SocketAddr, retention_s: u32, logs: &Path) -> Result<Child, FrameError> {
+    let args = [
+        format!("--listen={address}"),
+        format!("--retention-s={retention_s}"),
+        format!("--appends-per-s={APPENDS_PER_S}"),
+    ];
+    Ok(Child::start("log", "standin-log", &args, logs)?)
+}
--- /dev/null
+++ b/crates/agate_frame/src/table/mod.rs
@@ -0,0 +1,5 @@
+//! Tables of checks.
+
+mod checks;
+
+pub use checks::{Check, Checks};
--- /dev/null
+++ b/crates/agate_frame/src/truth/batch.rs
@@ -0,0 +1,64 @@
+//! Batch tasks that ran.
+
+use std::collections::BTreeMap;
+
+use agate_core::{JobId, RunId, TaskId};
+use standin_worker::{Interval, RanTask, TaskStatus};
+
+use super::Truth;
+
+fn tasks(truth: &Truth) -> impl Iterator<Item = (TaskId, &RanTask)> {
+    let ran = truth.workers.iter().flat_map(|ran| &ran.tasks);
+    ran.filter_map(|task| Some((task.run.parse::<RunId>().ok()?.task, task)))
+}
+
+/// Pairs of intervals in which one task ran in two places at once.
+pub fn overlaps(truth: &Truth) -> Vec<String> {
+    let mut by_task: BTreeMap<TaskId, Vec<(Interval, &str)>> = BTreeMap::new();
+    for (id, task) in tasks(truth) {
+        let intervals = task
+            .intervals
+            .iter()
+            .map(|interval| (*interval, task.run.as_str()));
+        by_task.entry(id).or_default().extend(intervals);
+    }
+    by_task
+        .values_mut()
+        .flat_map(|intervals| overlapping(intervals))
+        .collect()
+}
+
+fn overlapping(intervals: &mut [(Interval, &str)]) -> Vec<String> {
+    intervals.sort_by_key(|(interval, _)| interval.start_us);
+    let pairs = intervals.windows(2);
+    let clash =
+        |pair: &&[(Interval, &str)]| pair[0].0.end_us.is_none_or(|end| end > pair[1].0.start_us);
+    pairs
+        .filter(clash)
+        .map(|pair| format!("{} and {}", pair[0].1, pair[1].1))
+        .collect()
+}
+
+fn finished(truth: &Truth) -> impl Iterator<Item = TaskId> {
+    tasks(truth)
+        .filter(|(_, task)| task.status == TaskStatus::Finished)
+        .map(|(id, _)| id)
+}
+
+/// Tasks that finished more than once.
+pub fn repeated_finishes(truth: &Truth) -> Vec<String> {
+    let mut counts: BTreeMap<TaskId, usize> = BTreeMap::new();
+    for id in finished(truth) {
+        *counts.entry(id).or_default() += 1;
+    }
+    counts
+        .into_iter()
+        .filter(|(_, count)| *count > 1)
+        .map(|(id, _)| id.to_string())
+        .collect()
+}
+
+/// How many tasks of a job finished.
+pub fn tasks_finished(truth: &Truth, job: JobId) -> usize {
+    finished(truth).filter(|id| id.job == job).count()
+}
