Keep the operator's token out of help texts and generate the page of agatectl

Cause: the argument parser prints the value of a variable beside its flag. Conclusion: variables are read after parsing; exit codes and commands are generated into docs/reference.

--- a/crates/agate_ctl/src/cli/options.rs
+++ b/crates/agate_ctl/src/cli/options.rs
@@ -13,6 +13,13 @@
 /// Width to which help text is wrapped.
 const HELP_COLUMNS: usize = 100;
 
+/// Variable that names entries.
+const ENTRY: &str = "AGATECTL_ENTRY";
+/// Variable that holds the token.
+const TOKEN: &str = "AGATECTL_TOKEN";
+/// Variable that names the operator.
+const OPERATOR: &str = "AGATECTL_OPERATOR";
+
 /// The command and its options.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -63,22 +70,22 @@
 }
 
 pub(crate) fn parser() -> OptionParser<Options> {
+    // Variables are read here and not by the parser, whose help would show their values.
     let entries = bpaf::long("entry")
-        .env("AGATECTL_ENTRY")
-        .help("Operator address of an entry; several, given again or joined by commas, are tried in turn")
+        .help("Operator address of an entry; several, given again or joined by commas, are tried in turn [AGATECTL_ENTRY]")
         .argument::<String>("ADDR")
         .many()
         .parse(|texts| addresses(&texts));
     let token = bpaf::long("token")
-        .env("AGATECTL_TOKEN")
-        .help("Token of operators; prefer the variable, as command lines can be seen by others")
+        .help("Token of operators; prefer the variable, as command lines can be seen by others [AGATECTL_TOKEN]")
         .argument::<String>("TOKEN")
+        .fallback_with(|| variable(TOKEN).ok_or("give the token by AGATECTL_TOKEN or --token"))
         .map(Secret::new);
     let operator = bpaf::long("operator")
-        .env("AGATECTL_OPERATOR")
-        .help("Who you are, for the history")
+        .help("Who you are, for the history [AGATECTL_OPERATOR]")
         .argument::<String>("NAME")
-        .optional();
+        .optional()
+        .map(|name| name.or_else(|| variable(OPERATOR)));
     let output = bpaf::long("output")
         .help("table or json [default: table]")
         .argument::<OutputFormat>("FORMAT")
@@ -97,8 +104,16 @@
     .max_width(HELP_COLUMNS)
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|text| !text.is_empty())
+}
+
 fn addresses(texts: &[String]) -> Result<Vec<SocketAddr>, String> {
-    let parts = texts.iter().flat_map(|text| text.split(','));
+    let from_variable = variable(ENTRY).filter(|_| texts.is_empty());
+    let parts = texts
+        .iter()
+        .chain(&from_variable)
+        .flat_map(|text| text.split(','));
     let parts = parts.map(str::trim).filter(|part| !part.is_empty());
     let addresses: Result<Vec<SocketAddr>, String> = parts.map(address).collect();
     match addresses {
--- a/crates/agate_ctl/src/reference.rs
+++ b/crates/agate_ctl/src/reference.rs
@@ -16,9 +16,12 @@
     }
     page.push_str("\n## Commands\n");
     for path in COMMANDS {
-        let _ = write!(page, "\n### `agatectl {}`\n\n```text\n", path.join(" "));
-        page.push_str(help(path).trim_end());
-        page.push_str("\n```\n");
+        let name = [&["agatectl"], *path].concat().join(" ");
+        let _ = write!(page, "\n### `{name}`\n\n```text\n");
+        for line in help(path).trim_end().lines() {
+            let _ = writeln!(page, "{}", line.trim_end());
+        }
+        page.push_str("```\n");
     }
     page
 }
--- a/crates/agate_ctl/tests/command_line.rs
+++ b/crates/agate_ctl/tests/command_line.rs
@@ -62,6 +62,14 @@
     assert!(stop.text.contains(remedy), "{}", stop.text);
 }
 
+#[test]
+fn help_never_shows_the_token() {
+    let args = ["--token=hunter2hunter2", "--help"].map(str::to_owned);
+    let stop = parse(&args).expect_err("help ends the program");
+    assert!(!stop.text.contains("hunter2"), "{}", stop.text);
+    assert!(stop.text.contains("AGATECTL_TOKEN"), "{}", stop.text);
+}
+
 #[test]
 fn reference_lists_every_exit_code() {
     let page = agate_ctl::reference();
--- a/crates/agate_docs/src/lib.rs
+++ b/crates/agate_docs/src/lib.rs
@@ -27,6 +27,10 @@
             file: "agate-agent.md",
             text: reference::<AgentSetting>(&agate_agent::PROGRAM),
         },
+        Page {
+            file: "agatectl.md",
+            text: agate_ctl::reference(),
+        },
         Page {
             file: "preset.md",
             text: preset::page(),
