--- /dev/null
+++ b/crates/agate_entry/tests/it/repeatable.rs
@@ -0,0 +1,88 @@
+//! Requests that may be repeated.
+
+use std::time::Duration;
+
+use agate_entry::Running;
+use http::StatusCode;
+use serde_json::json;
+
+use crate::support::{
+    Behaviour, FakeAgent, Heartbeats, backend, callers, entry_on, eventually, header, log,
+    operators, outage, text, value,
+};
+
+const MANY: &str = "/v1/requests/seat-check";
+
+/// Starts an entry on a log under a preset in which `seat-check` may be repeated.
+async fn repeatable(log: &standin_log::Handle) -> Running {
+    let entry = entry_on(log, vec![]).await;
+    let operator = operators(&entry);
+    let preset = json!({
+        "kind": "ordinary",
+        "classes": {"seat-check": {"repeatable": true}},
+        "retries": {"budget_percent": 20, "attempts": 3},
+    });
+    let body = json!({"name": "ordinary", "preset": preset});
+    operator.post("/v1/presets", body.to_string()).await;
+    let body = json!({"name": "ordinary", "expected": "0+0"});
+    let switched = operator.post("/v1/presets/switch", body.to_string()).await;
+    assert_eq!(switched.status(), StatusCode::OK);
+    entry
+}
+
+async fn two(entry: &Running, first: Behaviour, second: Behaviour) -> [(FakeAgent, Heartbeats); 2] {
+    [
+        backend(entry, 1, first).await,
+        backend(entry, 2, second).await,
+    ]
+}
+
+#[tokio::test]
+async fn failed_attempt_is_repeated_at_another_agent_even_in_an_outage() {
+    let log = log().await;
+    let entry = repeatable(&log).await;
+    let [(bad, _one), (good, _two)] = two(&entry, Behaviour::Fail, Behaviour::Answer).await;
+    outage(&log);
+    eventually("the failing agent is tried", async || {
+        let answer = callers(&entry).post(MANY, "row 4").await;
+        if answer.status() == StatusCode::OK {
+            assert_eq!(text(&answer), "echo:row 4");
+        }
+        bad.lock().attempts > 0 && !good.lock().ran.is_empty()
+    })
+    .await;
+    assert!(
+        good.lock().ran.iter().all(Option::is_none),
+        "a key was sent"
+    );
+}
+
+#[tokio::test]
+async fn outage_of_every_agent_costs_few_extra_attempts() {
+    let log = log().await;
+    let entry = repeatable(&log).await;
+    let [(first, _one), (second, _two)] = two(&entry, Behaviour::Fail, Behaviour::Fail).await;
+    let requests = 100;
+    for _ in 0..requests {
+        let answer = callers(&entry).post(MANY, "x").await;
+        assert_ne!(header(&answer, "agate-outcome"), "done");
+        assert!(!header(&answer, "retry-after").is_empty());
+    }
+    let attempts = first.lock().attempts + second.lock().attempts;
+    // A fifth of an attempt for each request, and the one that a caller starts with.
+    assert!(attempts <= requests + 21, "{attempts} attempts");
+}
+
+#[tokio::test]
+async fn answer_that_comes_too_late_ends_the_request_at_its_deadline() {
+    let log = log().await;
+    let entry = repeatable(&log).await;
+    let slow = Behaviour::Slow(Duration::from_secs(30));
+    let [_first, _second] = two(&entry, slow, slow).await;
+    let began = std::time::Instant::now();
+    let caller = callers(&entry).with("agate-deadline-ms", "300");
+    let answer = caller.post(MANY, "x").await;
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(value(&answer)["error"], "unknown");
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
