--- /dev/null
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -0,0 +1,8 @@
+//! One agent beside a stand-in, called by an entry that the tests play.
+
+mod drain;
+mod entries;
+mod process;
+mod runs;
+mod support;
+mod urgent;
--- /dev/null
+++ b/crates/agate_entry/tests/it/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the entry against fakes at its interfaces.
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails is a test that fails"
+)]
+
+mod drain;
+mod input;
+mod jobs;
+mod keys;
+mod leases;
+mod operators;
+mod repeatable;
+mod requests;
+mod support;
+mod tickets;
--- a/crates/agate_preset/src/lib.rs
+++ b/crates/agate_preset/src/lib.rs
@@ -8,10 +8,10 @@
 mod kind;
 pub mod policy;
 mod preset;
-mod reader;
+pub mod reader;
 mod team;
 
 pub use class::ClassPolicy;
 pub use kind::DayKind;
-pub use preset::Preset;
+pub use preset::{MAX_PRESET_BYTES, Preset};
 pub use team::TeamQuota;
