Test silent workers, lapsed starts, cut answers and restarts of supervised tasks

Cause: mutations that no test caught: an answer cut after its head, a silent worker that is told new deadlines or given up at once, a lease without end at a start, a tombstone that is not told at once, a silent entry that is named to others. Ruled out: more mechanism; the stand-in's cut answer never left its first byte, and the tests of a vanished worker reached the worker by other calls. Found on the way: a restart of the announcement after every entry was forgotten would have stopped the agent's own runs; only foreign tasks are stopped now. Conclusion: each of them has a test that is meant to catch it.

--- a/crates/agate_agent/src/process/tree.rs
+++ b/crates/agate_agent/src/process/tree.rs
@@ -64,9 +64,7 @@
 
 /// Announces the agent once the worker holds nothing of an earlier incarnation.
 async fn announce(core: Arc<Core>) {
-    if core.entries.addresses().is_empty() {
-        batch::until_clear(&core).await;
-    }
+    batch::until_clear(&core).await;
     entries::keep_announced(core).await;
 }
 
--- a/crates/agate_agent/src/urgent/attempt.rs
+++ b/crates/agate_agent/src/urgent/attempt.rs
@@ -53,7 +53,11 @@
         body: Bytes::from(body),
         limit: core.config.limit,
     };
-    forward_to_end(core, permit, forward).await
+    let outcome = forward_to_end(core, permit, forward).await;
+    if let Outcome::Failed(reason) = &outcome {
+        span.fail(reason);
+    }
+    outcome
 }
 
 /// The last checks before the request leaves: the class, both clocks, and the key.
--- a/crates/agate_agent/tests/agent/entries.rs
+++ b/crates/agate_agent/tests/agent/entries.rs
@@ -76,7 +76,7 @@
 }
 
 #[tokio::test]
-async fn entry_that_is_replaced_is_forgotten_and_its_successor_found_by_a_seed() {
+async fn entry_that_is_gone_is_named_to_nobody_and_another_is_found_by_a_seed() {
     let backend = backend().await;
     let (first, second) = (FakeEntry::start().await, FakeEntry::start().await);
     for entry in [&first, &second] {
--- a/crates/agate_agent/tests/agent/runs.rs
+++ b/crates/agate_agent/tests/agent/runs.rs
@@ -264,3 +264,58 @@
     let result = on.report(run.run).await.result;
     assert!(matches!(result, RunResult::NotStarted { .. }), "{result:?}");
 }
+
+#[tokio::test]
+async fn run_that_starts_under_a_lapsed_lease_starts_paused() {
+    let on = OnWorker::start_with(|state| state.lease = Duration::ZERO).await;
+    let run = on.run(0, 1, SHORT);
+    assert_eq!(start(&on, run.clone()).await, StartReply::Started);
+    let task = on.task(run.run).expect("the worker knows it");
+    assert_eq!((task.status, task.intervals.len()), (TaskStatus::Paused, 0));
+
+    on.entry.state().lease = Duration::from_mins(1);
+    assert_eq!(on.report(run.run).await.result, RunResult::Finished);
+}
+
+#[tokio::test]
+async fn run_on_a_silent_worker_ends_once_its_lease_has_lapsed_and_never_goes_on() {
+    let on = OnWorker::start_with(|state| state.lease = Duration::from_secs(4)).await;
+    let run = on.run(0, 1, LONG);
+    start(&on, run.clone()).await;
+    let runs = || status(&on, &run) == Some(TaskStatus::Running);
+    until("progress", runs).await;
+    on.worker.set_fault(Fault::Silence);
+    // The entry goes on granting leases to the agent.
+    assert_eq!(on.report(run.run).await.result, RunResult::Stopped);
+    let task = on.task(run.run).expect("it ran");
+    assert_eq!(task.status, TaskStatus::Paused);
+    assert!(is_refused(&start(&on, on.run(1, 1, LONG)).await));
+
+    on.worker.set_fault(Fault::None);
+    until("a stop", || status(&on, &run) == Some(TaskStatus::Stopped)).await;
+    let after = on.task(run.run).expect("it ran");
+    assert_eq!(after.intervals.len(), task.intervals.len());
+    let next = async {
+        let mut index = 2;
+        while is_refused(&start(&on, on.run(index, 1, LONG)).await) {
+            index += 1;
+        }
+    };
+    let next = tokio::time::timeout(crate::support::PATIENCE, next).await;
+    assert!(next.is_ok(), "a worker that is clear again takes runs");
+}
+
+#[tokio::test]
+async fn restart_of_the_announcement_leaves_held_runs_alone() {
+    let on = OnWorker::start().await;
+    let run = on.run(0, 1, LONG);
+    start(&on, run.clone()).await;
+    for child in ["announce", "links", "usage"] {
+        on.agent.control().kill(child);
+    }
+    let before = on.entry.state().heartbeats.len();
+    let more = |state: &crate::support::EntryState| state.heartbeats.len() > before + 10;
+    on.entry.until("heartbeats after the restart", more).await;
+    assert_eq!(status(&on, &run), Some(TaskStatus::Running));
+    assert!(on.entry.state().reports.is_empty());
+}
--- a/crates/agate_agent/tests/agent/support.rs
+++ b/crates/agate_agent/tests/agent/support.rs
@@ -301,7 +301,7 @@
 /// A configuration whose heartbeats and time limits are short.
 pub fn quick_config(offset: u64) -> ConfigState {
     let preset = Preset::parse(
-        r#"{"kind": "ordinary", "membership": {"heartbeat_ms": 50, "suspect_ms": 100, "forget_ms": 1000}}"#,
+        r#"{"kind": "ordinary", "membership": {"heartbeat_ms": 50, "suspect_ms": 100}}"#,
     );
     let version = Version(Position::new(Offset(offset), 0));
     ConfigState {
--- a/crates/agate_agent/tests/agent/urgent.rs
+++ b/crates/agate_agent/tests/agent/urgent.rs
@@ -100,7 +100,7 @@
 
 #[tokio::test]
 async fn key_tombstoned_while_it_waits_never_runs() {
-    let backend = backend(1, Duration::from_millis(300)).await;
+    let backend = backend(1, Duration::from_secs(2)).await;
     let mut choice = Choice::backend(backend.address());
     choice.slots = 1;
     let agent = choice.start();
@@ -134,6 +134,8 @@
 
     let waiting = waiting.await.expect("no panic").expect("a reply");
     assert_eq!(refusal(&waiting), Some(Refusal::Tombstoned));
+    // It is told at once, not when the slot is free.
+    assert_eq!(backend.ran().runs[0].end_ms, None);
     done_body(&busy.await.expect("no panic").expect("a reply"));
     let last = client.serve(request(&agent, 3)).await.expect("a reply");
     done_body(&last);
@@ -248,9 +250,9 @@
 
 #[tokio::test]
 async fn slots_and_connections_are_never_exceeded() {
-    let backend = backend(3, Duration::from_millis(5)).await;
+    let backend = backend(6, Duration::from_millis(5)).await;
     let mut choice = Choice::backend(backend.address());
-    choice.slots = 3;
+    choice.slots = 6;
     choice.connections = 3;
     let agent = choice.start();
     let mut tasks = tokio::task::JoinSet::new();
@@ -410,3 +412,25 @@
     assert_eq!(seen.trace, sent.trace);
     assert_ne!(seen.span, sent.span);
 }
+
+#[tokio::test]
+async fn server_that_crashes_is_started_again_on_the_same_address() {
+    let backend = backend(8, Duration::ZERO).await;
+    let agent = Choice::backend(backend.address()).start();
+    let client = dial(agent.address()).await;
+    done_body(&client.serve(request(&agent, 1)).await.expect("a reply"));
+    for child in ["rpc", "gate", "policy", "slowdown"] {
+        agent.control().kill(child);
+    }
+    let served = async {
+        loop {
+            let client = dial(agent.address()).await;
+            if let Ok(reply) = client.serve(request(&agent, 2)).await {
+                done_body(&reply);
+                return;
+            }
+        }
+    };
+    let served = tokio::time::timeout(crate::support::PATIENCE, served).await;
+    assert!(served.is_ok(), "the agent serves again");
+}
--- a/crates/standin_backend/src/reply.rs
+++ b/crates/standin_backend/src/reply.rs
@@ -2,7 +2,8 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
@@ -11,6 +12,7 @@
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::{Body, Frame};
 use serde::Serialize;
+use tokio::time::{Sleep, sleep};
 
 /// Body of an answer.
 pub(crate) type ReplyBody = BoxBody<Bytes, Infallible>;
@@ -39,7 +41,7 @@
 /// An answer that states a longer length than `body` has.
 pub(crate) fn cut(body: Bytes) -> Response<ReplyBody> {
     let stated = http::HeaderValue::from(body.len() + 1);
-    let mut reply = with_body(StatusCode::OK, OneFrame(Some(body)).boxed());
+    let mut reply = with_body(StatusCode::OK, CutBody::new(body).boxed());
     reply.headers_mut().insert(CONTENT_LENGTH, stated);
     reply
 }
@@ -50,18 +52,38 @@
     reply
 }
 
-/// A body that tells nothing of its length, so that the server doesn't check the header against it.
+/// Time for the head and the data of a cut answer to leave before the connection is closed.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
+/// A body that tells nothing of its length, so that the server doesn't check the header against
+/// it, and that ends some time after its data.
 #[derive(Debug)]
-struct OneFrame(Option<Bytes>);
+struct CutBody {
+    data: Option<Bytes>,
+    flushed: Pin<Box<Sleep>>,
+}
+
+impl CutBody {
+    fn new(data: Bytes) -> Self {
+        Self {
+            data: Some(data),
+            flushed: Box::pin(sleep(FLUSH_TIME)),
+        }
+    }
+}
 
-impl Body for OneFrame {
+impl Body for CutBody {
     type Data = Bytes;
     type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Poll::Ready(self.0.take().map(|bytes| Ok(Frame::data(bytes))))
+        if let Some(data) = self.data.take() {
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+        ready!(self.flushed.as_mut().poll(cx));
+        Poll::Ready(None)
     }
 }
