Keep new work from agents behind a broken connection and count suspensions into leases

Cause: an agent whose connection is refused was chosen again and again until the retry budget ran out; the runtime's clock stands still while a machine is suspended, so an entry that wakes up would have granted a lease on a state far older than it seemed. Ruled out: leaving it to the outlier detector, which may not eject one member of two. A suspension of the machine was not tried. Conclusion: a broken connection condemns the member until a new one works; the age of the state includes suspended time.

--- a/crates/agate_entry/src/app/start.rs
+++ b/crates/agate_entry/src/app/start.rs
@@ -86,6 +86,7 @@
         rpc::announce(entry, Arc::clone(&seeds), stop)
     });
     add(&mut back, "sweep", entry, members::sweep);
+    add(&mut back, "redial", entry, members::redial);
     add(&mut back, "config-push", entry, configuration::push);
     add_log(&mut back, entry);
     add(&mut back, "place", entry, batch::place);
--- a/crates/agate_entry/src/ledger/folded.rs
+++ b/crates/agate_entry/src/ledger/folded.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
+use crate::clock::SuspendClock;
+
 /// Batches whose effects are remembered for the writers that wait for them.
 const RECENT_BATCHES: usize = 4_096;
 
@@ -19,17 +21,28 @@
 /// The folded state behind a lock that is never held across an await.
 #[derive(Debug)]
 pub(crate) struct Folded {
+    suspend: SuspendClock,
     inner: Mutex<Inner>,
     /// The last append folded.
     place: watch::Sender<Offset>,
 }
 
+/// Tells when the last read that reached the end of the log began.
+#[derive(Debug)]
+pub(crate) struct Tip {
+    pub(crate) reads: watch::Receiver<Option<Instant>>,
+    /// For how long the machine had been suspended before any of these reads.
+    pub(crate) suspended: Duration,
+}
+
 #[derive(Debug)]
 struct Inner {
     state: State,
     recent: RecentEffects,
     /// Tells when the last read that reached the end of the log began; none before recovery.
     tip: Option<watch::Receiver<Option<Instant>>>,
+    /// For how long the machine had been suspended when that read began, or earlier.
+    suspended: Duration,
 }
 
 impl Folded {
@@ -39,19 +52,22 @@
             state: State::new(StateLimits::default()),
             recent: RecentEffects::new(RECENT_BATCHES),
             tip: None,
+            suspended: Duration::ZERO,
         };
         Self {
+            suspend: SuspendClock::start(),
             inner: Mutex::new(inner),
             place: watch::Sender::new(Offset::START),
         }
     }
 
     /// Takes over a state that was rebuilt from the log.
-    pub(crate) fn install(&self, state: State, tip: watch::Receiver<Option<Instant>>) {
+    pub(crate) fn install(&self, state: State, tip: Tip) {
         let place = state.applied();
         let mut inner = self.lock();
         inner.state = state;
-        inner.tip = Some(tip);
+        inner.tip = Some(tip.reads);
+        inner.suspended = tip.suspended;
         drop(inner);
         self.place.send_replace(place);
     }
@@ -81,12 +97,25 @@
         work(&mut self.lock().state)
     }
 
+    /// For how long the machine has been suspended so far.
+    pub(crate) fn suspended(&self) -> Duration {
+        self.suspend.suspended()
+    }
+
+    /// Notes how long the machine had been suspended before the read began that is now the last
+    /// one to have reached the end.
+    pub(crate) fn note_suspended(&self, suspended: Duration) {
+        self.lock().suspended = suspended;
+    }
+
     /// Age of the state: the time since the start of the last read that reached the end of the
-    /// log. `None` if the log has not been read, or the state can't be vouched for.
+    /// log, suspensions of the machine included. `None` if the log has not been read, or the state
+    /// can't be vouched for.
     pub(crate) fn age(&self) -> Option<Duration> {
         let inner = self.lock();
         let tip = *inner.tip.as_ref()?.borrow();
-        Some(tip?.elapsed())
+        let suspended = self.suspend.suspended().saturating_sub(inner.suspended);
+        Some(tip?.elapsed() + suspended)
     }
 
     /// Waits until the fold has passed `recorded`, and tells what the record at `index` after it
--- a/crates/agate_entry/src/ledger/follow.rs
+++ b/crates/agate_entry/src/ledger/follow.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::folded::Tip;
 use crate::batch;
 use crate::entry::Entry;
 
@@ -37,6 +38,7 @@
 /// Rebuilds the state and follows the stream until the log no longer holds what is needed.
 async fn follow_once(entry: &Entry) {
     let mut rng = StdRng::from_os_rng();
+    let suspended = entry.folded.suspended();
     let store = Arc::clone(&entry.store);
     let settings = FollowSettings::default();
     let recovered = recover(store, StateLimits::default(), settings, &mut rng).await;
@@ -50,17 +52,28 @@
     let follower = &mut recovered.follower;
     let state = recovered.state;
     log::info!(event = "state_rebuilt", offset:% = state.applied(), jobs = state.open_jobs(), malformed = recovered.malformed; "");
-    entry.folded.install(state, follower.tip());
+    let reads = follower.tip();
+    entry.folded.install(state, Tip { reads, suspended });
     entry
         .config
         .offer_shared(&entry.folded.with(|state| state.config()));
     batch::rebuild(entry);
-    follow_on(entry, follower, &mut rng).await;
+    follow_on(entry, follower, suspended, &mut rng).await;
 }
 
-async fn follow_on(entry: &Entry, follower: &mut Follower, rng: &mut StdRng) {
+/// Follows the stream. `before` is for how long the machine had been suspended before any read so
+/// far.
+async fn follow_on(entry: &Entry, follower: &mut Follower, mut before: Duration, rng: &mut StdRng) {
+    let tip = follower.tip();
     loop {
-        match follower.next(rng).await {
+        let (last, suspended) = (*tip.borrow(), entry.folded.suspended());
+        let read = follower.next(rng).await;
+        // By the call, the read of the previous round has become the tip if it reached the end.
+        if *tip.borrow() != last {
+            entry.folded.note_suspended(before);
+        }
+        before = suspended;
+        match read {
             Followed::Batches(batches) => {
                 for batch in &batches {
                     fold(entry, batch);
--- a/crates/agate_entry/src/members/table.rs
+++ b/crates/agate_entry/src/members/table.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use agate_core::{Incarnation, Site};
-use agate_members::{Announced, Change, MemberKey, View};
+use agate_members::{Announced, Change, MemberKey, Standing, View};
 use agate_preset::policy::Membership;
 use agate_wire::message::{Heartbeat, Load, MemberInfo, Verdict};
 
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Listed {
     pub(crate) info: MemberInfo,
-    pub(crate) standing: agate_members::Standing,
+    pub(crate) standing: Standing,
     pub(crate) load: Load,
     pub(crate) silent_ms: u64,
 }
@@ -76,6 +76,30 @@
         self.lock().lost(incarnation, now);
     }
 
+    /// Keeps new work from an incarnation whose connection is broken.
+    pub(crate) fn condemn(&self, incarnation: Incarnation) {
+        let mut view = self.lock();
+        if let Some(key) = view.find(incarnation) {
+            view.condemn(key);
+        }
+    }
+
+    /// Gives new work again to a member to which a new connection was made.
+    pub(crate) fn restored(&self, member: MemberKey) {
+        self.lock().restored(member);
+    }
+
+    /// The members whose connection is broken.
+    pub(crate) fn condemned(&self) -> Vec<Target> {
+        let view = self.lock();
+        let condemned = view
+            .iter()
+            .filter(|(_, member)| member.standing() == Standing::Condemned);
+        condemned
+            .filter_map(|(key, _)| Target::find(&view, key))
+            .collect()
+    }
+
     /// Finds the members that fell silent.
     pub(crate) fn sweep(&self) -> Vec<Change> {
         let now = self.clock.now();
--- a/crates/agate_entry/src/metrics.rs
+++ b/crates/agate_entry/src/metrics.rs
@@ -40,6 +40,8 @@
     open: Gauge,
     members: Gauge,
     peers: Gauge,
+    jobs: Gauge,
+    log_age: Gauge,
     classes: std::sync::Mutex<std::collections::HashSet<ClassName>>,
 }
 
@@ -61,6 +63,8 @@
             open: Gauge::default(),
             members: Gauge::default(),
             peers: Gauge::default(),
+            jobs: Gauge::default(),
+            log_age: Gauge::default(),
             classes: std::sync::Mutex::default(),
         };
         registry.register(
@@ -81,6 +85,12 @@
         registry.register("open", "Requests open now", metrics.open.clone());
         registry.register("members", "Agents known", metrics.members.clone());
         registry.register("peers", "Other entries known", metrics.peers.clone());
+        registry.register("jobs", "Open jobs", metrics.jobs.clone());
+        registry.register(
+            "log_age_milliseconds",
+            "Age of the state read from the log; -1 if it has not been read",
+            metrics.log_age.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -128,6 +138,11 @@
         self.members
             .set(to_gauge(entry.members.with(|view| view.len())));
         self.peers.set(to_gauge(entry.peers.list().len()));
+        self.jobs
+            .set(to_gauge(entry.folded.with(|state| state.open_jobs())));
+        let age = entry.folded.age();
+        let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.log_age.set(age);
         text(&self.registry)
     }
 
--- a/crates/agate_entry/src/urgent/attempt.rs
+++ b/crates/agate_entry/src/urgent/attempt.rs
@@ -90,7 +90,10 @@
     let (id, incarnation) = (request.request, request.incarnation);
     let client = match deadline.run(link.client()).await {
         Ok(Ok(client)) => client,
-        Ok(Err(error)) => return Attempt::NotSent(error.to_string()),
+        Ok(Err(error)) => {
+            entry.members.condemn(incarnation);
+            return Attempt::NotSent(error.to_string());
+        }
         Err(_passed) => return Attempt::NotSent("no connection came about in time".to_owned()),
     };
     match deadline.run(client.serve(request)).await {
@@ -101,6 +104,7 @@
         Ok(Err(error)) => {
             if !matches!(error, jsonrpsee::core::client::Error::Call(_)) {
                 link.condemn(&client).await;
+                entry.members.condemn(incarnation);
             }
             Attempt::Lost(error.to_string())
         }
--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -201,3 +201,21 @@
     assert_eq!(header(&answer, "agate-outcome"), "unknown");
     assert_eq!(agent.lock().attempts, 1);
 }
+
+#[tokio::test]
+async fn agent_behind_a_broken_connection_gets_no_new_work() {
+    let entry = entry().await;
+    let cut_off = FakeAgent::start(1, Behaviour::Answer).await;
+    let proxy = SilentProxy::start(cut_off.address).await;
+    let _cut_off_beats = cut_off
+        .join(entry.rpc_address(), Host::Backend, proxy.address)
+        .await;
+    let (_agent, _beats) = backend(&entry, 2, Behaviour::Answer).await;
+    proxy.cut();
+    let mut done = 0;
+    for _ in 0..40 {
+        let answer = callers(&entry).post(ONCE, "x").await;
+        done += usize::from(header(&answer, "agate-outcome") == "done");
+    }
+    assert!(done >= 39, "{done} of 40 requests were answered");
+}
