Drive load and faults against the real processes

Cause: promises that hold in tests of one crate may break between processes. Conclusion: relays in front of agents and entries let open connections go silent while new ones work.

--- /dev/null
+++ b/crates/agate_frame/src/bin/faults.rs
@@ -0,0 +1,72 @@
+//! Runs load and faults on loopback and prints what was injected and what was checked; ends with 0
+//! only if faults were injected and every check holds.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use agate_frame::faults::{Outcome, drive};
+use bpaf::{Parser, construct};
+
+#[derive(Debug, Clone)]
+struct Options {
+    seed: u64,
+    seconds: u64,
+    logs: PathBuf,
+}
+
+fn options() -> Options {
+    let seed = bpaf::long("seed")
+        .help("Seed of load and faults")
+        .argument("SEED")
+        .fallback(1);
+    let seconds = bpaf::long("seconds")
+        .help("Time for which faults are injected")
+        .argument("S")
+        .fallback(30);
+    let logs = bpaf::long("logs")
+        .help("Folder for the logs of the processes")
+        .argument("DIR")
+        .fallback(PathBuf::from("target/faults"));
+    construct!(Options {
+        seed,
+        seconds,
+        logs
+    })
+    .to_options()
+    .descr("Faults on loopback.")
+    .run()
+}
+
+fn print(outcome: &Outcome) {
+    println!("{:<24} {:>8}", "fault", "injected");
+    for (fault, count) in &outcome.faults {
+        println!("{:<24} {count:>8}", fault.to_string());
+    }
+    println!("\n{}", outcome.checks);
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = options();
+    match drive(
+        options.seed,
+        Duration::from_secs(options.seconds),
+        &options.logs,
+    )
+    .await
+    {
+        Ok(outcome) => {
+            print(&outcome);
+            if outcome.holds() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/agate_frame/src/demo/tour.rs
+++ b/crates/agate_frame/src/demo/tour.rs
@@ -194,11 +194,9 @@
     )
     .await;
     let (zone, local) = (frame.workers[0].zone, frame.workers[0].address);
-    (frame.workers[0].agent, frame.workers[0].agent_address) =
-        frame.new_worker_agent(zone, local)?;
+    (frame.workers[0].agent, frame.workers[0].relay) = frame.new_worker_agent(zone, local)?;
     let (zone, local) = (frame.backends[0].zone, frame.backends[0].address);
-    (frame.backends[0].agent, frame.backends[0].agent_address) =
-        frame.new_backend_agent(zone, local)?;
+    (frame.backends[0].agent, frame.backends[0].relay) = frame.new_backend_agent(zone, local)?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/agate_frame/src/faults/inject.rs
@@ -0,0 +1,294 @@
+//! Injection of faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agate_core::JobId;
+use rand::Rng;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::batch::Accepted;
+use super::directory::{Directory, EntryAddress};
+use super::drive::DriveError;
+use super::fault::Fault;
+use super::operators::operate;
+use crate::client::{Call, Method, call};
+use crate::process::{Child, Signal};
+use crate::site::Frame;
+
+/// Longest time that a planned stop may take.
+const STOP_TIME: Duration = Duration::from_secs(40);
+
+/// Jobs cancelled at once in a wave.
+const WAVE_JOBS: usize = 5;
+
+/// Injects faults into a frame and heals it.
+pub(crate) struct Injector<'a> {
+    /// The frame.
+    pub(crate) frame: &'a mut Frame,
+    /// Addresses that callers use.
+    pub(crate) directory: Directory,
+    /// Jobs that may be cancelled.
+    pub(crate) accepted: Accepted,
+    /// Exit codes of planned stops that were not 0.
+    pub(crate) bad_stops: Vec<String>,
+}
+
+impl Injector<'_> {
+    /// Injects one fault, lets it last for `time` and heals it.
+    pub(crate) async fn inject(
+        &mut self,
+        fault: Fault,
+        time: Duration,
+        rng: &mut StdRng,
+    ) -> Result<(), DriveError> {
+        log::info!(event = "fault", fault:% = fault; "");
+        if let Some(lasting) = self.lasting(fault, time, rng) {
+            return lasting.await;
+        }
+        match fault {
+            Fault::KillEntry => self.replace_entry(Signal::Kill, rng).await?,
+            Fault::StopEntry => self.replace_entry(Signal::Terminate, rng).await?,
+            Fault::KillBackendAgent => self.replace_backend_agent(Signal::Kill, rng).await?,
+            Fault::StopBackendAgent => self.replace_backend_agent(Signal::Terminate, rng).await?,
+            Fault::KillWorkerAgent => self.replace_worker_agent(Signal::Kill, rng).await?,
+            Fault::StopWorkerAgent => self.replace_worker_agent(Signal::Terminate, rng).await?,
+            Fault::FreezeEntry => freeze(&self.frame.entries[self.entry(rng)].process, time).await,
+            Fault::FreezeBackendAgent => {
+                freeze(&self.frame.backends[self.backend(rng)].agent, time).await
+            }
+            Fault::FreezeWorkerAgent => {
+                freeze(&self.frame.workers[self.worker(rng)].agent, time * 2).await
+            }
+            Fault::CancelWave => self.cancel_wave(rng).await,
+            Fault::WithdrawClass => self.withdraw_class(time, rng).await,
+            _ => self.connections(fault, time, rng).await,
+        }
+        Ok(())
+    }
+
+    /// A fault of a stand-in, which can last while another fault is injected; none for other faults.
+    pub(crate) fn lasting(
+        &self,
+        fault: Fault,
+        time: Duration,
+        rng: &mut StdRng,
+    ) -> Option<impl Future<Output = Result<(), DriveError>> + Send + 'static> {
+        let log = self.frame.log_address;
+        let backend = self.frame.backends[self.backend(rng)].address;
+        let worker = self.frame.workers[self.worker(rng)].address;
+        let (to, path, on) = match fault {
+            Fault::LogOutage => (log, "/v1/faults", json!({"outage": true})),
+            Fault::SlowLog => (log, "/v1/faults", json!({"slow_ms": 300})),
+            Fault::LostAnswers => (log, "/v1/faults", json!({"lose_answers_percent": 50})),
+            Fault::WrongAnswers => (backend, "/faults", json!({"fault": "wrong-request"})),
+            Fault::CutAnswers => (backend, "/faults", json!({"fault": "cut"})),
+            Fault::ClosedConnections => (backend, "/faults", json!({"fault": "close"})),
+            Fault::SlowBackend => (backend, "/faults", json!({"fault": "slow", "percent": 500})),
+            Fault::FailingWorker => (worker, "/faults", json!({"fault": "fail-everything"})),
+            _ => return None,
+        };
+        let off = if to == log {
+            json!({})
+        } else {
+            json!({"fault": "none"})
+        };
+        Some(async move {
+            switch(to, path, &on).await?;
+            sleep(time).await;
+            switch(to, path, &off).await
+        })
+    }
+
+    fn entry(&self, rng: &mut StdRng) -> usize {
+        rng.random_range(0..self.frame.entries.len())
+    }
+
+    fn backend(&self, rng: &mut StdRng) -> usize {
+        rng.random_range(0..self.frame.backends.len())
+    }
+
+    fn worker(&self, rng: &mut StdRng) -> usize {
+        rng.random_range(0..self.frame.workers.len())
+    }
+
+    /// Tells callers which entries there are.
+    pub(crate) fn publish_directory(&self) {
+        let address = |entry: &crate::site::EntryNode| EntryAddress {
+            callers: entry.callers,
+            operators: entry.operators,
+        };
+        self.directory
+            .set(self.frame.entries.iter().map(address).collect());
+    }
+
+    async fn replace_entry(&mut self, signal: Signal, rng: &mut StdRng) -> Result<(), DriveError> {
+        let index = self.entry(rng);
+        let zone = self.frame.entries[index].zone;
+        let new = self.frame.new_entry(zone)?;
+        let mut old = std::mem::replace(&mut self.frame.entries[index], new);
+        self.publish_directory();
+        self.end(&mut old.process, signal).await
+    }
+
+    async fn replace_backend_agent(
+        &mut self,
+        signal: Signal,
+        rng: &mut StdRng,
+    ) -> Result<(), DriveError> {
+        let index = self.backend(rng);
+        let (zone, local) = (
+            self.frame.backends[index].zone,
+            self.frame.backends[index].address,
+        );
+        let (agent, relay) = self.frame.new_backend_agent(zone, local)?;
+        let node = &mut self.frame.backends[index];
+        let mut old = std::mem::replace(&mut node.agent, agent);
+        let _old_relay = std::mem::replace(&mut node.relay, relay);
+        self.end(&mut old, signal).await
+    }
+
+    async fn replace_worker_agent(
+        &mut self,
+        signal: Signal,
+        rng: &mut StdRng,
+    ) -> Result<(), DriveError> {
+        let index = self.worker(rng);
+        let node = &mut self.frame.workers[index];
+        node.agent.signal(signal);
+        let end = node.agent.wait(STOP_TIME).await;
+        self.judge_stop(signal, end.map(|status| status.code()));
+        let (zone, local) = (
+            self.frame.workers[index].zone,
+            self.frame.workers[index].address,
+        );
+        let (agent, relay) = self.frame.new_worker_agent(zone, local)?;
+        let node = &mut self.frame.workers[index];
+        (node.agent, node.relay) = (agent, relay);
+        Ok(())
+    }
+
+    async fn end(&mut self, process: &mut Child, signal: Signal) -> Result<(), DriveError> {
+        process.signal(signal);
+        let end = process.wait(STOP_TIME).await;
+        self.judge_stop(signal, end.map(|status| status.code()));
+        Ok(())
+    }
+
+    fn judge_stop<E: std::fmt::Display>(&mut self, signal: Signal, end: Result<Option<i32>, E>) {
+        if signal != Signal::Terminate {
+            return;
+        }
+        match end {
+            Ok(Some(0)) => {}
+            Ok(code) => self.bad_stops.push(format!("exit {code:?}")),
+            Err(error) => self.bad_stops.push(error.to_string()),
+        }
+    }
+
+    async fn connections(&mut self, fault: Fault, time: Duration, rng: &mut StdRng) {
+        let backend = self.backend(rng);
+        let worker = self.worker(rng);
+        let entry = self.entry(rng);
+        let relay = match fault {
+            Fault::SilentEntry => self.frame.entries[entry].relay.as_ref(),
+            _ if rng.random_bool(0.5) => self.frame.backends[backend].relay.as_ref(),
+            _ => self.frame.workers[worker].relay.as_ref(),
+        };
+        let Some(relay) = relay else { return };
+        if fault == Fault::CutAgent {
+            relay.cut();
+        } else {
+            relay.silence();
+        }
+        sleep(time).await;
+        relay.heal();
+    }
+
+    async fn cancel_wave(&mut self, rng: &mut StdRng) {
+        let jobs = self.accepted.all();
+        let wave: Vec<JobId> = jobs.into_iter().rev().take(WAVE_JOBS).collect();
+        let calls = wave.into_iter().map(|job| {
+            let to = self.directory.any(rng).callers;
+            tokio::spawn(call(
+                Call::builder()
+                    .to(to)
+                    .method(Method::Delete)
+                    .path(format!("/v1/jobs/{job}"))
+                    .build(),
+            ))
+        });
+        for call in calls.collect::<Vec<_>>() {
+            // A cancellation that meets a fault may fail; the job then simply goes on.
+            let _ = call.await;
+        }
+    }
+
+    async fn withdraw_class(&mut self, time: Duration, rng: &mut StdRng) {
+        let class = if rng.random_bool(0.5) {
+            "rebalance"
+        } else {
+            "rerating"
+        };
+        let body = json!({"class": class, "mode": "checkpoint"});
+        let _ = operate(
+            self.directory.any(rng),
+            Method::Post,
+            "/v1/withdrawals",
+            &body,
+        )
+        .await;
+        sleep(time).await;
+        self.resume(class, rng).await;
+    }
+
+    /// Resumes a class, again and again until an entry says that it is not withdrawn.
+    pub(crate) async fn resume(&self, class: &str, rng: &mut StdRng) {
+        const TRIES: usize = 40;
+        const PAUSE: Duration = Duration::from_millis(250);
+        let body = json!({"class": class});
+        for _ in 0..TRIES {
+            let reply = operate(
+                self.directory.any(rng),
+                Method::Delete,
+                "/v1/withdrawals",
+                &body,
+            );
+            if reply
+                .await
+                .is_ok_and(|reply| reply.status == http::StatusCode::NOT_FOUND)
+            {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn freeze(process: &Child, time: Duration) {
+    process.signal(Signal::Freeze);
+    sleep(time).await;
+    process.signal(Signal::Thaw);
+}
+
+async fn switch(to: SocketAddr, path: &str, body: &Value) -> Result<(), DriveError> {
+    let headers = vec![("content-type", "application/json".to_owned())];
+    let request = Call::builder()
+        .to(to)
+        .method(Method::Post)
+        .path(path)
+        .headers(headers)
+        .body(body.to_string())
+        .build();
+    let reply = call(request).await?;
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    Err(DriveError(format!(
+        "{to}{path} answered {}: {}",
+        reply.status,
+        reply.text()
+    )))
+}
--- a/crates/agate_frame/src/lib.rs
+++ b/crates/agate_frame/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod client;
 pub mod demo;
+pub mod faults;
 pub mod process;
+pub mod relay;
 pub mod site;
 pub mod table;
 pub mod truth;
--- a/crates/agate_frame/src/site/layout.rs
+++ b/crates/agate_frame/src/site/layout.rs
@@ -36,6 +36,9 @@
     /// Memory of a worker in MiB.
     #[builder(default = 60_000)]
     pub memory_mib: u32,
+    /// Whether agents and entries are reached through relays, whose connections can be cut.
+    #[builder(default)]
+    pub relays: bool,
     /// Time for which the log keeps records, in seconds.
     #[builder(default = 3_600)]
     pub retention_s: u32,
@@ -60,4 +63,25 @@
             ])
             .build()
     }
+
+    /// Two zones in two regions, as many processes as the fault driver needs.
+    pub fn faults() -> Self {
+        let zone = |region: &str, name: &str, entries, backends, workers| {
+            let zone = Zone::builder().region(region).name(name);
+            zone.entries(entries)
+                .backends(backends)
+                .workers(workers)
+                .build()
+        };
+        let zones = vec![
+            zone("svealand", "stockholm", 2, 2, 2),
+            zone("vastkust", "gothenburg", 1, 1, 1),
+        ];
+        Self::builder()
+            .zones(zones)
+            .relays(true)
+            .millicores(4_000)
+            .memory_mib(8_000)
+            .build()
+    }
 }
--- a/crates/agate_frame/src/site/node.rs
+++ b/crates/agate_frame/src/site/node.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::process::Child;
+use crate::relay::Relay;
 
 /// An entry.
 #[derive(Debug)]
@@ -15,6 +16,8 @@
     pub operators: SocketAddr,
     /// Where agents and entries connect.
     pub rpc: SocketAddr,
+    /// The relay in front of that, if the layout asks for relays.
+    pub relay: Option<Relay>,
     /// Index of its zone.
     pub zone: usize,
 }
@@ -28,8 +31,8 @@
     pub agent: Child,
     /// Where the stand-in listens.
     pub address: SocketAddr,
-    /// Where the agent listens.
-    pub agent_address: SocketAddr,
+    /// The relay in front of the agent, if the layout asks for relays.
+    pub relay: Option<Relay>,
     /// Index of its zone.
     pub zone: usize,
 }
@@ -43,8 +46,8 @@
     pub agent: Child,
     /// Where the stand-in listens.
     pub address: SocketAddr,
-    /// Where the agent listens.
-    pub agent_address: SocketAddr,
+    /// The relay in front of the agent, if the layout asks for relays.
+    pub relay: Option<Relay>,
     /// Index of its zone.
     pub zone: usize,
 }
--- a/crates/agate_frame/src/site/processes.rs
+++ b/crates/agate_frame/src/site/processes.rs
@@ -10,6 +10,7 @@
 use super::{BackendNode, EntryNode, Layout, WorkerNode, until};
 use crate::client::{Call, CallError, Method, Reply, call};
 use crate::process::{Child, ChildError, free_port};
+use crate::relay::Relay;
 
 /// Token of operators in the frame.
 pub const OPERATOR_TOKEN: &str = "frame-operator-token";
@@ -41,7 +42,8 @@
 /// A running frame; its processes are killed when it is dropped.
 #[derive(Debug)]
 pub struct Frame {
-    layout: Layout,
+    /// How many processes run where.
+    pub layout: Layout,
     logs: PathBuf,
     starts: u32,
     /// The stand-in for the log.
@@ -120,11 +122,13 @@
     /// Fails if the process can't be started.
     pub fn new_entry(&mut self, zone: usize) -> Result<EntryNode, FrameError> {
         let (callers, operators, rpc) = (free_port()?, free_port()?, free_port()?);
+        let relay = self.relay(rpc)?;
+        let advertise = relay.as_ref().map_or(rpc, |relay| relay.address);
         let mut args = vec![
             format!("--caller-listen={callers}"),
             format!("--operator-listen={operators}"),
             format!("--rpc-listen={rpc}"),
-            format!("--advertise={rpc}"),
+            format!("--advertise={advertise}"),
             format!("--seeds={}", self.seeds()),
             format!("--log={}", self.log_address),
             format!("--operator-token={OPERATOR_TOKEN}"),
@@ -137,6 +141,7 @@
             callers,
             operators,
             rpc,
+            relay,
             zone,
         })
     }
@@ -152,12 +157,12 @@
             format!("--seed={}", self.starts),
         ];
         let backend = self.child("backend", "standin-backend", &args)?;
-        let (agent, agent_address) = self.new_backend_agent(zone, address)?;
+        let (agent, relay) = self.new_backend_agent(zone, address)?;
         Ok(BackendNode {
             backend,
             agent,
             address,
-            agent_address,
+            relay,
             zone,
         })
     }
@@ -171,7 +176,7 @@
         &mut self,
         zone: usize,
         local: SocketAddr,
-    ) -> Result<(Child, SocketAddr), FrameError> {
+    ) -> Result<(Child, Option<Relay>), FrameError> {
         let slots = format!("--slots={}", self.layout.slots);
         self.new_agent(
             zone,
@@ -188,12 +193,12 @@
         let address = free_port()?;
         let args = vec![format!("--listen={address}")];
         let worker = self.child("worker", "standin-worker", &args)?;
-        let (agent, agent_address) = self.new_worker_agent(zone, address)?;
+        let (agent, relay) = self.new_worker_agent(zone, address)?;
         Ok(WorkerNode {
             worker,
             agent,
             address,
-            agent_address,
+            relay,
             zone,
         })
     }
@@ -207,7 +212,7 @@
         &mut self,
         zone: usize,
         local: SocketAddr,
-    ) -> Result<(Child, SocketAddr), FrameError> {
+    ) -> Result<(Child, Option<Relay>), FrameError> {
         let args = vec![
             "--host=worker".to_owned(),
             format!("--millicores={}", self.layout.millicores),
@@ -221,13 +226,24 @@
         zone: usize,
         local: SocketAddr,
         mut args: Vec<String>,
-    ) -> Result<(Child, SocketAddr), FrameError> {
+    ) -> Result<(Child, Option<Relay>), FrameError> {
         let listen = free_port()?;
+        let relay = self.relay(listen)?;
         args.push(format!("--listen={listen}"));
+        if let Some(relay) = &relay {
+            args.push(format!("--advertise={}", relay.address));
+        }
         args.push(format!("--local={local}"));
         args.push(format!("--seeds={}", self.seeds()));
         args.extend(self.site_args(zone));
-        Ok((self.child("agent", "agate-agent", &args)?, listen))
+        Ok((self.child("agent", "agate-agent", &args)?, relay))
+    }
+
+    fn relay(&self, target: SocketAddr) -> Result<Option<Relay>, FrameError> {
+        if !self.layout.relays {
+            return Ok(None);
+        }
+        Ok(Some(Relay::start(target)?))
     }
 
     fn child(&mut self, role: &str, binary: &str, args: &[String]) -> Result<Child, FrameError> {
@@ -244,7 +260,13 @@
         let seeds: Vec<String> = self
             .entries
             .iter()
-            .map(|entry| entry.rpc.to_string())
+            .map(|entry| {
+                entry
+                    .relay
+                    .as_ref()
+                    .map_or(entry.rpc, |relay| relay.address)
+                    .to_string()
+            })
             .collect();
         seeds.join(",")
     }
