--- a/crates/agate_frame/src/faults/inject.rs
+++ b/crates/agate_frame/src/faults/inject.rs
@@ -57,10 +57,10 @@
             Fault::StopWorkerAgent => self.replace_worker_agent(Signal::Terminate, rng).await?,
             Fault::FreezeEntry => freeze(&self.frame.entries[self.entry(rng)].process, time).await,
             Fault::FreezeBackendAgent => {
-                freeze(&self.frame.backends[self.backend(rng)].agent, time).await
+                freeze(&self.frame.backends[self.backend(rng)].agent, time).await;
             }
             Fault::FreezeWorkerAgent => {
-                freeze(&self.frame.workers[self.worker(rng)].agent, time * 2).await
+                freeze(&self.frame.workers[self.worker(rng)].agent, time * 2).await;
             }
             Fault::CancelWave => self.cancel_wave(rng).await,
             Fault::WithdrawClass => self.withdraw_class(time, rng).await,
