--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -1,7 +1,7 @@
 //! Folding on from a snapshot gives the same state as folding everything.
 
-use agate_core::{Incarnation, JobId, Offset};
-use agate_records::{Batch, Body, DecodedBatch, RunEnd, SnapshotId, SnapshotPart};
+use agate_core::{Incarnation, JobId, Offset, RunId, TaskId};
+use agate_records::{Body, DecodedBatch, RunEnd, SnapshotId, SnapshotPart};
 use agate_state::{Loader, State, StateLimits};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
@@ -84,25 +84,71 @@
     ]
 }
 
-/// Batches whose ids repeat now and then.
-fn batches() -> impl Strategy<Value = Vec<Batch>> {
-    let one = (0..40_u128, vec(body(), 1..4)).prop_map(|(id, bodies)| batch(id, bodies));
-    vec(one, 0..80)
+/// One step of a log: a record made blindly, or one that fits the state at its place.
+#[derive(Debug, Clone)]
+enum Step {
+    Blind(Body),
+    BindNext(TaskId, Incarnation),
+    EndHeld(TaskId, RunEnd),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let id = || (0..6_u64, 0..3_u32).prop_map(|(id, index)| task(id, index));
+    prop_oneof![
+        2 => body().prop_map(Step::Blind),
+        2 => (id(), holder()).prop_map(|(id, at)| Step::BindNext(id, at)),
+        2 => (id(), run_end()).prop_map(|(id, how)| Step::EndHeld(id, how)),
+    ]
+}
+
+/// The record of a step; a step that does not fit becomes a record that does not count.
+fn resolve(state: &State, step: Step) -> Body {
+    match step {
+        Step::Blind(body) => body,
+        Step::BindNext(id, at) => {
+            let epoch = state.task(id).map_or(1, |view| view.epoch + 1);
+            bind(RunId { task: id, epoch }, at).into()
+        }
+        Step::EndHeld(id, how) => {
+            let view = state.task(id).unwrap_or_default();
+            let at = view.hold.map_or(A, |hold| hold.incarnation);
+            let run = RunId {
+                task: id,
+                epoch: view.epoch,
+            };
+            end(run, at, how).into()
+        }
+    }
+}
+
+/// Batches as they are read, with ids that repeat now and then.
+fn batches() -> impl Strategy<Value = Vec<DecodedBatch>> {
+    let one = (0..200_u128, vec(step(), 1..4));
+    vec(one, 0..120).prop_map(|log| {
+        let mut state = State::new(limits());
+        let mut read = Vec::new();
+        for (offset, (id, steps)) in (1..).zip(log) {
+            let bodies = steps
+                .into_iter()
+                .map(|step| resolve(&state, step))
+                .collect();
+            let decoded = DecodedBatch::decode(Offset(offset), &batch(id, bodies).encode());
+            state.apply_batch(&decoded);
+            read.push(decoded);
+        }
+        read
+    })
 }
 
 proptest! {
     #[test]
     fn folding_on_from_a_snapshot_equals_folding_all(
-        log in batches(),
+        read in batches(),
         cut in any::<proptest::sample::Index>(),
         max_bytes in 1..2_000_usize,
         overlap in 0..5_usize,
     ) {
-        let cut = cut.index(log.len() + 1);
-        let read: Vec<DecodedBatch> = (1..)
-            .zip(&log)
-            .map(|(offset, batch)| DecodedBatch::decode(Offset(offset), &batch.encode()))
-            .collect();
+        let cut = cut.index(read.len() + 1);
         let mut all = State::new(limits());
         for batch in &read[..cut] {
             all.apply_batch(batch);
