--- a/crates/agate_bench/src/lib.rs
+++ b/crates/agate_bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod cost;
 pub mod report;
+pub mod state;
 pub mod urgent;
--- /dev/null
+++ b/crates/agate_bench/src/state/starts.rs
@@ -0,0 +1,75 @@
+//! Records and bytes for each start of a task, and the streams that a rate of starts needs.
+
+use std::time::Instant;
+
+use agate_core::Offset;
+use agate_records::DecodedBatch;
+
+use super::fixture::{binding, encode, end, fold, job};
+use crate::report::Table;
+
+/// Starts each second at the large size.
+const STARTS_PER_SECOND: u64 = 20_000;
+/// Appends each second that one log service takes.
+const APPENDS_PER_SECOND: u64 = 300;
+/// Bytes of records in one append.
+const APPEND_BYTES: usize = 256 * 1024;
+/// Jobs of one task each that are started.
+const JOBS: u64 = 10_000;
+
+pub(crate) fn table() -> Table {
+    let columns = [
+        "starts per append",
+        "records per start",
+        "bytes per start",
+        "bytes per end",
+        "appends/s at 20000 starts/s",
+        "bytes/s",
+        "logs of 300 appends/s",
+        "fold us per start",
+    ];
+    let mut table = Table::new("starts of tasks", &columns);
+    for group in [1, 10, 67, 1_000] {
+        table.row(row(group));
+    }
+    table
+}
+
+fn row(group: u64) -> Vec<String> {
+    let bodies = |first: u64| (first..first + group).map(binding).collect();
+    let bytes = encode(1, bodies(0)).len();
+    assert!(bytes < APPEND_BYTES, "a group fits into one append");
+    let ends = encode(1, (0..group).map(end).collect()).len();
+    let per_start = bytes as u64 / group;
+    let appends = STARTS_PER_SECOND.div_ceil(group);
+    vec![
+        group.to_string(),
+        "1".to_owned(),
+        per_start.to_string(),
+        (ends as u64 / group).to_string(),
+        appends.to_string(),
+        (appends * bytes as u64).to_string(),
+        appends.div_ceil(APPENDS_PER_SECOND).to_string(),
+        format!("{:.2}", fold_time(group)),
+    ]
+}
+
+/// Microseconds that decoding and folding one binding takes.
+fn fold_time(group: u64) -> f64 {
+    let jobs: Vec<Vec<u8>> = (0..JOBS)
+        .map(|id| encode(id.into(), vec![job(id, 1)]))
+        .collect();
+    let mut state = fold(&jobs);
+    let starts = (0..JOBS).step_by(usize::try_from(group).unwrap_or(1));
+    let appends: Vec<Vec<u8>> = starts
+        .map(|first| {
+            let bodies = (first..JOBS.min(first + group)).map(binding).collect();
+            encode(u128::from(JOBS + first), bodies)
+        })
+        .collect();
+    let started = Instant::now();
+    for (offset, data) in (JOBS + 1..).zip(&appends) {
+        state.apply_batch(&DecodedBatch::decode(Offset(offset), data));
+    }
+    started.elapsed().as_secs_f64() * 1e6 / JOBS as f64
+}
--- /dev/null
+++ b/crates/agate_bench/src/state/withdrawal.rs
@@ -0,0 +1,102 @@
+//! Withdrawal of a class, by its version against by walking the queue.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use agate_core::{ClassName, JobId, Offset};
+use agate_records::{Body, DecodedBatch, JobCancelled, Withdrawn};
+use agate_state::State;
+use agate_wire::message::{Selector, StopMode};
+
+use super::JOBS;
+use super::fixture::{encode, fold, job_id, log};
+use crate::report::Table;
+
+/// Checks of a binding that are timed.
+const CHECKS: u32 = 1_000_000;
+
+pub(crate) fn table() -> Table {
+    let columns = [
+        "queued jobs",
+        "way",
+        "records",
+        "bytes",
+        "us",
+        "ns per check at binding",
+    ];
+    let mut table = Table::new("withdrawal of a class", &columns);
+    for jobs in JOBS {
+        let state = fold(&log(jobs, 1));
+        table.row(by_version(&state));
+        table.row(by_walk(&state));
+    }
+    table
+}
+
+/// One record changes the version of the class; each binding checks it.
+fn by_version(state: &State) -> Vec<String> {
+    let mut state = state.clone();
+    let body = Body::from(Withdrawn {
+        selector: Selector::Class(class()),
+        mode: StopMode::Checkpoint,
+        operator: "operator".to_owned(),
+    });
+    let data = encode(u128::MAX, vec![body]);
+    let started = Instant::now();
+    let batch = DecodedBatch::decode(Offset(u64::MAX), &data);
+    state.apply_batch(&batch);
+    let took = started.elapsed().as_secs_f64() * 1e6;
+    let check = check_time(&state);
+    cells(
+        &state,
+        "version",
+        1,
+        data.len(),
+        took,
+        &format!("{check:.0}"),
+    )
+}
+
+/// Each job of the class is found in the queue and gets a record of its own.
+fn by_walk(state: &State) -> Vec<String> {
+    let class = class();
+    let started = Instant::now();
+    let queued = state.jobs().filter(|job| *job.class == class);
+    let found: Vec<JobId> = queued.map(|job| job.job).collect();
+    let body = |job: &JobId| Body::from(JobCancelled { job: *job });
+    let data = encode(u128::MAX, found.iter().map(body).collect());
+    let took = started.elapsed().as_secs_f64() * 1e6;
+    cells(state, "walk", found.len(), data.len(), took, "-")
+}
+
+fn cells(
+    state: &State,
+    way: &str,
+    records: usize,
+    bytes: usize,
+    took: f64,
+    check: &str,
+) -> Vec<String> {
+    vec![
+        state.open_jobs().to_string(),
+        way.to_owned(),
+        records.to_string(),
+        bytes.to_string(),
+        format!("{took:.1}"),
+        check.to_owned(),
+    ]
+}
+
+/// Nanoseconds that one check of a job against the withdrawals takes.
+fn check_time(state: &State) -> f64 {
+    let job = state.submitted(job_id(0)).expect("the job is open");
+    let started = Instant::now();
+    for _ in 0..CHECKS {
+        black_box(state.withdrawn(black_box(job)));
+    }
+    started.elapsed().as_secs_f64() * 1e9 / f64::from(CHECKS)
+}
+
+fn class() -> ClassName {
+    ClassName::new("rebalance").expect("a valid name")
+}
