--- a/crates/agate_log/src/appender/batch.rs
+++ b/crates/agate_log/src/appender/batch.rs
@@ -111,7 +111,7 @@
                 AppendOutcome::NotRecorded { .. } | AppendOutcome::Unknown => outcome,
             };
             if waiting.answer.send(outcome).is_err() {
-                log::debug!("event=append_answer_unwanted batch={}", self.id);
+                log::debug!(event = "append_answer_unwanted", batch:% = self.id; "");
             }
         }
     }
--- a/crates/agate_log/src/appender/writer.rs
+++ b/crates/agate_log/src/appender/writer.rs
@@ -172,19 +172,19 @@
         self.down = true;
         let (stream, batch) = (self.stream, group.id);
         if knowledge == Knowledge::Absent {
-            log::warn!("event=append_not_recorded stream={stream} batch={batch}");
+            log::warn!(event = "append_not_recorded", stream:%, batch:%; "");
             return AppendOutcome::NotRecorded {
                 reason: NotRecordedReason::Down,
                 retry_after: self.settings.retry_after,
             };
         }
-        log::warn!("event=append_unknown stream={stream} batch={batch}");
+        log::warn!(event = "append_unknown", stream:%, batch:%; "");
         AppendOutcome::Unknown
     }
 
     fn report(&self, batch: BatchId, error: &StoreError) {
         let stream = self.stream;
-        log::info!("event=append_attempt_failed stream={stream} batch={batch} error={error:?}");
+        log::info!(event = "append_attempt_failed", stream:%, batch:%, cause:% = error; "");
     }
 }
 
--- a/crates/agate_log/src/follower.rs
+++ b/crates/agate_log/src/follower.rs
@@ -119,7 +119,7 @@
                 }
                 Err(error) => {
                     let stream = self.stream;
-                    log::warn!("event=follow_failed stream={stream} error={error:?}");
+                    log::warn!(event = "follow_failed", stream:%, cause:% = error; "");
                     let pause = self.backoff.pause(rng);
                     sleep(pause).await;
                 }
--- a/crates/agate_log/src/recover.rs
+++ b/crates/agate_log/src/recover.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use rand::Rng;
 
-use agate_records::{Body, DecodedBatch};
+use agate_records::{Body, DecodedBatch, Malformed};
 
 use crate::{FollowSettings, Followed, Follower, LogStore, Stream};
 
@@ -95,7 +95,7 @@
         }
     }
     for failure in loader.failures() {
-        log::error!("event=snapshot_unusable error=\"{failure}\"");
+        log::error!(event = "snapshot_unusable", cause:% = failure; "");
     }
     loader.finish().unwrap_or_else(|| State::new(limits))
 }
@@ -131,11 +131,8 @@
                 continue;
             }
             for malformed in &batch.malformed {
-                log::error!(
-                    "event=record_malformed place={} error=\"{}\"",
-                    malformed.position,
-                    malformed.error
-                );
+                let Malformed { position, error } = malformed;
+                log::error!(event = "record_malformed", place:% = position, cause:% = error; "");
                 self.malformed += 1;
             }
         }
--- a/crates/standin_log/src/http/api.rs
+++ b/crates/standin_log/src/http/api.rs
@@ -79,10 +79,10 @@
     disturb(shared).await?;
     let appended = shared.log().append(&stream, data, shared.now());
     let offset = appended.map_err(over_limit)?;
-    log::debug!("event=appended stream={stream} offset={offset}");
+    log::debug!(event = "appended", stream, offset:%; "");
     shared.announce();
     if shared.loses_answer() {
-        log::info!("event=answer_lost stream={stream} offset={offset}");
+        log::info!(event = "answer_lost", stream, offset:%; "");
         return Err(HttpError::for_internal_error("answer lost".to_owned()));
     }
     Ok(HttpResponseOk(Appended { offset: offset.0 }))
@@ -136,7 +136,7 @@
         slow_ms,
         lose_answers_percent: lose,
     } = faults;
-    log::info!("event=faults_set outage={outage} slow_ms={slow_ms} lose_answers_percent={lose}");
+    log::info!(event = "faults_set", outage, slow_ms, lose_answers_percent = lose; "");
     context.context().set_faults(faults);
     Ok(HttpResponseUpdatedNoContent())
 }
--- a/crates/standin_log/src/http/server.rs
+++ b/crates/standin_log/src/http/server.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use agate_telemetry::logs::slog_logger;
 use displaydoc::Display;
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
-use slog::{Drain, Logger, o};
 
 use super::api::describe;
 use super::shared::Shared;
@@ -89,11 +89,10 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let logger = Logger::root(slog_stdlog::StdLog.fuse(), o!());
-    let server = ServerBuilder::new(api, Arc::clone(&shared), logger)
+    let server = ServerBuilder::new(api, Arc::clone(&shared), slog_logger())
         .config(settings)
         .start()
         .map_err(|error| ServeError::Listen(error.to_string()))?;
-    log::info!("event=log_listening address={}", server.local_addr());
+    log::info!(event = "log_listening", address:% = server.local_addr(); "");
     Ok(Handle { shared, server })
 }
--- a/crates/standin_log/src/main.rs
+++ b/crates/standin_log/src/main.rs
@@ -25,7 +25,7 @@
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
     let flags = flags().run();
-    env_logger::init_from_env(env_logger::Env::default().default_filter_or("info"));
+    agate_telemetry::logs::init(log::LevelFilter::Info)?;
     let limits = Limits {
         retention: Duration::from_secs(flags.retention_s),
         appends_per_second: flags.appends_per_s,
