--- a/crates/agate_state/src/snapshot/restore.rs
+++ b/crates/agate_state/src/snapshot/restore.rs
@@ -125,16 +125,21 @@
     job.counts = counts(item.counts, tasks)?;
     job.failures = item.failures.into_iter().map(Into::into).collect();
     let mut next = 0;
+    let mut ended = 0;
     for range in item.ended {
         if range.first < next || range.first > range.last || range.last >= tasks {
             return Err(LoadError::Contradiction);
         }
         next = range.last + 1;
+        ended += next - range.first;
         job.ended.insert_range(TaskRange {
             first: range.first,
             last: range.last,
         });
     }
+    if !job.cancelled && ended != job.counts.total() {
+        return Err(LoadError::Contradiction);
+    }
     state.jobs.open(job);
     Ok(())
 }
@@ -149,7 +154,11 @@
     };
     let owner = state.jobs.job(job);
     let known = owner.ended.contains(id.index) || owner.touched.contains_key(&id.index);
-    if known || id.index >= owner.submitted.tasks {
+    let full =
+        owner.counts.total() as usize + owner.touched.len() >= owner.submitted.tasks as usize;
+    // Of a cancelled job, only bound tasks are open.
+    let closed = owner.cancelled && item.hold.is_none();
+    if known || full || closed || id.index >= owner.submitted.tasks {
         return Err(LoadError::Contradiction);
     }
     let checkpoint = (!item.checkpoint.is_empty()).then(|| item.checkpoint.into());
--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -1,10 +1,18 @@
 //! Folding on from a snapshot gives the same state as folding everything.
 
-use agate_core::{Incarnation, JobId, Offset, RunId, TaskId};
-use agate_records::{Body, DecodedBatch, RunEnd, SnapshotId, SnapshotPart};
-use agate_state::{Loader, State, StateLimits};
+use std::num::NonZeroUsize;
+
+use agate_core::{Incarnation, JobId, Offset, Position, RunId, TaskId};
+use agate_records::generated::snapshot_item::Of;
+use agate_records::generated::{
+    Amount, HoldItem, JobItem, Place, SnapshotItem, TaskCounts as CountsItem, TaskItem,
+};
+use agate_records::{Body, DecodedBatch, Record, RunEnd, SnapshotId, SnapshotPart};
+use agate_state::{LoadError, Loader, State, StateLimits};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
+use proptest::sample::Index;
+use prost::Message;
 
 use crate::support::{
     A, B, Folded, batch, bind, cancel, class, end, evicted, failed, impossible, job, lost, publish,
@@ -144,7 +152,7 @@
     #[test]
     fn folding_on_from_a_snapshot_equals_folding_all(
         read in batches(),
-        cut in any::<proptest::sample::Index>(),
+        cut in any::<Index>(),
         max_bytes in 1..2_000_usize,
         overlap in 0..5_usize,
     ) {
@@ -165,12 +173,42 @@
         prop_assert_eq!(answers(&loaded), answers(&all));
     }
 
+    #[test]
+    fn damaged_snapshots_never_panic(
+        read in batches(),
+        damage in vec((any::<Index>(), any::<Index>(), any::<u8>()), 1..6),
+        rest in vec(body(), 0..30),
+    ) {
+        let mut state = State::new(limits());
+        for batch in &read {
+            state.apply_batch(batch);
+        }
+        let mut parts = state.snapshot_parts(SnapshotId(1), usize::MAX);
+        let items = &mut parts[0].items;
+        for (item, byte, value) in damage {
+            let item = item.index(items.len());
+            let Some(len) = NonZeroUsize::new(items[item].len()) else {
+                continue;
+            };
+            items[item][byte.index(len.get())] = value;
+        }
+        let mut loader = Loader::new(limits());
+        loader.add(parts.remove(0));
+        let Some(mut state) = loader.finish() else {
+            return Ok(());
+        };
+        let next = state.applied().next();
+        for (index, body) in (0..).zip(rest) {
+            state.apply(Position::new(next, index), &Record { wall_ms: 0, body });
+        }
+    }
+
     #[test]
     fn hostile_items_never_panic(items in vec(vec(any::<u8>(), 0..40), 0..10)) {
         let mut loader = Loader::new(limits());
         loader.add(SnapshotPart {
             snapshot: SnapshotId(1),
-            at: agate_core::Position::new(Offset(1), 0),
+            at: Position::new(Offset(1), 0),
             part: 0,
             parts: 1,
             items,
@@ -212,6 +250,18 @@
     assert_eq!(load(parts).open_jobs(), 2);
 }
 
+#[test]
+fn tasks_that_were_never_bound_cost_nothing() {
+    let bytes = |tasks: u32| {
+        let mut log = Folded::with_limits(limits());
+        log.apply(job(1, tasks));
+        let parts = log.state.snapshot_parts(SnapshotId(1), usize::MAX);
+        parts[0].items.iter().map(Vec::len).sum::<usize>()
+    };
+    let digits = 2;
+    assert!(bytes(1_000_000) <= bytes(1) + digits);
+}
+
 #[test]
 fn a_snapshot_holds_what_is_open_and_not_what_was() {
     let mut log = Folded::with_limits(limits());
@@ -234,3 +284,37 @@
     }
     assert!(bytes(&log.state) <= after_many + 64);
 }
+
+#[test]
+fn counts_that_contradict_the_bound_runs_are_refused() {
+    let submitted = JobItem {
+        submitted: Some(job(1, 2).into()),
+        place: Some(Place::default()),
+        counts: Some(CountsItem {
+            finished: 2,
+            ..CountsItem::default()
+        }),
+        ..JobItem::default()
+    };
+    let bound = TaskItem {
+        job: 1,
+        epoch: 1,
+        hold: Some(HoldItem {
+            incarnation: A.get(),
+            demand: Some(Amount::default()),
+            place: Some(Place::default()),
+        }),
+        ..TaskItem::default()
+    };
+    let encode = |of| SnapshotItem { of: Some(of) }.encode_to_vec();
+    let mut loader = Loader::new(limits());
+    loader.add(SnapshotPart {
+        snapshot: SnapshotId(1),
+        at: Position::new(Offset(1), 0),
+        part: 0,
+        parts: 1,
+        items: vec![encode(Of::Job(submitted)), encode(Of::Task(bound))],
+    });
+    assert_eq!(loader.failures(), [LoadError::Contradiction]);
+    assert!(loader.finish().is_none());
+}
