--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -2,33 +2,20 @@
 
 use std::num::NonZeroUsize;
 
-use agate_core::{Incarnation, JobId, Offset, Position, RunId, TaskId};
+use agate_core::{JobId, Offset, Position};
 use agate_records::generated::snapshot_item::Of;
 use agate_records::generated::{
     Amount, HoldItem, JobItem, Place, SnapshotItem, TaskCounts as CountsItem, TaskItem,
 };
-use agate_records::{Body, DecodedBatch, Record, RunEnd, SnapshotId, SnapshotPart};
-use agate_state::{LoadError, Loader, State, StateLimits};
+use agate_records::{Record, SnapshotId, SnapshotPart};
+use agate_state::{LoadError, Loader, State};
 use proptest::collection::vec;
-use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
+use proptest::prelude::{any, prop_assert_eq, proptest};
 use proptest::sample::Index;
 use prost::Message;
 
-use crate::support::{
-    A, B, Folded, batch, bind, cancel, class, end, evicted, failed, impossible, job, lost, publish,
-    resume, run, switch, tag, task, withdraw,
-};
-
-fn limits() -> StateLimits {
-    StateLimits::builder()
-        .batches(8)
-        .ended_jobs(3)
-        .lost_members(2)
-        .switches(3)
-        .withdrawals(2)
-        .failures(2)
-        .build()
-}
+use crate::support::logs::{batches, body, limits};
+use crate::support::{A, B, Folded, cancel, job, task};
 
 /// Everything that can be asked of a state.
 fn answers(state: &State) -> String {
@@ -54,100 +41,6 @@
     loader.finish().expect("every part is there")
 }
 
-fn holder() -> impl Strategy<Value = Incarnation> {
-    prop_oneof![Just(A), Just(B)]
-}
-
-fn run_end() -> impl Strategy<Value = RunEnd> {
-    prop_oneof![
-        4 => Just(RunEnd::Finished),
-        4 => Just(failed("exit 1")),
-        4 => any::<u8>().prop_map(|n| evicted(&format!("checkpoint-{n}"))),
-        2 => Just(RunEnd::Stopped),
-        2 => Just(RunEnd::Lost),
-        1 => Just(impossible("too large")),
-    ]
-}
-
-fn body() -> impl Strategy<Value = Body> {
-    let names = prop_oneof![Just("day"), Just("peak"), Just("maintenance")];
-    let selector = prop_oneof![
-        Just(class("rebalance")),
-        Just(tag("season:1")),
-        Just(tag("x"))
-    ];
-    prop_oneof![
-        3 => (0..6_u64, 1..4_u32).prop_map(|(id, tasks)| job(id, tasks).into()),
-        1 => (0..6_u64).prop_map(|id| cancel(id).into()),
-        12 => (0..6_u64, 0..4_u32, 1..4_u32, holder())
-            .prop_map(|(id, index, epoch, at)| bind(run(id, index, epoch), at).into()),
-        8 => (0..6_u64, 0..4_u32, 0..4_u32, holder(), run_end())
-            .prop_map(|(id, index, epoch, at, how)| end(run(id, index, epoch), at, how).into()),
-        1 => holder().prop_map(|at| lost(at).into()),
-        1 => any::<u64>().prop_map(|id| lost(Incarnation::new(id)).into()),
-        1 => (names.clone(), 1..4_u32).prop_map(|(name, n)| publish(name, n).into()),
-        1 => names.prop_map(|name| switch(name, agate_core::Version::default()).into()),
-        1 => selector.clone().prop_map(|selector| withdraw(selector).into()),
-        1 => selector.prop_map(|selector| resume(selector).into()),
-    ]
-}
-
-/// One step of a log: a record made blindly, or one that fits the state at its place.
-#[derive(Debug, Clone)]
-enum Step {
-    Blind(Body),
-    BindNext(TaskId, Incarnation),
-    EndHeld(TaskId, RunEnd),
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    let id = || (0..6_u64, 0..3_u32).prop_map(|(id, index)| task(id, index));
-    prop_oneof![
-        2 => body().prop_map(Step::Blind),
-        2 => (id(), holder()).prop_map(|(id, at)| Step::BindNext(id, at)),
-        2 => (id(), run_end()).prop_map(|(id, how)| Step::EndHeld(id, how)),
-    ]
-}
-
-/// The record of a step; a step that does not fit becomes a record that does not count.
-fn resolve(state: &State, step: Step) -> Body {
-    match step {
-        Step::Blind(body) => body,
-        Step::BindNext(id, at) => {
-            let epoch = state.task(id).map_or(1, |view| view.epoch + 1);
-            bind(RunId { task: id, epoch }, at).into()
-        }
-        Step::EndHeld(id, how) => {
-            let view = state.task(id).unwrap_or_default();
-            let at = view.hold.map_or(A, |hold| hold.incarnation);
-            let run = RunId {
-                task: id,
-                epoch: view.epoch,
-            };
-            end(run, at, how).into()
-        }
-    }
-}
-
-/// Batches as they are read, with ids that repeat now and then.
-fn batches() -> impl Strategy<Value = Vec<DecodedBatch>> {
-    let one = (0..200_u128, vec(step(), 1..4));
-    vec(one, 0..120).prop_map(|log| {
-        let mut state = State::new(limits());
-        let mut read = Vec::new();
-        for (offset, (id, steps)) in (1..).zip(log) {
-            let bodies = steps
-                .into_iter()
-                .map(|step| resolve(&state, step))
-                .collect();
-            let decoded = DecodedBatch::decode(Offset(offset), &batch(id, bodies).encode());
-            state.apply_batch(&decoded);
-            read.push(decoded);
-        }
-        read
-    })
-}
-
 proptest! {
     #[test]
     fn folding_on_from_a_snapshot_equals_folding_all(
--- a/crates/agate_state/tests/support/mod.rs
+++ b/crates/agate_state/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Folds records one by one and makes records with short calls.
 
+pub mod logs;
+
 use agate_core::names::NameError;
 use agate_core::{
     CallerName, ClassName, Incarnation, JobId, Offset, Position, Resources, RunId, Tag, TaskId,
