--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -1,26 +1,21 @@
 //! Folding on from a snapshot gives the same state as folding everything.
 
-use agate_core::{Incarnation, JobId, Offset};
-use agate_records::{Batch, Body, DecodedBatch, RunEnd, SnapshotId, SnapshotPart};
-use agate_state::{Loader, State, StateLimits};
-use proptest::collection::vec;
-use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
+use std::num::NonZeroUsize;
 
-use crate::support::{
-    A, B, Folded, batch, bind, cancel, class, end, evicted, failed, impossible, job, lost, publish,
-    resume, run, switch, tag, task, withdraw,
+use agate_core::{JobId, Offset, Position};
+use agate_records::generated::snapshot_item::Of;
+use agate_records::generated::{
+    Amount, HoldItem, JobItem, Place, SnapshotItem, TaskCounts as CountsItem, TaskItem,
 };
+use agate_records::{Record, SnapshotId, SnapshotPart};
+use agate_state::{LoadError, Loader, State};
+use proptest::collection::vec;
+use proptest::prelude::{any, prop_assert_eq, proptest};
+use proptest::sample::Index;
+use prost::Message;
 
-fn limits() -> StateLimits {
-    StateLimits::builder()
-        .batches(8)
-        .ended_jobs(3)
-        .lost_members(2)
-        .switches(3)
-        .withdrawals(2)
-        .failures(2)
-        .build()
-}
+use crate::support::logs::{batches, body, limits};
+use crate::support::{A, B, Folded, cancel, job, task};
 
 /// Everything that can be asked of a state.
 fn answers(state: &State) -> String {
@@ -46,63 +41,15 @@
     loader.finish().expect("every part is there")
 }
 
-fn holder() -> impl Strategy<Value = Incarnation> {
-    prop_oneof![Just(A), Just(B)]
-}
-
-fn run_end() -> impl Strategy<Value = RunEnd> {
-    prop_oneof![
-        4 => Just(RunEnd::Finished),
-        4 => Just(failed("exit 1")),
-        4 => any::<u8>().prop_map(|n| evicted(&format!("checkpoint-{n}"))),
-        2 => Just(RunEnd::Stopped),
-        2 => Just(RunEnd::Lost),
-        1 => Just(impossible("too large")),
-    ]
-}
-
-fn body() -> impl Strategy<Value = Body> {
-    let names = prop_oneof![Just("day"), Just("peak"), Just("maintenance")];
-    let selector = prop_oneof![
-        Just(class("rebalance")),
-        Just(tag("season:1")),
-        Just(tag("x"))
-    ];
-    prop_oneof![
-        3 => (0..6_u64, 1..4_u32).prop_map(|(id, tasks)| job(id, tasks).into()),
-        1 => (0..6_u64).prop_map(|id| cancel(id).into()),
-        12 => (0..6_u64, 0..4_u32, 1..4_u32, holder())
-            .prop_map(|(id, index, epoch, at)| bind(run(id, index, epoch), at).into()),
-        8 => (0..6_u64, 0..4_u32, 0..4_u32, holder(), run_end())
-            .prop_map(|(id, index, epoch, at, how)| end(run(id, index, epoch), at, how).into()),
-        1 => holder().prop_map(|at| lost(at).into()),
-        1 => any::<u64>().prop_map(|id| lost(Incarnation::new(id)).into()),
-        1 => (names.clone(), 1..4_u32).prop_map(|(name, n)| publish(name, n).into()),
-        1 => names.prop_map(|name| switch(name, agate_core::Version::default()).into()),
-        1 => selector.clone().prop_map(|selector| withdraw(selector).into()),
-        1 => selector.prop_map(|selector| resume(selector).into()),
-    ]
-}
-
-/// Batches whose ids repeat now and then.
-fn batches() -> impl Strategy<Value = Vec<Batch>> {
-    let one = (0..40_u128, vec(body(), 1..4)).prop_map(|(id, bodies)| batch(id, bodies));
-    vec(one, 0..80)
-}
-
 proptest! {
     #[test]
     fn folding_on_from_a_snapshot_equals_folding_all(
-        log in batches(),
-        cut in any::<proptest::sample::Index>(),
+        read in batches(),
+        cut in any::<Index>(),
         max_bytes in 1..2_000_usize,
         overlap in 0..5_usize,
     ) {
-        let cut = cut.index(log.len() + 1);
-        let read: Vec<DecodedBatch> = (1..)
-            .zip(&log)
-            .map(|(offset, batch)| DecodedBatch::decode(Offset(offset), &batch.encode()))
-            .collect();
+        let cut = cut.index(read.len() + 1);
         let mut all = State::new(limits());
         for batch in &read[..cut] {
             all.apply_batch(batch);
@@ -119,12 +66,42 @@
         prop_assert_eq!(answers(&loaded), answers(&all));
     }
 
+    #[test]
+    fn damaged_snapshots_never_panic(
+        read in batches(),
+        damage in vec((any::<Index>(), any::<Index>(), any::<u8>()), 1..6),
+        rest in vec(body(), 0..30),
+    ) {
+        let mut state = State::new(limits());
+        for batch in &read {
+            state.apply_batch(batch);
+        }
+        let mut parts = state.snapshot_parts(SnapshotId(1), usize::MAX);
+        let items = &mut parts[0].items;
+        for (item, byte, value) in damage {
+            let item = item.index(items.len());
+            let Some(len) = NonZeroUsize::new(items[item].len()) else {
+                continue;
+            };
+            items[item][byte.index(len.get())] = value;
+        }
+        let mut loader = Loader::new(limits());
+        loader.add(parts.remove(0));
+        let Some(mut state) = loader.finish() else {
+            return Ok(());
+        };
+        let next = state.applied().next();
+        for (index, body) in (0..).zip(rest) {
+            state.apply(Position::new(next, index), &Record { wall_ms: 0, body });
+        }
+    }
+
     #[test]
     fn hostile_items_never_panic(items in vec(vec(any::<u8>(), 0..40), 0..10)) {
         let mut loader = Loader::new(limits());
         loader.add(SnapshotPart {
             snapshot: SnapshotId(1),
-            at: agate_core::Position::new(Offset(1), 0),
+            at: Position::new(Offset(1), 0),
             part: 0,
             parts: 1,
             items,
@@ -166,6 +143,18 @@
     assert_eq!(load(parts).open_jobs(), 2);
 }
 
+#[test]
+fn tasks_that_were_never_bound_cost_nothing() {
+    let bytes = |tasks: u32| {
+        let mut log = Folded::with_limits(limits());
+        log.apply(job(1, tasks));
+        let parts = log.state.snapshot_parts(SnapshotId(1), usize::MAX);
+        parts[0].items.iter().map(Vec::len).sum::<usize>()
+    };
+    let digits = 2;
+    assert!(bytes(1_000_000) <= bytes(1) + digits);
+}
+
 #[test]
 fn a_snapshot_holds_what_is_open_and_not_what_was() {
     let mut log = Folded::with_limits(limits());
@@ -188,3 +177,37 @@
     }
     assert!(bytes(&log.state) <= after_many + 64);
 }
+
+#[test]
+fn counts_that_contradict_the_bound_runs_are_refused() {
+    let submitted = JobItem {
+        submitted: Some(job(1, 2).into()),
+        place: Some(Place::default()),
+        counts: Some(CountsItem {
+            finished: 2,
+            ..CountsItem::default()
+        }),
+        ..JobItem::default()
+    };
+    let bound = TaskItem {
+        job: 1,
+        epoch: 1,
+        hold: Some(HoldItem {
+            incarnation: A.get(),
+            demand: Some(Amount::default()),
+            place: Some(Place::default()),
+        }),
+        ..TaskItem::default()
+    };
+    let encode = |of| SnapshotItem { of: Some(of) }.encode_to_vec();
+    let mut loader = Loader::new(limits());
+    loader.add(SnapshotPart {
+        snapshot: SnapshotId(1),
+        at: Position::new(Offset(1), 0),
+        part: 0,
+        parts: 1,
+        items: vec![encode(Of::Job(submitted)), encode(Of::Task(bound))],
+    });
+    assert_eq!(loader.failures(), [LoadError::Contradiction]);
+    assert!(loader.finish().is_none());
+}
