Let failures end real attempts in the test of service times

The test finished a waiting attempt, which changes nothing, so it passed with failures taken as fast. It now starts and fails attempts and fails under that mutation; that a waiting attempt can't be finished has a test of its own.

--- a/crates/agate_route/tests/it/admission.rs
+++ b/crates/agate_route/tests/it/admission.rs
@@ -171,13 +171,24 @@
 
 #[test]
 fn a_quick_failure_does_not_make_the_agent_look_fast() {
-    let mut control = busy();
-    let waiting = queued(offer(&mut control, 1_000, 100));
-    let before = control.load().service_us;
-    for _ in 0..20 {
-        let _ = control.finish(waiting, End::Failed, clocks(101), &mut rng());
+    let mut control = control(1, 64);
+    let key = started(offer(&mut control, 1_000, 0));
+    let _ = control.finish(key, End::Answered, clocks(100), &mut rng());
+    for now in 100..120 {
+        let key = started(offer(&mut control, 1_000, now));
+        let _ = control.finish(key, End::Failed, clocks(now + 1), &mut rng());
     }
-    assert!(control.load().service_us >= before);
+    assert_eq!(control.load().service_us, 100_000);
+}
+
+#[test]
+fn a_waiting_request_cannot_be_finished() {
+    let mut control = control(1, 64);
+    started(offer(&mut control, 1_000, 0));
+    let waiting = queued(offer(&mut control, 1_000, 0));
+    let turn = control.finish(waiting, End::Answered, clocks(1), &mut rng());
+    assert_eq!(turn.start, []);
+    assert_eq!((control.load().running, control.load().queued), (1, 1));
 }
 
 #[test]
