Split the agent's tests by subject; show that a dropped connection cancels nothing

Cause: the test of a dropped connection kept the connection open through its callers' clones, and so passed with work tied to the handler. Ruled out: that the library lets calls of a closed WebSocket run on; it stops them once the connection is closed.

--- a/crates/agate_agent/src/urgent/serve.rs
+++ b/crates/agate_agent/src/urgent/serve.rs
@@ -45,7 +45,7 @@
     wait(attempt, budget).await
 }
 
-/// Runs an attempt in a task of its own, which no connection can cancel.
+/// Runs an attempt in a task of its own, which neither a connection nor a deadline can cancel.
 fn spawn(core: &Arc<Core>, bound: Arc<Bound>, request: ServeRequest) -> Attempt {
     let (sender, receiver) = watch::channel(None);
     let core = Arc::clone(core);
--- a/crates/agate_agent/tests/agent/drain.rs
+++ b/crates/agate_agent/tests/agent/drain.rs
@@ -87,7 +87,7 @@
 
 #[tokio::test]
 async fn planned_stop_evicts_runs_and_waits_until_that_is_on_record() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, r#"{"duration_ms": 600000}"#);
     let reply = on.client.start(run.clone()).await.expect("a reply");
     assert_eq!(reply, StartReply::Started);
@@ -98,7 +98,7 @@
 
 #[tokio::test]
 async fn stop_that_is_cut_off_stops_and_reports_runs() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let slow = r#"{"duration_ms": 600000, "checkpoint_ms": 600000}"#;
     let run = on.run(0, 1, slow);
     on.client.start(run.clone()).await.expect("a reply");
--- a/crates/agate_agent/tests/agent/main.rs
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -2,6 +2,8 @@
 
 mod drain;
 mod entries;
+mod keys;
+mod leases;
 mod process;
 mod runs;
 mod support;
--- a/crates/agate_agent/tests/agent/runs.rs
+++ b/crates/agate_agent/tests/agent/runs.rs
@@ -1,41 +1,20 @@
-//! Batch runs.
+//! Start, steps and end of batch runs.
 
-use std::time::Duration;
-
-use agate_core::clock::boot_time;
 use agate_core::ids::Offset;
 use agate_core::{Position, Resources, Version};
 use agate_wire::message::{
-    ConfigState, ReportAck, RunResult, Selector, StartReply, StartRun, StopKind, StopMode,
-    StopReply, Verdict, Withdrawal,
+    ConfigState, ReportAck, RunResult, Selector, StartReply, StopKind, StopMode, StopReply,
+    Withdrawal,
 };
 use agate_wire::rpc::AgentRpcClient;
 use rstest::rstest;
-use standin_worker::{Fault, TaskStatus};
-
-use crate::support::{OnWorker, dial, until};
-
-/// A task that outlasts every test.
-const LONG: &str = r#"{"duration_ms": 600000}"#;
+use standin_worker::TaskStatus;
 
-/// A task that is over at once.
-const SHORT: &str = r#"{"duration_ms": 20}"#;
-
-async fn start(on: &OnWorker, run: StartRun) -> StartReply {
-    on.client.start(run).await.expect("a reply")
-}
-
-fn is_refused(reply: &StartReply) -> bool {
-    matches!(reply, StartReply::Refused { .. })
-}
-
-fn status(on: &OnWorker, run: &StartRun) -> Option<TaskStatus> {
-    on.task(run.run).map(|task| task.status)
-}
+use crate::support::{LONG, OnWorker, SHORT, dial, is_refused, until};
 
 #[tokio::test]
 async fn run_that_is_started_twice_runs_once_and_its_end_is_reported() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, r#"{"duration_ms": 1500}"#);
     let other = dial(on.agent.address()).await;
     let both = tokio::join!(on.client.start(run.clone()), other.start(run.clone()));
@@ -45,7 +24,7 @@
     let report = on.report(run.run).await;
     assert_eq!(report.result, RunResult::Finished);
     assert_eq!(report.peak.memory_mib, 2_048);
-    assert_eq!(start(&on, run.clone()).await, StartReply::Started);
+    assert_eq!(on.start(run.clone()).await, StartReply::Started);
     assert_eq!(on.worker.ran().tasks.len(), 1);
     let sampled = |state: &crate::support::EntryState| {
         let mut usage = state.heartbeats.iter().flat_map(|h| &h.usage);
@@ -60,40 +39,24 @@
 #[case::throttle(StopKind::Throttle)]
 #[tokio::test]
 async fn step_before_the_start_keeps_the_run_from_starting(#[case] kind: StopKind) {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, SHORT);
     assert_eq!(on.take_step(run.run, kind).await, StopReply::NotStarted);
-    assert!(is_refused(&start(&on, run).await));
+    assert!(is_refused(&on.start(run).await));
     assert_eq!(on.worker.ran().tasks.len(), 0);
 }
 
-#[tokio::test]
-async fn lapsed_lease_pauses_the_run_and_a_renewal_lets_it_go_on() {
-    let on = OnWorker::start_with(|state| state.lease = Duration::from_millis(500)).await;
-    let run = on.run(0, 1, r#"{"duration_ms": 1200}"#);
-    assert_eq!(start(&on, run.clone()).await, StartReply::Started);
-    on.entry.state().lease = Duration::ZERO;
-    until("a pause", || status(&on, &run) == Some(TaskStatus::Paused)).await;
-    assert!(on.entry.state().reports.is_empty());
-
-    on.entry.state().lease = Duration::from_millis(500);
-    assert_eq!(on.report(run.run).await.result, RunResult::Finished);
-    let task = on.task(run.run).expect("the task ran");
-    assert!(task.intervals.len() >= 2, "{task:?}");
-    assert_eq!(task.progress_us, 1_200_000);
-}
-
 #[tokio::test]
 async fn room_of_an_evicted_run_is_kept_until_its_checkpoint_is_on_record() {
-    let on = OnWorker::start_with(|state| state.report_ack = ReportAck::Again).await;
+    let on = OnWorker::set_up_with(|state| state.report_ack = ReportAck::Again).await;
     let (evicted, kept) = (on.run(0, 1, LONG), on.run(1, 1, LONG));
     for run in [&evicted, &kept] {
-        assert_eq!(start(&on, run.clone()).await, StartReply::Started);
+        assert_eq!(on.start(run.clone()).await, StartReply::Started);
     }
     let reply = on.take_step(evicted.run, StopKind::Evict).await;
     assert_eq!(reply, StopReply::Accepted);
     on.report(evicted.run).await;
-    assert!(is_refused(&start(&on, on.run(2, 1, LONG)).await));
+    assert!(is_refused(&on.start(on.run(2, 1, LONG)).await));
 
     on.entry.state().report_ack = ReportAck::Recorded;
     let freed = |state: &crate::support::EntryState| {
@@ -101,16 +64,16 @@
         last.is_some_and(|heartbeat| heartbeat.load.held.memory_mib == 2_048)
     };
     on.entry.until("room", freed).await;
-    let next = start(&on, on.run(3, 1, LONG)).await;
+    let next = on.start(on.run(3, 1, LONG)).await;
     assert_eq!(next, StartReply::Started);
     assert!(on.worker.ran().peak_memory <= 4_096);
 }
 
 #[tokio::test]
 async fn evicted_run_resumes_from_its_checkpoint() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let first = on.run(0, 1, r#"{"duration_ms": 600}"#);
-    start(&on, first.clone()).await;
+    on.start(first.clone()).await;
     let worked = || on.task(first.run).is_some_and(|task| task.progress_us > 0);
     until("some progress", worked).await;
     on.take_step(first.run, StopKind::Evict).await;
@@ -119,7 +82,7 @@
     };
     let mut second = on.run(0, 2, r#"{"duration_ms": 600}"#);
     second.checkpoint = Some(checkpoint);
-    assert_eq!(start(&on, second.clone()).await, StartReply::Started);
+    assert_eq!(on.start(second.clone()).await, StartReply::Started);
     assert_eq!(on.report(second.run).await.result, RunResult::Finished);
     let (first, second) = (on.task(first.run), on.task(second.run));
     let (first, second) = (first.expect("it ran"), second.expect("it ran"));
@@ -127,46 +90,6 @@
     assert_eq!(second.progress_us, 600_000);
 }
 
-#[tokio::test]
-async fn lost_incarnation_stops_its_runs_and_starts_no_more() {
-    let on = OnWorker::start().await;
-    let run = on.run(0, 1, LONG);
-    start(&on, run.clone()).await;
-    let lost = on.agent.incarnation();
-    on.entry.judge(lost, Verdict::Lost);
-    until("a stop", || status(&on, &run) == Some(TaskStatus::Stopped)).await;
-    until("a new incarnation", || on.agent.incarnation() != lost).await;
-    assert_eq!(start(&on, run.clone()).await, StartReply::Gone);
-    let mut late = on.run(1, 1, LONG);
-    late.incarnation = lost;
-    assert_eq!(start(&on, late).await, StartReply::Gone);
-    assert!(on.entry.state().reports.is_empty());
-    assert_eq!(start(&on, on.run(2, 1, LONG)).await, StartReply::Started);
-}
-
-#[tokio::test]
-async fn run_on_a_worker_that_vanishes_in_a_checkpoint_ends_once_its_lease_has_lapsed() {
-    let on = OnWorker::start_with(|state| state.lease = Duration::from_secs(3)).await;
-    let run = on.run(0, 1, LONG);
-    start(&on, run.clone()).await;
-    on.worker.set_fault(Fault::VanishInCheckpoint);
-    on.take_step(run.run, StopKind::Evict).await;
-    assert_eq!(on.report(run.run).await.result, RunResult::Stopped);
-    let reported = u64::try_from(boot_time().as_micros()).expect("a time that fits");
-    let task = on.task(run.run).expect("it ran");
-    assert_eq!(task.status, TaskStatus::Paused);
-    let ended = task.intervals.iter().map(|interval| interval.end_us);
-    let ended: Option<Vec<u64>> = ended.collect();
-    let ended = ended.expect("every interval has ended");
-    assert!(ended.iter().all(|end| *end < reported));
-
-    // The worker comes back: the run never goes on, and nothing else starts before it is stopped.
-    on.worker.set_fault(Fault::None);
-    until("a stop", || status(&on, &run) == Some(TaskStatus::Stopped)).await;
-    let after = on.task(run.run).expect("it ran");
-    assert_eq!(after.intervals.len(), ended.len());
-}
-
 #[rstest]
 #[case::checkpoint(StopMode::Checkpoint)]
 #[case::stop(StopMode::Stop)]
@@ -175,9 +98,9 @@
 async fn withdrawal_ends_running_work_as_asked_and_keeps_older_bindings_from_starting(
     #[case] mode: StopMode,
 ) {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let running = on.run(0, 1, r#"{"duration_ms": 700}"#);
-    start(&on, running.clone()).await;
+    on.start(running.clone()).await;
     // Between the positions at which task 1 and task 2 are bound.
     let version = Version(Position::new(Offset(115), 0));
     let withdrawal = Withdrawal {
@@ -197,14 +120,14 @@
         StopMode::Stop => assert_eq!(result, RunResult::Stopped),
         StopMode::Finish => assert_eq!(result, RunResult::Finished),
     }
-    assert!(is_refused(&start(&on, on.run(1, 1, SHORT)).await));
-    let bound_after = start(&on, on.run(2, 1, SHORT)).await;
+    assert!(is_refused(&on.start(on.run(1, 1, SHORT)).await));
+    let bound_after = on.start(on.run(2, 1, SHORT)).await;
     assert_eq!(bound_after, StartReply::Started);
 }
 
 #[tokio::test]
 async fn worker_is_never_given_more_than_it_carries() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let runs = (0..8).map(|index| on.run(index, 1, LONG));
     let mut replies = Vec::new();
     for run in runs {
@@ -221,9 +144,9 @@
 
 #[tokio::test]
 async fn throttled_run_is_slower_until_it_is_released() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, LONG);
-    start(&on, run.clone()).await;
+    on.start(run.clone()).await;
     let step_seen = |step| {
         move |state: &crate::support::EntryState| {
             let last = state.heartbeats.last();
@@ -246,9 +169,9 @@
 #[case::passes_its_memory(r#"{"duration_ms": 600000, "memory_mib": 3000}"#, true)]
 #[tokio::test]
 async fn failure_is_reported_with_its_kind(#[case] payload: &str, #[case] expected: bool) {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, payload);
-    start(&on, run.clone()).await;
+    on.start(run.clone()).await;
     let RunResult::Failed { exhausted, .. } = on.report(run.run).await.result else {
         panic!("expected a failure");
     };
@@ -257,65 +180,25 @@
 
 #[tokio::test]
 async fn run_larger_than_the_worker_is_refused() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let mut run = on.run(0, 1, SHORT);
     run.demand = Resources::new(1, 4_097, 0);
-    assert!(is_refused(&start(&on, run.clone()).await));
+    assert!(is_refused(&on.start(run.clone()).await));
     let result = on.report(run.run).await.result;
     assert!(matches!(result, RunResult::NotStarted { .. }), "{result:?}");
 }
 
-#[tokio::test]
-async fn run_that_starts_under_a_lapsed_lease_starts_paused() {
-    let on = OnWorker::start_with(|state| state.lease = Duration::ZERO).await;
-    let run = on.run(0, 1, SHORT);
-    assert_eq!(start(&on, run.clone()).await, StartReply::Started);
-    let task = on.task(run.run).expect("the worker knows it");
-    assert_eq!((task.status, task.intervals.len()), (TaskStatus::Paused, 0));
-
-    on.entry.state().lease = Duration::from_mins(1);
-    assert_eq!(on.report(run.run).await.result, RunResult::Finished);
-}
-
-#[tokio::test]
-async fn run_on_a_silent_worker_ends_once_its_lease_has_lapsed_and_never_goes_on() {
-    let on = OnWorker::start_with(|state| state.lease = Duration::from_secs(4)).await;
-    let run = on.run(0, 1, LONG);
-    start(&on, run.clone()).await;
-    let runs = || status(&on, &run) == Some(TaskStatus::Running);
-    until("progress", runs).await;
-    on.worker.set_fault(Fault::Silence);
-    // The entry goes on granting leases to the agent.
-    assert_eq!(on.report(run.run).await.result, RunResult::Stopped);
-    let task = on.task(run.run).expect("it ran");
-    assert_eq!(task.status, TaskStatus::Paused);
-    assert!(is_refused(&start(&on, on.run(1, 1, LONG)).await));
-
-    on.worker.set_fault(Fault::None);
-    until("a stop", || status(&on, &run) == Some(TaskStatus::Stopped)).await;
-    let after = on.task(run.run).expect("it ran");
-    assert_eq!(after.intervals.len(), task.intervals.len());
-    let next = async {
-        let mut index = 2;
-        while is_refused(&start(&on, on.run(index, 1, LONG)).await) {
-            index += 1;
-        }
-    };
-    let next = tokio::time::timeout(crate::support::PATIENCE, next).await;
-    assert!(next.is_ok(), "a worker that is clear again takes runs");
-}
-
 #[tokio::test]
 async fn restart_of_the_announcement_leaves_held_runs_alone() {
-    let on = OnWorker::start().await;
+    let on = OnWorker::set_up().await;
     let run = on.run(0, 1, LONG);
-    start(&on, run.clone()).await;
+    on.start(run.clone()).await;
     for child in ["announce", "links", "usage"] {
         on.agent.control().kill(child);
     }
     let before = on.entry.state().heartbeats.len();
     let more = |state: &crate::support::EntryState| state.heartbeats.len() > before + 10;
     on.entry.until("heartbeats after the restart", more).await;
-    assert_eq!(status(&on, &run), Some(TaskStatus::Running));
+    assert_eq!(on.status(&run), Some(TaskStatus::Running));
     assert!(on.entry.state().reports.is_empty());
 }
--- a/crates/standin_backend/src/settings.rs
+++ b/crates/standin_backend/src/settings.rs
@@ -7,6 +7,9 @@
 
 use crate::{Config, ServiceTime};
 
+/// Longest service time that can be set, in microseconds.
+const MAX_SERVICE_US: u64 = 60_000_000;
+
 /// The binary.
 pub const PROGRAM: Program = Program {
     name: "standin-backend",
@@ -42,53 +45,50 @@
                 kind: Kind::Address,
                 default: Some("127.0.0.1:0"),
             },
-            Self::Slots => number("slots", "STANDIN_BACKEND_SLOTS", "8", "requests"),
-            Self::Connections => number(
-                "connections",
-                "STANDIN_BACKEND_CONNECTIONS",
-                "64",
-                "connections",
-            ),
-            Self::ServiceLow => number(
-                "service-low-us",
-                "STANDIN_BACKEND_SERVICE_LOW_US",
-                "5000",
-                "us",
-            ),
-            Self::ServiceHigh => number(
-                "service-high-us",
-                "STANDIN_BACKEND_SERVICE_HIGH_US",
-                "5000",
-                "us",
-            ),
-            Self::Seed => number("seed", "STANDIN_BACKEND_SEED", "1", "seed"),
+            Self::Slots => Setting {
+                flag: "slots",
+                variable: "STANDIN_BACKEND_SLOTS",
+                about: "Requests that it works on at once",
+                unit: "requests",
+                kind: Kind::Number(0..=65_535),
+                default: Some("8"),
+            },
+            Self::Connections => Setting {
+                flag: "connections",
+                variable: "STANDIN_BACKEND_CONNECTIONS",
+                about: "Connections that it accepts work from",
+                unit: "connections",
+                kind: Kind::Number(0..=65_535),
+                default: Some("64"),
+            },
+            Self::ServiceLow => Setting {
+                flag: "service-low-us",
+                variable: "STANDIN_BACKEND_SERVICE_LOW_US",
+                about: "Shortest service time",
+                unit: "us",
+                kind: Kind::Number(0..=MAX_SERVICE_US),
+                default: Some("5000"),
+            },
+            Self::ServiceHigh => Setting {
+                flag: "service-high-us",
+                variable: "STANDIN_BACKEND_SERVICE_HIGH_US",
+                about: "Longest service time",
+                unit: "us",
+                kind: Kind::Number(0..=MAX_SERVICE_US),
+                default: Some("5000"),
+            },
+            Self::Seed => Setting {
+                flag: "seed",
+                variable: "STANDIN_BACKEND_SEED",
+                about: "Seed of the service times",
+                unit: "seed",
+                kind: Kind::Number(0..=u64::MAX),
+                default: Some("1"),
+            },
         }
     }
 }
 
-fn number(
-    flag: &'static str,
-    variable: &'static str,
-    default: &'static str,
-    unit: &'static str,
-) -> Setting {
-    let about = match flag {
-        "slots" => "Requests that it works on at once",
-        "connections" => "Connections that it accepts work from",
-        "service-low-us" => "Shortest service time",
-        "service-high-us" => "Longest service time",
-        _ => "Seed of the service times",
-    };
-    Setting {
-        flag,
-        variable,
-        about,
-        unit,
-        kind: Kind::Number(0..=u64::from(u32::MAX)),
-        default: Some(default),
-    }
-}
-
 /// Builds the configuration from checked settings.
 pub fn config(values: &Values<BackendSetting>) -> Config {
     let micros = |setting| Duration::from_micros(values.number(setting));
