Test logs, metrics and spans of the agent process

Cause: a span for each hop and a line for each event are promised of the process as a whole. Conclusion: the collector sees the forward as a child of the serve, that as a child of the entry's span, and the backend server gets the forward's traceparent.

--- a/crates/agate_agent/tests/agent/main.rs
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -4,6 +4,7 @@
 mod entries;
 mod keys;
 mod leases;
+mod observe;
 mod process;
 mod runs;
 mod support;
--- a/crates/agate_agent/tests/agent/process.rs
+++ b/crates/agate_agent/tests/agent/process.rs
@@ -1,7 +1,7 @@
 //! The agent as a process: signals, freezes, crashes, settings.
 
 use std::net::SocketAddr;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,34 +9,54 @@
 use agate_wire::message::{MemberInfo, Refusal, ServeRequest, ServeResult, StartReply};
 use agate_wire::rpc::AgentRpcClient;
 use rustix::process::{Pid, Signal, kill_process};
-use standin_backend::{Config, Fault, Handle, ServiceTime, serve};
+use standin_backend::Fault;
 use standin_worker::TaskStatus;
 
-use crate::support::{FakeEntry, dial, quick_config, request_to, run_to, until};
+use crate::support::{FakeEntry, backend, dial, quick_config, request_to, run_to, until};
 
 /// A process that is killed when the test ends.
-struct Process(Child);
+pub struct Process(Child);
 
 impl Process {
     fn start(host: &str, local: SocketAddr, entry: &FakeEntry) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_agate-agent"))
+        Self::start_with(host, local, entry, |_| {})
+    }
+
+    /// Starts the agent with a command that `prepare` has changed.
+    pub fn start_with(
+        host: &str,
+        local: SocketAddr,
+        entry: &FakeEntry,
+        prepare: impl FnOnce(&mut Command),
+    ) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_agate-agent"));
+        command
             .args(["--listen", "127.0.0.1:0", "--region", "khomas"])
             .args(["--zone", "windhoek-1", "--host", host, "--slots", "1"])
             .args(["--millicores", "4000", "--memory", "4096"])
             .args(["--local", &local.to_string()])
             .args(["--seeds", &entry.info.address.to_string()])
-            .stderr(Stdio::null())
-            .spawn();
-        Self(child.expect("the binary was built with the tests"))
+            .stderr(Stdio::null());
+        prepare(&mut command);
+        Self(
+            command
+                .spawn()
+                .expect("the binary was built with the tests"),
+        )
+    }
+
+    /// What it writes to standard error, if that is piped.
+    pub fn take_stderr(&mut self) -> ChildStderr {
+        self.0.stderr.take().expect("standard error is piped")
     }
 
-    fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.0.id()).expect("process ids are small");
         let pid = Pid::from_raw(id).expect("a running process has an id");
         kill_process(pid, signal).expect("the process runs");
     }
 
-    async fn exit(mut self) -> ExitStatus {
+    pub async fn exit(mut self) -> ExitStatus {
         let ended = async {
             loop {
                 if let Some(status) = self.0.try_wait().expect("a child can be waited for") {
@@ -58,23 +78,14 @@
     }
 }
 
-async fn backend(service: Duration) -> Handle {
-    let config = Config::builder()
-        .slots(1)
-        .service(ServiceTime::Fixed(service));
-    serve(config.build())
-        .await
-        .expect("loopback has free ports")
-}
-
-async fn quick_entry() -> FakeEntry {
+pub async fn quick_entry() -> FakeEntry {
     let entry = FakeEntry::start().await;
     entry.state().config = Some(quick_config(1));
     entry
 }
 
 /// The newest member that the entry knows and has had a heartbeat from.
-async fn member(entry: &FakeEntry, not: Option<Incarnation>) -> MemberInfo {
+pub async fn member(entry: &FakeEntry, not: Option<Incarnation>) -> MemberInfo {
     let newest = |state: &crate::support::EntryState| {
         let mut members = state.hellos.iter().filter_map(|hello| hello.member.clone());
         let beats = |member: &MemberInfo| {
@@ -96,7 +107,7 @@
 
 #[tokio::test]
 async fn planned_stop_by_signal_answers_what_runs_and_exits_with_0() {
-    let backend = backend(Duration::from_millis(500)).await;
+    let backend = backend(1, Duration::from_millis(500)).await;
     let entry = quick_entry().await;
     let process = Process::start("backend", backend.address(), &entry);
     let member = member(&entry, None).await;
@@ -114,7 +125,7 @@
 
 #[tokio::test]
 async fn second_signal_cuts_off_and_says_so() {
-    let backend = backend(Duration::from_millis(10)).await;
+    let backend = backend(1, Duration::from_millis(10)).await;
     let entry = quick_entry().await;
     let process = Process::start("backend", backend.address(), &entry);
     let member = member(&entry, None).await;
@@ -142,7 +153,7 @@
 
 #[tokio::test]
 async fn agent_frozen_past_a_deadline_starts_nothing_when_it_thaws() {
-    let backend = backend(Duration::from_millis(1)).await;
+    let backend = backend(1, Duration::from_millis(1)).await;
     let entry = quick_entry().await;
     let process = Process::start("backend", backend.address(), &entry);
     let member = member(&entry, None).await;
