--- a/crates/agate_entry/src/app/running.rs
+++ b/crates/agate_entry/src/app/running.rs
@@ -124,6 +124,7 @@
         drain.empty().await;
         self.back.stop.cancel();
         let back = flatten((&mut self.back.task).await);
+        self.entry.tracer.clone().shutdown().await;
         front.and(back)?;
         let ending = if cut { Ending::Cut } else { Ending::Clean };
         log::info!(event = "entry_ended", ending:? ; "");
--- a/crates/agate_entry/src/batch/dispatch.rs
+++ b/crates/agate_entry/src/batch/dispatch.rs
@@ -22,7 +22,7 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 
 /// Something that an agent is to do with a run. Orders are idempotent, so a lost one is repeated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum Order {
     /// Start a run that the log has bound.
     Start(RunId),
@@ -42,25 +42,38 @@
     let mut inbox = entry.batch.inbox.lock().await;
     let slots = Arc::new(Semaphore::new(CONCURRENT));
     while let Some(Some(order)) = stop.run_until_cancelled(inbox.recv()).await {
+        let taken = Taken {
+            entry: Arc::clone(&entry),
+            order,
+        };
         let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
             break;
         };
-        let entry = Arc::clone(&entry);
         tokio::spawn(async move {
-            carry_out(&entry, order).await;
-            drop(slot);
+            carry_out(&taken.entry, taken.order).await;
+            drop((taken, slot));
         });
     }
     Ok(())
 }
 
+/// An order that was taken from the queue. However its task ends, it can be given again after that.
+#[derive(Debug)]
+struct Taken {
+    entry: Arc<Entry>,
+    order: Order,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.entry.batch.close(self.order);
+    }
+}
+
 async fn carry_out(entry: &Entry, order: Order) {
     match order {
         Order::Start(run) => {
-            if entry.batch.quietly(|inner| inner.starting.insert(run)) {
-                start(entry, run).await;
-                entry.batch.quietly(|inner| inner.starting.remove(&run));
-            }
+            start(entry, run).await;
         }
         Order::Stop {
             run,
--- a/crates/agate_entry/src/batch/table.rs
+++ b/crates/agate_entry/src/batch/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use agate_core::{Incarnation, JobId, RunId};
+use agate_core::{Incarnation, JobId};
 use agate_place::{Policy, Scheduler};
 use agate_preset::Preset;
 use tokio::sync::{Notify, mpsc};
@@ -19,6 +19,9 @@
     /// Wakes the task that places.
     wake: Notify,
     orders: mpsc::UnboundedSender<Order>,
+    /// Orders that have not been carried out. Each stands in the queue once, which bounds it by the
+    /// number of bound runs.
+    open: Mutex<HashSet<Order>>,
     /// Where the dispatching task takes orders from; kept here so that it survives a restart.
     pub(super) inbox: tokio::sync::Mutex<mpsc::UnboundedReceiver<Order>>,
 }
@@ -28,8 +31,6 @@
     pub(crate) scheduler: Scheduler,
     /// Jobs whose tasks wait in this entry's queue.
     pub(crate) queued: HashSet<JobId>,
-    /// Starts that are under way.
-    pub(crate) starting: HashSet<RunId>,
     /// Leases that may be held; none before the log has been read.
     pub(crate) leases: Option<LeaseBound>,
     /// Incarnations that are known to have been replaced.
@@ -43,7 +44,6 @@
         let inner = Inner {
             scheduler: Scheduler::new(Policy::from(&Preset::default())),
             queued: HashSet::new(),
-            starting: HashSet::new(),
             leases: None,
             replaced: HashSet::new(),
         };
@@ -51,6 +51,7 @@
             inner: Mutex::new(inner),
             wake: Notify::new(),
             orders,
+            open: Mutex::default(),
             inbox: tokio::sync::Mutex::new(inbox),
         }
     }
@@ -72,10 +73,22 @@
         self.wake.notified().await;
     }
 
-    /// Hands over an order to an agent.
+    /// Hands over an order to an agent, unless the same one waits or is under way.
     pub(crate) fn order(&self, order: Order) {
-        // The receiver is kept in this very struct, so it is never gone.
-        let _ = self.orders.send(order);
+        if self.open_orders().insert(order) {
+            // The receiver is kept in this very struct, so it is never gone.
+            let _ = self.orders.send(order);
+        }
+    }
+
+    /// Notes that an order was carried out or lost; it can be given again.
+    pub(super) fn close(&self, order: Order) {
+        self.open_orders().remove(&order);
+    }
+
+    fn open_orders(&self) -> MutexGuard<'_, HashSet<Order>> {
+        // The set is whole between any two of its calls, so a panic elsewhere leaves it usable.
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/agate_entry/src/settings.rs
+++ b/crates/agate_entry/src/settings.rs
@@ -186,7 +186,7 @@
             Self::Inflight => (
                 "inflight",
                 "AGATE_ENTRY_INFLIGHT",
-                "Requests of callers worked on at once; one more is refused as not run",
+                "Requests of callers worked on at once; one more is refused at once",
                 "requests",
                 1..=100_000,
                 "1024",
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -5,19 +5,17 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use agate_core::{Host, Incarnation, Key, Resources, RunId, Version};
-use agate_wire::Blob;
+use agate_core::{Host, Incarnation, Key, Resources, RunId};
 use agate_wire::message::{
-    Answer, Capacity, ConfigState, Fate, FateReply, FateRequest, Heartbeat, HeartbeatAck, Hello,
-    Load, MemberInfo, Refusal, ReportAck, RunReport, RunResult, RunStatus, ServeReply,
-    ServeRequest, ServeResult, StartReply, StartRun, StopReply, StopRun,
+    Answer, Capacity, ConfigState, Heartbeat, HeartbeatAck, Hello, Load, MemberInfo, Refusal,
+    ReportAck, RunReport, RunResult, RunStatus, StartReply, StartRun, StopRun,
 };
 use agate_wire::rpc::{AgentRpcServer, EntryRpcClient, MAX_MESSAGE_BYTES};
-use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::ws_client::WsClientBuilder;
 use tokio::task::JoinHandle;
 
+use super::agent_rpc::Methods;
 use super::site;
 
 /// What the agent does with requests.
@@ -192,145 +190,3 @@
         self.0.abort();
     }
 }
-
-struct Methods {
-    incarnation: Incarnation,
-    state: Arc<Mutex<State>>,
-}
-
-fn answer(request: &ServeRequest) -> Answer {
-    let body = request.body.open().unwrap();
-    Answer {
-        status: 200,
-        media: "text/plain".to_owned(),
-        body: Blob::new(&[b"echo:", body.as_slice()].concat()),
-    }
-}
-
-fn cut(blob: &Blob) -> Blob {
-    let mut value = serde_json::to_value(blob).unwrap();
-    value["data"] = serde_json::Value::String("ZWNobw==".to_owned());
-    serde_json::from_value(value).unwrap()
-}
-
-impl Methods {
-    /// Runs a request unless its key has run or is tombstoned.
-    fn run(&self, request: &ServeRequest) -> Option<Answer> {
-        let mut state = self.state.lock().unwrap();
-        let Some(key) = request.key else {
-            state.ran.push(None);
-            return Some(answer(request));
-        };
-        if state.tombstones.contains(&key) {
-            return None;
-        }
-        if let Some(answer) = state.answers.get(&key) {
-            return Some(answer.clone());
-        }
-        let answer = answer(request);
-        state.ran.push(Some(key));
-        state.answers.insert(key, answer.clone());
-        Some(answer)
-    }
-
-    async fn result(&self, request: &ServeRequest, behaviour: Behaviour) -> ServeResult {
-        let refused = |reason| ServeResult::Refused {
-            reason,
-            retry_ms: 700,
-        };
-        match behaviour {
-            Behaviour::Refuse(reason) => {
-                self.state.lock().unwrap().tombstones.extend(request.key);
-                return refused(reason);
-            }
-            Behaviour::Fail => {
-                return ServeResult::Failed {
-                    reason: "connection reset".to_owned(),
-                };
-            }
-            Behaviour::Answer | Behaviour::Crossed | Behaviour::Cut | Behaviour::Slow(_) => {}
-        }
-        let Some(mut answer) = self.run(request) else {
-            return refused(Refusal::Tombstoned);
-        };
-        if let Behaviour::Slow(time) = behaviour {
-            tokio::time::sleep(time).await;
-        }
-        if behaviour == Behaviour::Cut {
-            answer.body = cut(&answer.body);
-        }
-        ServeResult::Done(answer)
-    }
-}
-
-#[async_trait]
-impl AgentRpcServer for Methods {
-    async fn serve(&self, request: ServeRequest) -> RpcResult<ServeReply> {
-        let behaviour = {
-            let mut state = self.state.lock().unwrap();
-            state.attempts += 1;
-            state.behaviour
-        };
-        let result = if request.incarnation == self.incarnation {
-            self.result(&request, behaviour).await
-        } else {
-            ServeResult::Refused {
-                reason: Refusal::Gone,
-                retry_ms: 0,
-            }
-        };
-        let crossed = u64::from(behaviour == Behaviour::Crossed);
-        Ok(ServeReply {
-            request: request.request + crossed,
-            result,
-            load: Load::default(),
-        })
-    }
-
-    async fn fate(&self, request: FateRequest) -> RpcResult<FateReply> {
-        let mut state = self.state.lock().unwrap();
-        state.fates += 1;
-        let fate = if request.incarnation != self.incarnation {
-            Fate::Gone
-        } else if let Some(answer) = state.answers.get(&request.key) {
-            Fate::Done(answer.clone())
-        } else if state.tombstones.contains(&request.key) {
-            Fate::NotRun
-        } else if request.tombstone {
-            state.tombstones.push(request.key);
-            Fate::NotRun
-        } else {
-            Fate::Pending
-        };
-        Ok(FateReply {
-            key: request.key,
-            fate,
-            load: Load::default(),
-        })
-    }
-
-    async fn start(&self, request: StartRun) -> RpcResult<StartReply> {
-        let mut state = self.state.lock().unwrap();
-        let reply = state.start_reply.clone();
-        let status = RunStatus {
-            run: request.run,
-            step: None,
-        };
-        if reply == StartReply::Started && !state.held.contains(&status) {
-            state.held.push(status);
-            state.starts.push(request);
-        }
-        Ok(reply)
-    }
-
-    async fn stop(&self, request: StopRun) -> RpcResult<StopReply> {
-        self.state.lock().unwrap().stops.push(request);
-        Ok(StopReply::Accepted)
-    }
-
-    async fn configure(&self, config: ConfigState) -> RpcResult<Version> {
-        let version = config.version;
-        self.state.lock().unwrap().config = Some(config);
-        Ok(version)
-    }
-}
--- a/crates/agate_entry/tests/it/support/mod.rs
+++ b/crates/agate_entry/tests/it/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fakes at the interfaces of an entry.
 
 mod agent;
+mod agent_rpc;
 mod client;
 mod proxy;
 
