--- a/crates/agate_entry/src/http/operator/presets.rs
+++ b/crates/agate_entry/src/http/operator/presets/mod.rs
@@ -1,92 +1,25 @@
 //! `/v1/presets`: publishing and switching.
 
+mod read;
+mod view;
+
 use std::sync::Arc;
 
-use agate_core::{Findings, Offset, Position, Version};
-use agate_preset::Preset;
-use agate_preset::reader::Reader;
-use agate_records::{PresetPublished, PresetSwitched};
-use agate_state::{Effect, Published, Switch, VoidReason};
+use agate_core::{Findings, Version};
+use agate_state::{Effect, VoidReason};
 use dropshot::{HttpError, RequestContext, StreamingBody, endpoint};
-use http::{HeaderMap, StatusCode};
-use serde::Serialize;
-use serde_json::Value;
+use http::StatusCode;
 
+use self::read::{read_preset, read_switch};
+use self::view::{Conflict, InForceView, PresetList, PublishedView, SwitchList, SwitchView};
 use super::auth;
 use crate::entry::Entry;
 use crate::http::reply::{self, Reply};
-use crate::http::{body, json, ledger};
+use crate::http::{body, ledger};
 
 /// Largest body in bytes: a preset and its envelope.
 const MAX_BYTES: usize = 300 * 1024;
 
-/// A published preset.
-#[derive(Debug, Serialize)]
-struct PublishedView {
-    name: String,
-    kind: String,
-    version: String,
-    operator: String,
-}
-
-impl From<&Published> for PublishedView {
-    fn from(published: &Published) -> Self {
-        Self {
-            name: published.record.name.clone(),
-            kind: published.preset().kind.to_string(),
-            version: published.version.to_string(),
-            operator: published.record.operator.clone(),
-        }
-    }
-}
-
-#[derive(Debug, Serialize)]
-struct PresetList {
-    presets: Vec<PublishedView>,
-}
-
-/// The preset in force.
-#[derive(Debug, Serialize)]
-struct InForceView {
-    name: Option<String>,
-    version: String,
-    preset: Option<Preset>,
-}
-
-/// One switch.
-#[derive(Debug, Serialize)]
-struct SwitchView {
-    name: String,
-    version: String,
-    operator: String,
-    wall_ms: u64,
-}
-
-impl From<&Switch> for SwitchView {
-    fn from(switch: &Switch) -> Self {
-        Self {
-            name: switch.name.clone(),
-            version: switch.version.to_string(),
-            operator: switch.operator.clone(),
-            wall_ms: switch.wall_ms,
-        }
-    }
-}
-
-#[derive(Debug, Serialize)]
-struct SwitchList {
-    switches: Vec<SwitchView>,
-}
-
-/// Tells the loser of two switches who won.
-#[derive(Debug, Serialize)]
-struct Conflict {
-    error: &'static str,
-    message: String,
-    in_force: String,
-    version: String,
-}
-
 /// Publishes a preset under a name; the body is `{"name": …, "preset": {…}}`.
 #[endpoint { method = POST, path = "/v1/presets" }]
 pub(crate) async fn publish_preset(
@@ -114,33 +47,6 @@
     })
 }
 
-fn read_preset(
-    bytes: &[u8],
-    headers: &HeaderMap,
-    findings: &mut Findings,
-) -> Option<PresetPublished> {
-    let operator = auth::operator(headers, findings);
-    let value = json::parse(bytes, findings)?;
-    let mut reader = Reader::new("", Some(&value), findings);
-    let name: Option<agate_core::ClassName> = json::required(&mut reader, "name", findings);
-    let document = reader.take("preset").map(Value::to_string);
-    reader.finish(findings);
-    let Some(document) = document else {
-        findings.add("preset", "missing");
-        return None;
-    };
-    if let Err(found) = Preset::parse(&document) {
-        for finding in found.as_slice() {
-            findings.add(format!("preset.{}", finding.place), finding.message.clone());
-        }
-    }
-    Some(PresetPublished {
-        name: name?.into(),
-        json: document,
-        operator,
-    })
-}
-
 fn show_published(entry: &Entry, name: &str) -> Reply {
     let view = entry.folded.with(|state| {
         let mut presets = state.presets();
@@ -188,24 +94,6 @@
     })
 }
 
-fn read_switch(
-    bytes: &[u8],
-    headers: &HeaderMap,
-    findings: &mut Findings,
-) -> Option<PresetSwitched> {
-    let operator = auth::operator(headers, findings);
-    let value = json::parse(bytes, findings)?;
-    let mut reader = Reader::new("", Some(&value), findings);
-    let name: Option<agate_core::ClassName> = json::required(&mut reader, "name", findings);
-    let expected: Option<VersionText> = json::required(&mut reader, "expected", findings);
-    reader.finish(findings);
-    Some(PresetSwitched {
-        name: name?.into(),
-        expected: expected?.0,
-        operator,
-    })
-}
-
 fn refused(reason: VoidReason) -> Reply {
     let message = reason.to_string();
     match reason {
@@ -225,25 +113,6 @@
     }
 }
 
-/// A version as people write it.
-#[derive(Debug, Clone, Copy)]
-struct VersionText(Version);
-
-impl std::str::FromStr for VersionText {
-    type Err = &'static str;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let parse = |text: &str| {
-            let (offset, index) = text.split_once('+')?;
-            let offset = Offset(offset.parse().ok()?);
-            Some(Version(Position::new(offset, index.parse().ok()?)))
-        };
-        parse(text)
-            .map(Self)
-            .ok_or("a version is written as OFFSET+INDEX; 0+0 if no preset was in force")
-    }
-}
-
 /// Shows the preset in force.
 #[endpoint { method = GET, path = "/v1/presets/in-force" }]
 pub(crate) async fn preset_in_force(
--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -219,3 +219,26 @@
     }
     assert!(done >= 39, "{done} of 40 requests were answered");
 }
+
+#[tokio::test]
+async fn leaving_agent_gets_no_new_work() {
+    let entry = entry().await;
+    let (leaver, _one) = backend(&entry, 1, Behaviour::Answer).await;
+    let (other, _two) = backend(&entry, 2, Behaviour::Answer).await;
+    leaver.lock().leaving = true;
+    leaver.lock().ack = None;
+    // The second answer from now on is to a heartbeat that was made after the change.
+    for _ in 0..2 {
+        eventually("a heartbeat is answered", async || {
+            leaver.lock().ack.take().is_some()
+        })
+        .await;
+    }
+    let before = leaver.lock().attempts;
+    for _ in 0..20 {
+        let answer = callers(&entry).post(ONCE, "x").await;
+        assert_eq!(header(&answer, "agate-outcome"), "done");
+    }
+    assert_eq!(leaver.lock().attempts, before);
+    assert_eq!(other.lock().ran.len(), 20);
+}
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -51,6 +51,8 @@
     pub start_reply: StartReply,
     /// Runs held, as heartbeats list them.
     pub held: Vec<RunStatus>,
+    /// Whether heartbeats say that the agent is leaving.
+    pub leaving: bool,
     /// The newest answer to a heartbeat.
     pub ack: Option<HeartbeatAck>,
 }
@@ -78,6 +80,7 @@
             stops: Vec::new(),
             start_reply: StartReply::Started,
             held: Vec::new(),
+            leaving: false,
             ack: None,
         };
         let state = Arc::new(Mutex::new(state));
@@ -155,15 +158,15 @@
         let (incarnation, state) = (self.incarnation, Arc::clone(&self.state));
         Heartbeats(tokio::spawn(async move {
             for sequence in 1.. {
-                let (version, runs) = {
+                let (version, runs, leaving) = {
                     let state = state.lock().unwrap();
                     let version = state.config.as_ref().map(|c| c.version);
-                    (version, state.held.clone())
+                    (version, state.held.clone(), state.leaving)
                 };
                 let beat = Heartbeat {
                     incarnation,
                     sequence,
-                    leaving: false,
+                    leaving,
                     load: Load::default(),
                     config: version.unwrap_or_default(),
                     runs,
