--- /dev/null
+++ b/crates/agate_docs/tests/support/mod.rs
@@ -0,0 +1,28 @@
+//! Access to the pages and sources of the project.
+
+use std::path::{Path, PathBuf};
+
+/// Root of the project.
+pub fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Text of a file, named from the root.
+pub fn read(path: &str) -> String {
+    std::fs::read_to_string(root().join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Every Rust source below a folder, with its text.
+pub fn sources(folder: &Path) -> Vec<(PathBuf, String)> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder).expect("the folder exists") {
+        let path = entry.expect("the entry is readable").path();
+        if path.is_dir() {
+            found.extend(sources(&path));
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = std::fs::read_to_string(&path).expect("the source is readable");
+            found.push((path, text));
+        }
+    }
+    found
+}
