--- a/crates/agate_docs/tests/promises.rs
+++ b/crates/agate_docs/tests/promises.rs
@@ -106,6 +106,27 @@
     }
 }
 
+/// Says whether a module exists, named from its crate.
+fn module_exists(root: &Path, path: &str) -> bool {
+    let (owner, module) = path.split_once("::").unwrap_or((path, ""));
+    let module = root
+        .join("crates")
+        .join(owner)
+        .join("src")
+        .join(module.replace("::", "/"));
+    module.is_dir() || module.with_extension("rs").is_file()
+}
+
+#[test]
+fn every_mechanism_is_a_module() {
+    let root = root();
+    for row in rows(&read("docs/PROMISES.md")) {
+        for name in row[1].split('`').skip(1).step_by(2) {
+            assert!(module_exists(&root, name), "{}: {name}", row[0]);
+        }
+    }
+}
+
 #[test]
 fn every_proof_exists_and_no_promise_is_proved_without_one() {
     let root = root();
