Show that every entry learns of a loss from the log and that the run waits for the lease

Cause: two mutations survived: dropping the loss from the members and ending runs at once. Conclusion: the test now asks an entry that did not see the replacement, and looks for starts where they arrive.

--- a/crates/agate_entry/tests/it/jobs.rs
+++ b/crates/agate_entry/tests/it/jobs.rs
@@ -224,24 +224,33 @@
 }
 
 #[tokio::test]
-async fn replaced_holder_is_lost_and_earns_no_lease() {
+async fn replaced_holder_is_lost_everywhere_and_its_run_waits_for_the_lease() {
     let log = log().await;
-    let entry = entry_on(&log, vec![]).await;
-    let (agent, _beats) = worker(&entry, 1).await;
+    let (entry, distant) = (entry_on(&log, vec![]).await, entry_on(&log, vec![]).await);
+    let (agent, beats) = worker(&entry, 1).await;
     submit(&entry, 1).await;
     let run = runs(&agent, 1).await[0];
+    let host = agate_core::Host::Worker;
+    let _distant_beats = agent.join(distant.rpc_address(), host, agent.address).await;
     let other = FakeAgent::start(2, crate::support::Behaviour::Answer).await;
-    let _other_beats = other
-        .join(entry.rpc_address(), agate_core::Host::Worker, agent.address)
-        .await;
+    let _other_beats = other.join(entry.rpc_address(), host, agent.address).await;
+    drop(beats);
+    agent.lock().ack = None;
+    // The distant entry learns of the loss from the log alone.
     eventually("the holder is told", async || {
         let state = agent.lock();
-        let ack = state.ack.as_ref().unwrap();
-        ack.verdict == Verdict::Lost && ack.lease_ms == 0
+        let ack = state.ack.as_ref();
+        ack.is_some_and(|ack| ack.verdict == Verdict::Lost && ack.lease_ms == 0)
     })
     .await;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    assert_eq!(started(&other), [], "bound again before the lease lapsed");
+    // The new incarnation took the address over, so its starts arrive at the first agent as well.
+    assert_eq!(
+        started(&agent),
+        [run],
+        "bound again before the lease lapsed"
+    );
+    assert_eq!(started(&other), []);
     let ended = agent.report(entry.rpc_address(), run, RunResult::Stopped);
     assert_eq!(ended.await, ReportAck::Recorded);
 }
