--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{
-    Behaviour, FakeAgent, SilentProxy, backend, callers, entry, eventually, header, text, value,
+    Behaviour, FakeAgent, Http, SilentProxy, backend, callers, entry, eventually, header, text,
+    value,
 };
 use agate_core::Host;
 use agate_wire::message::Refusal;
@@ -134,6 +135,12 @@
     let request = tokio::spawn(async move { sender.post(ONCE, "row 4").await });
     eventually("the request arrives", async || agent.lock().attempts == 1).await;
     request.abort();
+    let monitor = Http::new(entry.operator_address());
+    let line = r#"agate_entry_requests_total{class="bench-bind",outcome="done"} 1"#;
+    eventually("the entry follows the request to its end", async || {
+        text(&monitor.get("/metrics").await).contains(line)
+    })
+    .await;
     let path = format!("/v1/requests/{ticket}");
     let fate = caller.get(&path).await;
     assert_eq!(header(&fate, "agate-outcome"), "done");
