--- a/crates/agate_bench/src/lib.rs
+++ b/crates/agate_bench/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod batch;
 pub mod cost;
 pub mod report;
+pub mod state;
 pub mod urgent;
