--- a/crates/agate_agent/tests/agent/main.rs
+++ b/crates/agate_agent/tests/agent/main.rs
@@ -2,6 +2,10 @@
 
 mod drain;
 mod entries;
+mod keys;
+mod leases;
+mod observe;
+mod process;
 mod runs;
 mod support;
 mod urgent;
