Queue again a task whose job was queued while it ran

The entry had become the job's home while they were bound, so its queue never held them; putting them back did nothing, yet the scheduler answered that they wait. Ruled out: the fold (job open, two tasks runnable), a withdrawal (resumed at 00:29:14), a lost report.

--- a/crates/agate_place/src/scheduler/feedback.rs
+++ b/crates/agate_place/src/scheduler/feedback.rs
@@ -159,14 +159,15 @@
         self.sizing.observe(now, run.class, observed);
     }
 
-    /// Puts a task back into the queue after `wait`.
+    /// Puts a task back into the queue after `wait`, unless its job was queued while it ran: then
+    /// the queue has never held it.
     fn again(&mut self, now: Moment, task: TaskId, job: JobKey, wait: Duration) -> Ended {
-        if wait.is_zero() {
-            self.queue.put_back(job, task.index);
+        let held = if wait.is_zero() {
+            self.queue.put_back(job, task.index)
         } else {
-            self.queue.put_later(job, task.index, now + wait);
-        }
-        Ended::Again(now + wait)
+            self.queue.put_later(job, task.index, now + wait)
+        };
+        if held { Ended::Again(now + wait) } else { Ended::Unknown }
     }
 
     /// The worker that a placed or running task is on.
--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -15,4 +15,5 @@
 mod interference;
 mod order;
 mod queue;
+mod rehome;
 mod sizing;
--- /dev/null
+++ b/crates/agate_place/tests/place/rehome.rs
@@ -0,0 +1,43 @@
+//! Jobs that a scheduler takes over while some of their tasks run.
+
+use agate_core::{Incarnation, JobId, Resources, TaskId};
+use agate_place::{Adopted, End, Ended, JobSpec, Policy};
+use rstest::rstest;
+
+use crate::frame::{at, class, job, scheduler, team};
+
+fn adopted(index: u32) -> Adopted {
+    Adopted {
+        task: TaskId {
+            job: JobId(1),
+            index,
+        },
+        worker: Incarnation::new(0),
+        demand: Resources::new(1_000, 1_024, 0),
+        declared: Resources::new(1_000, 1_024, 0),
+        team: team("kehilla"),
+        class: class("rebalance"),
+    }
+}
+
+#[rstest]
+#[case::lost(End::Lost)]
+#[case::not_started(End::NotStarted)]
+#[case::evicted(End::Evicted)]
+#[case::stopped(End::Stopped)]
+#[case::failed(End::Failed)]
+fn task_that_ran_before_its_job_was_queued_is_not_said_to_wait(#[case] end: End) {
+    let mut scheduler = scheduler(Policy::default(), 3);
+    scheduler.adopt(at(1), &adopted(0));
+    let waiting = JobSpec {
+        tasks: std::iter::once(1..4).collect(),
+        ..job(1, 4)
+    };
+    scheduler.push(at(2), &waiting);
+
+    let ended = scheduler.ended(at(3), adopted(0).task, end, Resources::ZERO);
+
+    // The queue never held the task: only whoever knows the job's tasks can queue it again.
+    assert_eq!(ended, Ended::Unknown);
+    assert_eq!(scheduler.waiting(JobId(1)), 3);
+}
