--- a/crates/agate_state/src/effect.rs
+++ b/crates/agate_state/src/effect.rs
@@ -187,6 +187,8 @@
         /// The last epoch.
         last: u32,
     },
+    /// the incarnation was recorded as lost
+    HolderLost,
     /// the run is held by {incarnation}
     WrongHolder {
         /// The holder.
--- a/crates/agate_state/src/state.rs
+++ b/crates/agate_state/src/state.rs
@@ -78,6 +78,9 @@
             Body::Resumed(body) => self.config.resume(version, body),
             Body::JobSubmitted(body) => fold::submit(&mut self.jobs, position, body),
             Body::JobCancelled(body) => fold::cancel(&mut self.jobs, *body),
+            Body::RunBound(body) if self.lost.place(body.incarnation).is_some() => {
+                Effect::Void(VoidReason::HolderLost)
+            }
             Body::RunBound(body) => fold::bind(&mut self.jobs, &self.config, position, *body),
             Body::RunEnded(body) => fold::end(&mut self.jobs, self.config.presets.attempts(), body),
             Body::MemberLost(body) => self.lose(position, body.incarnation),
--- a/crates/agate_state/tests/cases/runs.rs
+++ b/crates/agate_state/tests/cases/runs.rs
@@ -48,6 +48,11 @@
     bind(run(1, 1, 1), A).into(),
     VoidReason::TaskEnded
 )]
+#[case::binding_to_a_lost_member(
+    vec![lost(B).into()],
+    bind(run(1, 1, 1), B).into(),
+    VoidReason::HolderLost
+)]
 #[case::end_by_another_holder(
     vec![],
     end(run(1, 0, 1), B, RunEnd::Finished).into(),
