Wait in the test of a freeze until every thread has stopped

Ruled out: the agent's own detection of a freeze: with every thread stopped before the request is sent, nothing starts. Conclusion: the test waits for the state of each thread; what it asserts is unchanged.

--- a/crates/agate_agent/tests/agent/process.rs
+++ b/crates/agate_agent/tests/agent/process.rs
@@ -56,6 +56,26 @@
         kill_process(pid, signal).expect("the process runs");
     }
 
+    /// Stops every thread of the process, and waits until all of them have stopped.
+    async fn freeze(&self) {
+        self.signal(Signal::STOP);
+        let threads = format!("/proc/{}/task", self.0.id());
+        let stopped = || {
+            let threads = std::fs::read_dir(&threads).expect("the process runs");
+            let mut states = threads.map(|thread| {
+                let thread = thread.expect("a thread is listed").path();
+                std::fs::read_to_string(thread.join("stat")).unwrap_or_default()
+            });
+            // The state follows the name, which ends with the last parenthesis.
+            states.all(|stat| {
+                stat.rsplit(')')
+                    .next()
+                    .is_some_and(|rest| rest.starts_with(" T"))
+            })
+        };
+        until("every thread has stopped", stopped).await;
+    }
+
     pub async fn exit(mut self) -> ExitStatus {
         let ended = async {
             loop {
@@ -158,7 +178,7 @@
     let process = Process::start("backend", backend.address(), &entry);
     let member = member(&entry, None).await;
     let client = Arc::new(dial(member.address).await);
-    process.signal(Signal::STOP);
+    process.freeze().await;
     // The message waits in the agent's socket; its budget would look untouched after the thaw.
     let frozen = tokio::spawn({
         let request = with_budget(request_to(member.incarnation, 1), 500);
