--- a/crates/agate_place/src/workers/mod.rs
+++ b/crates/agate_place/src/workers/mod.rs
@@ -21,8 +21,9 @@
 use crate::{ClassKey, amount};
 use index::Index;
 
-/// Draws for each candidate that is wanted; some draws turn out too small or double.
-const DRAWS: usize = 2;
+/// Rounds of draws; the first is enough if it finds half of what is wanted, as draws may turn out
+/// too small or double.
+const ROUNDS: usize = 3;
 
 /// The workers known to an entry.
 #[derive(Debug, Default)]
@@ -197,12 +198,14 @@
     /// Draws distinct workers that have room for `demand`, at most `wanted`.
     pub fn sample(&self, demand: Resources, wanted: usize, rng: &mut impl Rng) -> Vec<WorkerKey> {
         let mut found: Vec<WorkerKey> = Vec::with_capacity(wanted);
-        for key in self.index.sample(demand, wanted * DRAWS, rng) {
-            if found.len() == wanted {
-                break;
+        for _ in 0..ROUNDS {
+            for key in self.index.sample(demand, wanted - found.len(), rng) {
+                if !found.contains(&key) && demand.fits_in(self.arena[key].room()) {
+                    found.push(key);
+                }
             }
-            if !found.contains(&key) && demand.fits_in(self.arena[key].room()) {
-                found.push(key);
+            if found.len() * 2 >= wanted {
+                break;
             }
         }
         found
