--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{
-    Behaviour, FakeAgent, SilentProxy, backend, callers, entry, eventually, header, text, value,
+    Behaviour, FakeAgent, Http, SilentProxy, backend, callers, entry, eventually, header, text,
+    value,
 };
 use agate_core::Host;
 use agate_wire::message::Refusal;
@@ -87,7 +88,7 @@
     let beats = agent
         .join(entry.rpc_address(), Host::Backend, proxy.address)
         .await;
-    let caller = callers(&entry).with("agate-deadline-ms", 1_500);
+    let caller = callers(&entry).with("agate-deadline-ms", "1500");
     let request = tokio::spawn(async move { caller.post(ONCE, "x").await });
     eventually("the request runs", async || agent.lock().ran.len() == 1).await;
     let (other, _beats) = backend(&entry, 2, Behaviour::Answer).await;
@@ -108,7 +109,7 @@
     let _beats = agent
         .join(entry.rpc_address(), Host::Backend, proxy.address)
         .await;
-    let caller = callers(&entry).with("agate-deadline-ms", 20_000);
+    let caller = callers(&entry).with("agate-deadline-ms", "20000");
     let request = tokio::spawn(async move { caller.post(ONCE, "row 4").await });
     eventually("the request runs", async || agent.lock().ran.len() == 1).await;
     let muted = Instant::now();
@@ -134,6 +135,12 @@
     let request = tokio::spawn(async move { sender.post(ONCE, "row 4").await });
     eventually("the request arrives", async || agent.lock().attempts == 1).await;
     request.abort();
+    let monitor = Http::new(entry.operator_address());
+    let line = r#"agate_entry_requests_total{class="bench-bind",outcome="done"} 1"#;
+    eventually("the entry follows the request to its end", async || {
+        text(&monitor.get("/metrics").await).contains(line)
+    })
+    .await;
     let path = format!("/v1/requests/{ticket}");
     let fate = caller.get(&path).await;
     assert_eq!(header(&fate, "agate-outcome"), "done");
@@ -191,3 +198,54 @@
     assert_eq!(header(&answer, "agate-outcome"), "unknown");
     assert!(agent.lock().ran.is_empty());
 }
+
+#[tokio::test]
+async fn request_whose_answer_the_backend_server_lost_is_unknown() {
+    let entry = entry().await;
+    let (agent, _beats) = backend(&entry, 1, Behaviour::Fail).await;
+    let answer = callers(&entry).post(ONCE, "x").await;
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(header(&answer, "agate-outcome"), "unknown");
+    assert_eq!(agent.lock().attempts, 1);
+}
+
+#[tokio::test]
+async fn agent_behind_a_broken_connection_gets_no_new_work() {
+    let entry = entry().await;
+    let cut_off = FakeAgent::start(1, Behaviour::Answer).await;
+    let proxy = SilentProxy::start(cut_off.address).await;
+    let _cut_off_beats = cut_off
+        .join(entry.rpc_address(), Host::Backend, proxy.address)
+        .await;
+    let (_agent, _beats) = backend(&entry, 2, Behaviour::Answer).await;
+    proxy.cut();
+    let mut done = 0;
+    for _ in 0..40 {
+        let answer = callers(&entry).post(ONCE, "x").await;
+        done += usize::from(header(&answer, "agate-outcome") == "done");
+    }
+    assert!(done >= 39, "{done} of 40 requests were answered");
+}
+
+#[tokio::test]
+async fn leaving_agent_gets_no_new_work() {
+    let entry = entry().await;
+    let (leaver, _one) = backend(&entry, 1, Behaviour::Answer).await;
+    let (other, _two) = backend(&entry, 2, Behaviour::Answer).await;
+    leaver.lock().leaving = true;
+    leaver.lock().ack = None;
+    // The second answer from now on is to a heartbeat that was made after the change.
+    for _ in 0..2 {
+        eventually("a heartbeat is answered", async || {
+            leaver.lock().ack.take().is_some()
+        })
+        .await;
+    }
+    let before = leaver.lock().attempts;
+    for _ in 0..20 {
+        let answer = callers(&entry).post(ONCE, "x").await;
+        assert_eq!(header(&answer, "agate-outcome"), "done");
+    }
+    assert_eq!(leaver.lock().attempts, before);
+    assert_eq!(other.lock().ran.len(), 20);
+}
