--- a/crates/agate_place/src/scheduler/feedback.rs
+++ b/crates/agate_place/src/scheduler/feedback.rs
@@ -167,7 +167,11 @@
         } else {
             self.queue.put_later(job, task.index, now + wait)
         };
-        if held { Ended::Again(now + wait) } else { Ended::Unknown }
+        if held {
+            Ended::Again(now + wait)
+        } else {
+            Ended::Unknown
+        }
     }
 
     /// The worker that a placed or running task is on.
