--- a/crates/agate_entry/src/app/running.rs
+++ b/crates/agate_entry/src/app/running.rs
@@ -120,8 +120,8 @@
         let _ = drain.abort.run_until_cancelled(sleep(limits.leave)).await;
         self.front.stop.cancel();
         let front = flatten((&mut self.front.task).await);
-        let cut = drain.abort.is_cancelled();
         drain.empty().await;
+        let cut = drain.abort.is_cancelled();
         self.back.stop.cancel();
         let back = flatten((&mut self.back.task).await);
         self.entry.tracer.clone().shutdown().await;
--- a/crates/agate_entry/src/members/peers.rs
+++ b/crates/agate_entry/src/members/peers.rs
@@ -23,6 +23,8 @@
 struct Peer {
     info: EntryInfo,
     heard: Instant,
+    /// Whether it gave a sign of life by itself; until then it is only worth an announcement.
+    met: bool,
 }
 
 impl Peers {
@@ -39,16 +41,24 @@
         self.put(info, Heard::Itself);
     }
 
-    /// Takes over what somebody else says about peers. It adds peers but keeps none alive.
+    /// Takes over what somebody else says about peers. They are announced to, and count as peers
+    /// once they have answered: a dead one that others still mention never counts.
     pub(crate) fn mentioned(&self, infos: Vec<EntryInfo>) {
         for info in infos {
             self.put(info, Heard::FromOthers);
         }
     }
 
-    /// Every peer that is known.
+    /// Addresses of every peer that was met or mentioned.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().keys().copied().collect()
+    }
+
+    /// Every peer that gave a sign of life.
     pub(crate) fn list(&self) -> Vec<EntryInfo> {
-        let mut infos: Vec<EntryInfo> = self.lock().values().map(|p| p.info.clone()).collect();
+        let known = self.lock();
+        let met = known.values().filter(|peer| peer.met);
+        let mut infos: Vec<EntryInfo> = met.map(|peer| peer.info.clone()).collect();
         infos.sort_by_key(|info| info.address);
         infos
     }
@@ -65,17 +75,18 @@
         }
         let mut known = self.lock();
         let full = known.len() >= MAX_PEERS;
+        let met = source == Heard::Itself;
         match known.get_mut(&info.address) {
-            Some(peer) if source == Heard::Itself => {
-                peer.info = info;
-                peer.heard = Instant::now();
+            Some(peer) if met => {
+                let heard = Instant::now();
+                *peer = Peer { info, heard, met };
             }
             Some(_) => {}
             None if full => {}
             None => {
                 log::info!(event = "entry_learned", address:% = info.address, incarnation:% = info.incarnation; "");
                 let heard = Instant::now();
-                known.insert(info.address, Peer { info, heard });
+                known.insert(info.address, Peer { info, heard, met });
             }
         }
     }
--- a/crates/agate_entry/src/members/sweep.rs
+++ b/crates/agate_entry/src/members/sweep.rs
@@ -10,10 +10,14 @@
 
 use crate::batch;
 use crate::entry::Entry;
+use crate::rpc::hello;
 
 /// Sweeps within one heartbeat interval.
 const SWEEPS: u32 = 4;
 
+/// Announcements of a peer that may go missing before it is forgotten, whatever the preset says.
+const MISSED_HELLOS: u32 = 3;
+
 /// Sweeps until `stop` is cancelled.
 pub(crate) async fn sweep(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
     let heartbeat = Duration::from_millis(u64::from(entry.preset().membership.heartbeat_ms));
@@ -25,7 +29,9 @@
             note(&entry, change);
         }
         let patience = Duration::from_millis(u64::from(policy.forget_ms));
-        entry.peers.forget(patience);
+        entry
+            .peers
+            .forget(patience);
     }
     Ok(())
 }
--- a/crates/agate_entry/src/rpc/hello.rs
+++ b/crates/agate_entry/src/rpc/hello.rs
@@ -17,7 +17,7 @@
 use crate::entry::Entry;
 
 /// Mean time between two announcements.
-const INTERVAL: Duration = Duration::from_secs(5);
+pub(crate) const INTERVAL: Duration = Duration::from_secs(5);
 
 /// Random change of the interval, as a share of it.
 const JITTER: f64 = 0.2;
@@ -39,7 +39,7 @@
 ) -> Result<(), ChildError> {
     loop {
         let mut addresses: BTreeSet<SocketAddr> = seeds.iter().copied().collect();
-        addresses.extend(entry.peers.list().iter().map(|peer| peer.address));
+        addresses.extend(entry.peers.addresses());
         addresses.remove(&entry.me.address);
         let round = futures::stream::iter(addresses)
             .for_each_concurrent(CONCURRENT, |address| greet(Arc::clone(&entry), address));
--- a/crates/agate_entry/src/rpc/mod.rs
+++ b/crates/agate_entry/src/rpc/mod.rs
@@ -1,6 +1,6 @@
 //! JSON-RPC between this entry, agents and other entries.
 
-mod hello;
+pub(crate) mod hello;
 mod link;
 mod links;
 mod server;
