Measure the slopes from which the large size is worked out

The figures at the large size were points, or came from budgets.

Ruled out: measuring memory of several states in one process. A trial gave 0 bytes for 29,000 bound tasks and 286 bytes for each member where a fresh process gives 496, as freed memory was used again. Each reading of memory is taken in a process of its own now. A counting allocator needs unsafe code.

--- a/crates/agate_bench/src/lib.rs
+++ b/crates/agate_bench/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod batch;
 pub mod cost;
 pub mod report;
+pub mod slopes;
 pub mod state;
 pub mod urgent;
--- /dev/null
+++ b/crates/agate_bench/src/slopes/memory.rs
@@ -0,0 +1,189 @@
+//! Resident memory of state.
+
+use std::hint::black_box;
+use std::process::Command;
+use std::time::Duration;
+
+use agate_bind::{KeyLimits, KeyTable};
+use agate_core::{Incarnation, Key, Moment, Position, Resources, RunId, TaskId};
+use agate_members::View;
+use agate_preset::Preset;
+use agate_records::{Body, KeyBound, RunBound};
+use agate_state::KeyBindings;
+use strum::{EnumString, IntoStaticStr};
+
+use super::member::{id, member};
+use super::series::{Series, table as series_table};
+use crate::cost::batch::{Placing, Queueing};
+use crate::report::Table;
+use crate::state::fixture::{encode, fold, job, job_id, log};
+use crate::state::memory::resident;
+
+/// Time for which keys are remembered.
+const WINDOW: Duration = Duration::from_mins(15);
+/// When the keys were made, in milliseconds since the Unix epoch.
+const WALL_MS: u64 = 1_790_000_000_000;
+/// Jobs whose tasks are bound.
+const WIDE_JOBS: u64 = 1_000;
+/// Records in one append.
+const GROUP: usize = 50;
+
+/// A kind of state whose memory is measured.
+#[derive(Debug, Clone, Copy, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Subject {
+    /// Open jobs in the folded state.
+    Jobs,
+    /// Bound tasks in the folded state.
+    Bound,
+    /// Members in an entry's view.
+    View,
+    /// Workers in an entry's scheduler.
+    Scheduler,
+    /// Jobs in an entry's queue.
+    Queue,
+    /// Keys bound through the log.
+    Bindings,
+    /// Keys that an agent remembers.
+    Keys,
+}
+
+pub(super) fn table() -> Table {
+    let series = [
+        grown("state::State", "open job", Subject::Jobs, &[1_000, 100_000]),
+        grown(
+            "state::State",
+            "bound task",
+            Subject::Bound,
+            &[29_000, 290_000],
+        ),
+        grown("members::View", "member", Subject::View, &[1_000, 21_000]),
+        grown(
+            "place::Scheduler",
+            "worker",
+            Subject::Scheduler,
+            &[1_000, 21_000],
+        ),
+        grown(
+            "place::Queue",
+            "queued job",
+            Subject::Queue,
+            &[1_000, 100_000],
+        ),
+        grown(
+            "state::KeyBindings",
+            "key",
+            Subject::Bindings,
+            &[1_000, 100_000],
+        ),
+        grown("bind::KeyTable", "key", Subject::Keys, &[1_000, 100_000]),
+    ];
+    series_table("resident bytes", &series)
+}
+
+/// Measures each size in a process of its own, as memory that an earlier state has freed would be
+/// used again and make the next one seem small.
+fn grown(name: &'static str, per: &'static str, subject: Subject, sizes: &[u64]) -> Series {
+    Series::measure(name, per, sizes, |size| {
+        let program = std::env::current_exe().expect("the program has a path");
+        let mut command = Command::new(program);
+        command.args([subject.into(), size.to_string().as_str()]);
+        let output = command.output().expect("the program runs");
+        let text = String::from_utf8_lossy(&output.stdout);
+        text.trim().parse().expect("the program prints a number")
+    })
+}
+
+/// Resident bytes that `size` units of a subject take in this process.
+pub fn point(subject: Subject, size: u64) -> u64 {
+    match subject {
+        Subject::Jobs => folded(&log(size, 10)),
+        Subject::Bound => folded(&bound(size)),
+        Subject::View => built(size, view),
+        Subject::Scheduler => built(size, Placing::with_workers),
+        Subject::Queue => built(size, Queueing::with_jobs),
+        Subject::Bindings => built(size, bindings),
+        Subject::Keys => built(size, key_table),
+    }
+}
+
+fn built<T>(size: u64, build: fn(u64) -> T) -> u64 {
+    let before = resident();
+    let state = build(size);
+    let used = resident().saturating_sub(before);
+    drop(black_box(state));
+    used
+}
+
+/// The log is built before the measurement starts.
+fn folded(log: &[Vec<u8>]) -> u64 {
+    let before = resident();
+    let state = fold(log);
+    let used = resident().saturating_sub(before);
+    drop(black_box(state));
+    used
+}
+
+fn view(members: u64) -> View {
+    let site = member(0).site;
+    let mut view = View::new(site, Preset::default().membership, Moment::ZERO);
+    for number in 1..=members {
+        view.announce(member(number), Moment::ZERO);
+    }
+    view
+}
+
+pub(super) fn key(number: u64) -> Key {
+    let mut random = [0; 10];
+    random[..8].copy_from_slice(&id(number).to_be_bytes());
+    Key::from_parts(WALL_MS, random)
+}
+
+fn bindings(keys: u64) -> KeyBindings {
+    let mut bindings = KeyBindings::new(WINDOW);
+    for number in 1..=keys {
+        let record = KeyBound {
+            key: key(number),
+            incarnation: Incarnation::new(id(number)),
+            address: member(number).address,
+        };
+        bindings.apply(Position::default(), &record, WALL_MS);
+    }
+    bindings
+}
+
+fn key_table(keys: u64) -> KeyTable<()> {
+    let limits = KeyLimits::builder()
+        .window(WINDOW)
+        .keys(usize::MAX)
+        .bytes(usize::MAX);
+    let mut table = KeyTable::<()>::new(limits.build());
+    for number in 1..=keys {
+        table.bind(key(number), WALL_MS);
+    }
+    table
+}
+
+/// A log that binds `runs` tasks of a fixed number of jobs.
+fn bound(runs: u64) -> Vec<Vec<u8>> {
+    let opened = (0..WIDE_JOBS).map(|id| job(id, 1_000));
+    let mut bodies = opened.chain((0..runs).map(bind)).peekable();
+    let mut log = Vec::new();
+    while bodies.peek().is_some() {
+        let group = bodies.by_ref().take(GROUP).collect();
+        log.push(encode(log.len() as u128, group));
+    }
+    log
+}
+
+fn bind(number: u64) -> Body {
+    let task = TaskId {
+        job: job_id(number % WIDE_JOBS),
+        index: u32::try_from(number / WIDE_JOBS).unwrap_or(u32::MAX),
+    };
+    Body::from(RunBound {
+        run: RunId { task, epoch: 1 },
+        incarnation: Incarnation::new(id(number % 21_000)),
+        demand: Resources::new(1_000, 2_048, 0),
+    })
+}
--- a/crates/agate_bench/src/state/memory.rs
+++ b/crates/agate_bench/src/state/memory.rs
@@ -9,7 +9,7 @@
 const BYTES_PER_KIB: u64 = 1_024;
 
 /// Resident memory of this process in bytes.
-fn resident() -> u64 {
+pub(crate) fn resident() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
--- a/crates/agate_bench/src/state/mod.rs
+++ b/crates/agate_bench/src/state/mod.rs
@@ -1,7 +1,7 @@
 //! What the state costs: recovery, bytes in the log, withdrawal and memory.
 
-mod fixture;
-mod memory;
+pub(crate) mod fixture;
+pub(crate) mod memory;
 mod recovery;
 mod starts;
 mod withdrawal;
