Repeat a request only if a usual answer fits before its deadline

The router told the rule for repeats that an answer takes no time, so that a request was repeated although nothing but the pause fitted before its deadline. It now tells the median latency of whole answers to the class, which the outlier detector learns already.

Ruled out: feeding View::asked and View::progress from requests. Nothing but the answer itself is seen of a connection, so that a request that takes longer than silent_ms would condemn a healthy member; pings inside the protocol condemn a silent connection after the same time. A condemned member is restored by the redialling task already. Also ruled out: taking the time of a dial as the round trip of a ping, which would be a single sample for the life of a connection.

attempt_is_not_repeated_without_time_for_a_usual_answer fails with `expected: Duration::ZERO` (3 attempts instead of 2).

--- a/crates/agate_entry/src/urgent/router.rs
+++ b/crates/agate_entry/src/urgent/router.rs
@@ -182,15 +182,15 @@
     /// did no harm or may be repeated. Returns the pause before it.
     pub(crate) fn retry(&self, call: &Call, preset: &Preset, attempts: u32) -> Option<Duration> {
         let now = self.clock.now();
+        let state = &mut *self.lock();
         let request = Attempted {
             caller: &call.caller,
             class: &call.class,
             repeatable: true,
             attempts,
             deadline: RouteDeadline::after(now, call.deadline.left()),
-            expected: Duration::ZERO,
+            expected: state.detector.usual(&call.class).unwrap_or_default(),
         };
-        let state = &mut *self.lock();
         let decision = retry::decide(
             &preset.retries,
             &mut state.budgets,
--- a/crates/agate_entry/tests/it/repeatable.rs
+++ b/crates/agate_entry/tests/it/repeatable.rs
@@ -86,3 +86,25 @@
     assert_eq!(value(&answer)["error"], "unknown");
     assert!(began.elapsed() < Duration::from_secs(5));
 }
+
+#[tokio::test]
+async fn attempt_is_not_repeated_without_time_for_a_usual_answer() {
+    let log = log().await;
+    let entry = repeatable(&log).await;
+    let slow = Behaviour::Slow(Duration::from_millis(600));
+    let [(first, _one), (second, _two)] = two(&entry, slow, slow).await;
+    assert_eq!(
+        callers(&entry).post(MANY, "x").await.status(),
+        StatusCode::OK
+    );
+    first.lock().behaviour = Behaviour::Fail;
+    second.lock().behaviour = Behaviour::Fail;
+    let caller = callers(&entry).with("agate-deadline-ms", "400");
+    let answer = caller.post(MANY, "x").await;
+    assert_ne!(header(&answer, "agate-outcome"), "done");
+    let attempts = first.lock().attempts + second.lock().attempts;
+    assert_eq!(
+        attempts, 2,
+        "a repeat was sent that can't be answered in time"
+    );
+}
--- a/crates/agate_route/src/outlier/detector.rs
+++ b/crates/agate_route/src/outlier/detector.rs
@@ -60,6 +60,11 @@
         self.act(key, finding, view, now);
     }
 
+    /// The median latency of whole answers to a class, or `None` before the first.
+    pub fn usual(&self, class: &ClassName) -> Option<Duration> {
+        self.medians.get(class).get()
+    }
+
     /// Takes a failure: no answer in time, a broken one, or a lost connection.
     pub fn failed(&mut self, key: MemberKey, view: &mut View, now: Moment) {
         let Some(record) = self.open(key) else { return };
