--- a/crates/agate_entry/src/members/sweep.rs
+++ b/crates/agate_entry/src/members/sweep.rs
@@ -29,7 +29,9 @@
             note(&entry, change);
         }
         let patience = Duration::from_millis(u64::from(policy.forget_ms));
-        entry.peers.forget(patience);
+        entry
+            .peers
+            .forget(patience.max(hello::INTERVAL * MISSED_HELLOS));
     }
     Ok(())
 }
