Queue anew the tasks that no event has queued

When a job opens, each entry judges by the entries that it knows at that moment whether it is the job's home, and jobs change homes only when two regular looks at the entries differ. If the list flaps between two looks, a job may be queued by no entry and never run.

Every five seconds an entry now compares up to 256 open jobs whose home it is, going round, with what the scheduler holds. The comparison takes a step per range of tasks, not per task. A job that lacks tasks at two looks in a row is queued anew; a single look may fall between a record's fold and its effect on the scheduler. Ruled out: queueing every open job at each look, which would throw away the pauses of tasks that failed.

job_that_opened_while_the_list_of_entries_flapped_is_queued fails without the call to Round::look: no start in 20 s. With it, the job started after 10 s.

--- a/crates/agate_entry/src/app/start.rs
+++ b/crates/agate_entry/src/app/start.rs
@@ -92,6 +92,7 @@
     add(&mut back, "place", entry, batch::place);
     add(&mut back, "dispatch", entry, batch::dispatch);
     add(&mut back, "rehome", entry, batch::rehome);
+    add(&mut back, "refill", entry, batch::refill);
     add(&mut back, "reap", entry, batch::reap);
     back
 }
--- a/crates/agate_entry/src/batch/mod.rs
+++ b/crates/agate_entry/src/batch/mod.rs
@@ -12,6 +12,7 @@
 mod place;
 mod reap;
 mod reconcile;
+mod refill;
 mod report;
 mod table;
 
@@ -23,5 +24,6 @@
 pub(crate) use place::place;
 pub(crate) use reap::reap;
 pub(crate) use reconcile::{joined, left, reconcile};
+pub(crate) use refill::refill;
 pub(crate) use report::report;
 pub(crate) use table::Batch;
--- a/crates/agate_entry/tests/it/main.rs
+++ b/crates/agate_entry/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod leases;
 mod operators;
+mod rehoming;
 mod repeatable;
 mod requests;
 mod support;
--- a/crates/agate_place/src/queue/job.rs
+++ b/crates/agate_place/src/queue/job.rs
@@ -1,5 +1,7 @@
 //! A job as the queue holds it.
 
+use std::ops::Range;
+
 use agate_core::{JobId, Moment, Resources};
 use slotmap::new_key_type;
 
@@ -49,6 +51,19 @@
 }
 
 impl QueuedJob {
+    /// Whether every task of `tasks` waits here or was taken. Takes a step per range, not per task.
+    pub(crate) fn holds_all(&self, tasks: &Range<u32>) -> bool {
+        let sets = [&self.ready, &self.delayed, &self.taken];
+        let mut index = tasks.start;
+        while index < tasks.end {
+            let Some(end) = sets.iter().find_map(|set| set.end_at(index)) else {
+                return false;
+            };
+            index = end;
+        }
+        true
+    }
+
     /// Whether nothing of the job is left.
     pub(crate) fn is_over(&self) -> bool {
         self.ready.is_empty() && self.delayed.is_empty() && self.taken.is_empty()
--- a/crates/agate_place/src/queue/mod.rs
+++ b/crates/agate_place/src/queue/mod.rs
@@ -16,6 +16,7 @@
 mod withdrawals;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 use std::time::Duration;
 
 use agate_core::{ClassName, JobId, Moment, TaskId, TeamName};
@@ -96,6 +97,11 @@
         job.ready.len() + job.delayed.len()
     }
 
+    /// Whether every task of `tasks` waits or was taken.
+    pub fn holds_all(&self, key: JobKey, tasks: &Range<u32>) -> bool {
+        self.jobs.get(key).is_some_and(|job| job.holds_all(tasks))
+    }
+
     /// Number of jobs with tasks that wait or run.
     pub fn len(&self) -> usize {
         self.jobs.len()
--- a/crates/agate_place/src/queue/ranges.rs
+++ b/crates/agate_place/src/queue/ranges.rs
@@ -73,6 +73,11 @@
         self.spans.first_key_value().map(|(&start, _)| start)
     }
 
+    /// The end of the range that holds `index`.
+    pub(super) fn end_at(&self, index: u32) -> Option<u32> {
+        self.span_at(index).map(|(_, end)| end)
+    }
+
     fn span_at(&self, index: u32) -> Option<(u32, u32)> {
         let (&start, &end) = self.spans.range(..=index).next_back()?;
         (index < end).then_some((start, end))
--- a/crates/agate_place/src/scheduler/mod.rs
+++ b/crates/agate_place/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 
 use agate_core::{JobId, Moment, TaskId};
 use slotmap::{SecondaryMap, SparseSecondaryMap};
@@ -143,6 +144,12 @@
         key.map_or(0, |key| self.queue.waiting(key))
     }
 
+    /// Whether every task in `tasks` of a job waits, is placed, or runs.
+    pub fn holds_all(&self, job: JobId, tasks: &Range<u32>) -> bool {
+        let key = self.queue.job(job);
+        key.is_some_and(|key| self.queue.holds_all(key, tasks))
+    }
+
     /// Number of runs that hold room.
     pub fn running(&self) -> usize {
         self.runs.len()
--- a/crates/agate_state/src/job/arena.rs
+++ b/crates/agate_state/src/job/arena.rs
@@ -1,6 +1,7 @@
 //! Arenas of jobs and tasks with their indices.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use agate_core::{Incarnation, JobId, RunId, TaskId};
 use slotmap::SlotMap;
@@ -52,6 +53,14 @@
         self.by_id.values().map(|key| &self.arena[*key])
     }
 
+    /// Ids of open jobs above `last`, in order.
+    pub(crate) fn after(&self, last: Option<JobId>) -> impl Iterator<Item = JobId> {
+        let start = last.map_or(Bound::Unbounded, Bound::Excluded);
+        self.by_id
+            .range((start, Bound::Unbounded))
+            .map(|(id, _)| *id)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.arena.len()
     }
--- a/crates/agate_state/src/state.rs
+++ b/crates/agate_state/src/state.rs
@@ -129,6 +129,11 @@
         self.jobs.iter().map(|job| self.view(job))
     }
 
+    /// Ids of open jobs above `last`, or of all of them, in order.
+    pub fn jobs_after(&self, last: Option<JobId>) -> impl Iterator<Item = JobId> {
+        self.jobs.after(last)
+    }
+
     /// Number of open jobs.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
