Keep back the way of the answer from the time that an agent gets

An agent got all the time left, so that it admitted requests whose answer could only arrive after the caller's deadline. It now gets the time left less the way there and back, by budget::Deadline::for_hop and the round trip that the choice of a member rests on. If that leaves nothing, nothing is sent, which proves that the attempt did not run; this is not held against the member.

Ruled out: counting such an attempt as NotSent, which the outlier detector takes for a broken connection, so that short deadlines would eject members.

agent_in_another_region_gets_the_time_left_less_the_way_there_and_back fails with a delay of zero.

--- a/crates/agate_entry/src/metrics.rs
+++ b/crates/agate_entry/src/metrics.rs
@@ -116,6 +116,7 @@
             Attempt::Done(_) => "done",
             Attempt::Refused { .. } => "refused",
             Attempt::NotSent(_) => "not-sent",
+            Attempt::NoTime => "no-time",
             Attempt::Failed(_) => "failed",
             Attempt::Lost(_) => "lost",
             Attempt::Late => "late",
--- a/crates/agate_entry/src/urgent/attempt.rs
+++ b/crates/agate_entry/src/urgent/attempt.rs
@@ -7,6 +7,7 @@
 use agate_wire::message::{Answer, Refusal, ServeReply, ServeRequest, ServeResult};
 use agate_wire::rpc::AgentRpcClient;
 
+use super::call::Sending;
 use super::{Call, Deadline};
 use crate::entry::Entry;
 use crate::rpc::Link;
@@ -42,6 +43,8 @@
     },
     /// No connection came about, so that nothing was sent.
     NotSent(String),
+    /// The way there and back would have taken all the time left, so that nothing was sent.
+    NoTime,
     /// The backend server gave no whole answer; the request may have run.
     Failed(String),
     /// The connection was lost, or what arrived was not the answer; the request may have run.
@@ -57,6 +60,7 @@
             Self::Done(whole) => whole.body.len() as u64,
             Self::Refused { .. }
             | Self::NotSent(_)
+            | Self::NoTime
             | Self::Failed(_)
             | Self::Lost(_)
             | Self::Late => 0,
@@ -77,8 +81,17 @@
 pub(crate) async fn try_once(entry: &Entry, call: &Call, link: &Link, to: Addressee) -> Attempt {
     let mut span = entry.tracer.start(Hop::EntryAttempt, Some(call.trace));
     span.note("incarnation", to.incarnation);
-    let request = call.request(entry.next_attempt(), to, span.context());
-    let attempt = send(entry, link, request, &call.deadline).await;
+    let attempt = match entry.router.budget(&entry.members, call, to.incarnation) {
+        Some(budget_ms) => {
+            let sending = Sending {
+                id: entry.next_attempt(),
+                budget_ms,
+                trace: span.context(),
+            };
+            send(entry, link, call.request(to, sending), &call.deadline).await
+        }
+        None => Attempt::NoTime,
+    };
     entry.metrics.attempt(&attempt);
     if !matches!(attempt, Attempt::Done(_)) {
         span.fail(format_args!("{attempt:?}"));
--- a/crates/agate_entry/src/urgent/bound.rs
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -21,6 +21,9 @@
 /// the caller gets a proof instead of "unknown".
 const PROOF_TIME: Duration = Duration::from_millis(100);
 
+/// Told to a caller whose request was not sent for want of time.
+pub(crate) const NO_TIME: &str = "the way to the backend server takes longer than the time left";
+
 /// Serves `call` at the incarnation that `ticket` names, and nowhere else.
 ///
 /// The agent runs a key at most once, so the same key may be sent to the same incarnation again;
@@ -85,6 +88,7 @@
                     return unknown(reason, ticket);
                 }
             }
+            Attempt::NoTime => return unsent(sent, ticket),
             Attempt::Late => return unknown("no answer arrived in time", ticket),
             Attempt::Lost(reason) => {
                 sent = Sent::Maybe;
@@ -159,6 +163,16 @@
     }
 }
 
+fn unsent(sent: Sent, ticket: Ticket) -> Ending {
+    match sent {
+        Sent::First => Ending::NotRun {
+            reason: NO_TIME.to_owned(),
+            retry: PAUSE,
+        },
+        Sent::Maybe => unknown(NO_TIME, ticket),
+    }
+}
+
 fn unknown(reason: impl Into<String>, ticket: Ticket) -> Ending {
     Ending::Unknown {
         reason: reason.into(),
--- a/crates/agate_entry/src/urgent/call.rs
+++ b/crates/agate_entry/src/urgent/call.rs
@@ -19,6 +19,16 @@
     Maybe,
 }
 
+/// What one attempt adds to a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sending {
+    /// Unique for this entry.
+    pub(crate) id: u64,
+    /// Milliseconds that the agent gets.
+    pub(crate) budget_ms: u64,
+    pub(crate) trace: TraceContext,
+}
+
 /// A request that passed every check.
 #[derive(Debug, Clone)]
 pub(crate) struct Call {
@@ -41,15 +51,15 @@
     }
 
     /// The message that asks for this request to be served.
-    pub(crate) fn request(&self, id: u64, to: Addressee, trace: TraceContext) -> ServeRequest {
+    pub(crate) fn request(&self, to: Addressee, sending: Sending) -> ServeRequest {
         ServeRequest {
-            request: id,
+            request: sending.id,
             incarnation: to.incarnation,
             key: to.key,
             caller: self.caller.clone(),
             class: self.class.clone(),
-            budget_ms: u64::try_from(self.deadline.left().as_millis()).unwrap_or(u64::MAX),
-            trace,
+            budget_ms: sending.budget_ms,
+            trace: sending.trace,
             media: self.media.clone(),
             body: self.body.clone(),
         }
--- a/crates/agate_entry/src/urgent/chosen.rs
+++ b/crates/agate_entry/src/urgent/chosen.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{Addressee, Attempt, try_once};
-use super::bound::{self, refusal_text};
+use super::bound::{self, NO_TIME, refusal_text};
 use super::call::{Call, Ending};
 use super::router::{NoTarget, Trip};
 use super::{Passed, Ticket};
@@ -44,6 +44,7 @@
             Attempt::Refused { reason, retry } => {
                 tried.not_run(refusal_text(reason).to_owned(), retry);
             }
+            Attempt::NoTime => tried.not_run(NO_TIME.to_owned(), Duration::ZERO),
             Attempt::NotSent(reason) => tried.not_run(reason, Duration::ZERO),
             Attempt::Failed(reason) | Attempt::Lost(reason) => tried.may_have_run(reason),
         }
--- a/crates/agate_entry/src/urgent/router.rs
+++ b/crates/agate_entry/src/urgent/router.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use agate_core::ClassName;
+use agate_core::{ClassName, Incarnation};
 use agate_members::MemberKey;
 use agate_preset::Preset;
 use agate_route::budget::Deadline as RouteDeadline;
@@ -170,7 +170,7 @@
                         .detector
                         .answered(key, &call.class, trip.took, view, now);
                 }
-                Attempt::Refused { .. } => state.detector.refused(key),
+                Attempt::Refused { .. } | Attempt::NoTime => state.detector.refused(key),
                 Attempt::NotSent(_) | Attempt::Failed(_) | Attempt::Lost(_) | Attempt::Late => {
                     state.detector.failed(key, view, now);
                 }
@@ -178,6 +178,23 @@
         });
     }
 
+    /// Whole milliseconds that an agent gets for `call`, or `None` if the way there and back leaves
+    /// none.
+    pub(crate) fn budget(
+        &self,
+        members: &Members,
+        call: &Call,
+        incarnation: Incarnation,
+    ) -> Option<u64> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let delay = members.with(|view| {
+            let key = view.find(incarnation);
+            key.map_or(Duration::ZERO, |key| state.chooser.delay(key, view))
+        });
+        RouteDeadline::after(now, call.deadline.left()).for_hop(now, delay)
+    }
+
     /// Decides whether `call` gets another attempt after `attempts` of them, the newest of which
     /// did no harm or may be repeated. Returns the pause before it.
     pub(crate) fn retry(&self, call: &Call, preset: &Preset, attempts: u32) -> Option<Duration> {
--- a/crates/agate_entry/tests/it/requests.rs
+++ b/crates/agate_entry/tests/it/requests.rs
@@ -6,7 +6,7 @@
     Behaviour, FakeAgent, Http, SilentProxy, backend, callers, entry, eventually, header, text,
     value,
 };
-use agate_core::Host;
+use agate_core::{Host, RegionName, Site, ZoneName};
 use agate_wire::message::Refusal;
 use http::StatusCode;
 use rstest::rstest;
@@ -249,3 +249,20 @@
     assert_eq!(leaver.lock().attempts, before);
     assert_eq!(other.lock().ran.len(), 20);
 }
+
+#[tokio::test]
+async fn agent_in_another_region_gets_the_time_left_less_the_way_there_and_back() {
+    let entry = entry().await;
+    let agent = FakeAgent::start(1, Behaviour::Answer).await;
+    let distant = Site {
+        region: RegionName::new("erongo").unwrap(),
+        zone: ZoneName::new("erongo-1").unwrap(),
+    };
+    let _beats = agent
+        .join_from(distant, entry.rpc_address(), Host::Backend, agent.address)
+        .await;
+    let caller = callers(&entry).with("agate-deadline-ms", "5000");
+    assert_eq!(text(&caller.post(ONCE, "x").await), "echo:x");
+    let budget = agent.lock().budgets[0];
+    assert!((1_000..=4_984).contains(&budget), "{budget} ms");
+}
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use agate_core::{Host, Incarnation, Key, Resources, RunId};
+use agate_core::{Host, Incarnation, Key, Resources, RunId, Site};
 use agate_wire::message::{
     Answer, Capacity, ConfigState, Heartbeat, HeartbeatAck, Hello, Load, MemberInfo, Refusal,
     ReportAck, RunReport, RunResult, RunStatus, StartReply, StartRun, StopRun,
@@ -44,6 +44,8 @@
     pub ran: Vec<Option<Key>>,
     pub answers: HashMap<Key, Answer>,
     pub tombstones: Vec<Key>,
+    /// Milliseconds that each attempt was given.
+    pub budgets: Vec<u64>,
     pub fates: usize,
     pub config: Option<ConfigState>,
     pub starts: Vec<StartRun>,
@@ -74,6 +76,7 @@
             ran: Vec::new(),
             answers: HashMap::new(),
             tombstones: Vec::new(),
+            budgets: Vec::new(),
             fates: 0,
             config: None,
             starts: Vec::new(),
@@ -134,6 +137,17 @@
 
     /// Announces the agent to an entry under `address` and keeps sending heartbeats.
     pub async fn join(&self, entry: SocketAddr, host: Host, address: SocketAddr) -> Heartbeats {
+        self.join_from(site(), entry, host, address).await
+    }
+
+    /// Like [`Self::join`], from a place of its own.
+    pub async fn join_from(
+        &self,
+        site: Site,
+        entry: SocketAddr,
+        host: Host,
+        address: SocketAddr,
+    ) -> Heartbeats {
         let client = WsClientBuilder::new()
             .build(format!("ws://{entry}"))
             .await
@@ -142,7 +156,7 @@
             incarnation: self.incarnation,
             host,
             address,
-            site: site(),
+            site,
             capacity: Capacity {
                 slots: 8,
                 connections: 64,
--- a/crates/agate_entry/tests/it/support/agent_rpc.rs
+++ b/crates/agate_entry/tests/it/support/agent_rpc.rs
@@ -89,6 +89,7 @@
         let behaviour = {
             let mut state = self.state.lock().unwrap();
             state.attempts += 1;
+            state.budgets.push(request.budget_ms);
             state.behaviour
         };
         let result = if request.incarnation == self.incarnation {
--- a/crates/agate_route/src/choose/chooser.rs
+++ b/crates/agate_route/src/choose/chooser.rs
@@ -113,6 +113,12 @@
         self.flows.delayed(key, round_trip);
     }
 
+    /// Time that a message takes to a member, one way.
+    pub fn delay(&self, key: MemberKey, view: &View) -> Duration {
+        let round_trip = |member| Estimate::round_trip(member, &self.flows.get(key));
+        view.get(key).map_or(Duration::ZERO, round_trip) / 2
+    }
+
     /// Requests of this entry that a member has not answered.
     pub fn in_flight(&self, key: MemberKey) -> u32 {
         self.flows.get(key).in_flight
--- a/crates/agate_route/src/choose/estimate.rs
+++ b/crates/agate_route/src/choose/estimate.rs
@@ -27,6 +27,11 @@
 }
 
 impl Estimate {
+    /// Time that messages take to `member` and back.
+    pub(super) fn round_trip(member: &Member, flow: &Flow) -> Duration {
+        flow.delay.get().unwrap_or_else(|| assumed_delay(member))
+    }
+
     /// Estimates for one more request at `member`; `mean` is the load of all members drawn from
     /// and `typical` the service time assumed for a member that has told none.
     pub(super) fn new(
@@ -42,10 +47,9 @@
         let excess = (busy + 1.0 - slots).max(0.0) / slots;
         let bunching = (busy / slots).min(1.0) * BUNCHING;
         let wait = service.mul_f64(excess);
-        let delay = flow.delay.get().unwrap_or_else(|| assumed_delay(member));
         Self {
             wait,
-            total: delay + service + wait + service.mul_f64(bunching),
+            total: Self::round_trip(member, flow) + service + wait + service.mul_f64(bunching),
         }
     }
 }
