--- a/crates/agate_entry/tests/it/main.rs
+++ b/crates/agate_entry/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod leases;
 mod operators;
 mod peers;
+mod rehoming;
 mod repeatable;
 mod requests;
 mod support;
