Name a backend server that can't be reached, and pace heartbeats in one place

Cause: an agent whose backend server is down refused with full, so operators looked for load; the agent had its own factor of 2 for heartbeats to other regions while members are suspected by a factor of 3. Ruled out: reporting it as failed: nothing was sent, which proves that nothing ran. Conclusion: agate_members alone says how often heartbeats are sent.

--- a/crates/agate_agent/src/entries/link.rs
+++ b/crates/agate_agent/src/entries/link.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use agate_core::Incarnation;
+use agate_members::{Scope, next_heartbeat};
 use agate_wire::message::Hello;
 use agate_wire::rpc::EntryRpcClient;
 use jsonrpsee::core::client::Error;
@@ -13,12 +14,9 @@
 
 use super::connect::connect;
 use super::heartbeat::{self, Sent};
-use crate::backoff::{Backoff, jitter};
+use crate::backoff::Backoff;
 use crate::state::{Core, Phase};
 
-/// Factor by which heartbeats to other regions are rarer.
-const OTHER_REGION: u32 = 2;
-
 /// First delay before an entry is dialled again; it doubles up to [`MAX_DELAY`].
 const FIRST_DELAY: Duration = Duration::from_millis(50);
 
@@ -89,14 +87,12 @@
 
 /// Waits for the time of the next heartbeat, or until the agent begins to leave.
 async fn wait(core: &Core, address: SocketAddr) {
-    let preset = core.policy.held();
-    let base = Duration::from_millis(u64::from(preset.preset.membership.heartbeat_ms));
-    let home = core
-        .entries
-        .get(address)
-        .is_none_or(|entry| entry.site.region == core.config.site.region);
-    let base = if home { base } else { base * OTHER_REGION };
-    let pause = jitter(base, 0.8);
+    let policy = core.policy.held().preset.membership;
+    let entry = core.entries.get(address);
+    let scope = entry.map_or(Scope::Zone, |entry| {
+        Scope::between(&core.config.site, &entry.site)
+    });
+    let pause = next_heartbeat(&policy, scope, &mut rand::rng());
     if core.phase() >= Phase::Leaving {
         sleep(pause).await;
         return;
--- a/crates/agate_agent/src/urgent/attempt.rs
+++ b/crates/agate_agent/src/urgent/attempt.rs
@@ -104,7 +104,7 @@
             permit.finish(End::NotStarted);
             let retry = u64::from(core.policy.held().preset.admission.retry_ms);
             Outcome::Refused {
-                reason: Refusal::Full,
+                reason: Refusal::Unreachable,
                 retry: Duration::from_millis(retry),
             }
         }
--- a/crates/agate_entry/src/urgent/bound.rs
+++ b/crates/agate_entry/src/urgent/bound.rs
@@ -131,6 +131,7 @@
             Sent::First | Sent::Maybe,
             Refusal::Full
             | Refusal::Late
+            | Refusal::Unreachable
             | Refusal::Leaving
             | Refusal::Withdrawn
             | Refusal::Tombstoned
@@ -185,6 +186,7 @@
     match reason {
         Refusal::Full => "every slot and every place in the queue is taken",
         Refusal::Late => "the deadline can't be met",
+        Refusal::Unreachable => "the backend server can't be reached by its agent",
         Refusal::Leaving => "the agent is leaving",
         Refusal::Withdrawn => "the class or a tag is withdrawn",
         Refusal::Tombstoned => "the key was kept from starting by an earlier query; use a new key",
--- a/crates/agate_wire/src/message/serve.rs
+++ b/crates/agate_wire/src/message/serve.rs
@@ -65,6 +65,8 @@
     Full,
     /// The deadline can't be met or has passed.
     Late,
+    /// The backend server can't be reached.
+    Unreachable,
     /// The agent is leaving.
     Leaving,
     /// The class or a tag is withdrawn.
