Send a second attempt of a repeatable request whose answer takes long

The rule for hedges learned nothing and was never asked. The router now feeds it with whole answers and asks it once the share of answers that the preset names should have arrived. The hedge goes to a member that has not been tried and is taken out of the budget for repeats; the first whole answer wins, and the other attempt no longer counts as under way here. At 100 percent, the default, there are no hedges.

What is known of the attempts moves to a module of its own.

Left: an attempt that is overtaken tells the outlier detector nothing, so that a member that is always overtaken is not ejected.

--- a/crates/agate_entry/src/urgent/mod.rs
+++ b/crates/agate_entry/src/urgent/mod.rs
@@ -6,8 +6,10 @@
 pub(crate) mod chosen;
 mod deadline;
 pub(crate) mod fate;
+mod hedged;
 mod router;
 mod ticket;
+mod tried;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use call::{Call, Ending, Sent};
--- a/crates/agate_entry/src/urgent/router.rs
+++ b/crates/agate_entry/src/urgent/router.rs
@@ -3,13 +3,13 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use agate_core::{ClassName, Incarnation};
+use agate_core::{ClassName, Incarnation, Moment};
 use agate_members::MemberKey;
 use agate_preset::Preset;
 use agate_route::budget::Deadline as RouteDeadline;
 use agate_route::choose::{Choice, Chooser, NoChoice, Request};
 use agate_route::outlier::OutlierDetector;
-use agate_route::retry::{self, Attempted, Retry, RetryBudgets};
+use agate_route::retry::{self, Attempted, Hedge, Hedger, Retry, RetryBudgets};
 
 use super::attempt::Attempt;
 use super::call::Call;
@@ -28,6 +28,7 @@
     chooser: Chooser,
     detector: OutlierDetector,
     budgets: RetryBudgets,
+    hedger: Hedger,
 }
 
 /// No member can take a request now.
@@ -55,6 +56,20 @@
     pub(crate) took: Duration,
 }
 
+impl State {
+    /// Describes `call` to the rules for extra attempts.
+    fn attempted<'a>(&self, call: &'a Call, attempts: u32, now: Moment) -> Attempted<'a> {
+        Attempted {
+            caller: &call.caller,
+            class: &call.class,
+            repeatable: true,
+            attempts,
+            deadline: RouteDeadline::after(now, call.deadline.left()),
+            expected: self.detector.usual(&call.class).unwrap_or_default(),
+        }
+    }
+}
+
 impl Router {
     /// Starts without knowledge.
     pub(crate) fn new(clock: ProcessClock) -> Self {
@@ -64,6 +79,7 @@
             chooser: Chooser::new(preset.routing, preset.link, now),
             detector: OutlierDetector::new(preset.routing),
             budgets: RetryBudgets::new(now),
+            hedger: Hedger::new(&preset.retries),
         };
         Self {
             clock,
@@ -76,6 +92,7 @@
         let mut state = self.lock();
         state.chooser.set_policy(preset.routing, preset.link);
         state.detector.set_policy(preset.routing);
+        state.hedger.set_policy(&preset.retries);
     }
 
     /// Notes that a request has arrived, which earns a share of an extra attempt.
@@ -166,6 +183,7 @@
             state.chooser.ended(key, bytes, view, now);
             match trip.attempt {
                 Attempt::Done(_) => {
+                    state.hedger.answered(&call.class, trip.took);
                     state
                         .detector
                         .answered(key, &call.class, trip.took, view, now);
@@ -195,19 +213,35 @@
         RouteDeadline::after(now, call.deadline.left()).for_hop(now, delay)
     }
 
+    /// Notes that nobody waits any more for the end of an attempt at `target`.
+    pub(crate) fn abandoned(&self, members: &Members, target: Target) {
+        let now = self.clock.now();
+        let state = &mut *self.lock();
+        members.with(|view| state.chooser.ended(target.member, 0, view, now));
+        state.detector.refused(target.member);
+    }
+
+    /// How long after the first attempt to ask for a hedge, or `None` if there are none.
+    pub(crate) fn hedge_wait(&self, call: &Call) -> Option<Duration> {
+        self.lock().hedger.wait(&call.class)
+    }
+
+    /// Decides whether `call` gets a second attempt now, after `attempts` of them.
+    pub(crate) fn hedge(&self, call: &Call, preset: &Preset, attempts: u32) -> bool {
+        let now = self.clock.now();
+        let state = &mut *self.lock();
+        let request = state.attempted(call, attempts, now);
+        let budgets = &mut state.budgets;
+        let decision = state.hedger.decide(&preset.retries, budgets, &request, now);
+        decision == Hedge::Send
+    }
+
     /// Decides whether `call` gets another attempt after `attempts` of them, the newest of which
     /// did no harm or may be repeated. Returns the pause before it.
     pub(crate) fn retry(&self, call: &Call, preset: &Preset, attempts: u32) -> Option<Duration> {
         let now = self.clock.now();
         let state = &mut *self.lock();
-        let request = Attempted {
-            caller: &call.caller,
-            class: &call.class,
-            repeatable: true,
-            attempts,
-            deadline: RouteDeadline::after(now, call.deadline.left()),
-            expected: state.detector.usual(&call.class).unwrap_or_default(),
-        };
+        let request = state.attempted(call, attempts, now);
         let decision = retry::decide(
             &preset.retries,
             &mut state.budgets,
--- a/crates/agate_entry/tests/it/repeatable.rs
+++ b/crates/agate_entry/tests/it/repeatable.rs
@@ -4,6 +4,7 @@
 
 use agate_entry::Running;
 use http::StatusCode;
+use rstest::rstest;
 use serde_json::json;
 
 use crate::support::{
@@ -15,12 +16,17 @@
 
 /// Starts an entry on a log under a preset in which `seat-check` may be repeated.
 async fn repeatable(log: &standin_log::Handle) -> Running {
+    hedging(log, 100).await
+}
+
+/// Like [`repeatable`], with a second attempt after the time in which `percent` of answers arrive.
+async fn hedging(log: &standin_log::Handle, percent: u32) -> Running {
     let entry = entry_on(log, vec![]).await;
     let operator = operators(&entry);
     let preset = json!({
         "kind": "ordinary",
         "classes": {"seat-check": {"repeatable": true}},
-        "retries": {"budget_percent": 20, "attempts": 3},
+        "retries": {"budget_percent": 20, "attempts": 3, "hedge_percent": percent},
     });
     let body = json!({"name": "ordinary", "preset": preset});
     operator.post("/v1/presets", body.to_string()).await;
@@ -108,3 +114,54 @@
         "a repeat was sent that can't be answered in time"
     );
 }
+
+#[tokio::test]
+async fn slow_attempt_is_overtaken_by_one_at_another_agent() {
+    let log = log().await;
+    let entry = hedging(&log, 90).await;
+    let [(slow, _one), (_quick, _two)] = two(&entry, Behaviour::Answer, Behaviour::Answer).await;
+    for _ in 0..20 {
+        assert_eq!(
+            callers(&entry).post(MANY, "x").await.status(),
+            StatusCode::OK
+        );
+    }
+    let before = {
+        let mut state = slow.lock();
+        state.behaviour = Behaviour::Slow(Duration::from_secs(30));
+        state.attempts
+    };
+    let caller = callers(&entry).with("agate-deadline-ms", "10000");
+    eventually("the slow agent is tried", async || {
+        let answer = caller.post(MANY, "row 4").await;
+        assert_eq!(text(&answer), "echo:row 4");
+        slow.lock().attempts > before
+    })
+    .await;
+}
+
+#[rstest]
+#[case::off(100, 0)]
+// A fifth of an attempt for each request, and the one that a caller starts with.
+#[case::within_the_budget(50, 8)]
+#[tokio::test]
+async fn hedges_stay_within_their_budget(#[case] percent: u32, #[case] extra: usize) {
+    let log = log().await;
+    let entry = hedging(&log, percent).await;
+    let [(first, _one), (second, _two)] = two(&entry, Behaviour::Answer, Behaviour::Answer).await;
+    let requests = 35;
+    for sent in 0..requests {
+        if sent == 5 {
+            // From here on every answer takes longer than was learned.
+            let slow = Behaviour::Slow(Duration::from_millis(100));
+            first.lock().behaviour = slow;
+            second.lock().behaviour = slow;
+        }
+        assert_eq!(
+            callers(&entry).post(MANY, "x").await.status(),
+            StatusCode::OK
+        );
+    }
+    let attempts = first.lock().attempts + second.lock().attempts;
+    assert!(attempts <= requests + extra, "{attempts} attempts");
+}
