--- a/crates/agate_agent/tests/agent/keys.rs
+++ b/crates/agate_agent/tests/agent/keys.rs
@@ -209,7 +209,10 @@
     };
     refused.await;
     let reply = client.serve(keyed(request(&agent, 2), key)).await;
-    assert_eq!(refusal(&reply.expect("a reply")), Some(Refusal::Unreachable));
+    assert_eq!(
+        refusal(&reply.expect("a reply")),
+        Some(Refusal::Unreachable)
+    );
     let fate = client.fate(ask(key, agent.incarnation(), false)).await;
     assert_eq!(fate.expect("a reply").fate, Fate::NotRun);
 }
