Add a load tool that compares the product with direct calls

Cause: nothing told the latency that the product itself adds on a site of today's size. Ruled out: closed-loop callers, which hide the wait of requests that would have come; arrivals keep their instants. The delays between zones are not emulated.

--- a/crates/agate_frame/src/lib.rs
+++ b/crates/agate_frame/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod demo;
 pub mod faults;
+pub mod load;
 pub mod process;
 pub mod relay;
 pub mod site;
--- a/crates/agate_frame/src/site/layout.rs
+++ b/crates/agate_frame/src/site/layout.rs
@@ -84,4 +84,39 @@
             .memory_mib(8_000)
             .build()
     }
+
+    /// Two zones in one region and one in another, ten instances and ten large workers.
+    pub fn kehilla() -> Self {
+        let zones = [
+            ("khomas", "windhoek-1", 4),
+            ("khomas", "windhoek-2", 3),
+            ("erongo", "swakopmund-1", 3),
+        ];
+        Self::builder()
+            .zones(zones.map(even_zone).to_vec())
+            .millicores(64_000)
+            .memory_mib(250_000)
+            .build()
+    }
+
+    /// Two zones in one region and one in another, ten instances and ten small workers.
+    pub fn kattegatt() -> Self {
+        let zones = [
+            ("svealand", "stockholm", 4),
+            ("svealand", "uppsala", 3),
+            ("vastkust", "gothenburg", 3),
+        ];
+        Self::builder().zones(zones.map(even_zone).to_vec()).build()
+    }
+}
+
+/// A zone with one entry and as many backend servers as workers.
+fn even_zone((region, name, hosts): (&str, &str, usize)) -> Zone {
+    Zone::builder()
+        .region(region)
+        .name(name)
+        .entries(1)
+        .backends(hosts)
+        .workers(hosts)
+        .build()
 }
