--- a/crates/agate_frame/src/site/mod.rs
+++ b/crates/agate_frame/src/site/mod.rs
@@ -1,5 +1,6 @@
 //! The processes of a small site.
 
+mod launch;
 mod layout;
 mod node;
 mod processes;
--- a/crates/agate_frame/src/site/processes.rs
+++ b/crates/agate_frame/src/site/processes.rs
@@ -10,7 +10,6 @@
 use super::{BackendNode, EntryNode, Layout, WorkerNode, until};
 use crate::client::{Call, CallError, Method, Reply, call};
 use crate::process::{Child, ChildError, free_port};
-use crate::relay::Relay;
 
 /// Token of operators in the frame.
 pub const OPERATOR_TOKEN: &str = "frame-operator-token";
@@ -44,8 +43,8 @@
 pub struct Frame {
     /// How many processes run where.
     pub layout: Layout,
-    logs: PathBuf,
-    starts: u32,
+    pub(super) logs: PathBuf,
+    pub(super) starts: u32,
     /// The stand-in for the log.
     pub log: Child,
     /// Where it listens.
@@ -115,170 +114,6 @@
         Ok(())
     }
 
-    /// Starts an entry in the zone with the given index.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the process can't be started.
-    pub fn new_entry(&mut self, zone: usize) -> Result<EntryNode, FrameError> {
-        let (callers, operators, rpc) = (free_port()?, free_port()?, free_port()?);
-        let relay = self.relay(rpc)?;
-        let advertise = relay.as_ref().map_or(rpc, |relay| relay.address);
-        let mut args = vec![
-            format!("--caller-listen={callers}"),
-            format!("--operator-listen={operators}"),
-            format!("--rpc-listen={rpc}"),
-            format!("--advertise={advertise}"),
-            format!("--seeds={}", self.seeds()),
-            format!("--log={}", self.log_address),
-            format!("--operator-token={OPERATOR_TOKEN}"),
-            "--leave-ms=200".to_owned(),
-        ];
-        args.extend(self.site_args(zone));
-        let process = self.child("entry", "agate-entry", &args)?;
-        Ok(EntryNode {
-            process,
-            callers,
-            operators,
-            rpc,
-            relay,
-            zone,
-        })
-    }
-
-    fn new_backend(&mut self, zone: usize) -> Result<BackendNode, FrameError> {
-        let address = free_port()?;
-        let (low, high) = self.layout.service_us;
-        let args = vec![
-            format!("--listen={address}"),
-            format!("--slots={}", self.layout.slots),
-            format!("--service-low-us={low}"),
-            format!("--service-high-us={high}"),
-            format!("--seed={}", self.starts),
-        ];
-        let backend = self.child("backend", "standin-backend", &args)?;
-        let (agent, relay) = self.new_backend_agent(zone, address)?;
-        Ok(BackendNode {
-            backend,
-            agent,
-            address,
-            relay,
-            zone,
-        })
-    }
-
-    /// Starts an agent beside the backend server at `local`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the process can't be started.
-    pub fn new_backend_agent(
-        &mut self,
-        zone: usize,
-        local: SocketAddr,
-    ) -> Result<(Child, Option<Relay>), FrameError> {
-        let slots = format!("--slots={}", self.layout.slots);
-        self.new_agent(
-            zone,
-            local,
-            vec![
-                "--host=backend".to_owned(),
-                slots,
-                "--connections=64".to_owned(),
-            ],
-        )
-    }
-
-    fn new_worker(&mut self, zone: usize) -> Result<WorkerNode, FrameError> {
-        let address = free_port()?;
-        let args = vec![format!("--listen={address}")];
-        let worker = self.child("worker", "standin-worker", &args)?;
-        let (agent, relay) = self.new_worker_agent(zone, address)?;
-        Ok(WorkerNode {
-            worker,
-            agent,
-            address,
-            relay,
-            zone,
-        })
-    }
-
-    /// Starts an agent beside the worker at `local`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the process can't be started.
-    pub fn new_worker_agent(
-        &mut self,
-        zone: usize,
-        local: SocketAddr,
-    ) -> Result<(Child, Option<Relay>), FrameError> {
-        let args = vec![
-            "--host=worker".to_owned(),
-            format!("--millicores={}", self.layout.millicores),
-            format!("--memory={}", self.layout.memory_mib),
-        ];
-        self.new_agent(zone, local, args)
-    }
-
-    fn new_agent(
-        &mut self,
-        zone: usize,
-        local: SocketAddr,
-        mut args: Vec<String>,
-    ) -> Result<(Child, Option<Relay>), FrameError> {
-        let listen = free_port()?;
-        let relay = self.relay(listen)?;
-        args.push(format!("--listen={listen}"));
-        if let Some(relay) = &relay {
-            args.push(format!("--advertise={}", relay.address));
-        }
-        args.push(format!("--local={local}"));
-        args.push(format!("--seeds={}", self.seeds()));
-        args.extend(self.site_args(zone));
-        Ok((self.child("agent", "agate-agent", &args)?, relay))
-    }
-
-    fn relay(&self, target: SocketAddr) -> Result<Option<Relay>, FrameError> {
-        if !self.layout.relays {
-            return Ok(None);
-        }
-        Ok(Some(Relay::start(target)?))
-    }
-
-    fn child(&mut self, role: &str, binary: &str, args: &[String]) -> Result<Child, FrameError> {
-        self.starts += 1;
-        Ok(Child::start(
-            &format!("{role}-{:03}", self.starts),
-            binary,
-            args,
-            &self.logs,
-        )?)
-    }
-
-    fn seeds(&self) -> String {
-        let seeds: Vec<String> = self
-            .entries
-            .iter()
-            .map(|entry| {
-                entry
-                    .relay
-                    .as_ref()
-                    .map_or(entry.rpc, |relay| relay.address)
-                    .to_string()
-            })
-            .collect();
-        seeds.join(",")
-    }
-
-    fn site_args(&self, zone: usize) -> [String; 2] {
-        let zone = &self.layout.zones[zone];
-        [
-            format!("--region={}", zone.region),
-            format!("--zone={}", zone.name),
-        ]
-    }
-
     /// Waits until each entry sees every agent.
     ///
     /// # Errors
