Hand out ports that no outgoing connection takes

Ruled out: a fault of the product; the answer 403 came from a listener of another test run. Conclusion: two drivers at once no longer meet but by chance of their process ids, and a port in use is passed over.

--- a/crates/agate_frame/src/process/mod.rs
+++ b/crates/agate_frame/src/process/mod.rs
@@ -4,4 +4,4 @@
 mod ports;
 
 pub use child::{Child, ChildError, Signal};
-pub use ports::free_port;
+pub use ports::Ports;
--- a/crates/agate_frame/src/site/launch.rs
+++ b/crates/agate_frame/src/site/launch.rs
@@ -4,7 +4,7 @@
 
 use super::processes::{Frame, FrameError, OPERATOR_TOKEN};
 use super::{BackendNode, EntryNode, WorkerNode};
-use crate::process::{Child, free_port};
+use crate::process::Child;
 use crate::relay::Relay;
 
 impl Frame {
@@ -14,7 +14,8 @@
     ///
     /// Fails if the process can't be started.
     pub fn new_entry(&mut self, zone: usize) -> Result<EntryNode, FrameError> {
-        let (callers, operators, rpc) = (free_port()?, free_port()?, free_port()?);
+        let (callers, operators, rpc) =
+            (self.ports.free()?, self.ports.free()?, self.ports.free()?);
         let relay = self.relay(rpc)?;
         let advertise = relay.as_ref().map_or(rpc, |relay| relay.address);
         let mut args = vec![
@@ -40,7 +41,7 @@
     }
 
     pub(super) fn new_backend(&mut self, zone: usize) -> Result<BackendNode, FrameError> {
-        let address = free_port()?;
+        let address = self.ports.free()?;
         let (low, high) = self.layout.service_us;
         let args = vec![
             format!("--listen={address}"),
@@ -83,7 +84,7 @@
     }
 
     pub(super) fn new_worker(&mut self, zone: usize) -> Result<WorkerNode, FrameError> {
-        let address = free_port()?;
+        let address = self.ports.free()?;
         let args = vec![format!("--listen={address}")];
         let worker = self.child("worker", "standin-worker", &args)?;
         let (agent, relay) = self.new_worker_agent(zone, address)?;
@@ -120,7 +121,7 @@
         local: SocketAddr,
         mut args: Vec<String>,
     ) -> Result<(Child, Option<Relay>), FrameError> {
-        let listen = free_port()?;
+        let listen = self.ports.free()?;
         let relay = self.relay(listen)?;
         args.push(format!("--listen={listen}"));
         if let Some(relay) = &relay {
--- a/crates/agate_frame/src/site/processes.rs
+++ b/crates/agate_frame/src/site/processes.rs
@@ -9,7 +9,7 @@
 
 use super::{BackendNode, EntryNode, Layout, WorkerNode, until};
 use crate::client::{Call, CallError, Method, Reply, call};
-use crate::process::{Child, ChildError, free_port};
+use crate::process::{Child, ChildError, Ports};
 
 /// Token of operators in the frame.
 pub const OPERATOR_TOKEN: &str = "frame-operator-token";
@@ -45,6 +45,7 @@
     pub layout: Layout,
     pub(super) logs: PathBuf,
     pub(super) starts: u32,
+    pub(super) ports: Ports,
     /// The stand-in for the log.
     pub log: Child,
     /// Where it listens.
@@ -65,12 +66,14 @@
     /// Fails if a process can't be started or the entries don't see every agent in time.
     pub async fn start(layout: Layout, logs: &Path) -> Result<Self, FrameError> {
         std::fs::create_dir_all(logs)?;
-        let log_address = free_port()?;
+        let mut ports = Ports::new();
+        let log_address = ports.free()?;
         let log = start_log(log_address, layout.retention_s, logs)?;
         let mut frame = Self {
             layout,
             logs: logs.to_owned(),
             starts: 0,
+            ports,
             log,
             log_address,
             entries: Vec::new(),
