Learn nothing from a run that ended before its use was read

Cause: the load tool showed 7.5 million tasks an hour on 640 cores, far above what half-second tasks of one core allow. Readings lag by half a second, so short runs reported a peak of zero; sizing took that for their use and set 2 millicores and 2 MiB aside for tasks declared at one core and 1 GiB. Measured: sizing::runs_that_ended_before_any_reading_teach_nothing failed before after 1 s with 2 millicores in place of 1,000; 66 of 66 tests of agate_place pass after. Conclusion: a peak of zero is no reading; a class whose runs are never read keeps its declared sizes.

--- a/crates/agate_place/src/scheduler/feedback.rs
+++ b/crates/agate_place/src/scheduler/feedback.rs
@@ -151,6 +151,10 @@
     }
 
     fn observe(&mut self, now: Moment, run: &Run) {
+        // A run that ended before its use was read says nothing of its size.
+        if run.peak.is_zero() {
+            return;
+        }
         let observed = Observed {
             declared: run.declared,
             given: run.demand,
--- a/crates/agate_place/tests/place/sizing.rs
+++ b/crates/agate_place/tests/place/sizing.rs
@@ -206,3 +206,22 @@
     assert_eq!(placed.map(|p| p.worker.get()), Some(50));
     assert_eq!(s.take_given_up(), []);
 }
+
+#[test]
+fn runs_that_ended_before_any_reading_teach_nothing() {
+    let mut scheduler = scheduler(Policy::default(), 3);
+    let mut rng = rng(1);
+    scheduler.push(at(0), &job(1, 400));
+    for secs in 0..100 {
+        let mut placed = Vec::new();
+        while let Some(placement) = scheduler.next(at(secs), &mut rng) {
+            scheduler.started(at(secs), placement.task);
+            placed.push(placement);
+        }
+        for placement in placed {
+            assert_eq!(placement.demand, job(1, 1).declared, "after {secs} s");
+            scheduler.ended(at(secs), placement.task, End::Finished, Resources::ZERO);
+        }
+    }
+    assert_eq!(scheduler.waiting(JobId(1)), 0);
+}
