Test the trust in an idle agent and the ageing of readings

Two tests passed with the mechanism they name switched off: the idle agent was tried with an empty queue, and the old reading was too low to tell. Both now fail without it.

--- a/crates/agate_route/tests/it/admission.rs
+++ b/crates/agate_route/tests/it/admission.rs
@@ -194,9 +194,10 @@
 #[test]
 fn an_idle_agent_tries_a_request_even_if_the_learned_service_time_is_too_long() {
     let mut control = control(1, 64);
-    let key = started(offer(&mut control, 1_000, 0));
-    let _ = control.finish(key, End::Answered, clocks(5_000), &mut rng());
-    started(offer(&mut control, 1_000, 5_000));
+    let first = started(offer(&mut control, 10_000, 0));
+    let waiting = queued(offer(&mut control, 10_000, 0));
+    let turn = control.finish(first, End::Answered, clocks(6_000), &mut rng());
+    assert_eq!(turn.start, [waiting]);
 }
 
 proptest! {
--- a/crates/agate_route/tests/it/choose.rs
+++ b/crates/agate_route/tests/it/choose.rs
@@ -194,18 +194,14 @@
 #[test]
 fn an_old_reading_is_drawn_towards_the_mean() {
     let mut entry = Entry::new();
-    let stale = join(&mut entry.view, 1, OWN, load(0));
-    let later = Moment::from_millis(70_000);
+    let later = at(70_000);
+    let stale = join(&mut entry.view, 1, OWN, load(8));
     for id in 2..=3 {
         let key = join(&mut entry.view, id, OWN, load(4));
-        entry.view.read_load(key, load(2), later);
+        entry.view.read_load(key, load(4), later);
     }
-    let Choice::Send { key, .. } = entry.choose(1_000, &[], later) else {
-        panic!("no member was chosen");
-    };
-    assert_eq!(key, stale);
-    let sent = entry.send(5, later);
-    assert!(sent[&stale] < 5, "{sent:?}");
+    let sent = entry.send(8, later);
+    assert!(sent.contains_key(&stale), "{sent:?}");
 }
 
 #[test]
