Read operators' preset records in one place

Ruled out: sharing it with withdrawals too, which read the operator before the body: with both wrong, the order of findings would change. Conclusion: behaviour unchanged.

--- a/crates/agate_entry/src/http/operator/presets/mod.rs
+++ b/crates/agate_entry/src/http/operator/presets/mod.rs
@@ -8,7 +8,7 @@
 use agate_core::{Findings, Version};
 use agate_state::{Effect, VoidReason};
 use dropshot::{HttpError, RequestContext, StreamingBody, endpoint};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 
 use self::read::{read_preset, read_switch};
 use self::view::{Conflict, InForceView, PresetList, PublishedView, SwitchList, SwitchView};
@@ -20,6 +20,24 @@
 /// Largest body in bytes: a preset and its envelope.
 const MAX_BYTES: usize = 300 * 1024;
 
+type Read<T> = fn(&[u8], &HeaderMap, &mut Findings) -> Option<T>;
+
+/// Checks the operator's token and reads a record; returns the refusal or every finding if it is
+/// not to be written.
+async fn read_record<T>(
+    context: &RequestContext<Arc<Entry>>,
+    input: StreamingBody,
+    read: Read<T>,
+) -> Result<T, Reply> {
+    let headers = context.request.headers();
+    auth::check(headers, &context.context().token)?;
+    let mut findings = Findings::new();
+    let bytes = body::read(input, MAX_BYTES, &mut findings).await;
+    let record = read(&bytes, headers, &mut findings);
+    let record = record.filter(|_| findings.is_empty());
+    record.ok_or_else(|| reply::invalid(&findings))
+}
+
 /// Publishes a preset under a name; the body is `{"name": …, "preset": {…}}`.
 #[endpoint { method = POST, path = "/v1/presets" }]
 pub(crate) async fn publish_preset(
@@ -27,15 +45,9 @@
     input: StreamingBody,
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
-    let headers = context.request.headers();
-    if let Err(refusal) = auth::check(headers, &entry.token) {
-        return Ok(refusal);
-    }
-    let mut findings = Findings::new();
-    let bytes = body::read(input, MAX_BYTES, &mut findings).await;
-    let record = read_preset(&bytes, headers, &mut findings);
-    let Some(record) = record.filter(|_| findings.is_empty()) else {
-        return Ok(reply::invalid(&findings));
+    let record = match read_record(&context, input, read_preset).await {
+        Ok(record) => record,
+        Err(refusal) => return Ok(refusal),
     };
     let name = record.name.clone();
     Ok(match entry.commit().one(record).await {
@@ -77,15 +89,9 @@
     input: StreamingBody,
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
-    let headers = context.request.headers();
-    if let Err(refusal) = auth::check(headers, &entry.token) {
-        return Ok(refusal);
-    }
-    let mut findings = Findings::new();
-    let bytes = body::read(input, MAX_BYTES, &mut findings).await;
-    let record = read_switch(&bytes, headers, &mut findings);
-    let Some(record) = record.filter(|_| findings.is_empty()) else {
-        return Ok(reply::invalid(&findings));
+    let record = match read_record(&context, input, read_switch).await {
+        Ok(record) => record,
+        Err(refusal) => return Ok(refusal),
     };
     Ok(match entry.commit().one(record).await {
         Ok(Effect::Applied(_) | Effect::Duplicate) => show_in_force(entry),
