Count silence of agents from the newest report an entry has read

Cause: an entry that took over scheduling set the time it last heard of every agent to its own start, so that 1.9 s of silence and the lapse of the lease (5.8 s) began anew after each change of leader. Besides, a read that was lost to a silent store was repeated as a long poll, which needs 1.6 s to fail again. Ruled out: a faster take-over alone (1.3 s of 3.9 s), which leaves the double count in place. Change: every entry keeps when it read the newest record of each agent and hands that to the scheduler it starts. Silence still counts only while the entry reads the log without a gap. Reads don't wait while the lane is lost. Test: a_successor_counts_silence_from_the_newest_report_that_it_has_read failed before.

--- a/crates/agate_jobs/src/plan/adopt.rs
+++ b/crates/agate_jobs/src/plan/adopt.rs
@@ -4,6 +4,7 @@
 
 use crate::book::Book;
 use crate::plan::effect::Effect;
+use crate::plan::heard::Heard;
 use crate::plan::scheduler::Scheduler;
 use crate::plan::worker::Binding;
 use crate::record::{Body, Order, OrderKind, Record, Standing};
@@ -11,10 +12,11 @@
 
 impl Scheduler {
     /// Builds the scheduler from the jobs and workers on record and from the standing orders.
-    pub fn adopt(book: &Book, orders: Vec<Record>, now: Moment) -> Self {
+    /// Silence of agents counts from the time at which they were last `heard` of.
+    pub fn adopt(book: &Book, orders: Vec<Record>, heard: &Heard, now: Moment) -> Self {
         let mut scheduler = Self::default();
         for report in book.workers() {
-            scheduler.report(report, now);
+            scheduler.report(report, heard.at(&report.life.name, now));
         }
         let mut standing_orders = Vec::new();
         for record in orders {
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod effect;
 mod health;
+mod heard;
 mod place;
 mod pressures;
 mod scheduler;
@@ -11,5 +12,6 @@
 mod worker;
 
 pub use effect::Effect;
+pub use heard::Heard;
 pub use scheduler::{Placed, Scheduler};
 pub use suspect::SUSPECT_AFTER;
--- a/crates/agate_jobs/tests/jobs/suspect.rs
+++ b/crates/agate_jobs/tests/jobs/suspect.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agate_jobs::plan::Heard;
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, WorkerState};
 
@@ -117,7 +118,8 @@
     fleet.place();
     let orders = std::mem::take(&mut fleet.orders);
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
-    let mut successor = agate_jobs::plan::Scheduler::adopt(&fleet.book, orders, fleet.now);
+    let mut successor =
+        agate_jobs::plan::Scheduler::adopt(&fleet.book, orders, &Heard::default(), fleet.now);
     assert_eq!(successor.bound_runs(), 1);
     assert!(successor.place(&fleet.book, fleet.now, 1_000).is_empty());
     assert_eq!(successor.take_effects().len(), 1, "one order is dropped");
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_jobs::book::Change;
+use agate_jobs::plan::Heard;
 use agate_jobs::{Book, Record};
 use tokio::time::{Instant, sleep};
 
@@ -55,8 +56,10 @@
     }
     let jobs = book.jobs().count();
     let mut view = entry.view();
+    let now = clock::now();
+    view.heard = Heard::of_loaded(&book, now);
     view.book = book;
-    view.leader_seen = clock::now();
+    view.leader_seen = now;
     view.leads = false;
     view.changes.clear();
     drop(view);
@@ -73,7 +76,13 @@
     loop {
         let began = clock::now();
         let from = *entry.folded.borrow();
-        match entry.parts.log.read(Lane::Main, from, POLL_WAIT).await {
+        // A read that doesn't wait fails sooner if the log is still silent.
+        let wait = if watch.is_lost() {
+            Duration::ZERO
+        } else {
+            POLL_WAIT
+        };
+        match entry.parts.log.read(Lane::Main, from, wait).await {
             Ok(page) => {
                 watch.take(&entry.parts.metrics, None::<&ReadError>);
                 let next = from + page.entries.len() as u64;
@@ -119,6 +128,7 @@
 
 fn fold(view: &mut View, record: Record, now: agate_core::Moment) {
     let change = view.book.fold(record);
+    view.heard.take(&change, now);
     if change == Change::Leader {
         view.leader_seen = now;
     }
--- a/crates/agate_node/src/entry/lead.rs
+++ b/crates/agate_node/src/entry/lead.rs
@@ -158,9 +158,11 @@
     let now = clock::now();
     let scheduler = {
         let mut view = entry.view();
+        let view = &mut *view;
         view.leads = true;
         view.changes.clear();
-        Scheduler::adopt(&view.book, orders, now)
+        view.heard.prune(&view.book);
+        Scheduler::adopt(&view.book, orders, &view.heard, now)
     };
     entry.parts.metrics.count(Event::LeaderTaken);
     log::info!(
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -5,6 +5,7 @@
 
 use agate_core::Moment;
 use agate_jobs::book::Change;
+use agate_jobs::plan::Heard;
 use agate_jobs::{Book, JobState, RouteTable};
 use tokio::sync::{Notify, watch};
 
@@ -32,6 +33,8 @@
     /// Whether the main lane has been read to its end once.
     pub synced: bool,
     pub reading: Stretch,
+    /// When agents were last heard of.
+    pub heard: Heard,
     /// When the newest sign of life of a scheduling entry was read.
     pub leader_seen: Moment,
     /// Whether this entry schedules, so that changes are kept for the scheduler.
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -8,10 +8,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{Caller as _, FakeWorker, Fault, Manner, Site, one_task, until};
-
-/// A lasting task is back within this time after the loss of its worker.
-const REPLACE_TIME: Duration = Duration::from_secs(9);
+use crate::support::{Caller as _, FakeWorker, Fault, Manner, REPLACE_TIME, Site, one_task, until};
 
 /// hunt-b48c-31: holds that found the connection refused counted as granted.
 #[tokio::test(start_paused = true)]
--- a/crates/agate_node/tests/it/leaders.rs
+++ b/crates/agate_node/tests/it/leaders.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{Caller as _, Fault, Site, one_task, until};
+use crate::support::{Caller as _, Fault, Manner, REPLACE_TIME, Site, one_task, until};
 
 #[tokio::test(start_paused = true)]
 async fn one_of_three_entries_schedules() {
@@ -113,3 +113,29 @@
     assert_eq!(worker.begun().len(), 3);
     assert_eq!(worker.running(), 3);
 }
+
+/// kehilla-seats-grown, mix 701164023247: the successor of a killed leader counted the silence of
+/// agents from its own start.
+#[tokio::test(start_paused = true)]
+async fn a_successor_counts_silence_from_the_newest_report_that_it_has_read() {
+    let site = Site::new();
+    let log = site.log.client();
+    let first = site.entry("e1", log.clone()).await;
+    until("it schedules", || {
+        first.metrics().counted(Event::LeaderTaken) == 1
+    })
+    .await;
+    site.entry("e2", site.log.client()).await;
+    let (lost, agent) = site.worker("w1");
+    lost.set_lasting();
+    first.hand_in(1, one_task()).await;
+    until("it runs", || lost.running() == 1).await;
+    let (other, _agent) = site.worker("w2");
+    other.set_lasting();
+    let began = Instant::now();
+    agent.leave_all();
+    lost.set_manner(Manner::Unreachable);
+    log.set_fault(Fault::Refuses);
+    until("it runs elsewhere", || other.running() == 1).await;
+    assert!(began.elapsed() < REPLACE_TIME, "{:?}", began.elapsed());
+}
--- a/crates/agate_node/tests/it/support/mod.rs
+++ b/crates/agate_node/tests/it/support/mod.rs
@@ -5,5 +5,5 @@
 mod worker;
 
 pub(crate) use log::Fault;
-pub(crate) use site::{Caller, Site, one_task, until};
+pub(crate) use site::{Caller, REPLACE_TIME, Site, one_task, until};
 pub(crate) use worker::{FakeWorker, Manner};
--- a/crates/agate_node/tests/it/support/site.rs
+++ b/crates/agate_node/tests/it/support/site.rs
@@ -21,6 +21,9 @@
 /// Longest lease of the workers.
 pub(crate) const HOLD_MAX: Duration = Duration::from_secs(6);
 
+/// A lasting task is back within this time after the loss of its worker.
+pub(crate) const REPLACE_TIME: Duration = Duration::from_secs(9);
+
 /// Time after which a condition counts as never met.
 const PATIENCE: Duration = Duration::from_mins(1);
 
