Follow loads and pressures with one filter, and pace tasks at their start

Cause: figures of workers lag half a second behind, serving loads swing by half within ten seconds, and new filling tasks ran at full speed for 0.6 s before anything was known of them. A fit of the recorded figures showed what they consist of: idle tail / (1 - use), use = load swinging by 0.21 around 0.42 by job + a constant for each pair of images (0.01 or 0.1 to 0.4), averaged with half the weight each quarter of a second. Change: figures are read as overlapping averages; one Kalman filter follows load, slope and pressures of a worker; the load is looked ahead until a pace takes effect; the pace of each task changes at most every 0.36 s in place of all every 0.6 s; a task is paced right after its start; told pressures are not reported as learned ones; tasks below 40 % of their speed for 0.6 s go on elsewhere; serving tasks of one step share workers, as their peaks coincide.

--- a/crates/agate_jobs/src/pace/mod.rs
+++ b/crates/agate_jobs/src/pace/mod.rs
@@ -2,14 +2,19 @@
 //!
 //! A serving task's tail latency grows like `base / (1 - use)`, where its use is made up of its own
 //! load and of what each filling task beside it adds. What a filling task adds differs by the pair
-//! of images; it is learned from the half-second figures that workers give.
+//! of images; it is learned from the half-second figures that workers give. Both are followed with
+//! their uncertainty: an error of the expected tail corrects what is least known.
 
+mod figure;
+mod filter;
+mod learned;
 mod pacer;
 mod strain;
 
 use serde::{Deserialize, Serialize};
 
-pub use pacer::{Pacer, UNKNOWN_PRESSURE};
+pub use learned::UNKNOWN_PRESSURE;
+pub use pacer::Pacer;
 
 use crate::task::TaskKey;
 
--- a/crates/agate_jobs/src/pace/strain.rs
+++ b/crates/agate_jobs/src/pace/strain.rs
@@ -22,6 +22,8 @@
 struct Strain {
     since: Moment,
     own: bool,
+    /// Whether it is over its target at this moment; its figure falls later.
+    lasts: bool,
 }
 
 /// Serving tasks that are over their target.
@@ -32,7 +34,14 @@
 }
 
 impl Strains {
-    pub fn observe(&mut self, serving: &[Serving], filling: &[Filling], now: Moment) {
+    /// Takes the figures of serving tasks, and their tail latencies at this moment.
+    pub fn observe(
+        &mut self,
+        serving: &[Serving],
+        tails: &HashMap<TaskKey, f64>,
+        filling: &[Filling],
+        now: Moment,
+    ) {
         let working: f64 = filling.iter().map(|task| task.share).sum();
         if working > STILL {
             self.alone_since = None;
@@ -49,16 +58,19 @@
             let fresh = Strain {
                 since: now,
                 own: false,
+                lasts: true,
             };
             let strain = self.over.entry(task.task).or_insert(fresh);
             strain.own |= alone;
+            let tail = tails.get(&task.task).copied();
+            strain.lasts = tail.unwrap_or(task.tail_ms) > task.target_ms;
         }
     }
 
     /// Whether a task has been over its target for long, with filling tasks as a possible cause.
     pub fn is_long(&self, now: Moment) -> bool {
         let mut strains = self.over.values();
-        strains.any(|strain| !strain.own && now.since(strain.since) >= LONG)
+        strains.any(|strain| strain.lasts && !strain.own && now.since(strain.since) >= LONG)
     }
 
     /// Whether a task is over its target with nothing beside it as the cause.
--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -30,6 +30,10 @@
 /// Gain, for a serving task, of a worker that serves its image already.
 const SAME_IMAGE: f64 = 0.8;
 
+/// Gain, for a serving task, of each task of its own step on a worker: their loads rise and fall
+/// together, so that they leave more to tasks that fill than tasks whose peaks take turns.
+const SAME_STEP: f64 = 0.4;
+
 /// Weight, for a serving task, of the use of a worker's processors.
 const SERVING_BUSY: f64 = 0.3;
 
@@ -108,7 +112,7 @@
     let filled = f64::from(worker.filled) / whole;
     let mut cost = SLOW * worker.health.slowness;
     if step.target_ms > 0 {
-        cost += SERVING_BUSY * busy + SIBLING * f64::from(worker.siblings(task.task));
+        cost += SERVING_BUSY * busy - SAME_STEP * f64::from(worker.siblings(task.task));
         let others = worker.serving.keys().filter(|image| **image != step.image);
         cost += OTHER_IMAGE * others.count() as f64;
         if worker.serving.contains_key(&step.image) {
--- a/crates/agate_node/src/agent/carry.rs
+++ b/crates/agate_node/src/agent/carry.rs
@@ -6,9 +6,9 @@
 use agate_jobs::{EndCause, Order, OrderKind, TaskKey, WorkerState};
 use tokio::time::{Instant, timeout};
 
-use super::ends;
 use super::held::{Held, Phase, Run, State};
 use super::port::{CallError, Rejection, StartOrder, StartReply};
+use super::{ends, pacing};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -134,6 +134,9 @@
         deadline_ms = deadline_ms, reply:? = reply, took_ms = clock::millis(took); ""
     );
     take_reply(held, task, run, &reply);
+    if matches!(reply, Ok(StartReply::Started)) {
+        pacing::adjust_started(held, &call).await;
+    }
 }
 
 /// Whether the start can still begin in time, by the clock that advances while suspended.
--- a/crates/agate_node/src/agent/pacing.rs
+++ b/crates/agate_node/src/agent/pacing.rs
@@ -5,30 +5,31 @@
 use std::time::Duration;
 
 use agate_jobs::pace::{FULL, Filling, Headroom, Pacer, Pressure, Serving};
-use agate_jobs::{Order, OrderKind, TaskKey};
+use agate_jobs::{Order, OrderKind, TaskKey, WorkerLife};
 use tokio::time::Instant;
 
 use super::ends;
 use super::held::{Held, Phase, Run};
-use super::port::{HoldReply, Listed};
+use super::port::{HoldReply, Listed, StartOrder};
 use crate::clock;
 use crate::metrics::Event;
 
-/// Time between two changes of the pace: a change needs 0.1 s to take effect, the figures cover
-/// half a second, and a change that follows too early puts the first one off.
-const CHANGE_PERIOD: Duration = Duration::from_millis(600);
+/// Time between two changes of the pace of one task: a change needs 0.1 s and the worker's next
+/// quarter of a second to take effect, and one that follows earlier puts the first one off.
+const CHANGE_PERIOD: Duration = Duration::from_millis(360);
 
-/// Time after which figures that have not changed count as new ones.
-const LEARN_PERIOD: Duration = Duration::from_millis(480);
+/// Time after which figures that have not changed count as new ones; workers renew them every
+/// quarter of a second.
+const LEARN_PERIOD: Duration = Duration::from_millis(230);
 
 /// Change of the pace, in percentage points, below which none is made.
 const LEAST_CHANGE: u32 = 8;
 
 /// Pace at which a task hardly works, in percent.
-const SLOW: u32 = 15;
+const SLOW: u32 = 40;
 
 /// Time after which a task that hardly works is given back, to go on elsewhere.
-const STUCK_TIME: Duration = Duration::from_millis(1_500);
+const STUCK_TIME: Duration = Duration::from_millis(600);
 
 /// Progress, in percent, that a task without checkpoints may lose.
 const LITTLE_WORK: u32 = 8;
@@ -39,14 +40,15 @@
     pacer: Pacer,
     set: HashMap<(TaskKey, u32), Set>,
     serving: Vec<Serving>,
+    filling: Vec<Filling>,
     learned: Option<Instant>,
-    changed: Option<Instant>,
 }
 
 /// A pace that was set.
 #[derive(Debug, Clone, Copy)]
 struct Set {
     percent: u32,
+    at: Instant,
     /// Since when the task has hardly worked.
     slow_since: Option<Instant>,
 }
@@ -89,11 +91,8 @@
             self.pacer.observe(&serving, &filling, clock::now());
             self.serving.clone_from(&serving);
         }
-        let early = |at: Instant| at.elapsed() < CHANGE_PERIOD;
-        if self.changed.is_some_and(early) {
-            return Vec::new();
-        }
         let plan = self.pacer.plan(&serving, &filling, clock::now());
+        self.filling = filling;
         let wanted = runs.into_iter().zip(plan);
         wanted
             .filter(|(run, percent)| self.is_change(*run, *percent))
@@ -101,12 +100,27 @@
             .collect()
     }
 
+    /// The pace of a task that has just been started at full speed, if it is to be slower. Until
+    /// the next list it counts among the tasks that fill.
+    fn take_started(&mut self, task: TaskKey, image: &str) -> Option<u32> {
+        self.filling.push(Filling {
+            task,
+            image: image.to_owned(),
+            share: 1.0,
+        });
+        let plan = self.pacer.plan(&self.serving, &self.filling, clock::now());
+        plan.last().copied().filter(|percent| *percent < FULL)
+    }
+
     fn note(&mut self, task: TaskKey, run: u32, percent: u32) {
+        let at = Instant::now();
         let set = self.set.entry((task, run)).or_insert(Set {
             percent,
+            at,
             slow_since: None,
         });
         set.percent = percent;
+        set.at = at;
         set.slow_since = if percent > SLOW {
             None
         } else {
@@ -134,7 +148,11 @@
     }
 
     fn is_change(&self, run: (TaskKey, u32), percent: u32) -> bool {
-        let set = self.set.get(&run).map_or(FULL, |set| set.percent);
+        let known = self.set.get(&run);
+        if known.is_some_and(|set| set.at.elapsed() < CHANGE_PERIOD) {
+            return false;
+        }
+        let set = known.map_or(FULL, |set| set.percent);
         let limit = percent == 0 || percent == FULL;
         set.abs_diff(percent) >= LEAST_CHANGE || (limit && set != percent)
     }
@@ -189,21 +207,50 @@
         }
         (state.life.clone(), changes)
     };
-    for Change { task, run, percent } in changes {
-        match held.port.pace(&life, task, run, percent).await {
-            Ok(()) => {
-                held.parts.metrics.count(Event::PaceChanged);
-                log::info!(
-                    event = "pace_set", task:% = task, run = run, worker:% = life,
-                    percent = percent; ""
-                );
-                let mut state = held.state();
-                state.pacing.note(task, run, percent);
-                state.pacing.changed = Some(Instant::now());
-            }
-            Err(error) => {
-                log::warn!(event = "pace_failed", task:% = task, run = run, cause:% = error; "");
-            }
+    for change in changes {
+        set(held, &life, change).await;
+    }
+}
+
+/// Slows a task that fills right after its start, if it could push tasks beside it over their
+/// target before the next list is read.
+pub(super) async fn adjust_started(held: &Held, order: &StartOrder) {
+    let (life, percent) = {
+        let mut state = held.state();
+        let state = &mut *state;
+        let kind = state.orders.get(&order.task).map(|order| &order.kind);
+        let Some(OrderKind::Start {
+            fills: true, image, ..
+        }) = kind
+        else {
+            return;
+        };
+        let Some(percent) = state.pacing.take_started(order.task, image) else {
+            return;
+        };
+        (state.life.clone(), percent)
+    };
+    let change = Change {
+        task: order.task,
+        run: order.run,
+        percent,
+    };
+    set(held, &life, change).await;
+}
+
+async fn set(held: &Held, life: &WorkerLife, change: Change) {
+    let Change { task, run, percent } = change;
+    match held.port.pace(life, task, run, percent).await {
+        Ok(()) => {
+            held.parts.metrics.count(Event::PaceChanged);
+            log::info!(
+                event = "pace_set", task:% = task, run = run, worker:% = life,
+                percent = percent; ""
+            );
+            held.state().pacing.note(task, run, percent);
+        }
+        Err(error) => {
+            log::warn!(event = "pace_failed", task:% = task, run = run, cause:% = error; "");
         }
     }
 }
