Let agents back off exponentially while appends fail or are slow

Change: the delay of an agent's writer doubles from 0.25 to 3 s, with jitter. Test: an_agent_backs_off_while_its_appends_fail failed before.

--- a/crates/agate_node/src/appender.rs
+++ b/crates/agate_node/src/appender.rs
@@ -1,11 +1,13 @@
 //! Grouped appends of records that any process may write.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use agate_jobs::Record;
 use displaydoc::Display;
 use futures::stream::{FuturesUnordered, StreamExt as _};
+use rand::Rng as _;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
@@ -31,11 +33,12 @@
 /// Time for an append above which the log counts as slow.
 const SLOW: Duration = Duration::from_millis(80);
 
-/// Pause of a writer that can wait, as a multiple of the time that a slow append took.
-const YIELD_FACTOR: u32 = 3;
+/// Pause of a writer that can wait after the first append that failed or was slow; doubled with
+/// each further one. The log turns appends away once two seconds' worth of them are waiting.
+const FIRST_YIELD: Duration = Duration::from_millis(250);
 
-/// Longest pause of a writer that can wait; reports are due before an agent is suspected.
-const LONGEST_YIELD: Duration = Duration::from_millis(900);
+/// Longest pause of a writer that can wait.
+const LONGEST_YIELD: Duration = Duration::from_secs(3);
 
 /// Whether a writer makes room for others while the log is slow. The log takes the appends to a
 /// lane one by one, so that those of many agents would hold up callers.
@@ -57,13 +60,12 @@
         }
     }
 
-    /// Pause after an append that took `took`.
-    fn pause(self, took: Duration, failed: bool) -> Duration {
-        let retry = if failed { RETRY_PAUSE } else { Duration::ZERO };
+    /// Pause after an append, the last of `strained` in a row that failed or were slow.
+    fn pause(self, strained: u32, failed: bool) -> Duration {
         match self {
-            Self::Callers => retry,
-            Self::Reports if took > SLOW => (took * YIELD_FACTOR).min(LONGEST_YIELD),
-            Self::Reports => retry * YIELD_FACTOR,
+            Self::Callers if failed => RETRY_PAUSE,
+            Self::Callers => Duration::ZERO,
+            Self::Reports => back_off(strained),
         }
     }
 }
@@ -139,6 +141,7 @@
         urgency,
         metrics,
         watch: Mutex::new(Watch::new(Lane::Main, "append")),
+        strained: AtomicU32::new(0),
     };
     let mut waiting: Vec<Job> = Vec::new();
     let mut calls = FuturesUnordered::new();
@@ -173,6 +176,17 @@
     }
 }
 
+/// Exponential delay with jitter, so that many writers don't come back together.
+fn back_off(strained: u32) -> Duration {
+    let Some(doublings) = strained.checked_sub(1) else {
+        return Duration::ZERO;
+    };
+    let longest = FIRST_YIELD * 2_u32.saturating_pow(doublings.min(8));
+    longest
+        .min(LONGEST_YIELD)
+        .mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
 /// Leaves time for more records if the writer can wait.
 async fn gather(urgency: Urgency) {
     match urgency {
@@ -186,9 +200,21 @@
     urgency: Urgency,
     metrics: Arc<Metrics>,
     watch: Mutex<Watch>,
+    /// Appends in a row that failed or were slow.
+    strained: AtomicU32,
 }
 
 impl Writer {
+    /// Counts appends in a row that failed or were slow.
+    fn strained(&self, more: bool) -> u32 {
+        if more {
+            self.strained.fetch_add(1, Ordering::Relaxed) + 1
+        } else {
+            self.strained.store(0, Ordering::Relaxed);
+            0
+        }
+    }
+
     /// Appends once, answers what is settled and returns, after a pause, what is to be tried again.
     async fn append(&self, jobs: Vec<Job>) -> Vec<Job> {
         let records: Vec<_> = jobs.iter().flat_map(|job| job.records.clone()).collect();
@@ -201,7 +227,9 @@
             .unwrap_or_else(PoisonError::into_inner)
             .take(&self.metrics, result.as_ref().err());
         let again = settle(jobs, &result);
-        let pause = self.urgency.pause(took, result.is_err());
+        let failed = result.is_err();
+        let strained = self.strained(failed || took > SLOW);
+        let pause = self.urgency.pause(strained, failed);
         if !pause.is_zero() {
             sleep(pause).await;
         }
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -201,3 +201,23 @@
     let reports = site.log.keys(Lane::Main);
     assert!(reports.iter().any(|key| key == "w/w1"));
 }
+
+/// kra-pricing-grown, trouble-2: a slow store turned appends away, and 72 agents that tried again
+/// five times a second left no room for callers.
+#[tokio::test(start_paused = true)]
+async fn an_agent_backs_off_while_its_appends_fail() {
+    /// Twice as often as with a delay that has grown to its longest.
+    const MOST_TRIES: usize = 10;
+    let site = Site::new();
+    let log = site.log.client();
+    let agent = Site::agent(log.clone());
+    let _worker = FakeWorker::open("w1");
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::RefusesAppends);
+    let before = log.append_tries();
+    sleep(Duration::from_secs(10)).await;
+    let tries = log.append_tries() - before;
+    assert!(tries <= MOST_TRIES, "{tries} tries");
+    assert!(tries > 2, "it gave up");
+}
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -1,6 +1,7 @@
 //! A log in memory.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -46,6 +47,7 @@
     shared: Arc<Mutex<Shared>>,
     news: Arc<Notify>,
     fault: Arc<Mutex<Fault>>,
+    tries: Arc<AtomicUsize>,
 }
 
 impl FakeLog {
@@ -55,6 +57,7 @@
             shared: Arc::clone(&self.shared),
             news: Arc::clone(&self.news),
             fault: Arc::default(),
+            tries: Arc::default(),
         }
     }
 
@@ -93,6 +96,11 @@
             .sum()
     }
 
+    /// Appends that this client has tried.
+    pub(crate) fn append_tries(&self) -> usize {
+        self.tries.load(Ordering::Relaxed)
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().expect("no test panics with it")
     }
@@ -157,6 +165,7 @@
         records: &[(String, Vec<u8>)],
         fence: Option<Fence>,
     ) -> Result<u64, AppendError> {
+        self.tries.fetch_add(1, Ordering::Relaxed);
         sleep(CALL_TIME).await;
         let fault = self.fault();
         if matches!(fault, Fault::Refuses | Fault::RefusesAppends) {
