Resume a worker that answers before its term is raised, and place lasting tasks first

With two other workers crashed for good, lasting tasks found no room for 20 s. Ruled out: starvation by short tasks as the cause (it stayed broken after that was mended), though a task of several cores can indeed wait for ever while short ones take each core that becomes free. Change: after the term is raised a worker that answers takes on the state of its heartbeat; lasting tasks come first within their priority, and room is kept for those that fit nowhere yet. Tests: a_worker_that_answers_before_its_term_is_raised_takes_tasks_again, short_tasks_leave_room_for_a_lasting_one_that_waits; both failed before.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -96,13 +96,28 @@
     used * 2 > whole
 }
 
+/// The worker on which room for a lasting task is to be kept: the one that lacks least.
+pub(super) fn keeper(workers: &[Worker], task: Candidate<'_>, now: Moment) -> Option<usize> {
+    let allowed = workers
+        .iter()
+        .enumerate()
+        .filter(|(_, worker)| is_allowed(worker, task, now));
+    let lacking =
+        allowed.filter_map(|(slot, worker)| Some((worker.lacks(task.step.demand)?, slot)));
+    lacking.min().map(|(_, slot)| slot)
+}
+
 fn fits(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
+    is_allowed(worker, task, now) && worker.has_room(task.step)
+}
+
+/// Whether a task may run on a worker, if there is room.
+fn is_allowed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     let step = task.step;
     worker.report.service == task.service
         && worker.takes_tasks(now)
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
         && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
-        && worker.has_room(step.demand, step.fills)
 }
 
 fn cost(worker: &Worker, pressures: &Pressures, task: Candidate<'_>) -> f64 {
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -1,6 +1,6 @@
 //! Placement of the tasks whose turn has come.
 
-use agate_core::{JobId, Moment};
+use agate_core::{JobId, Moment, Resources};
 
 use crate::book::{Book, Job};
 use crate::plan::choose::{self, Candidate};
@@ -28,6 +28,9 @@
     /// Binds every task whose turn has come and for which there is room.
     pub fn place(&mut self, book: &Book, now: Moment, wall_ms: u64) -> Vec<Placed> {
         let mut placed = Vec::new();
+        for worker in &mut self.workers {
+            worker.kept = Resources::ZERO;
+        }
         for (id, job) in in_turn(book, wall_ms) {
             for occurrence in 0..job.progress.len() {
                 let due = job
@@ -70,11 +73,25 @@
         now: Moment,
         placed: &mut Vec<Placed>,
     ) {
+        let lasting = job.spec.steps[at.1].lasting;
         for task in self.waiting(id, job, at) {
-            let Some(slot) = self.choose(job, task, now) else {
-                return;
-            };
-            placed.push(self.bind(job, task, slot, None));
+            match self.choose(job, task, now) {
+                Some(slot) => placed.push(self.bind(job, task, slot, None)),
+                None if lasting => self.keep_room(job, task, now),
+                None => return,
+            }
+        }
+    }
+
+    /// Keeps room for a lasting task that fits nowhere. Short tasks would take each part of it as it
+    /// becomes free.
+    fn keep_room(&mut self, job: &Job, task: TaskKey, now: Moment) {
+        let Some(candidate) = self.candidate(job, task) else {
+            return;
+        };
+        let demand = candidate.step.demand;
+        if let Some(slot) = choose::keeper(&self.workers, candidate, now) {
+            self.workers[slot].kept += demand;
         }
     }
 
@@ -127,6 +144,11 @@
     }
 
     fn choose(&self, job: &Job, task: TaskKey, now: Moment) -> Option<usize> {
+        let candidate = self.candidate(job, task)?;
+        choose::choose(&self.workers, &self.pressures, candidate, now)
+    }
+
+    fn candidate<'a>(&'a self, job: &'a Job, task: TaskKey) -> Option<Candidate<'a>> {
         let step = job.step(task)?;
         let progress = &job.step_progress(task)?.tasks[task.index as usize];
         let rack = if step.one_rack {
@@ -134,14 +156,13 @@
         } else {
             ""
         };
-        let candidate = Candidate {
+        Some(Candidate {
             task,
             step,
             service: &job.terms.service,
             failed_on: &progress.failed_on,
             rack,
-        };
-        choose::choose(&self.workers, &self.pressures, candidate, now)
+        })
     }
 
     fn rack_of_step(&self, task: TaskKey) -> &str {
@@ -217,15 +238,19 @@
     }
 }
 
-/// Open jobs: by priority, then those that can still be in time, then by their objective.
+/// Open jobs: by priority, then those that last, then those that can still be in time, then by
+/// their objective.
 fn in_turn(book: &Book, wall_ms: u64) -> Vec<(JobId, &Job)> {
     let open = book.jobs().filter(|(_, job)| !job.state().is_final());
     let mut jobs: Vec<_> = open
-        .map(|(id, job)| ((job.terms.priority, hope(job, wall_ms), id), job))
+        .map(|(id, job)| {
+            let ends = !job.spec.steps.iter().any(|step| step.lasting);
+            ((job.terms.priority, ends, hope(job, wall_ms), id), job)
+        })
         .collect();
     jobs.sort_unstable_by_key(|(key, _)| *key);
     jobs.into_iter()
-        .map(|((_, _, id), job)| (id, job))
+        .map(|((_, _, _, id), job)| (id, job))
         .collect()
 }
 
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::health::Health;
 use crate::record::Standing;
+use crate::spec::StepSpec;
 use crate::task::TaskKey;
 use crate::worker::{WorkerReport, WorkerState};
 
@@ -46,6 +47,8 @@
     pub filled: u32,
     /// Processor demand of lasting tasks.
     pub lasting: u32,
+    /// Room for lasting tasks that wait until others have ended, in the present round.
+    pub kept: Resources,
     pub health: Health,
     /// Number of tasks with a latency target by image.
     pub serving: HashMap<String, u32>,
@@ -65,6 +68,7 @@
             used: Resources::ZERO,
             filled: 0,
             lasting: 0,
+            kept: Resources::ZERO,
             health: Health::default(),
             serving: HashMap::new(),
             filling: HashMap::new(),
@@ -80,12 +84,17 @@
             && self.health.takes_tasks(now)
     }
 
-    /// Whether a task of this demand fits beside what is bound.
-    pub fn has_room(&self, demand: Resources, fills: bool) -> bool {
+    /// Whether a task of a step fits beside what is bound and what is kept for lasting tasks.
+    pub fn has_room(&self, step: &StepSpec) -> bool {
+        let demand = step.demand;
         let room = self.report.capacity.saturating_sub(self.used);
-        if !fills {
+        if step.lasting {
             return demand.fits_in(room);
         }
+        if !step.fills {
+            return demand.fits_in(room.saturating_sub(self.kept));
+        }
+        let room = room.saturating_sub(without_processor(self.kept));
         let idle = self.lasting / 100 * LASTING_SPARE;
         let spare = (room.millicores + idle).saturating_sub(self.filled);
         demand.fits_in(Resources {
@@ -94,6 +103,17 @@
         })
     }
 
+    /// Processor time that a lasting task of this demand lacks until short tasks have ended; `None`
+    /// if it doesn't fit even then.
+    pub fn lacks(&self, demand: Resources) -> Option<u32> {
+        let kept = self.lasting + self.kept.millicores;
+        let most = self.report.capacity.millicores.saturating_sub(kept);
+        let room = self.report.capacity.saturating_sub(self.used);
+        let room = room.saturating_sub(self.kept);
+        let fits = demand.millicores <= most && demand.memory_mib <= room.memory_mib;
+        fits.then(|| demand.millicores.saturating_sub(room.millicores))
+    }
+
     pub fn bind(&mut self, task: TaskKey, binding: &Binding) {
         *self.steps.entry(step_of(task)).or_default() += 1;
         let demand = binding.demand;
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -222,3 +222,39 @@
     assert_eq!(second[0], second[1]);
     assert_ne!(first[0], second[0]);
 }
+
+/// A task of one core fits as soon as one becomes free, one of two cores would never.
+#[test]
+fn short_tasks_leave_room_for_a_lasting_one_that_waits() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(20)]));
+    assert_eq!(fleet.place().len(), 4);
+    let lasting = StepSpec {
+        lasting: true,
+        demand: agate_core::Resources::new(2_000, 1, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![lasting]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    assert!(fleet.place().is_empty(), "the core is kept for it");
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Done, "a"));
+    let placed = fleet.place();
+    assert_eq!(placed[0].task, task(2, 0, 0));
+    assert_eq!(placed.len(), 1);
+}
+
+#[test]
+fn room_is_kept_only_where_a_lasting_task_can_run() {
+    let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
+    fleet.fold(submitted(1, vec![step(20)]));
+    fleet.place();
+    let lasting = StepSpec {
+        lasting: true,
+        label: "none has it".to_owned(),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![lasting]));
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    assert_eq!(fleet.place().len(), 1);
+}
--- a/crates/agate_node/src/agent/follow.rs
+++ b/crates/agate_node/src/agent/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agate_jobs::record::Body;
-use agate_jobs::{Record, Standing, WorkerState};
+use agate_jobs::{Record, Standing};
 use tokio::time::sleep;
 
 use super::held::{Held, Phase, State};
@@ -148,9 +148,7 @@
         state.life.term = standing.life.term;
         state.runs.clear();
         state.reported = None;
-        if state.duty == WorkerState::Lapsed {
-            state.duty = WorkerState::Draining;
-        }
+        state.resume_after_lapse();
     }
     state.standing = Some(standing);
 }
--- a/crates/agate_node/src/agent/held.rs
+++ b/crates/agate_node/src/agent/held.rs
@@ -183,6 +183,19 @@
         self.unreachable = false;
     }
 
+    /// Takes note that the lapse of the lease is settled. A worker that doesn't answer yet takes no
+    /// tasks until it does.
+    pub fn resume_after_lapse(&mut self) {
+        if self.duty != WorkerState::Lapsed {
+            return;
+        }
+        self.duty = if self.unreachable {
+            WorkerState::Draining
+        } else {
+            state_of(&self.beat)
+        };
+    }
+
     /// Whether an order is meant for the current term of this incarnation.
     pub fn is_current(&self, order: &Order) -> bool {
         order.life == self.life
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -221,3 +221,26 @@
     assert!(tries <= MOST_TRIES, "{tries} tries");
     assert!(tries > 2, "it gave up");
 }
+
+/// kehilla-seats, workers-behind-cuts 954490955359: a worker answered again after its lease had lapsed
+/// and before its term was raised, and its agent took it as draining from then on.
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_answers_before_its_term_is_raised_takes_tasks_again() {
+    let site = Site::new();
+    let entry = site.entry("e1", site.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    worker.set_lasting();
+    let log = site.log.client();
+    let agent = Site::agent(log.clone());
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 1));
+    entry.hand_in(1, one_task()).await;
+    until("it runs", || worker.running() == 1).await;
+    worker.set_manner(Manner::Unreachable);
+    sleep(Duration::from_secs(4)).await;
+    log.set_fault(Fault::RefusesAppends);
+    sleep(Duration::from_secs(4)).await;
+    worker.set_manner(Manner::Well);
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::None);
+    until("it runs again", || worker.running() == 1).await;
+}
