--- a/crates/agate_frame/src/process/child.rs
+++ b/crates/agate_frame/src/process/child.rs
@@ -74,10 +74,11 @@
         let path = beside(binary).map_err(|error| fail(error.to_string()))?;
         let log =
             open_log(&logs.join(format!("{name}.log"))).map_err(|error| fail(error.to_string()))?;
+        let output = log.try_clone().map_err(|error| fail(error.to_string()))?;
         let inner = Command::new(&path)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
--- a/crates/agate_frame/src/process/ports.rs
+++ b/crates/agate_frame/src/process/ports.rs
@@ -10,22 +10,25 @@
 /// The first port that is not handed out any more.
 const END: u16 = 30_000;
 
-/// Ports kept apart for each process that hands them out.
-const STRIDE: u32 = 200;
+/// Ports that are claimed together. The first of them is listened on for as long as the others are
+/// in use, so that drivers that run at the same time never share one.
+const BLOCK: u16 = 50;
 
 /// Hands out ports on loopback, each once.
 #[derive(Debug)]
 pub struct Ports {
     next: u16,
+    end: u16,
+    claims: Vec<TcpListener>,
 }
 
 impl Ports {
-    /// Starts at a port that depends on the process, so that two drivers rarely meet.
-    pub fn new() -> Self {
-        let span = u32::from(END - FIRST);
-        let offset = std::process::id().wrapping_mul(STRIDE) % span;
+    /// Without ports; they are claimed as they are needed.
+    pub const fn new() -> Self {
         Self {
-            next: FIRST + u16::try_from(offset).unwrap_or(0),
+            next: 0,
+            end: 0,
+            claims: Vec::new(),
         }
     }
 
@@ -35,17 +38,28 @@
     ///
     /// Fails if every port is taken.
     pub fn free(&mut self) -> io::Result<SocketAddr> {
-        for _ in FIRST..END {
+        loop {
+            if self.next == self.end {
+                self.claim()?;
+            }
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.next));
-            self.next = if self.next + 1 < END {
-                self.next + 1
-            } else {
-                FIRST
-            };
+            self.next += 1;
             if TcpListener::bind(address).is_ok() {
                 return Ok(address);
             }
         }
+    }
+
+    /// Claims a block that no driver has claimed.
+    fn claim(&mut self) -> io::Result<()> {
+        for first in (FIRST..END).step_by(usize::from(BLOCK)) {
+            if let Ok(claim) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) {
+                self.claims.push(claim);
+                self.next = first + 1;
+                self.end = first + BLOCK;
+                return Ok(());
+            }
+        }
         Err(io::Error::from(io::ErrorKind::AddrInUse))
     }
 }
--- a/crates/agate_frame/src/relay/relay_port.rs
+++ b/crates/agate_frame/src/relay/relay_port.rs
@@ -2,7 +2,8 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -17,6 +18,10 @@
     Open,
     /// Bytes vanish; the connection stays open.
     Silent,
+    /// Bytes from the far end vanish; those to it pass.
+    Swallowing,
+    /// Bytes are held up.
+    Delayed(Duration),
     /// The connection is closed.
     Cut,
 }
@@ -68,9 +73,37 @@
         self.switch(Mode::Cut);
     }
 
-    /// Accepts new connections again.
+    /// Loses what the target sends, on every connection until [`Relay::heal`]; what it is sent
+    /// passes.
+    pub fn swallow(&self) {
+        self.keep(Mode::Swallowing);
+    }
+
+    /// Holds up bytes on every connection until [`Relay::heal`].
+    pub fn delay(&self, time: Duration) {
+        self.keep(Mode::Delayed(time));
+    }
+
+    /// Accepts new connections again, and lets bytes pass on those that don't lose any.
     pub fn heal(&self) {
         self.refuses.send_replace(false);
+        match self.mode() {
+            Mode::Delayed(_) => self.keep(Mode::Open),
+            // A connection that has lost bytes stays silent; new ones work.
+            Mode::Swallowing => self.switch(Mode::Silent),
+            Mode::Open | Mode::Silent | Mode::Cut => {}
+        }
+    }
+
+    fn mode(&self) -> Mode {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        *current.borrow()
+    }
+
+    /// Sets the mode of open and of new connections.
+    fn keep(&self, mode: Mode) {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        current.send_replace(mode);
     }
 
     fn switch(&self, mode: Mode) {
--- a/crates/agate_frame/tests/ports.rs
+++ b/crates/agate_frame/tests/ports.rs
@@ -26,3 +26,17 @@
     assert_ne!(again.free().expect("loopback has free ports"), first);
     drop(listener);
 }
+
+/// A process that is being restarted doesn't listen for a while.
+#[test]
+fn ports_of_one_driver_are_never_handed_out_by_another() {
+    let mut ports = Ports::new();
+    let own: Vec<_> = (0..60)
+        .map(|_| ports.free().expect("loopback has free ports"))
+        .collect();
+    let mut others = Ports::new();
+    for _ in 0..120 {
+        let other = others.free().expect("loopback has free ports");
+        assert!(!own.contains(&other), "{other} belongs to another driver");
+    }
+}
