Stop tasks that get no further, and leave their worker alone for a while

Ruled out: tasks that are paced down (they use no processor time) and slow ones (a percent of progress within a tenth of their estimate is enough). Change: a run that uses a fifth of its demand or more and makes no percent of progress for 1.2 s is stopped and goes on elsewhere from its checkpoint; its worker gets no tasks for 2.5 s.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -42,6 +42,7 @@
         match cause {
             EndCause::Done => self.successes.push(now),
             EndCause::Failed => self.failed(job, now),
+            EndCause::Stalled => self.close(now + QUARANTINE),
             EndCause::NoRoom | EndCause::Refused => self.close(now + REFUSAL_PAUSE),
             _ => {}
         }
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -21,6 +21,8 @@
     Failed,
     /// It was stopped.
     Stopped,
+    /// It was stopped because it got no further.
+    Stalled,
     /// Its lease lapsed.
     Lapsed,
     /// Another member of its gang ended.
--- a/crates/agate_node/src/agent/held.rs
+++ b/crates/agate_node/src/agent/held.rs
@@ -13,6 +13,7 @@
 use super::AgentParts;
 use super::pacing::Pacing;
 use super::port::{Heartbeat, Worker};
+use super::stall::Progress;
 use crate::clock;
 
 /// Speed of a worker's clock at its slowest, two percent slow, turned into a factor on real time.
@@ -42,6 +43,9 @@
     pub phase: Phase,
     /// When it was first known to run, or when its start was sent.
     pub since: Instant,
+    pub progress: Progress,
+    /// Whether it was stopped because it got no further.
+    pub stalled: bool,
     /// Lists in a row, begun after the worker's answer, in which it was missing.
     pub missing: u32,
 }
@@ -89,6 +93,8 @@
             number,
             phase,
             since: Instant::now(),
+            progress: Progress::default(),
+            stalled: false,
             missing: 0,
         }
     }
--- a/crates/agate_node/src/agent/hold.rs
+++ b/crates/agate_node/src/agent/hold.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::held::{Held, Phase, Run, State};
-use super::port::{CallError, HoldReply, Listed};
+use super::port::{CallError, HoldReply, Listed, ListedEnd};
 use super::{ends, pacing};
 use crate::clock;
 use crate::metrics::Event;
@@ -172,7 +172,8 @@
             );
             continue;
         }
-        found.push(ends::of(state, end.task, end.run, end.cause, &end.saved));
+        let cause = cause_of(state, end);
+        found.push(ends::of(state, end.task, end.run, cause, &end.saved));
         mark_ended(state, end.task, end.run);
     }
     if highest > state.recording {
@@ -181,6 +182,16 @@
     }
 }
 
+/// Why a listed run ended; a stop of a stalled one tells of its worker.
+fn cause_of(state: &State, end: &ListedEnd) -> EndCause {
+    let run = state.runs.get(&end.task);
+    let stalled = run.is_some_and(|run| run.number == end.run && run.stalled);
+    match end.cause {
+        EndCause::Stopped if stalled => EndCause::Stalled,
+        cause => cause,
+    }
+}
+
 fn mark_ended(state: &mut State, task: TaskKey, number: u32) {
     let run = state.runs.entry(task);
     let run = run.or_insert_with(|| Run::new(number, Phase::Ended));
@@ -208,6 +219,30 @@
             run.phase = Phase::Started(clock::boot());
         }
     }
+    stop_stalled(held, state, row);
+}
+
+/// Stops a run that gets no further, to go on elsewhere.
+fn stop_stalled(held: &Arc<Held>, state: &mut State, row: &Listed) {
+    let Some(order) = state.orders.get(&row.task) else {
+        return;
+    };
+    let run = state.runs.get_mut(&row.task);
+    let Some(run) = run.filter(|run| run.number == row.run) else {
+        return;
+    };
+    let now = clock::boot();
+    let stalled = run.progress.take(&order.kind, row, now);
+    if !stalled || !matches!(run.phase, Phase::Started(_)) {
+        return;
+    }
+    run.phase = Phase::Stopping;
+    run.stalled = true;
+    log::warn!(
+        event = "run_stalled", task:% = row.task, run = row.run, worker:% = state.life,
+        percent = row.percent, gauge = row.gauge; "stopping it, to go on elsewhere"
+    );
+    ends::stop_in_background(held, row.task, row.run);
 }
 
 /// Ends runs that the worker neither runs nor lists as ended although it has answered their order.
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod port;
 mod register;
 mod report;
+mod stall;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -244,3 +244,23 @@
     log.set_fault(Fault::None);
     until("it runs again", || worker.running() == 1).await;
 }
+
+/// Tasks on some workers stand still while all else there is well.
+#[tokio::test(start_paused = true)]
+async fn a_task_that_gets_no_further_goes_on_elsewhere() {
+    let site = Site::new();
+    let entry = site.entry("e1", site.log.client()).await;
+    let (stuck, _agent) = site.worker("w1");
+    stuck.set_manner(Manner::Hangs);
+    entry.hand_in(1, one_task()).await;
+    until("it began", || stuck.running() == 1).await;
+    let (other, _other_agent) = site.worker("w2");
+    let began = Instant::now();
+    entry.comes_to(1, Answer::State(JobState::Completed)).await;
+    assert_eq!(other.begun().len(), 1);
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+}
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -30,6 +30,8 @@
     IgnoresStarts,
     /// Starts get no answer and are carried out.
     HidesStarts,
+    /// Tasks use processor time and get no further.
+    Hangs,
 }
 
 #[derive(Debug)]
@@ -142,7 +144,7 @@
     /// Ends what is finished, and everything once the lease has lapsed.
     fn advance(&mut self) {
         let lapsed = self.clock_ms() > self.lease_ms;
-        let lasting = self.lasting;
+        let lasting = self.lasting || self.manner == Manner::Hangs;
         let finished = |running: &Running| !lasting && running.since.elapsed() >= TASK_TIME;
         let over: Vec<(TaskKey, EndCause)> = self
             .running
@@ -279,12 +281,21 @@
     }
 }
 
+/// Progress of a run; one of a lasting worker goes round and round.
+fn percent(state: &State, running: &Running) -> u32 {
+    if state.manner == Manner::Hangs {
+        return 50;
+    }
+    let done = running.since.elapsed().as_millis() % TASK_TIME.as_millis();
+    u32::try_from(done * 100 / TASK_TIME.as_millis()).expect("it is a percentage")
+}
+
 fn reply(state: &State) -> HoldReply {
     let running = state.running.iter().map(|(task, running)| Listed {
         task: *task,
         run: running.run,
         saved: "half".to_owned(),
-        percent: 50,
+        percent: percent(state, running),
         gauge: 1_000,
     });
     HoldReply {
