Let one task show whether a worker does well again

Ruled out: a longer rest (workers recover within 5 to 8 s, and would stand idle). Change: after failures that close a worker one task is bound there at a time until one has succeeded; lasting tasks are not held back. Tests: one_task_shows_whether_a_worker_does_well_again failed before. a_worker_that_fails_several_jobs_is_left_alone expected both jobs at once after the rest; it now expects the first, and the second after the first has succeeded.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -116,6 +116,7 @@
     let step = task.step;
     worker.report.service == task.service
         && worker.takes_tasks(now)
+        && (step.lasting || !worker.health.is_probed())
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
         && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
 }
--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -27,6 +27,10 @@
     failures: Vec<(Moment, JobId)>,
     successes: Vec<Moment>,
     closed_until: Moment,
+    /// Whether nothing has succeeded since it was closed for failures.
+    doubtful: bool,
+    /// Tasks that were bound since, to find out.
+    probes: u32,
     /// Average of the natural logarithm of run time over estimate.
     pub slowness: f64,
 }
@@ -36,13 +40,30 @@
         now >= self.closed_until
     }
 
+    /// Whether a task that is to show how the worker does is under way. Until one has succeeded, no
+    /// others follow.
+    pub const fn is_probed(&self) -> bool {
+        self.doubtful && self.probes > 0
+    }
+
+    /// Takes note that a task was bound.
+    pub const fn bound(&mut self) {
+        if self.doubtful {
+            self.probes += 1;
+        }
+    }
+
     /// Takes the end of a run of `job`.
     pub fn ended(&mut self, job: JobId, cause: EndCause, now: Moment) {
         self.forget(now);
+        self.probes = self.probes.saturating_sub(1);
         match cause {
-            EndCause::Done => self.successes.push(now),
+            EndCause::Done => {
+                self.doubtful = false;
+                self.successes.push(now);
+            }
             EndCause::Failed => self.failed(job, now),
-            EndCause::Stalled => self.close(now + QUARANTINE),
+            EndCause::Stalled => self.quarantine(now),
             EndCause::NoRoom | EndCause::Refused => self.close(now + REFUSAL_PAUSE),
             _ => {}
         }
@@ -57,9 +78,18 @@
         if !self.failures.iter().any(|(_, known)| *known == job) {
             self.failures.push((now, job));
         }
-        if self.failures.len() >= FAILURES && self.successes.len() < self.failures.len() {
-            self.close(now + QUARANTINE);
+        let failing = self.failures.len() >= FAILURES && self.successes.len() < self.failures.len();
+        if failing || self.doubtful {
+            self.quarantine(now);
+        }
+    }
+
+    fn quarantine(&mut self, now: Moment) {
+        if !self.doubtful {
+            self.probes = 0;
         }
+        self.doubtful = true;
+        self.close(now + QUARANTINE);
     }
 
     fn close(&mut self, until: Moment) {
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -193,6 +193,9 @@
             stopping: false,
         };
         worker.bind(task, &binding);
+        if !step.lasting {
+            worker.health.bound();
+        }
         let pressures = if step.fills {
             self.pressures.known(worker.serving.keys(), &step.image)
         } else {
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -63,7 +63,10 @@
     }
     assert!(fleet.place().is_empty());
     fleet.now = fleet.now + std::time::Duration::from_secs(3);
-    assert_eq!(fleet.place().len(), 2);
+    let first = fleet.place();
+    assert_eq!(first.len(), 1, "one shows whether it does well again");
+    fleet.fold(ended(first[0].task, 2, EndCause::Done, "a"));
+    assert_eq!(fleet.place().len(), 1);
 }
 
 #[test]
@@ -258,3 +261,21 @@
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
     assert_eq!(fleet.place().len(), 1);
 }
+
+#[test]
+fn one_task_shows_whether_a_worker_does_well_again() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(4)]));
+    assert_eq!(fleet.place().len(), 4);
+    for index in 0..4 {
+        fleet.fold(ended(task(1, 0, index), 1, EndCause::Stalled, "a"));
+    }
+    assert!(fleet.place().is_empty());
+    fleet.now = fleet.now + std::time::Duration::from_secs(3);
+    assert_eq!(fleet.place().len(), 1, "one to find out");
+    fleet.fold(ended(task(1, 0, 0), 2, EndCause::Stalled, "a"));
+    fleet.now = fleet.now + std::time::Duration::from_secs(3);
+    assert_eq!(fleet.place().len(), 1);
+    fleet.fold(ended(task(1, 0, 0), 3, EndCause::Done, "a"));
+    assert_eq!(fleet.place().len(), 3);
+}
