Settle the runs of a worker's earlier life before the new one is reported

Ruled out: the header that names the incarnation (both lives have the same name), the deadline of the start (the new clock starts anew, so an old deadline lies far ahead). Change: an agent reports a new life only after it has stopped every run that was ordered for earlier ones there, which bars those that come later, and has put ends that the new life lists on record. A list of another life than the expected one isn't taken in. An earlier life of the same name is no longer reported as gone. Tests: a_run_on_a_new_life_ends_before_it_goes_on_elsewhere, a_task_that_a_new_life_has_finished_is_not_started_again; both fail without the settling.

--- a/crates/agate_node/src/agent/held.rs
+++ b/crates/agate_node/src/agent/held.rs
@@ -1,6 +1,6 @@
 //! What an agent holds of one worker.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::AgentParts;
+use super::introduce::Introduction;
 use super::pacing::Pacing;
 use super::port::{Heartbeat, Worker};
 use super::stall::Progress;
@@ -79,6 +80,7 @@
     /// Highest number of an end that is being recorded.
     pub recording: u64,
     pub pacing: Pacing,
+    pub introduction: Introduction,
     pub reported: Option<Instant>,
     /// Whether the worker has listed its runs since this agent started.
     pub looked: bool,
@@ -121,6 +123,7 @@
             seen: 0,
             recording: 0,
             pacing: Pacing::default(),
+            introduction: Introduction::default(),
             reported: None,
             looked: false,
             unreachable: false,
@@ -213,6 +216,25 @@
         order.is_some_and(|order| order.run == run && self.is_current(order))
     }
 
+    /// Runs that were ordered for earlier lives of the worker.
+    pub fn earlier_runs(&self) -> HashSet<(TaskKey, u32)> {
+        let earlier = self.orders.values();
+        earlier
+            .filter(|order| order.life.born < self.life.born)
+            .map(|order| (order.task, order.run))
+            .collect()
+    }
+
+    /// Whether the end of a run counts: an order of the current term stands for it, or one for an
+    /// earlier life that the scheduler still takes as the present one.
+    pub fn awaits_end(&self, task: TaskKey, run: u32) -> bool {
+        let earlier = self
+            .orders
+            .get(&task)
+            .is_some_and(|order| order.run == run && order.life.born < self.life.born);
+        self.is_ordered(task, run) || (earlier && !self.introduction.is_done())
+    }
+
     /// The report to the scheduling entry.
     pub fn report(&self) -> WorkerReport {
         let mut capacity = self.beat.capacity;
--- a/crates/agate_node/src/agent/hold.rs
+++ b/crates/agate_node/src/agent/hold.rs
@@ -9,7 +9,7 @@
 
 use super::held::{Held, Phase, Run, State};
 use super::port::{CallError, HoldReply, Listed, ListedEnd};
-use super::{ends, pacing};
+use super::{ends, introduce, pacing};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -81,7 +81,7 @@
 async fn call(held: &Held) -> Result<HoldReply, String> {
     let wait = {
         let state = held.state();
-        if !state.looked || state.clock.is_none() {
+        if !state.introduction.is_done() || state.clock.is_none() {
             Duration::ZERO
         } else if is_mixed(&state) {
             MIXED_WAIT
@@ -108,6 +108,9 @@
         state.granted(deadline);
     }
     let reply = reply.map_err(|error| error.to_string())?;
+    if reply.born.is_some_and(|born| born != life.born) {
+        return Err(CallError::OtherLife.to_string());
+    }
     state.clock = Some(ClockReading {
         worker_ms: reply.worker_ms,
         at: clock::boot(),
@@ -150,6 +153,7 @@
         take_running(held, &mut state, row);
     }
     find_missing(held, &mut state, reply, began);
+    introduce::take(held, &mut state, reply, began);
     drop(state);
     if first {
         held.news.notify_waiters();
@@ -165,7 +169,7 @@
             continue;
         }
         highest = highest.max(end.number);
-        if !state.is_ordered(end.task, end.run) {
+        if !state.awaits_end(end.task, end.run) {
             log::info!(
                 event = "end_void", task:% = end.task, run = end.run, cause:% = end.cause,
                 worker:% = state.life; "no order stands for this run"
@@ -307,12 +311,13 @@
     held.news.notify_waiters();
 }
 
-/// Leaves time for the record of listed ends, which the worker would list again at once.
+/// Leaves time for the record of listed ends, which the worker would list again at once, and for what
+/// has to be settled before the worker is reported.
 async fn wait_for_records(held: &Held) {
     let news = held.news.notified();
     let open = {
         let state = held.state();
-        state.recording > state.seen || !state.looked
+        state.recording > state.seen || !state.introduction.is_done()
     };
     if open {
         // Both ends of the wait lead to the next call.
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod held;
 mod hold;
+mod introduce;
 mod pacing;
 mod port;
 mod register;
--- a/crates/agate_node/src/agent/port.rs
+++ b/crates/agate_node/src/agent/port.rs
@@ -105,6 +105,8 @@
 /// What a worker runs and what has ended there.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct HoldReply {
+    /// Start of the incarnation that answers; `None` if it doesn't tell.
+    pub born: Option<u64>,
     /// The worker's clock in milliseconds.
     pub worker_ms: u64,
     /// Runs in progress.
--- a/crates/agate_node/src/agent/register.rs
+++ b/crates/agate_node/src/agent/register.rs
@@ -106,12 +106,15 @@
     }
 }
 
-/// Takes workers that started earlier at the address of `beat` as gone.
+/// Takes workers that started earlier at the address of `beat` as gone. Nothing meant for them can
+/// run any more, as calls name the worker; one of the same name is settled by its new life.
 fn retire_predecessors(workers: &HashMap<String, Listed>, beat: &Heartbeat) {
     for listed in workers.values() {
         let older = {
             let state = listed.held.state();
-            state.beat.address == beat.address && state.life.born < beat.born
+            state.beat.address == beat.address
+                && state.life.name != beat.name
+                && state.life.born < beat.born
         };
         if older {
             retire(&listed.held);
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -7,7 +7,7 @@
 use agate_jobs::{Record, WorkerState};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::held::Held;
+use super::held::{Held, State};
 
 /// Time between two reports; a suspicion is raised after 1.9 s of silence.
 const PERIOD: Duration = Duration::from_millis(800);
@@ -40,19 +40,25 @@
 async fn wait_until_due(held: &Held) {
     loop {
         let news = held.news.notified();
-        let left = {
-            let mut state = held.state();
-            let due = state.reported.map(|at| at + PERIOD);
-            let now = Instant::now();
-            match due {
-                Some(due) if due > now => due - now,
-                _ => {
-                    state.reported = Some(now);
-                    return;
-                }
-            }
+        let Some(left) = time_left(&mut held.state()) else {
+            return;
         };
         // Both ends of the wait lead to the same check.
         let _ = timeout(left, news).await;
     }
 }
+
+/// Time until the next report is due; `None` if it is to be made now.
+fn time_left(state: &mut State) -> Option<Duration> {
+    let known = state.introduction.is_done() || state.duty == WorkerState::Gone;
+    if !known {
+        return Some(PERIOD);
+    }
+    let now = Instant::now();
+    let due = state.reported.map(|at| at + PERIOD);
+    if let Some(due) = due.filter(|due| *due > now) {
+        return Some(due - now);
+    }
+    state.reported = Some(now);
+    None
+}
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -264,3 +264,48 @@
         began.elapsed()
     );
 }
+
+/// Soak, seed 225: a worker that had started anew under its name took a start meant for its earlier
+/// life, and the run was started elsewhere while it went on.
+#[tokio::test(start_paused = true)]
+async fn a_run_on_a_new_life_ends_before_it_goes_on_elsewhere() {
+    let site = Site::new();
+    let entry = site.entry("e1", site.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    worker.set_lasting();
+    worker.set_manner(Manner::SlowStops);
+    let agent = Site::agent(site.log.client());
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(1)).await;
+    worker.start_anew();
+    entry.hand_in(1, one_task()).await;
+    until("it runs on the new life", || worker.running() == 1).await;
+    let (other, _other_agent) = site.worker("w2");
+    other.set_lasting();
+    sleep(Duration::from_millis(100)).await;
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 2));
+    let runs = || {
+        let running = worker.running() + other.running();
+        assert!(running <= 1, "two runs at the same time");
+        worker.begun().len() + other.begun().len()
+    };
+    until("it began again", || runs() == 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_that_a_new_life_has_finished_is_not_started_again() {
+    let site = Site::new();
+    let entry = site.entry("e1", site.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let agent = Site::agent(site.log.client());
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(1)).await;
+    worker.start_anew();
+    entry.hand_in(1, one_task()).await;
+    until("it runs on the new life", || worker.running() == 1).await;
+    until("it has finished", || worker.running() == 0).await;
+    agent.beat(FakeWorker::heartbeat("w1", "w1", 2));
+    entry.comes_to(1, Answer::State(JobState::Completed)).await;
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(worker.begun().len(), 1);
+}
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -18,6 +18,9 @@
 /// Time that a task takes.
 const TASK_TIME: Duration = Duration::from_secs(1);
 
+/// Time that a slow stop takes.
+const STOP_TIME: Duration = Duration::from_millis(400);
+
 /// How the worker answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Manner {
@@ -32,6 +35,8 @@
     HidesStarts,
     /// Tasks use processor time and get no further.
     Hangs,
+    /// Stops take long.
+    SlowStops,
 }
 
 #[derive(Debug)]
@@ -43,6 +48,8 @@
 #[derive(Debug)]
 struct State {
     manner: Manner,
+    /// Number of its life.
+    life: u64,
     born: Instant,
     running: HashMap<TaskKey, Running>,
     ended: Vec<ListedEnd>,
@@ -67,6 +74,7 @@
     pub(crate) fn open(address: &str) -> Self {
         let worker = Self(Arc::new(Mutex::new(State {
             manner: Manner::default(),
+            life: 1,
             born: Instant::now(),
             running: HashMap::new(),
             ended: Vec::new(),
@@ -90,7 +98,13 @@
         Arc::new(workers.get(address).expect("the worker is open").clone())
     }
 
+    /// A heartbeat of the worker at `address`, which is in the life `born` from then on.
     pub(crate) fn heartbeat(name: &str, address: &str, born: u64) -> Heartbeat {
+        let workers = WORKERS.get_or_init(Mutex::default);
+        if let Some(worker) = workers.lock().expect("no test panics with it").get(address) {
+            let mut state = worker.state();
+            state.life = state.life.max(born);
+        }
         Heartbeat {
             name: name.to_owned(),
             born,
@@ -104,6 +118,18 @@
         }
     }
 
+    /// Starts anew under its name; nothing of before is left.
+    pub(crate) fn start_anew(&self) {
+        let mut state = self.state();
+        state.life += 1;
+        state.born = Instant::now();
+        state.lease_ms = 0;
+        state.running.clear();
+        state.ended.clear();
+        state.highest.clear();
+        state.number = 0;
+    }
+
     pub(crate) fn set_manner(&self, manner: Manner) {
         self.state().manner = manner;
     }
@@ -195,6 +221,8 @@
         if self.clock_ms() > deadline_ms {
             return StartReply::Rejected(Rejection::Late);
         }
+        let other = self.running.get(&order.task).map(|running| running.run);
+        assert_eq!(other, None, "two runs of {} at the same time", order.task);
         self.highest.insert(order.task, order.run);
         self.begun.push((order.task, order.run));
         self.running.insert(
@@ -231,6 +259,9 @@
 
     async fn stop(&self, _life: &WorkerLife, task: TaskKey, run: u32) -> Result<(), CallError> {
         self.reached().await?;
+        if self.state().manner == Manner::SlowStops {
+            sleep(STOP_TIME).await;
+        }
         let mut state = self.state();
         let highest = state.highest.entry(task).or_insert(0);
         *highest = run.max(*highest);
@@ -299,6 +330,7 @@
         gauge: 1_000,
     });
     HoldReply {
+        born: Some(state.life),
         worker_ms: state.clock_ms(),
         running: running.collect(),
         ended: state.ended.clone(),
