--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -1,5 +1,6 @@
 //! What the tasks of an entry share.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
     pub(super) folded: watch::Sender<u64>,
     /// Told when changes wait for the scheduler.
     pub(super) news: Notify,
+    was_ready: AtomicBool,
     view: Mutex<View>,
 }
 
@@ -50,6 +52,7 @@
             routes: watch::Sender::new(Arc::default()),
             folded: watch::Sender::new(0),
             news: Notify::new(),
+            was_ready: AtomicBool::new(false),
             view: Mutex::default(),
         }
     }
@@ -60,7 +63,17 @@
 
     /// Whether the entry knows the queues and the jobs, so that it can answer callers.
     pub fn is_ready(&self) -> bool {
-        self.reads() && self.routes.borrow().version > 0
+        let config = self.routes.borrow().version;
+        let ready = self.reads() && config > 0;
+        if self.was_ready.swap(ready, Ordering::Relaxed) != ready {
+            let now = crate::clock::now();
+            let silent = now.since(self.view().reading.last());
+            log::info!(
+                event = "ready_changed", ready = ready, config = config,
+                offset = *self.folded.borrow(), read_ms = crate::clock::millis(silent); ""
+            );
+        }
+        ready
     }
 
     /// Whether the main lane has been loaded and is read without a gap. While it is not, appends
