Drop the records of workers that have left

Cause: the report of a worker and what the scheduler holds of it stayed in the store for good. Ruled out: dropping those of workers that are only silent (an agent that comes back would miss its term). Change: once nothing is bound to a worker that has left, the scheduler drops both records. Test: nothing_is_kept_of_a_worker_that_has_left failed before.

--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -161,6 +161,7 @@
         let reborn = report.life.born > held.born;
         let lapsed = report.state == WorkerState::Lapsed && report.life == *held;
         worker.report = report.clone();
+        worker.forgotten = false;
         if reborn {
             worker.standing = standing_of(report.life.clone());
             worker.suspected_at = None;
--- a/crates/agate_jobs/src/plan/suspect.rs
+++ b/crates/agate_jobs/src/plan/suspect.rs
@@ -7,6 +7,7 @@
 use crate::lease;
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
+use crate::record::Record;
 use crate::worker::WorkerState;
 
 /// Silence after which a worker's agent is suspected. Agents report every 800 ms.
@@ -35,9 +36,24 @@
         }
     }
 
+    /// Drops the records of a worker that has left, once nothing is bound to it any more.
+    fn forget(&mut self, slot: usize) {
+        let worker = &mut self.workers[slot];
+        if worker.forgotten || !worker.steps.is_empty() {
+            return;
+        }
+        worker.forgotten = true;
+        let name = worker.report.life.name.clone();
+        let report = Record::dropping(format!("w/{name}"));
+        self.effects.push(Effect::Main(report));
+        self.effects
+            .push(Effect::drop_order(&name, format!("s/{name}")));
+    }
+
     fn watch_one(&mut self, slot: usize, now: Moment, reading_since: Moment, lease: Duration) {
         let worker = &mut self.workers[slot];
         if worker.report.state == WorkerState::Gone {
+            self.forget(slot);
             return;
         }
         let standing = &mut worker.standing;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -49,6 +49,8 @@
     pub lasting: u32,
     /// Room for lasting tasks that wait until others have ended, in the present round.
     pub kept: Resources,
+    /// Whether its records were dropped after it had left.
+    pub forgotten: bool,
     pub health: Health,
     /// Number of tasks with a latency target by image.
     pub serving: HashMap<String, u32>,
@@ -69,6 +71,7 @@
             filled: 0,
             lasting: 0,
             kept: Resources::ZERO,
+            forgotten: false,
             health: Health::default(),
             serving: HashMap::new(),
             filling: HashMap::new(),
--- a/crates/agate_jobs/tests/jobs/suspect.rs
+++ b/crates/agate_jobs/tests/jobs/suspect.rs
@@ -124,3 +124,24 @@
     assert!(successor.place(&fleet.book, fleet.now, 1_000).is_empty());
     assert_eq!(successor.take_effects().len(), 1, "one order is dropped");
 }
+
+/// Machines are replaced all day; what is kept of them must not grow.
+#[test]
+fn nothing_is_kept_of_a_worker_that_has_left() {
+    let mut fleet = one_bound();
+    fleet.fold(Record::new(Body::Worker(gone())));
+    fleet.pass(Duration::from_millis(100));
+    assert!(fleet.book.worker("a").is_none());
+    let dropped = |record: &Record| record.key == "s/a" && record.body.is_none();
+    assert_eq!(
+        fleet.orders.iter().filter(|record| dropped(record)).count(),
+        1
+    );
+    fleet.pass(Duration::from_millis(100));
+    assert_eq!(
+        fleet.orders.iter().filter(|record| dropped(record)).count(),
+        1
+    );
+    fleet.fold(Record::new(Body::Worker(report("a", 9))));
+    assert_eq!(rebound(&mut fleet), [("a".to_owned(), 2)]);
+}
