--- a/crates/agate_frame/src/bin/faults.rs
+++ b/crates/agate_frame/src/bin/faults.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use agate_frame::faults::{Outcome, drive};
+use agate_frame::faults::drive;
 use bpaf::{Parser, construct};
 
 #[derive(Debug, Clone)]
@@ -38,14 +38,6 @@
     .run()
 }
 
-fn print(outcome: &Outcome) {
-    println!("{:<24} {:>8}", "fault", "injected");
-    for (fault, count) in &outcome.faults {
-        println!("{:<24} {count:>8}", fault.to_string());
-    }
-    println!("\n{}", outcome.checks);
-}
-
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = options();
@@ -57,7 +49,7 @@
     .await
     {
         Ok(outcome) => {
-            print(&outcome);
+            println!("{outcome}");
             if outcome.holds() {
                 ExitCode::SUCCESS
             } else {
--- a/crates/agate_frame/src/faults/drive.rs
+++ b/crates/agate_frame/src/faults/drive.rs
@@ -21,7 +21,7 @@
 use crate::client::CallError;
 use crate::demo::{ordinary_day, peak_day};
 use crate::site::{Frame, FrameError, Layout, until};
-use crate::table::Checks;
+use crate::table::{Checks, Outcome};
 use crate::truth::gather;
 use crate::work::{job_state, publish, switch};
 
@@ -49,22 +49,6 @@
     }
 }
 
-/// Result of a run.
-#[derive(Debug, Clone, Default)]
-pub struct Outcome {
-    /// How often each fault was injected.
-    pub faults: BTreeMap<Fault, usize>,
-    /// What was checked.
-    pub checks: Checks,
-}
-
-impl Outcome {
-    /// Whether faults were injected and every check holds.
-    pub fn holds(&self) -> bool {
-        !self.faults.is_empty() && self.checks.all_hold()
-    }
-}
-
 /// Everybody who uses the system while it fails.
 struct Users {
     stop: watch::Sender<bool>,
@@ -79,7 +63,7 @@
 /// # Errors
 ///
 /// Fails if the frame can't be started or a stand-in can't be asked.
-pub async fn drive(seed: u64, time: Duration, logs: &Path) -> Result<Outcome, DriveError> {
+pub async fn drive(seed: u64, time: Duration, logs: &Path) -> Result<Outcome<Fault>, DriveError> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut frame = Frame::start(Layout::faults(), logs).await?;
     put_in_force(&frame).await?;
@@ -97,10 +81,7 @@
         injector.resume(class, &mut rng).await;
     }
     let bad_stops = injector.bad_stops;
-    let mut outcome = Outcome {
-        faults,
-        checks: Checks::default(),
-    };
+    let mut outcome = Outcome::new(faults);
     finish(&frame, &mut outcome.checks, users, &directory, &accepted).await?;
     outcome
         .checks
--- a/crates/agate_frame/src/faults/mod.rs
+++ b/crates/agate_frame/src/faults/mod.rs
@@ -9,5 +9,5 @@
 mod urgent;
 mod verdict;
 
-pub use drive::{DriveError, Outcome, drive};
+pub use drive::{DriveError, drive};
 pub use fault::Fault;
--- a/crates/agate_frame/src/table/mod.rs
+++ b/crates/agate_frame/src/table/mod.rs
@@ -1,5 +1,7 @@
 //! Tables of checks.
 
 mod checks;
+mod outcome;
 
 pub use checks::{Check, Checks};
+pub use outcome::Outcome;
