Close a worker after three failures in a row

Ruled out: fewer successes in memory (a worker that fails a share of its runs would stay open as long). Change: three failures in a row, of more than one job, close it whatever went well before. Test: a_worker_that_begins_to_fail_everything_is_left_alone_soon failed before.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -12,6 +12,9 @@
 /// Failures of different jobs within [`MEMORY`], with fewer successes, that close a worker.
 const FAILURES: usize = 2;
 
+/// Failures in a row, of more than one job, that close a worker whatever went well before.
+const STREAK: usize = 3;
+
 /// How long a worker that fails what it starts is left alone before the next try.
 const QUARANTINE: Duration = Duration::from_millis(2_500);
 
@@ -26,6 +29,8 @@
 pub(super) struct Health {
     failures: Vec<(Moment, JobId)>,
     successes: Vec<Moment>,
+    /// Jobs of the failures since the last success.
+    streak: Vec<JobId>,
     closed_until: Moment,
     /// Whether nothing has succeeded since it was closed for failures.
     doubtful: bool,
@@ -60,6 +65,7 @@
         match cause {
             EndCause::Done => {
                 self.doubtful = false;
+                self.streak.clear();
                 self.successes.push(now);
             }
             EndCause::Failed => self.failed(job, now),
@@ -78,8 +84,11 @@
         if !self.failures.iter().any(|(_, known)| *known == job) {
             self.failures.push((now, job));
         }
-        let failing = self.failures.len() >= FAILURES && self.successes.len() < self.failures.len();
-        if failing || self.doubtful {
+        self.streak.push(job);
+        let several = self.streak.iter().any(|known| *known != job);
+        let in_a_row = self.streak.len() >= STREAK && several;
+        let mostly = self.failures.len() >= FAILURES && self.successes.len() < self.failures.len();
+        if in_a_row || mostly || self.doubtful {
             self.quarantine(now);
         }
     }
@@ -88,6 +97,7 @@
         if !self.doubtful {
             self.probes = 0;
         }
+        self.streak.clear();
         self.doubtful = true;
         self.close(now + QUARANTINE);
     }
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -279,3 +279,26 @@
     fleet.fold(ended(task(1, 0, 0), 3, EndCause::Done, "a"));
     assert_eq!(fleet.place().len(), 3);
 }
+
+/// kra-pricing-grown, inc-fea5: a worker that had finished 69 tasks within six seconds failed the next
+/// 200, as its failures were weighed against all of them.
+#[test]
+fn a_worker_that_begins_to_fail_everything_is_left_alone_soon() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    for job in 1..=30 {
+        fleet.fold(submitted(job, vec![step(2)]));
+    }
+    for _ in 0..5 {
+        for placed in fleet.place() {
+            fleet.fold(ended(placed.task, placed.run, EndCause::Done, "a"));
+        }
+    }
+    let mut failed = 0;
+    for _ in 0..5 {
+        for placed in fleet.place() {
+            failed += 1;
+            fleet.fold(ended(placed.task, placed.run, EndCause::Failed, "a"));
+        }
+    }
+    assert_eq!(failed, 4, "only those that ran already");
+}
