--- a/crates/agate_jobs/src/pace/pacer.rs
+++ b/crates/agate_jobs/src/pace/pacer.rs
@@ -16,9 +16,6 @@
 /// Time until the next change of the pace takes effect, for which the load is looked ahead.
 const LEAD: Duration = Duration::from_millis(500);
 
-/// Standard deviations above its mean at which an estimate is reckoned with.
-const CAUTION: f64 = 0.0;
-
 /// Least share of full speed at which one task of an unknown image works, to show what it adds.
 const PROBE: f64 = 0.2;
 
@@ -95,7 +92,7 @@
     fn fit(&self, task: &Serving, filling: &[Filling], room: f64, shares: &mut [f64]) {
         let added: Vec<f64> = filling
             .iter()
-            .map(|filling| self.added(&task.image, &filling.image))
+            .map(|filling| self.learned.pair(&task.image, &filling.image).mean)
             .collect();
         let mut order: Vec<usize> = (0..filling.len()).collect();
         order.sort_by(|a, b| added[*b].total_cmp(&added[*a]));
@@ -119,12 +116,6 @@
         }
     }
 
-    /// The use that one task at full speed may well add.
-    fn added(&self, serving: &str, filling: &str) -> f64 {
-        let pair = self.learned.pair(serving, filling);
-        pair.mean + CAUTION * pair.variance.sqrt()
-    }
-
     /// Use at which the tail latency comes to the aimed share of its target.
     fn aim(&self, task: &Serving) -> f64 {
         figure::use_of(task.target_ms * AIM, self.learned.idle(task))
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -6,6 +6,7 @@
 mod held;
 mod hold;
 mod introduce;
+mod lists;
 mod pacing;
 mod port;
 mod register;
