--- a/crates/agate_frame/src/bin/faults.rs
+++ b/crates/agate_frame/src/bin/faults.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use agate_frame::faults::drive;
+use agate_frame::table::conclude;
 use bpaf::{Parser, construct};
 
 #[derive(Debug, Clone)]
@@ -41,24 +42,11 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = options();
-    match drive(
+    let result = drive(
         options.seed,
         Duration::from_secs(options.seconds),
         &options.logs,
     )
-    .await
-    {
-        Ok(outcome) => {
-            println!("{outcome}");
-            if outcome.holds() {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            }
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
+    .await;
+    conclude(result)
 }
--- a/crates/agate_frame/src/table/mod.rs
+++ b/crates/agate_frame/src/table/mod.rs
@@ -4,4 +4,4 @@
 mod outcome;
 
 pub use checks::{Check, Checks};
-pub use outcome::Outcome;
+pub use outcome::{Outcome, conclude};
--- a/crates/agate_frame/src/table/outcome.rs
+++ b/crates/agate_frame/src/table/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::process::ExitCode;
 
 use super::Checks;
 
@@ -29,6 +30,25 @@
     }
 }
 
+/// Prints the result of a run and says how the program ends: well only if faults were injected and
+/// every check holds.
+pub fn conclude<F: fmt::Display, E: fmt::Display>(result: Result<Outcome<F>, E>) -> ExitCode {
+    match result {
+        Ok(outcome) => {
+            println!("{outcome}");
+            if outcome.holds() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 impl<F: fmt::Display> fmt::Display for Outcome<F> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{:<24} {:>8}", "fault", "injected")?;
