Settle a start without an answer with the renewal after the one in flight

Cause: a start without an answer timed out after 0.7 s and was then looked for in two lists, half a second each, before it was stopped and given back. Ruled out: stopping without a list, which would end runs of which only the answer was lost; a second call beside the renewal in flight, which needs a further connection.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -147,5 +147,6 @@
     if let Some(known) = known.filter(|r| r.number == run && r.phase != Phase::Ended) {
         known.phase = phase;
         known.missing_lists = 0;
+        known.unanswered |= matches!(phase, Phase::Unconfirmed(_));
     }
 }
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -10,9 +10,13 @@
 use super::{ends, introduction};
 use crate::clock;
 
-/// Consecutive lists that lack a run before it counts as lost without a trace.
+/// Consecutive lists that lack a started run before it counts as lost without a trace.
 const MISSING_LISTS: u32 = 2;
 
+/// The same for a run whose start got no answer. One list is enough: the run is then stopped, which
+/// prevents a later start, and once the stop is answered, a list that lacks the run is final.
+const MISSING_UNANSWERED_LISTS: u32 = 1;
+
 /// Processes a list that was requested at the boot time `began`.
 pub(super) fn apply(worker: &Arc<ManagedWorker>, reply: &LeaseReply, began: Duration) {
     let mut state = worker.state();
@@ -99,6 +103,7 @@
     let run = run.or_insert_with(|| Run::new(row.run, Phase::Started(clock::boottime())));
     if run.number == row.run {
         run.missing_lists = 0;
+        run.unanswered = false;
         if let Phase::Unconfirmed(_) = run.phase {
             run.phase = Phase::Started(clock::boottime());
         }
@@ -153,7 +158,12 @@
             continue;
         }
         run.missing_lists += 1;
-        if run.missing_lists < MISSING_LISTS {
+        let limit = if run.unanswered {
+            MISSING_UNANSWERED_LISTS
+        } else {
+            MISSING_LISTS
+        };
+        if run.missing_lists < limit {
             continue;
         }
         if let Phase::Unconfirmed(_) = run.phase {
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -50,6 +50,8 @@
     pub stalled: bool,
     /// Number of consecutive lists, requested after the worker's answer, that lacked the run.
     pub missing_lists: u32,
+    /// Whether the start got no answer and no list has contained the run since.
+    pub unanswered: bool,
 }
 
 /// A worker and what its agent knows about it.
@@ -91,6 +93,11 @@
 }
 
 impl Run {
+    /// Returns whether the next lists decide what becomes of an unanswered start.
+    pub fn is_settling(&self) -> bool {
+        self.unanswered && self.phase != Phase::Ended
+    }
+
     /// Creates a run that enters `phase` now.
     pub fn new(number: u32, phase: Phase) -> Self {
         Self {
@@ -100,6 +107,7 @@
             progress: Progress::default(),
             stalled: false,
             missing_lists: 0,
+            unanswered: false,
         }
     }
 }
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::client::{CallError, LeaseReply};
-use super::managed::{ManagedWorker, Phase, State};
+use super::managed::{ManagedWorker, Phase, Run, State};
 use super::{lists, pacing};
 use crate::clock;
 use crate::metrics::Event;
@@ -20,6 +20,9 @@
 /// figures that the worker takes over half a second.
 const MIXED_RENEWAL_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest wait while a start without an answer is settled, which takes two lists.
+const SETTLING_RENEWAL_WAIT: Duration = Duration::from_millis(50);
+
 /// Pause before the next call while listed ends are not yet recorded.
 const RECORDING_DELAY: Duration = Duration::from_millis(150);
 
@@ -81,8 +84,11 @@
 async fn renew(worker: &ManagedWorker) -> Result<LeaseReply, String> {
     let wait = {
         let state = worker.state();
+        let settling = state.runs.values().any(Run::is_settling);
         if !state.introduction.is_done() || state.clock.is_none() {
             Duration::ZERO
+        } else if settling {
+            SETTLING_RENEWAL_WAIT
         } else if is_mixed(&state) {
             MIXED_RENEWAL_WAIT
         } else {
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -132,6 +132,24 @@
     assert!((1..=6).contains(&attempts), "{attempts} attempts in 1.2 s");
 }
 
+/// The second start followed after two renewals of half a second each. Only the renewal in flight is
+/// to be waited for; 0.2 s more are left for the lists, the stop and the log.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_start_is_replaced_after_the_renewal_in_flight() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, _agent) = cluster.worker("w1");
+    worker.set_behavior(Behavior::IgnoresStarts);
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it is started", || worker.start_attempts() == 1).await;
+    let began = Instant::now();
+    worker.set_behavior(Behavior::Healthy);
+    wait_until("it runs", || worker.running() == 1).await;
+    let took = began.elapsed();
+    assert!(took <= Duration::from_millis(700), "{took:?}");
+    assert_eq!(worker.started_runs().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_unanswered_start_is_stopped_and_retried() {
     let cluster = Cluster::new();
