Give back a run without checkpoints once it has been slow for as long as it ran

Cause: a run without checkpoints was given back only while it had made 8 % of its progress or less. Change: it is given back once it has been slow for as long as it had been running before, 0.6 s at least. Ruled out: giving back by the declared estimate, which is wrong by up to 90 %.

--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -5,7 +5,7 @@
 
 use agate_core::{Moment, Resources};
 use agate_jobs::pace::{
-    BestEffortTask, FULL_SPEED_PERCENT, GiveBack, Interference, Pacer, ServingTask,
+    BestEffortTask, FULL_SPEED_PERCENT, GiveBack, Interference, Pacer, ServingTask, StopCost,
 };
 use agate_jobs::{EndCause, TaskKey, WorkerIncarnation, WorkerReport, WorkerState};
 
@@ -193,7 +193,7 @@
     }
 
     fn take_ended(&mut self, now: Moment) -> Vec<Ended> {
-        let stopped = self.give_back.choose(|_| true, now);
+        let stopped = self.give_back.choose(|_| Some(StopCost::Little), now);
         let (mut ended, mut running) = (Vec::new(), Vec::new());
         for best_effort in std::mem::take(&mut self.best_effort) {
             let run = (best_effort.task, best_effort.run);
--- a/crates/agate_jobs/src/pace/give_back.rs
+++ b/crates/agate_jobs/src/pace/give_back.rs
@@ -19,6 +19,15 @@
 /// Time between two stops, in which the pace of the others changes.
 const STOP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// What a stop costs a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopCost {
+    /// Hardly any of its progress.
+    Little,
+    /// All progress. The run has been running for this time.
+    Everything(Duration),
+}
+
 /// A run of a task.
 type RunKey = (TaskKey, u32);
 
@@ -45,20 +54,29 @@
     }
 
     /// Returns the run to be stopped, the one that has been slow for longest; `None` if there is
-    /// none or another has just been stopped. `loses_little` tells whether a run may be stopped
-    /// without losing much of its progress.
+    /// none or another has just been stopped. `cost` returns what a stop costs a run, or `None` if
+    /// it can't be stopped.
+    ///
+    /// A run that would lose its progress is stopped once it has been slow for as long as it was
+    /// running before. Waiting further may take any time, and its job waits for it.
     pub fn choose(
         &mut self,
-        loses_little: impl Fn(&RunKey) -> bool,
+        cost: impl Fn(&RunKey) -> Option<StopCost>,
         now: Moment,
     ) -> Option<RunKey> {
         let recent = |at: Moment| now.since(at) < STOP_INTERVAL;
         if self.stopped_at.is_some_and(recent) {
             return None;
         }
+        let may_stop = |run: &RunKey, slow_for: Duration| match cost(run) {
+            Some(StopCost::Little) => slow_for >= MAX_SLOW_TIME,
+            Some(StopCost::Everything(ran_for)) => {
+                slow_for >= MAX_SLOW_TIME.max(ran_for.saturating_sub(slow_for))
+            }
+            None => false,
+        };
         let slow = self.slow_since.iter();
-        let stuck =
-            slow.filter(|(run, since)| now.since(**since) >= MAX_SLOW_TIME && loses_little(run));
+        let stuck = slow.filter(|(run, since)| may_stop(run, now.since(**since)));
         let run = stuck
             .min_by_key(|(run, since)| (**since, **run))
             .map(|(run, _)| *run)?;
--- a/crates/agate_jobs/src/pace/mod.rs
+++ b/crates/agate_jobs/src/pace/mod.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use give_back::GiveBack;
+pub use give_back::{GiveBack, StopCost};
 pub use model::DEFAULT_INTERFERENCE;
 pub use pacer::Pacer;
 
--- a/crates/agate_jobs/tests/jobs/pace.rs
+++ b/crates/agate_jobs/tests/jobs/pace.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::pace::{BestEffortTask, Interference, Pacer, ServingTask};
+use agate_jobs::pace::{BestEffortTask, GiveBack, Interference, Pacer, ServingTask, StopCost};
+use rstest::rstest;
 
 use crate::support::task;
 
@@ -253,26 +254,54 @@
 /// one sample, although the first stop already left room for the others.
 #[test]
 fn slow_tasks_are_given_back_one_at_a_time() {
-    let mut give_back = agate_jobs::pace::GiveBack::default();
-    let mut now = agate_core::Moment::ZERO;
+    let mut give_back = GiveBack::default();
+    let little = |_: &_| Some(StopCost::Little);
+    let mut now = Moment::ZERO;
     let runs = [0, 1, 2].map(|index| (crate::support::task(1, 0, index), 1));
     for (at, run) in runs.iter().enumerate() {
         give_back.record_pace(*run, [0, 40, 41][at], now);
         now = now + Duration::from_millis(10);
     }
-    assert_eq!(give_back.choose(|_| true, now), None, "not slow for long");
+    assert_eq!(give_back.choose(little, now), None, "not slow for long");
     now = now + Duration::from_millis(600);
-    assert_eq!(give_back.choose(|run| *run != runs[0], now), Some(runs[1]));
+    assert_eq!(
+        give_back.choose(|run| (*run != runs[0]).then_some(StopCost::Little), now),
+        Some(runs[1])
+    );
     give_back.retain(|run| *run != runs[1]);
     now = now + Duration::from_millis(250);
     assert_eq!(
-        give_back.choose(|_| true, now),
+        give_back.choose(little, now),
         None,
         "one has just been stopped"
     );
     now = now + Duration::from_millis(250);
-    assert_eq!(give_back.choose(|_| true, now), Some(runs[0]));
+    assert_eq!(give_back.choose(little, now), Some(runs[0]));
     give_back.record_pace(runs[0], 100, now);
     now = now + Duration::from_secs(1);
-    assert_eq!(give_back.choose(|_| true, now), None, "it is fast again");
+    assert_eq!(give_back.choose(little, now), None, "it is fast again");
+}
+
+/// A task without checkpoints was never given back. On thistle-orders-grown one stood still for 14 s
+/// beside serving tasks, and its job of 33 tasks waited for it.
+#[rstest]
+#[case::after_a_short_run(300, 599, false)]
+#[case::as_soon_as_others(300, 600, true)]
+#[case::slow_for_less_than_it_ran(2_000, 1_999, false)]
+#[case::slow_for_as_long_as_it_ran(2_000, 2_000, true)]
+fn a_run_that_loses_its_progress_is_given_back(
+    #[case] ran_ms: u64,
+    #[case] slow_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut give_back = GiveBack::default();
+    let run = (task(1, 0, 0), 1);
+    let slow_since = Moment::ZERO;
+    give_back.record_pace(run, 0, slow_since);
+    let ran_for = Duration::from_millis(ran_ms + slow_ms);
+    let chosen = give_back.choose(
+        |_| Some(StopCost::Everything(ran_for)),
+        slow_since + Duration::from_millis(slow_ms),
+    );
+    assert_eq!(chosen.is_some(), expected);
 }
--- a/crates/agate_node/src/agent/pacing.rs
+++ b/crates/agate_node/src/agent/pacing.rs
@@ -6,6 +6,7 @@
 
 use agate_jobs::pace::{
     BestEffortTask, FULL_SPEED_PERCENT, GiveBack, Headroom, Interference, Pacer, ServingTask,
+    StopCost,
 };
 use agate_jobs::{Order, OrderKind, TaskKey, WorkerIncarnation};
 use tokio::time::Instant;
@@ -26,7 +27,7 @@
 /// Smallest change of the pace, in percentage points. Changes to zero or full speed are always made.
 const MIN_CHANGE_PERCENT: u32 = 8;
 
-/// Progress in percent that a task without checkpoints may lose.
+/// Progress in percent of a task without checkpoints that counts as little.
 const MAX_LOST_PERCENT: u32 = 8;
 
 /// What was learned about a worker's tasks, and the paces in effect.
@@ -123,14 +124,14 @@
             .record_pace((task, run), percent, clock::now());
     }
 
-    /// Returns the run that is to be stopped, to continue elsewhere. It keeps its progress or has
-    /// made little.
+    /// Returns the run that is to be stopped, to continue elsewhere.
     fn choose_stuck(
         &mut self,
         orders: &HashMap<TaskKey, Order>,
         running: &[ListedRun],
+        runs: &HashMap<TaskKey, Run>,
     ) -> Option<(TaskKey, u32)> {
-        let loses_little = |(task, run): &(TaskKey, u32)| {
+        let cost = |(task, run): &(TaskKey, u32)| {
             let mut rows = running.iter();
             let row = rows.find(|row| row.task == *task && row.run == *run);
             let order = orders.get(task).map(|order| &order.kind);
@@ -141,9 +142,13 @@
                     ..
                 })
             );
-            row.is_some_and(|row| saves_progress || row.percent <= MAX_LOST_PERCENT)
+            if saves_progress || row?.percent <= MAX_LOST_PERCENT {
+                return row.map(|_| StopCost::Little);
+            }
+            let ran_for = runs.get(task)?.since.elapsed();
+            Some(StopCost::Everything(ran_for))
         };
-        self.give_back.choose(loses_little, clock::now())
+        self.give_back.choose(cost, clock::now())
     }
 
     fn is_change(&self, run: (TaskKey, u32), percent: u32) -> bool {
@@ -201,7 +206,10 @@
         let mut state = worker.state();
         let state = &mut *state;
         let changes = state.pacing.update(&state.orders, &reply.running);
-        if let Some((task, run)) = state.pacing.choose_stuck(&state.orders, &reply.running) {
+        let stuck = state
+            .pacing
+            .choose_stuck(&state.orders, &reply.running, &state.runs);
+        if let Some((task, run)) = stuck {
             stop_stuck(worker, &mut state.runs, task, run);
         }
         (state.incarnation.clone(), changes)
