Place nothing in withdrawn zones, and decide whether an agent may start there

Cause: nothing reads the operator's request that nothing more start in a zone. Change: a table of zones folded by offset, a gate for agents that requires a recent complete read, and withdrawn workers left out of placement, reservations and the check for idle capacity. Workers that report to be cold are chosen last. The scheduler reports request, last run, return, and steps that only withdrawn workers could run.

--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -129,6 +129,7 @@
             acked_suspicion: 0,
             headroom,
             interference,
+            cold_ms: 0,
         }
     }
 
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod table;
 mod task;
 mod worker;
+pub mod zones;
 
 pub use record::{
     Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, SuspicionRecord,
--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -44,6 +44,10 @@
 /// Weight, for the same tasks, of each task of the same step on a worker.
 const SIBLING_WEIGHT: f64 = 0.05;
 
+/// Cost of a worker that is still slow after its start. It outweighs all others but that of a prior
+/// failure.
+const COLD_COST: f64 = 5.0;
+
 /// Weight of a worker's slowness, which is a logarithm.
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
@@ -74,7 +78,10 @@
         if may_wait && expected_speed(worker, interference, &task.step.image) < MIN_SPEED {
             continue;
         }
-        let cost = cost(worker, interference, task);
+        let mut cost = cost(worker, interference, task);
+        if now < worker.cold_until {
+            cost += COLD_COST;
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, slot));
         }
@@ -82,11 +89,12 @@
     best.map(|(_, slot)| slot)
 }
 
-/// Returns whether more than half of a service's processors are in use.
+/// Returns whether more than half of a service's processors are in use, apart from those of
+/// withdrawn zones.
 fn is_half_used(workers: &[Worker], service: &str) -> bool {
     let own = workers
         .iter()
-        .filter(|worker| worker.report.service == service);
+        .filter(|worker| worker.report.service == service && !worker.withdrawn);
     let (used, total) = own.fold((0, 0), |(used, total), worker| {
         let busy = u64::from(worker.used.millicores + worker.best_effort_millicores);
         (
@@ -121,6 +129,7 @@
 fn is_allowed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     let step = task.step;
     worker.report.service == task.service
+        && !worker.withdrawn
         && worker.accepts_tasks(now)
         && (step.long_running || !worker.health.is_probing())
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -28,6 +28,10 @@
     /// Binds all tasks that are ready to run and fit on a worker.
     pub fn place(&mut self, table: &JobTable, now: Moment, wall_ms: u64) -> Vec<Placement> {
         let mut placed = Vec::new();
+        if !self.withdrawal.is_known() {
+            return placed;
+        }
+        self.prune_zone_waits(table);
         for worker in &mut self.workers {
             worker.reserved = Resources::ZERO;
         }
@@ -77,8 +81,14 @@
         for task in self.pending_tasks(id, job, at) {
             match self.choose(job, task, now) {
                 Some(slot) => placed.push(self.bind(job, task, slot, None)),
-                None if long_running => self.reserve(job, task, now),
-                None => return,
+                None if long_running => {
+                    self.note_zone_wait(job, task);
+                    self.reserve(job, task, now);
+                }
+                None => {
+                    self.note_zone_wait(job, task);
+                    return;
+                }
             }
         }
     }
@@ -118,6 +128,7 @@
                 for member in members {
                     self.unbind(member.task);
                 }
+                self.note_zone_wait(job, task);
                 return;
             };
             members.push(self.bind(job, task, slot, Some(run)));
@@ -171,12 +182,12 @@
     }
 
     fn rack_of_step(&self, task: TaskKey) -> &str {
-        let sibling = self
+        let mut siblings = self
             .bindings_of(task.job)
-            .find(|(other, _)| other.occurrence == task.occurrence && other.step == task.step);
-        sibling.map_or("", |(_, binding)| {
-            choose::rack(&self.workers[binding.worker])
-        })
+            .filter(|(other, _)| other.occurrence == task.occurrence && other.step == task.step)
+            .map(|(_, binding)| &self.workers[binding.worker]);
+        let sibling = siblings.find(|worker| !worker.withdrawn);
+        sibling.map_or("", choose::rack)
     }
 
     fn bind(&mut self, job: &Job, task: TaskKey, slot: usize, run: Option<u32>) -> Placement {
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
+use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
 use crate::table::{Change, JobTable};
@@ -36,6 +37,7 @@
     pub(super) started_jobs: Vec<JobId>,
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
+    pub(super) withdrawal: Withdrawal,
     mean_slowness: f64,
 }
 
@@ -161,8 +163,8 @@
         let tracked = &worker.suspicion.incarnation;
         let restarted = report.incarnation.started_ms > tracked.started_ms;
         let lapsed = report.state == WorkerState::Lapsed && report.incarnation == *tracked;
-        worker.report = report.clone();
-        worker.records_dropped = false;
+        worker.set_report(report, now);
+        worker.withdrawn = self.withdrawal.contains(&report.zone);
         if restarted {
             worker.suspicion = no_suspicion(report.incarnation.clone());
             worker.suspected_at = None;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -1,6 +1,7 @@
 //! The scheduler's view of a worker.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use agate_core::{JobId, Moment, Resources};
 
@@ -53,6 +54,10 @@
     pub reserved: Resources,
     /// Whether the worker's records have been dropped because it left.
     pub records_dropped: bool,
+    /// Whether the operator has withdrawn the worker's zone.
+    pub withdrawn: bool,
+    /// Time until which the worker is slow after its start.
+    pub cold_until: Moment,
     pub health: Health,
     /// Number of tasks with a latency target, by image.
     pub serving_images: BTreeMap<String, u32>,
@@ -74,6 +79,8 @@
             long_running_millicores: 0,
             reserved: Resources::ZERO,
             records_dropped: false,
+            withdrawn: false,
+            cold_until: Moment::ZERO,
             health: Health::default(),
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
@@ -88,6 +95,13 @@
         self.report.state == WorkerState::Gone && reported >= self.suspicion.incarnation.started_ms
     }
 
+    /// Replaces the report, which was read at `now`.
+    pub fn set_report(&mut self, report: &WorkerReport, now: Moment) {
+        self.cold_until = now + Duration::from_millis(report.cold_ms);
+        self.report = report.clone();
+        self.records_dropped = false;
+    }
+
     /// Returns whether any run is bound to the worker.
     pub fn has_runs(&self) -> bool {
         !self.step_tasks.is_empty()
@@ -184,6 +198,24 @@
         room.map_or(DEFAULT_HEADROOM, |room| f64::from(room.milli) / 1_000.0)
     }
 
+    /// Returns the number of runs that are bound to the worker.
+    pub fn runs(&self) -> usize {
+        self.step_tasks.values().map(|tasks| *tasks as usize).sum()
+    }
+
+    /// Returns how many tasks of a step the idle worker would have room for.
+    pub fn max_tasks(&self, step: &StepSpec) -> u32 {
+        let (capacity, demand) = (self.report.capacity, step.demand);
+        let tasks = |total: u32, each: u32| total.checked_div(each).unwrap_or(u32::MAX);
+        let fitting = tasks(capacity.millicores, demand.millicores)
+            .min(tasks(capacity.memory_mib, demand.memory_mib))
+            .min(tasks(capacity.accelerators, demand.accelerators));
+        if step.per_worker == 0 {
+            return fitting;
+        }
+        fitting.min(step.per_worker)
+    }
+
     /// Returns the number of tasks of the same step that are bound to this worker.
     pub fn siblings(&self, task: TaskKey) -> u32 {
         self.step_tasks.get(&step_of(task)).copied().unwrap_or(0)
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -66,4 +66,15 @@
     /// Interference of best-effort with serving tasks on this worker, by pair of images.
     #[serde(rename = "pressures", default, skip_serializing_if = "Vec::is_empty")]
     pub interference: Vec<Interference>,
+    /// Time for which the worker stays slow after its start, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -80,5 +80,6 @@
         acked_suspicion: 0,
         headroom: Vec::new(),
         interference: Vec::new(),
+        cold_ms: 0,
     }
 }
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/zones.rs
@@ -0,0 +1,334 @@
+//! Tests of withdrawn zones: the table, the agent's gate, and placement.
+
+use std::time::Duration;
+
+use agate_jobs::plan::ZoneChange;
+use agate_jobs::zones::{StartCheck, ZoneGate, ZoneRecord, ZoneTable};
+use agate_jobs::{EndCause, StepSpec, WorkerReport};
+use rstest::rstest;
+
+use crate::fleet::Fleet;
+use crate::support::{ended, report, step, submitted, task};
+
+const BOUND: Duration = Duration::from_secs(5);
+
+fn withdraws(offset: u64, zone: &str) -> ZoneRecord {
+    ZoneRecord {
+        offset,
+        zone: zone.to_owned(),
+        withdrawn: true,
+    }
+}
+
+fn returns(offset: u64, zone: &str) -> ZoneRecord {
+    ZoneRecord {
+        withdrawn: false,
+        ..withdraws(offset, zone)
+    }
+}
+
+fn loaded(records: Vec<ZoneRecord>, end: u64) -> ZoneTable {
+    let mut table = ZoneTable::default();
+    table.apply_load(records, end);
+    table
+}
+
+fn at(zone: &str, name: &str) -> WorkerReport {
+    WorkerReport {
+        zone: zone.to_owned(),
+        ..report(name, 1)
+    }
+}
+
+/// A load and a read run at the same time, and a load may arrive late.
+#[rstest]
+#[case::a_late_load_with_a_returned_zone(20, Some(5), 10, false)]
+#[case::a_late_load_that_lacks_a_withdrawn_zone(12, None, 10, true)]
+#[case::a_newer_load_that_lacks_it(12, None, 20, false)]
+#[case::a_newer_load_with_it(12, Some(15), 20, true)]
+fn loads_apply_by_offset(
+    #[case] read_at: u64,
+    #[case] loaded_at: Option<u64>,
+    #[case] end: u64,
+    #[case] expected: bool,
+) {
+    let mut table = loaded(Vec::new(), 4);
+    let read = if read_at == 20 {
+        returns(20, "a")
+    } else {
+        withdraws(read_at, "a")
+    };
+    table.apply_page(vec![read], read_at + 1);
+    let newest = loaded_at.map(|offset| withdraws(offset, "a"));
+    table.apply_load(newest.into_iter().collect(), end);
+    assert_eq!(table.is_withdrawn("a"), expected);
+}
+
+/// A zone that was returned before the first load has no entry, and a load from before that
+/// doesn't withdraw it.
+#[test]
+fn a_late_load_does_not_withdraw_a_zone_that_is_unknown() {
+    let mut table = loaded(Vec::new(), 15);
+    table.apply_load(vec![withdraws(5, "a")], 10);
+    assert!(!table.is_withdrawn("a"));
+}
+
+/// A zone that is withdrawn again right at the end of the load that lacked it stays withdrawn.
+#[test]
+fn a_record_at_the_end_of_a_load_is_newer() {
+    let mut table = loaded(vec![withdraws(2, "a"), withdraws(3, "b")], 4);
+    table.apply_load(vec![withdraws(3, "b")], 10);
+    assert!(!table.is_withdrawn("a") && table.is_withdrawn("b"));
+    table.apply_page(vec![withdraws(10, "a")], 11);
+    assert!(table.is_withdrawn("a"));
+    table.apply_page(
+        vec![returns(11, "a"), withdraws(12, "a"), returns(13, "a")],
+        14,
+    );
+    assert!(!table.is_withdrawn("a"));
+}
+
+/// An agent that was partitioned or suspended when the request was made starts nothing later than
+/// the bound, including the time that a worker may take to carry the start out.
+#[test]
+fn a_start_needs_a_recent_complete_read() {
+    let ms = Duration::from_millis;
+    let mut gate = ZoneGate::new(BOUND);
+    assert_eq!(gate.check("a", ms(0)), StartCheck::NotLoaded);
+    gate.apply_load(Vec::new(), 4);
+    assert_eq!(gate.check("a", ms(0)), StartCheck::NotLoaded);
+    gate.apply_page(Vec::new(), 4, false, ms(90));
+    assert_eq!(
+        gate.check("a", ms(100)),
+        StartCheck::NotLoaded,
+        "an incomplete read"
+    );
+    gate.apply_page(Vec::new(), 4, true, ms(100));
+    assert_eq!(gate.check("a", ms(3_100)), StartCheck::Allowed);
+    assert_eq!(gate.check("a", ms(3_101)), StartCheck::Stale);
+    gate.apply_page(vec![withdraws(4, "a")], 5, true, ms(3_200));
+    assert_eq!(gate.check("a", ms(3_300)), StartCheck::Withdrawn);
+    assert_eq!(gate.check("b", ms(3_300)), StartCheck::Allowed);
+}
+
+/// After the history was dropped, the pages of a load may miss a key that was just rewritten.
+#[test]
+fn a_reload_discards_the_age_of_earlier_reads() {
+    let mut gate = ZoneGate::new(BOUND);
+    gate.apply_load(vec![withdraws(1, "a")], 4);
+    gate.apply_page(Vec::new(), 4, true, Duration::ZERO);
+    gate.apply_load(Vec::new(), 10);
+    assert_eq!(gate.check("a", Duration::ZERO), StartCheck::NotLoaded);
+    gate.apply_page(vec![withdraws(10, "a")], 11, true, Duration::ZERO);
+    assert_eq!(gate.check("a", Duration::ZERO), StartCheck::Withdrawn);
+}
+
+/// A poll that waits as long as the bound allows would leave starts waiting between polls.
+#[rstest]
+#[case::usual(5_000, 1_000)]
+#[case::short(3_000, 500)]
+fn polls_are_shorter_than_half_of_the_allowed_age(#[case] bound_ms: u64, #[case] wait_ms: u64) {
+    let gate = ZoneGate::new(Duration::from_millis(bound_ms));
+    assert_eq!(gate.poll_wait(), Duration::from_millis(wait_ms));
+}
+
+fn place_with(fleet: &mut Fleet, table: &ZoneTable) -> Vec<String> {
+    fleet.scheduler.set_withdrawn_zones(table);
+    let mut workers: Vec<String> = fleet.place().into_iter().map(|p| p.worker).collect();
+    workers.sort();
+    workers.dedup();
+    workers
+}
+
+#[rstest]
+#[case::single_tasks(step(6))]
+#[case::gang(StepSpec { gang: true, ..step(4) })]
+#[case::one_rack(StepSpec { one_rack: true, data_rack: "r-a".to_owned(), ..step(4) })]
+#[case::long_running(StepSpec { long_running: true, ..step(4) })]
+fn nothing_is_placed_in_a_withdrawn_zone(#[case] step: StepSpec) {
+    let mut fleet = Fleet::new(&[at("north", "a"), at("south", "b")]);
+    fleet.fold(submitted(1, vec![step]));
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    assert_eq!(place_with(&mut fleet, &table), ["b"]);
+}
+
+/// Reserved capacity in a withdrawn zone would keep other tasks away from nothing, and the task
+/// itself would wait for a worker that it never gets.
+#[test]
+fn no_capacity_is_reserved_in_a_withdrawn_zone() {
+    let mut fleet = Fleet::new(&[at("north", "a"), at("south", "b")]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    let open = loaded(Vec::new(), 2);
+    assert_eq!(place_with(&mut fleet, &open), ["a", "b"]);
+    let whole = agate_core::Resources::new(4_000, 100, 0);
+    let long = StepSpec {
+        long_running: true,
+        demand: whole,
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![long]));
+    fleet.fold(submitted(3, vec![step(4)]));
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    assert!(place_with(&mut fleet, &table).is_empty(), "b is reserved");
+}
+
+/// A new leader that has not read the requests places nothing.
+#[test]
+fn nothing_is_placed_before_the_zones_are_loaded() {
+    let mut fleet = Fleet::new(&[at("north", "a")]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert!(place_with(&mut fleet, &ZoneTable::default()).is_empty());
+    assert_eq!(place_with(&mut fleet, &loaded(Vec::new(), 1)), ["a"]);
+}
+
+/// A worker that joins a zone after its withdrawal, or restarts there, gets no task.
+#[test]
+fn a_worker_that_joins_a_withdrawn_zone_gets_no_task() {
+    let mut fleet = Fleet::new(&[]);
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    fleet.scheduler.set_withdrawn_zones(&table);
+    fleet.fold(agate_jobs::Record::new(agate_jobs::Body::Worker(at(
+        "north", "a",
+    ))));
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert!(place_with(&mut fleet, &table).is_empty());
+}
+
+/// Idle processors of a withdrawn zone made best-effort tasks take workers on which they are slow.
+#[test]
+fn withdrawn_capacity_does_not_count_as_idle() {
+    let slow = |zone: &str, name: &str| WorkerReport {
+        headroom: vec![agate_jobs::pace::Headroom {
+            serving: "s".to_owned(),
+            milli: 10,
+        }],
+        interference: vec![agate_jobs::pace::Interference {
+            serving: "s".to_owned(),
+            best_effort: "x".to_owned(),
+            milli: 300,
+        }],
+        ..at(zone, name)
+    };
+    let mut fleet = Fleet::new(&[at("north", "a"), slow("south", "b")]);
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    let serving = StepSpec {
+        long_running: true,
+        image: "s".to_owned(),
+        target_ms: 10,
+        ..step(3)
+    };
+    fleet.fold(submitted(1, vec![serving]));
+    assert_eq!(place_with(&mut fleet, &table), ["b"]);
+    let best_effort = StepSpec {
+        best_effort: true,
+        image: "x".to_owned(),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![best_effort]));
+    assert!(place_with(&mut fleet, &table).is_empty());
+}
+
+fn waiting_steps(fleet: &mut Fleet) -> usize {
+    let changes = fleet.scheduler.take_zone_changes();
+    let waits = changes
+        .iter()
+        .filter(|change| matches!(change, ZoneChange::StepWaits { .. }));
+    waits.count()
+}
+
+#[rstest]
+#[case::only_there(StepSpec { label: "r-a".to_owned(), ..step(2) }, 1)]
+#[case::gang_that_needs_both(StepSpec { gang: true, ..step(8) }, 1)]
+#[case::busy_elsewhere(step(20), 0)]
+#[case::nowhere(StepSpec { label: "x".to_owned(), ..step(2) }, 0)]
+fn a_step_that_needs_a_withdrawn_zone_is_named_once(#[case] step: StepSpec, #[case] lines: usize) {
+    let mut fleet = Fleet::new(&[at("north", "a"), at("south", "b")]);
+    fleet.fold(submitted(1, vec![step]));
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    place_with(&mut fleet, &table);
+    place_with(&mut fleet, &table);
+    assert_eq!(waiting_steps(&mut fleet), lines);
+}
+
+/// Both zones of a region: every step waits, and runs when one zone is returned.
+#[test]
+fn a_step_waits_while_all_zones_are_withdrawn() {
+    let mut fleet = Fleet::new(&[at("north", "a"), at("south", "b")]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    let mut table = loaded(vec![withdraws(3, "north"), withdraws(2, "south")], 4);
+    assert!(place_with(&mut fleet, &table).is_empty());
+    assert_eq!(waiting_steps(&mut fleet), 1);
+    table.apply_page(vec![returns(4, "south")], 5);
+    assert_eq!(place_with(&mut fleet, &table), ["b"]);
+}
+
+#[test]
+fn request_last_run_and_return_are_reported_with_their_runs() {
+    let (zone, offset) = ("north".to_owned(), 3);
+    let mut fleet = Fleet::new(&[at("north", "a")]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    let mut table = loaded(Vec::new(), 3);
+    place_with(&mut fleet, &table);
+    table.apply_page(vec![withdraws(offset, &zone)], 4);
+    fleet.scheduler.set_withdrawn_zones(&table);
+    let withdrawn = ZoneChange::Withdrawn {
+        zone: zone.clone(),
+        offset,
+        runs: 2,
+    };
+    assert_eq!(fleet.scheduler.take_zone_changes(), [withdrawn]);
+    for index in 0..2 {
+        assert_eq!(fleet.scheduler.zone_runs()[0].runs, 2 - index as usize);
+        fleet.fold(ended(task(1, 0, index), 1, EndCause::Done, "a"));
+        fleet.scheduler.set_withdrawn_zones(&table);
+    }
+    let empty = ZoneChange::Empty {
+        zone: zone.clone(),
+        offset,
+    };
+    assert_eq!(fleet.scheduler.take_zone_changes(), [empty]);
+    table.apply_page(vec![returns(4, &zone)], 5);
+    fleet.scheduler.set_withdrawn_zones(&table);
+    let returned = ZoneChange::Returned {
+        zone,
+        offset: 4,
+        runs: 0,
+    };
+    assert_eq!(fleet.scheduler.take_zone_changes(), [returned]);
+    assert!(fleet.scheduler.zone_runs().is_empty());
+}
+
+/// A return overlaps a takeover: the new leader has no memory of the withdrawal.
+#[test]
+fn a_new_leader_uses_a_zone_that_was_returned_during_the_takeover() {
+    let mut fleet = Fleet::new(&[at("north", "a")]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    let mut table = loaded(vec![withdraws(3, "north")], 4);
+    assert!(place_with(&mut fleet, &table).is_empty());
+    fleet.take_over();
+    assert!(place_with(&mut fleet, &table).is_empty());
+    table.apply_page(vec![returns(4, "north")], 5);
+    fleet.take_over();
+    assert_eq!(place_with(&mut fleet, &table), ["a"]);
+}
+
+/// A worker of a returned zone is slow at first. Tasks prefer others, but don't wait for it.
+#[test]
+fn tasks_prefer_other_workers_to_a_cold_one() {
+    let cold = WorkerReport {
+        cold_ms: 2_000,
+        ..at("north", "a")
+    };
+    let mut fleet = Fleet::new(&[cold, at("south", "b")]);
+    fleet.fold(submitted(1, vec![step(4)]));
+    let open = loaded(Vec::new(), 1);
+    assert_eq!(place_with(&mut fleet, &open), ["b"]);
+    fleet.fold(submitted(2, vec![step(1)]));
+    assert_eq!(place_with(&mut fleet, &open), ["a"]);
+    for index in 0..4 {
+        fleet.fold(ended(task(1, 0, index), 1, EndCause::Done, "b"));
+    }
+    fleet.now = fleet.now + Duration::from_millis(2_100);
+    fleet.fold(submitted(3, vec![step(8)]));
+    assert_eq!(place_with(&mut fleet, &open), ["a", "b"]);
+}
