Accept an optional number as a setting

Cause: a template of a deployment renders a value that the deployment lacks as an empty text, which no number accepts. Change: Kind::OptionalNumber, empty for none, as flag, variable or default; Values::optional_millis. Ruled out: a range that includes zero for none, since the text would still be empty. The demo program of these tests has one setting more, hence one row more in two of them.

--- a/crates/agate_settings/src/describe.rs
+++ b/crates/agate_settings/src/describe.rs
@@ -9,6 +9,8 @@
 pub enum Kind {
     /// A whole number within a range.
     Number(RangeInclusive<u64>),
+    /// A whole number within a range, or empty for none.
+    OptionalNumber(RangeInclusive<u64>),
     /// An IP address and a port.
     Address,
     /// Addresses joined by commas; may be empty.
--- a/crates/agate_settings/src/value.rs
+++ b/crates/agate_settings/src/value.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Value {
     Number(u64),
+    OptionalNumber(Option<u64>),
     Address(SocketAddr),
     Addresses(Vec<SocketAddr>),
     Text(String),
@@ -28,7 +29,11 @@
         findings: &mut Findings,
     ) -> Option<Self> {
         let parsed = match &setting.kind {
-            Kind::Number(range) => parse_number(text, range),
+            Kind::Number(range) => parse_number(text, range).map(Self::Number),
+            Kind::OptionalNumber(_) if text.is_empty() => Ok(Self::OptionalNumber(None)),
+            Kind::OptionalNumber(range) => {
+                parse_number(text, range).map(|number| Self::OptionalNumber(Some(number)))
+            }
             Kind::Address => parse_address(text).map(Self::Address),
             Kind::Addresses => parse_list(text, parse_address).map(Self::Addresses),
             Kind::Name => parse_name(text).map(Self::Text),
@@ -44,7 +49,8 @@
 impl fmt::Display for Value {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Number(number) => number.fmt(f),
+            Self::Number(number) | Self::OptionalNumber(Some(number)) => number.fmt(f),
+            Self::OptionalNumber(None) => Ok(()),
             Self::Address(address) => address.fmt(f),
             Self::Addresses(list) => {
                 let list: Vec<String> = list.iter().map(ToString::to_string).collect();
@@ -57,9 +63,9 @@
     }
 }
 
-fn parse_number(text: &str, range: &std::ops::RangeInclusive<u64>) -> Result<Value, String> {
+fn parse_number(text: &str, range: &std::ops::RangeInclusive<u64>) -> Result<u64, String> {
     match text.parse() {
-        Ok(number) if range.contains(&number) => Ok(Value::Number(number)),
+        Ok(number) if range.contains(&number) => Ok(number),
         _ => Err(format!(
             "expected a whole number from {} to {}, found {text:?}",
             range.start(),
--- a/crates/agate_settings/src/values.rs
+++ b/crates/agate_settings/src/values.rs
@@ -58,6 +58,14 @@
         Duration::from_millis(self.number(setting))
     }
 
+    /// Returns an optional number of milliseconds as a duration.
+    pub fn optional_millis(&self, setting: S) -> Option<Duration> {
+        let Value::OptionalNumber(number) = self.value(setting) else {
+            panic_on_kind_mismatch(setting)
+        };
+        number.map(Duration::from_millis)
+    }
+
     /// Returns an address.
     pub fn address(&self, setting: S) -> SocketAddr {
         let Value::Address(address) = self.value(setting) else {
--- a/crates/agate_settings/tests/load.rs
+++ b/crates/agate_settings/tests/load.rs
@@ -11,6 +11,7 @@
     Seeds,
     Level,
     Token,
+    Bound,
 }
 
 impl Describe for Demo {
@@ -56,6 +57,14 @@
                 kind: Kind::Secret,
                 default: Some("0123456789abcdef"),
             },
+            Self::Bound => Setting {
+                flag: "bound-ms",
+                variable: "DEMO_BOUND_MS",
+                about: "Bound of an optional mechanism",
+                unit: "milliseconds",
+                kind: Kind::OptionalNumber(10..=90),
+                default: Some(""),
+            },
         }
     }
 }
@@ -83,6 +92,30 @@
     assert!(values.addresses(Demo::Seeds).is_empty());
 }
 
+/// A template leaves a value empty where a deployment lacks it.
+#[rstest]
+#[case::absent(&["--listen", "127.0.0.1:1"], None)]
+#[case::empty_flag(&["--listen", "127.0.0.1:1", "--bound-ms="], None)]
+#[case::flag(&["--listen", "127.0.0.1:1", "--bound-ms=50"], Some(50))]
+fn an_optional_number_may_be_empty(#[case] args: &[&str], #[case] expected: Option<u64>) {
+    let values = run(args, &[]).expect("settings are valid").values;
+    let bound = values.optional_millis(Demo::Bound);
+    assert_eq!(bound, expected.map(std::time::Duration::from_millis));
+    let values = run(&args[..2], &[("DEMO_BOUND_MS", "")]).expect("settings are valid");
+    assert_eq!(values.values.optional_millis(Demo::Bound), None);
+}
+
+#[rstest]
+#[case::text("x")]
+#[case::out_of_range("9")]
+#[case::space(" ")]
+fn an_invalid_optional_number_is_reported(#[case] text: &str) {
+    let stop = run(&["--listen", "127.0.0.1:1"], &[("DEMO_BOUND_MS", text)]);
+    let stop = stop.expect_err("the number is invalid");
+    let expected = format!("DEMO_BOUND_MS: expected a whole number from 10 to 90, found {text:?}");
+    assert_eq!(stop.text.trim_end(), expected);
+}
+
 #[test]
 fn every_finding_is_reported_with_its_place() {
     let stop = run(
@@ -119,6 +152,7 @@
     seeds= source=default
     log-level=info source=default
     token=(hidden) source=flag
+    bound-ms= source=default
     ");
     assert_eq!(stop.code, 0);
 }
@@ -146,8 +180,9 @@
         .lines()
         .filter(|line| line.starts_with("| `--"))
         .count();
-    assert_eq!(rows, 5);
+    assert_eq!(rows, 6);
     assert!(page.contains(
         "| `--slots` | `DEMO_SLOTS` | requests | 1 to 64 | `8` | Requests worked on at once |"
     ));
+    assert!(page.contains("| milliseconds | 10 to 90, or empty | empty |"));
 }
