Follow the withdrawn zones in entries and agents

Cause: the decisions on withdrawn zones had no caller. Change: the follower of the configuration feeds a zone table in each entry, and the leader passes it to the scheduler in each round. Agents follow the stream themselves and check each start: an order in a withdrawn zone is recorded as refused, and one without a recent complete read waits (zones_not_loaded, zones_stale). Gauges for each zone, and lines at request, last run and return. Reports say how long a worker stays cold. Ruled out: reading the zones in each worker's tasks; one follower serves all workers of an agent.

--- a/crates/agate_node/src/agent/client.rs
+++ b/crates/agate_node/src/agent/client.rs
@@ -29,6 +29,8 @@
     pub capacity: Resources,
     /// Its labels: kind and rack.
     pub labels: Vec<String>,
+    /// Time for which it stays slow after its start, in milliseconds.
+    pub cold_ms: u64,
 }
 
 /// A run to be started.
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -9,6 +9,7 @@
 use super::client::{CallError, Rejection, StartOrder, StartReply};
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::waiting::WaitReason;
+use super::zones::{self, Verdict};
 use super::{ends, pacing};
 use crate::clock;
 use crate::metrics::Event;
@@ -121,6 +122,10 @@
         refuse(worker, state, &order, EndCause::Refused);
         return Ok(());
     }
+    if zones::check_start(worker, state, &order)? == Verdict::Return {
+        refuse(worker, state, &order, EndCause::Refused);
+        return Ok(());
+    }
     let now = clock::boottime();
     let (Some(until), Some(reading)) = (worker.lease_limit(state), state.clock) else {
         return Err(WaitReason::NoLease);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -16,6 +16,7 @@
 use super::pacing::Pacing;
 use super::stall::Progress;
 use super::waiting::WaitingOrders;
+use super::zones::ZoneWatch;
 use crate::clock;
 
 /// Factor from time on a clock that runs two percent slow, the slowest allowed, to real time.
@@ -57,6 +58,8 @@
 pub(super) struct ManagedWorker {
     pub context: AgentContext,
     pub client: Arc<dyn WorkerClient>,
+    /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
+    pub zones: Option<Arc<ZoneWatch>>,
     /// Notified when orders, suspicion or state have changed.
     pub changed: Notify,
     state: Mutex<State>,
@@ -67,6 +70,10 @@
 pub(super) struct State {
     pub incarnation: WorkerIncarnation,
     pub heartbeat: Heartbeat,
+    /// Boot time until which the worker is slow after its start.
+    pub cold_until: Duration,
+    /// Whether reports say how long the worker stays slow.
+    pub reports_cold: bool,
     pub status: WorkerState,
     pub orders: HashMap<TaskKey, Order>,
     pub waiting: WaitingOrders,
@@ -105,7 +112,7 @@
 }
 
 impl ManagedWorker {
-    pub fn new(context: AgentContext, heartbeat: Heartbeat) -> Self {
+    pub fn new(context: AgentContext, zones: Option<Arc<ZoneWatch>>, heartbeat: Heartbeat) -> Self {
         let client = (context.dial)(&heartbeat.address);
         let lease = lease::duration(context.max_lease);
         let state = State {
@@ -115,6 +122,8 @@
                 term: 0,
             },
             status: status_of(&heartbeat),
+            cold_until: clock::boottime() + Duration::from_millis(heartbeat.cold_ms),
+            reports_cold: zones.is_some(),
             heartbeat,
             orders: HashMap::new(),
             waiting: WaitingOrders::default(),
@@ -134,6 +143,7 @@
         Self {
             context,
             client,
+            zones,
             changed: Notify::new(),
             state: Mutex::new(state),
         }
@@ -168,6 +178,7 @@
         if self.status == WorkerState::Ready && !self.unreachable {
             self.status = status_of(&heartbeat);
         }
+        self.cold_until = clock::boottime() + Duration::from_millis(heartbeat.cold_ms);
         self.heartbeat = heartbeat;
         was != (
             self.status,
@@ -261,8 +272,16 @@
             acked_suspicion: self.suspicion.as_ref().map_or(0, |s| s.number),
             headroom: self.pacing.headroom(),
             interference: self.pacing.interference(),
+            cold_ms: self.cold_ms(),
         }
     }
+
+    fn cold_ms(&self) -> u64 {
+        if !self.reports_cold {
+            return 0;
+        }
+        clock::millis(self.cold_until.saturating_sub(clock::boottime()))
+    }
 }
 
 const fn status_of(heartbeat: &Heartbeat) -> WorkerState {
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -13,6 +13,7 @@
 mod report;
 mod stall;
 mod waiting;
+mod zones;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
     WorkerClient,
 };
 pub use registry::WorkerRegistry;
+pub use zones::WithdrawalSettings;
 
 use crate::appender::Appender;
 use crate::metrics::Metrics;
@@ -45,6 +47,8 @@
     pub dial: Dial,
     /// Longest lease that workers grant.
     pub max_lease: Duration,
+    /// Settings of the check against withdrawn zones; `None` if the deployment has no withdrawal.
+    pub withdrawal: Option<WithdrawalSettings>,
     /// Cancelled when a task of the agent has failed too often.
     pub failed: CancellationToken,
 }
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -9,6 +9,7 @@
 
 use super::client::Heartbeat;
 use super::managed::ManagedWorker;
+use super::zones::{self, ZoneWatch};
 use super::{AgentContext, execute, follow, renewal, report};
 
 /// A worker and the token that stops its tasks.
@@ -22,14 +23,25 @@
 #[derive(Debug)]
 pub struct WorkerRegistry {
     context: AgentContext,
+    /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
+    zones: Option<Arc<ZoneWatch>>,
+    /// Stops the follower of the zones.
+    stop: CancellationToken,
     workers: Mutex<HashMap<String, RegisteredWorker>>,
 }
 
 impl WorkerRegistry {
-    /// Creates an empty registry.
+    /// Creates an empty registry, and follows the withdrawn zones if the settings ask for it.
     pub fn new(context: AgentContext) -> Self {
+        let stop = CancellationToken::new();
+        let watch = context.withdrawal.map(ZoneWatch::new).map(Arc::new);
+        if let Some(watch) = &watch {
+            follow_zones(&context, watch, &stop);
+        }
         Self {
             context,
+            zones: watch,
+            stop,
             workers: Mutex::default(),
         }
     }
@@ -85,8 +97,9 @@
         }
     }
 
-    /// Stops all tasks for the workers without notifying them, as the end of the process does.
+    /// Stops all tasks of the agent without notifying them, as the end of the process does.
     pub fn detach_all(&self) {
+        self.stop.cancel();
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
         for (_, registered) in workers.drain() {
             registered.stop.cancel();
@@ -94,7 +107,11 @@
     }
 
     fn register(&self, heartbeat: Heartbeat) -> RegisteredWorker {
-        let worker = Arc::new(ManagedWorker::new(self.context.clone(), heartbeat));
+        let worker = Arc::new(ManagedWorker::new(
+            self.context.clone(),
+            self.zones.clone(),
+            heartbeat,
+        ));
         log_found(&worker);
         let stop = CancellationToken::new();
         let mut tree = Supervisor::new("worker", Policy::default());
@@ -157,6 +174,19 @@
     });
 }
 
+fn follow_zones(context: &AgentContext, watch: &Arc<ZoneWatch>, stop: &CancellationToken) {
+    let mut tree = Supervisor::new("zones", Policy::default());
+    let (shared, watch) = (context.clone(), Arc::clone(watch));
+    tree.child("zones", Restart::Transient, move |stop| {
+        let task = zones::follow(shared.clone(), Arc::clone(&watch));
+        async move {
+            stop.run_until_cancelled(task).await;
+            Ok(())
+        }
+    });
+    tokio::spawn(run(tree, stop.clone(), context.failed.clone()));
+}
+
 async fn run(tree: Supervisor, stop: CancellationToken, failed: CancellationToken) {
     if let Err(escalation) = tree.run(stop).await {
         log::error!(event = "worker_tasks_failed", cause:% = escalation; "");
--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -31,6 +31,11 @@
     NoLease,
     /// The lease ends too soon for a start.
     ShortLease,
+    /// The withdrawn zones have not been read since this agent started or since their history was
+    /// dropped.
+    ZonesNotLoaded,
+    /// The withdrawn zones have not been read to their end recently enough.
+    ZonesStale,
 }
 
 impl WaitReason {
--- a/crates/agate_node/src/entry/callers.rs
+++ b/crates/agate_node/src/entry/callers.rs
@@ -80,7 +80,7 @@
         let Ok(Ok(newest)) = newest else {
             return Err(Answer::Refused);
         };
-        config::apply(self, &newest.records);
+        config::apply_load(self, &newest);
         let table = self.routes();
         if table.version == 0 {
             return Err(Answer::Refused);
--- a/crates/agate_node/src/entry/config.rs
+++ b/crates/agate_node/src/entry/config.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::sleep;
 
-use super::Entry;
+use super::{Entry, zones};
 use crate::outage::OutageMonitor;
-use crate::store::{ReadError, StoredRecord, Stream};
+use crate::store::{NewestRecords, ReadError, StoredRecord, Stream};
 
 /// Longest wait of a read for new records. Together with the timeout of the call it stays well
 /// below 2.5 s, the shortest time in which a configuration has to be in force.
@@ -29,7 +29,7 @@
     loop {
         match entry.context.log.newest(Stream::Config).await {
             Ok(newest) => {
-                apply(entry, &newest.records);
+                apply_load(entry, &newest);
                 return newest.end;
             }
             Err(error) => {
@@ -56,7 +56,8 @@
                     return;
                 }
                 next += page.records.len() as u64;
-                apply(entry, &page.records);
+                apply_routes(entry, &page.records);
+                zones::apply_page(entry, &page.records, next);
             }
             Err(ReadError::Deleted) => return,
             Err(error) => {
@@ -67,8 +68,14 @@
     }
 }
 
+/// Applies the newest records. Loads and reads may be applied in any order.
+pub(super) fn apply_load(entry: &Entry, newest: &NewestRecords) {
+    apply_routes(entry, &newest.records);
+    zones::apply_load(entry, newest);
+}
+
 /// Activates the newest route table. An older one never replaces it.
-pub(super) fn apply(entry: &Entry, records: &[StoredRecord]) {
+fn apply_routes(entry: &Entry, records: &[StoredRecord]) {
     for stored in records {
         match (entry.context.parse_routes)(stored) {
             Ok(Some(table)) => activate(entry, table),
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -3,6 +3,7 @@
 mod election;
 mod schedule;
 mod takeover;
+mod zones;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -115,6 +116,7 @@
     };
     let deposed = leadership.run(outcomes, stop).await;
     entry.view().is_leader = false;
+    entry.context.metrics.clear_zone_runs();
     if deposed {
         entry.context.metrics.count(Event::LeaderLost);
     }
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, heartbeat_record};
+use super::{HEARTBEAT_PERIOD, heartbeat_record, zones};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -105,7 +105,9 @@
     fn step(&mut self) {
         let now = clock::now();
         let wall_ms = wall::wall_millis();
+        zones::update(&self.entry, &mut self.scheduler);
         let placed = self.decide(now, wall_ms);
+        zones::report(&self.entry, &mut self.scheduler, self.epoch);
         for placed in placed {
             self.entry.context.metrics.count(Event::TaskBound);
             log::info!(
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod lead;
 mod shared;
 mod writers;
+mod zones;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::appender::{Appender, Urgency};
 use crate::metrics::Metrics;
 use crate::store::{KeyedLog, StoredRecord};
+use crate::zones::ParseZone;
 
 /// Parses a route table from a record of the configuration stream; returns `None` for other
 /// records.
@@ -37,6 +39,8 @@
     pub metrics: Arc<Metrics>,
     /// Parses route tables.
     pub parse_routes: ParseRoutes,
+    /// Parses requests about zones; `None` if the deployment has no withdrawal of zones.
+    pub parse_zone: Option<ParseZone>,
     /// Longest lease that workers grant.
     pub max_lease: Duration,
     /// Time for which the final state of a job is kept.
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -12,6 +12,7 @@
 
 use super::EntryContext;
 use super::continuity::ReadContinuity;
+use super::zones::EntryZones;
 use crate::appender::Appender;
 
 /// An entry.
@@ -20,6 +21,8 @@
     pub(super) context: EntryContext,
     pub(super) appender: Appender,
     pub(super) routes: watch::Sender<Arc<RouteTable>>,
+    /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
+    pub(super) zones: Option<EntryZones>,
     /// Offset up to which the main stream is folded.
     pub(super) folded: watch::Sender<u64>,
     /// Notified when changes are pending for the scheduler.
@@ -49,6 +52,7 @@
 impl Entry {
     pub(super) fn new(context: EntryContext, appender: Appender) -> Self {
         Self {
+            zones: context.parse_zone.map(EntryZones::new),
             context,
             appender,
             routes: watch::Sender::new(Arc::default()),
--- a/crates/agate_node/src/lib.rs
+++ b/crates/agate_node/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod metrics;
 mod outage;
 pub mod store;
+mod zones;
 
 pub use appender::{Appender, AppenderError, Urgency};
+pub use zones::ParseZone;
--- a/crates/agate_node/src/metrics.rs
+++ b/crates/agate_node/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -34,6 +35,8 @@
     OrderOverdue,
     /// An order for an earlier term was settled by the agent.
     OrderAbandoned,
+    /// An order was returned because the worker's zone is withdrawn.
+    ZoneRefused,
     /// The end of a run was recorded.
     EndRecorded,
     /// The pace of a best-effort task was changed.
@@ -55,11 +58,26 @@
     event: Event,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ZoneLabel {
+    zone: String,
+}
+
+impl ZoneLabel {
+    fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.to_owned(),
+        }
+    }
+}
+
 /// The metrics of a process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     events: Family<EventLabel, Counter>,
+    zone_withdrawn: Family<ZoneLabel, Gauge>,
+    zone_runs: Family<ZoneLabel, Gauge>,
     /// Time until a caller was answered, in seconds.
     pub answer_seconds: Histogram,
     /// Time until an append was answered, in seconds.
@@ -74,6 +92,8 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("agatenotch"),
             events: Family::default(),
+            zone_withdrawn: Family::default(),
+            zone_runs: Family::default(),
             answer_seconds: histogram(),
             append_seconds: histogram(),
             start_seconds: histogram(),
@@ -101,6 +121,28 @@
         self.events.get_or_create(&EventLabel { event }).get()
     }
 
+    /// Sets whether a zone is withdrawn.
+    pub fn set_zone_withdrawn(&self, zone: &str, withdrawn: bool) {
+        let gauge = self.zone_withdrawn.get_or_create(&ZoneLabel::new(zone));
+        gauge.set(i64::from(withdrawn));
+    }
+
+    /// Sets the number of runs that are left in a withdrawn zone.
+    pub fn set_zone_runs(&self, zone: &str, runs: usize) {
+        let gauge = self.zone_runs.get_or_create(&ZoneLabel::new(zone));
+        gauge.set(i64::try_from(runs).unwrap_or(i64::MAX));
+    }
+
+    /// Removes the gauge of the runs of a zone.
+    pub fn remove_zone_runs(&self, zone: &str) {
+        self.zone_runs.remove(&ZoneLabel::new(zone));
+    }
+
+    /// Removes the gauges of the runs of all zones.
+    pub fn clear_zone_runs(&self) {
+        self.zone_runs.clear();
+    }
+
     /// Returns the registry, from which the metrics are exported as text.
     pub const fn registry(&self) -> &Registry {
         &self.registry
@@ -109,6 +151,16 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("events", "Events by kind", self.events.clone());
+        registry.register(
+            "zone_withdrawn",
+            "Whether a zone is withdrawn",
+            self.zone_withdrawn.clone(),
+        );
+        registry.register(
+            "zone_runs",
+            "Runs left in a withdrawn zone",
+            self.zone_runs.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time until a caller was answered",
--- a/crates/agate_node/tests/it/diagnosis.rs
+++ b/crates/agate_node/tests/it/diagnosis.rs
@@ -29,14 +29,14 @@
     fn flush(&self) {}
 }
 
-fn capture_logs() {
+pub(crate) fn capture_logs() {
     // Another test in the same process may have set the logger.
     let _ = log::set_logger(&LINES);
     log::set_max_level(LevelFilter::Info);
 }
 
 /// Returns the positions of the lines that contain all `fragments`.
-fn lines_with(fragments: &[&str]) -> Vec<usize> {
+pub(crate) fn lines_with(fragments: &[&str]) -> Vec<usize> {
     let lines = LINES.0.lock().unwrap_or_else(PoisonError::into_inner);
     let holds = |line: &String| fragments.iter().all(|fragment| line.contains(fragment));
     let found = lines.iter().enumerate().filter(|(_, line)| holds(line));
--- a/crates/agate_node/tests/it/orders.rs
+++ b/crates/agate_node/tests/it/orders.rs
@@ -11,7 +11,7 @@
 use crate::support::{Caller as _, Cluster, FakeLog, job_id, one_task_job, wait_until};
 
 /// Returns an order to start the task of [`one_task_job`] on the first incarnation of a worker.
-fn start_order(worker: &str, term: u32, run: u32) -> Record {
+pub(crate) fn start_order(worker: &str, term: u32, run: u32) -> Record {
     let step = &one_task_job().steps[0];
     Record::new(Body::Order(Order {
         incarnation: WorkerIncarnation {
@@ -41,7 +41,7 @@
     }))
 }
 
-fn put(log: &FakeLog, worker: &str, record: &Record) {
+pub(crate) fn put(log: &FakeLog, worker: &str, record: &Record) {
     let value = record.value().expect("the record can be written");
     log.put(order_stream(worker, ORDER_STREAMS), &record.key, &value);
 }
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -5,12 +5,13 @@
 
 use agate_core::{JobId, Resources};
 use agate_jobs::route::{Route, RouteTable};
+use agate_jobs::zones::ZoneRecord;
 use agate_jobs::{JobSpec, QueuePolicy, StepSpec};
-use agate_node::agent::{AgentContext, WorkerRegistry};
+use agate_node::agent::{AgentContext, WithdrawalSettings, WorkerRegistry};
 use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef};
 use agate_node::metrics::Metrics;
 use agate_node::store::{StoredRecord, Stream};
-use agate_node::{Appender, Urgency};
+use agate_node::{Appender, ParseZone, Urgency};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -21,6 +22,9 @@
 /// Longest lease of the workers.
 pub(crate) const MAX_LEASE: Duration = Duration::from_secs(6);
 
+/// Time from a withdrawal until nothing may start in the zone.
+pub(crate) const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
 /// Time within which a run continues elsewhere after the loss of its worker.
 pub(crate) const MAX_REPLACE_TIME: Duration = Duration::from_secs(9);
 
@@ -30,6 +34,8 @@
 /// A log with one queue, and the processes that use it.
 pub(crate) struct Cluster {
     pub log: FakeLog,
+    /// Whether entries read requests about zones.
+    parse_zone: Option<ParseZone>,
     stop: CancellationToken,
     tasks: TaskTracker,
 }
@@ -40,15 +46,23 @@
         log.put(Stream::Config, "config", b"1");
         Self {
             log,
+            parse_zone: None,
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
         }
     }
 
+    /// Creates a cluster whose entries read requests about zones.
+    pub(crate) fn with_zones() -> Self {
+        let mut cluster = Self::new();
+        cluster.parse_zone = Some(parse_zone);
+        cluster
+    }
+
     /// Starts an entry. The first one becomes the leader.
     pub(crate) async fn entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
         let resign = CancellationToken::new();
-        let started = entry::build(entry_context(name, log), &resign);
+        let started = entry::build(self.entry_context(name, log), &resign);
         let entry = self.run(started, &self.stop);
         wait_until("the entry is ready", || entry.is_ready()).await;
         entry
@@ -57,12 +71,24 @@
     /// Starts an entry that stops when `stop` is cancelled.
     pub(crate) async fn stoppable_entry(&self, name: &str, stop: &CancellationToken) -> Arc<Entry> {
         let log = self.log.client();
-        let started = entry::build(entry_context(name, log), stop);
+        let started = entry::build(self.entry_context(name, log), stop);
         let entry = self.run(started, stop);
         wait_until("the entry is ready", || entry.is_ready()).await;
         entry
     }
 
+    fn entry_context(&self, name: &str, log: FakeLog) -> EntryContext {
+        EntryContext {
+            name: name.to_owned(),
+            log: Arc::new(log),
+            metrics: Arc::new(Metrics::default()),
+            parse_routes,
+            parse_zone: self.parse_zone,
+            max_lease: MAX_LEASE,
+            state_retention: Duration::from_mins(2),
+        }
+    }
+
     fn run(&self, started: entry::BuiltEntry, stop: &CancellationToken) -> Arc<Entry> {
         self.tasks.spawn(started.supervisor.run(stop.clone()));
         started.entry
@@ -70,6 +96,19 @@
 
     /// Starts an agent.
     pub(crate) fn agent(log: FakeLog) -> WorkerRegistry {
+        Self::agent_with(log, None)
+    }
+
+    /// Starts an agent that checks starts against withdrawn zones.
+    pub(crate) fn zone_agent(log: FakeLog) -> WorkerRegistry {
+        let settings = WithdrawalSettings {
+            bound: WITHDRAWAL_BOUND,
+            parse_zone,
+        };
+        Self::agent_with(log, Some(settings))
+    }
+
+    fn agent_with(log: FakeLog, withdrawal: Option<WithdrawalSettings>) -> WorkerRegistry {
         let log = Arc::new(log);
         let metrics = Arc::new(Metrics::default());
         WorkerRegistry::new(AgentContext {
@@ -82,6 +121,7 @@
             metrics,
             dial: FakeWorker::dial,
             max_lease: MAX_LEASE,
+            withdrawal,
             failed: CancellationToken::new(),
         })
     }
@@ -101,20 +141,27 @@
     }
 }
 
-fn entry_context(name: &str, log: FakeLog) -> EntryContext {
-    EntryContext {
-        name: name.to_owned(),
-        log: Arc::new(log),
-        metrics: Arc::new(Metrics::default()),
-        parse_routes,
-        max_lease: MAX_LEASE,
-        state_retention: Duration::from_mins(2),
+/// Parses a request about a zone, whose key is `zone/` and the name.
+fn parse_zone(stored: &StoredRecord) -> Result<Option<ZoneRecord>, String> {
+    let Some(zone) = stored.key.strip_prefix("zone/") else {
+        return Ok(None);
+    };
+    if zone.is_empty() {
+        return Err("the zone is empty".to_owned());
     }
+    Ok(Some(ZoneRecord {
+        offset: stored.offset,
+        zone: zone.to_owned(),
+        withdrawn: !stored.value.is_empty(),
+    }))
 }
 
 /// Parses a configuration, which is just a version number. There is one queue, and a second one
 /// from version 2 on.
 fn parse_routes(stored: &StoredRecord) -> Result<Option<RouteTable>, String> {
+    if stored.key != "config" {
+        return Ok(None);
+    }
     let text = std::str::from_utf8(&stored.value).map_err(|error| error.to_string())?;
     let version: u64 = text.parse().map_err(|_error| "not a version".to_owned())?;
     let queues = if version > 1 { 2 } else { 1 };
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -35,6 +35,8 @@
     RefusesAppends,
     /// Rejects appends after [`REJECTION_TIME`], but answers reads.
     RejectsSlowly,
+    /// Refuses reads of the configuration only.
+    RefusesConfig,
     /// Neither appends nor answers within [`APPEND_TIMEOUT`].
     Silent,
 }
@@ -55,6 +57,7 @@
     news: Arc<Notify>,
     fault: Arc<Mutex<Fault>>,
     attempts: Arc<AtomicUsize>,
+    config_reads: Arc<AtomicUsize>,
 }
 
 impl FakeLog {
@@ -65,6 +68,7 @@
             news: Arc::clone(&self.news),
             fault: Arc::default(),
             attempts: Arc::default(),
+            config_reads: Arc::default(),
         }
     }
 
@@ -108,6 +112,32 @@
         self.attempts.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of reads of the configuration that this client has attempted.
+    pub(crate) fn config_reads(&self) -> usize {
+        self.config_reads.load(Ordering::Relaxed)
+    }
+
+    /// Returns the values of a stream's records, oldest first.
+    pub(crate) fn values(&self, stream: Stream) -> Vec<Vec<u8>> {
+        let shared = self.shared.lock().expect("the lock is not poisoned");
+        let records = shared.streams.get(&stream).into_iter().flatten();
+        records.map(|entry| entry.value.clone()).collect()
+    }
+
+    fn count_read(&self, stream: Stream) {
+        let is_config = stream == Stream::Config;
+        self.config_reads
+            .fetch_add(usize::from(is_config), Ordering::Relaxed);
+    }
+
+    fn refuses_read(&self, stream: Stream) -> bool {
+        match self.fault() {
+            Fault::RefusesAll => true,
+            Fault::RefusesConfig => stream == Stream::Config,
+            _ => false,
+        }
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().expect("the lock is not poisoned")
     }
@@ -198,11 +228,12 @@
     }
 
     async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        self.count_read(stream);
         sleep(CALL_TIME).await;
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let news = self.news.notified();
-            if self.fault() == Fault::RefusesAll {
+            if self.refuses_read(stream) {
                 return Err(ReadError::Unavailable("refused".to_owned()));
             }
             let page = {
@@ -217,8 +248,9 @@
     }
 
     async fn newest(&self, stream: Stream) -> Result<NewestRecords, ReadError> {
+        self.count_read(stream);
         sleep(CALL_TIME).await;
-        if self.fault() == Fault::RefusesAll {
+        if self.refuses_read(stream) {
             return Err(ReadError::Unavailable("refused".to_owned()));
         }
         let shared = self.shared.lock().expect("the lock is not poisoned");
--- a/crates/agate_node/tests/it/support/mod.rs
+++ b/crates/agate_node/tests/it/support/mod.rs
@@ -4,6 +4,8 @@
 mod log;
 mod worker;
 
-pub(crate) use cluster::{Caller, Cluster, MAX_REPLACE_TIME, job_id, one_task_job, wait_until};
+pub(crate) use cluster::{
+    Caller, Cluster, MAX_REPLACE_TIME, WITHDRAWAL_BOUND, job_id, one_task_job, wait_until,
+};
 pub(crate) use log::{FakeLog, Fault};
 pub(crate) use worker::{Behavior, FakeWorker};
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -22,6 +22,9 @@
 /// Duration of a slow stop.
 const STOP_TIME: Duration = Duration::from_millis(400);
 
+/// Delay of a late start, longer than its deadline allows.
+const LATE_START_TIME: Duration = Duration::from_secs(2);
+
 /// How the worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Behavior {
@@ -34,6 +37,8 @@
     IgnoresStarts,
     /// Executes starts, but doesn't answer them.
     LosesStartReplies,
+    /// Executes starts only after [`LATE_START_TIME`].
+    StartsLate,
     /// Tasks use processor time without making progress.
     Stalls,
     /// Takes long to answer stops.
@@ -121,6 +126,7 @@
             address: address.to_owned(),
             capacity: Resources::new(4_000, 1_000, 0),
             labels: vec!["a".to_owned()],
+            cold_ms: 0,
         }
     }
 
@@ -254,6 +260,9 @@
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
         self.ensure_reachable().await?;
+        if self.state().behavior == Behavior::StartsLate {
+            sleep(LATE_START_TIME).await;
+        }
         let mut state = self.state();
         state.advance();
         match state.behavior {
