Keep the count of a withdrawn zone when another one changes

Cause: tasks_run_in_the_zones_that_are_left failed: a zone was reported as empty twice, since each change of the set discarded all counts. Change: a zone with the same request keeps its count.

--- a/crates/agate_jobs/src/plan/withdrawal.rs
+++ b/crates/agate_jobs/src/plan/withdrawal.rs
@@ -170,20 +170,19 @@
     fn replace_zones(&mut self, table: &ZoneTable) {
         let runs = self.bound_runs_by_zone();
         let runs_of = |zone: &str| runs.get(zone).copied().unwrap_or(0);
-        let withdrawn: BTreeMap<String, WithdrawnZone> = table
-            .withdrawn()
-            .map(|(zone, offset)| (zone.to_owned(), WithdrawnZone { offset, runs: None }))
-            .collect();
-        let changes = &mut self.withdrawal.changes;
         let before = self.withdrawal.known.take();
-        for (zone, state) in &withdrawn {
-            if before
-                .get(zone)
-                .is_none_or(|old| old.offset != state.offset)
-            {
+        let mut withdrawn = BTreeMap::new();
+        let changes = &mut self.withdrawal.changes;
+        for (zone, offset) in table.withdrawn() {
+            let known = before.get(zone).filter(|known| known.offset == offset);
+            let state = known
+                .copied()
+                .unwrap_or(WithdrawnZone { offset, runs: None });
+            withdrawn.insert(zone.to_owned(), state);
+            if known.is_none() {
                 changes.push(ZoneChange::Withdrawn {
-                    zone: zone.clone(),
-                    offset: state.offset,
+                    zone: zone.to_owned(),
+                    offset,
                     runs: runs_of(zone),
                 });
             }
