Describe the withdrawal of a zone to operators

Cause: the new setting, events, gauges and promises had no pages. The check of metrics expects the two new gauges, and the check of platform names also covers evacuate and coldRemainingMs.

--- a/crates/agate_docs/tests/operate.rs
+++ b/crates/agate_docs/tests/operate.rs
@@ -129,7 +129,7 @@
     let page = read("docs/OPERATIONS.md");
     let text = read("crates/agate_node/src/metrics.rs").replace([' ', '\n'], "");
     let metrics = names_after(&text, "registry.register(\"");
-    assert_eq!(metrics.len(), 4, "{metrics:?}");
+    assert_eq!(metrics.len(), 6, "{metrics:?}");
     for metric in metrics {
         assert!(page.contains(&format!("agatenotch_{metric}")), "{metric}");
     }
@@ -152,6 +152,8 @@
         "dataRack",
         "antiAffinity",
         "keyed.",
+        "evacuate",
+        "coldRemainingMs",
     ];
     for (path, text) in sources(&root().join(folder)) {
         for name in names {
