Keep the expiry of open suspicions across leaders

Change: the leader's heartbeat lists the open suspicions whose record is stored (`suspects`, omitted when empty). Each entry keeps when it first read each of them, and a new leader counts from that time if incarnation, term and number are those of the stored record.

Ruled out: removing a suspicion as soon as a heartbeat lacks it, since a claim lists none; a wall-clock time in the suspicion record, since clocks of machines differ.

--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -13,7 +13,8 @@
 mod worker;
 
 pub use record::{
-    Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, SuspicionRecord,
+    Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, Suspect,
+    SuspicionRecord,
 };
 pub use route::{Route, RouteTable};
 pub use spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -9,9 +9,11 @@
 mod restore;
 mod scheduler;
 mod suspicion;
+mod suspicion_times;
 mod worker;
 
 pub use effect::Effect;
 pub use last_contact::LastContact;
 pub use scheduler::{Placement, Scheduler};
 pub use suspicion::SUSPECT_AFTER;
+pub use suspicion_times::SuspicionTimes;
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -9,6 +9,7 @@
 use crate::plan::effect::Effect;
 use crate::plan::last_contact::LastContact;
 use crate::plan::scheduler::Scheduler;
+use crate::plan::suspicion_times::SuspicionTimes;
 use crate::plan::worker::Binding;
 use crate::record::{Body, Order, OrderKind, Record, SuspicionRecord};
 use crate::spec::StepSpec;
@@ -16,11 +17,13 @@
 
 impl Scheduler {
     /// Restores the scheduler from the recorded jobs and workers and from the open orders. An
-    /// agent's silence is counted from its last contact.
+    /// agent's silence is counted from its last contact, and the expiry of an open suspicion from the
+    /// time at which a heartbeat first listed it.
     pub fn restore(
         table: &JobTable,
         orders: Vec<Record>,
         last_contact: &LastContact,
+        suspicion_times: &SuspicionTimes,
         now: Moment,
     ) -> Self {
         let mut scheduler = Self::default();
@@ -31,7 +34,10 @@
         let mut open_orders = Vec::new();
         for record in orders {
             match record.body {
-                Some(Body::Suspicion(suspicion)) => scheduler.restore_suspicion(suspicion, now),
+                Some(Body::Suspicion(suspicion)) => {
+                    let stored_at = suspicion_times.get_or(&suspicion, now);
+                    scheduler.restore_suspicion(suspicion, stored_at);
+                }
                 Some(Body::Order(order)) => open_orders.push(order),
                 _ => {}
             }
@@ -49,7 +55,7 @@
         scheduler
     }
 
-    fn restore_suspicion(&mut self, suspicion: SuspicionRecord, now: Moment) {
+    fn restore_suspicion(&mut self, suspicion: SuspicionRecord, stored_at: Moment) {
         let Some(slot) = self.slots.get(&suspicion.incarnation.name).copied() else {
             let name = suspicion.incarnation.name;
             let key = format!("s/{name}");
@@ -58,7 +64,7 @@
         };
         let worker = &mut self.workers[slot];
         if suspicion.incarnation >= worker.suspicion.incarnation {
-            worker.suspected_at = suspicion.suspected.then_some(now);
+            worker.suspected_at = suspicion.suspected.then_some(stored_at);
             worker.suspicion = suspicion;
         }
     }
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -7,7 +7,7 @@
 use crate::lease;
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
-use crate::record::Record;
+use crate::record::{Record, Suspect};
 
 /// Silence after which a worker is suspected. Agents report every 800 ms.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_900);
@@ -15,6 +15,9 @@
 /// Silence after which a worker without bound runs counts as forgotten and is no longer suspected.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// Most suspicions that a heartbeat lists, which keeps it below 40 KB when a zone is lost.
+const MAX_LISTED_SUSPICIONS: usize = 400;
+
 impl Scheduler {
     /// Raises, clears and settles suspicions. `reading_since` is the time since which the main
     /// stream has been read to its end without a gap.
@@ -36,6 +39,25 @@
         }
     }
 
+    /// Returns the open suspicions whose record is stored, the oldest first, for the heartbeat.
+    pub fn stored_suspicions(&self) -> Vec<Suspect> {
+        let suspected = self
+            .workers
+            .iter()
+            .filter(|worker| worker.suspicion.suspected);
+        let mut stored: Vec<_> = suspected
+            .filter_map(|worker| Some((worker.suspected_at?, &worker.suspicion)))
+            .collect();
+        stored.sort_by_key(|(at, _)| *at);
+        let listed = stored.into_iter().take(MAX_LISTED_SUSPICIONS);
+        listed
+            .map(|(_, suspicion)| Suspect {
+                incarnation: suspicion.incarnation.clone(),
+                number: suspicion.number,
+            })
+            .collect()
+    }
+
     /// Drops the records of a worker that has left once no run is bound to it and none of its
     /// reports can still be recorded late.
     fn drop_records(&mut self, slot: usize, now: Moment) {
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -79,6 +79,20 @@
     /// Jobs whose first task has been started since the last heartbeat.
     #[serde(rename = "begun", default, skip_serializing_if = "Vec::is_empty")]
     pub started_jobs: Vec<JobId>,
+    /// Open suspicions whose record was stored before this heartbeat was written.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// An open suspicion of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The suspected incarnation, with its term.
+    #[serde(rename = "life")]
+    pub incarnation: WorkerIncarnation,
+    /// Number of the suspicion.
+    #[serde(rename = "suspicion")]
+    pub number: u64,
 }
 
 /// An instruction to a worker's agent concerning a run.
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -4,7 +4,7 @@
 
 use agate_core::JobId;
 
-use crate::record::{Body, LeaderHeartbeat, Record, RunEnd};
+use crate::record::{Body, LeaderHeartbeat, Record, RunEnd, Suspect};
 use crate::table::{Job, JobState};
 use crate::worker::{WorkerReport, WorkerState};
 
@@ -15,6 +15,8 @@
     pub epoch: u64,
     /// Name of the leading entry; empty if it has resigned or there has been none.
     pub entry: String,
+    /// Open suspicions that the heartbeat lists.
+    pub suspects: Vec<Suspect>,
 }
 
 /// A job in its final state whose other records have been dropped.
@@ -246,6 +248,7 @@
             } else {
                 heartbeat.entry
             },
+            suspects: heartbeat.suspects,
         };
         Change::Leader
     }
--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::plan::{Effect, LastContact, Placement, Scheduler};
+use agate_jobs::plan::{Effect, LastContact, Placement, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
-use agate_jobs::{JobTable, Order, Record, SuspicionRecord, WorkerReport};
+use agate_jobs::{
+    JobTable, LeaderHeartbeat, Order, Record, Suspect, SuspicionRecord, WorkerReport,
+};
 
 /// Lease duration of the workers in these tests.
 pub(crate) const LEASE: Duration = Duration::from_secs(5);
@@ -15,6 +17,8 @@
     pub table: JobTable,
     pub scheduler: Scheduler,
     pub now: Moment,
+    /// Suspicions that the entry of the next leader has read in heartbeats.
+    pub suspicion_times: SuspicionTimes,
     /// All records that the scheduler wrote to the order streams.
     pub orders: Vec<Record>,
 }
@@ -55,10 +59,34 @@
     /// Replaces the scheduler by that of a new leader.
     pub(crate) fn take_over(&mut self) {
         let orders = self.newest_records();
-        self.scheduler = Scheduler::restore(&self.table, orders, &LastContact::default(), self.now);
+        self.scheduler = Scheduler::restore(
+            &self.table,
+            orders,
+            &LastContact::default(),
+            &self.suspicion_times,
+            self.now,
+        );
         self.apply_effects();
     }
 
+    /// Folds a heartbeat of the leader of `epoch` that lists its suspicions.
+    pub(crate) fn send_heartbeat(&mut self, epoch: u64) {
+        let suspects = self.scheduler.stored_suspicions();
+        self.fold_heartbeat(epoch, suspects);
+    }
+
+    /// Folds a heartbeat that lists `suspects`.
+    pub(crate) fn fold_heartbeat(&mut self, epoch: u64, suspects: Vec<Suspect>) {
+        self.table.fold(Record::new(Body::Leader(LeaderHeartbeat {
+            epoch,
+            entry: format!("e{epoch}"),
+            resigns: false,
+            started_jobs: Vec::new(),
+            suspects,
+        })));
+        self.suspicion_times.apply(self.table.leader(), self.now);
+    }
+
     /// Makes `report` the newest one on its worker, as in a table that was loaded after the report
     /// had been recorded late.
     pub(crate) fn reload_worker(&mut self, report: WorkerReport) {
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -8,3 +8,4 @@
 mod support;
 mod suspicion;
 mod table;
+mod takeover;
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agate_jobs::plan::{LastContact, Scheduler};
+use agate_jobs::plan::{LastContact, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState};
 
@@ -121,8 +121,13 @@
     fleet.place();
     let orders = std::mem::take(&mut fleet.orders);
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
-    let mut successor =
-        Scheduler::restore(&fleet.table, orders, &LastContact::default(), fleet.now);
+    let mut successor = Scheduler::restore(
+        &fleet.table,
+        orders,
+        &LastContact::default(),
+        &SuspicionTimes::default(),
+        fleet.now,
+    );
     assert_eq!(successor.bound_runs(), 1);
     assert!(successor.place(&fleet.table, fleet.now, 1_000).is_empty());
     assert_eq!(successor.take_effects().len(), 1, "one order is dropped");
--- a/crates/agate_jobs/tests/jobs/table.rs
+++ b/crates/agate_jobs/tests/jobs/table.rs
@@ -205,6 +205,7 @@
         entry: "e".to_owned(),
         resigns: false,
         started_jobs: vec![JobId(2)],
+        suspects: Vec::new(),
     })));
     assert_eq!(table.pending("moves"), 1);
     assert_eq!(table.pending("other"), 0);
@@ -218,6 +219,7 @@
             entry: entry.to_owned(),
             resigns: false,
             started_jobs: Vec::new(),
+            suspects: Vec::new(),
         }))
     };
     let mut table = JobTable::default();
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -0,0 +1,133 @@
+//! Tests of the expiry of open suspicions across changes of the leader.
+
+use std::time::Duration;
+
+use agate_jobs::record::Body;
+use agate_jobs::{LeaderHeartbeat, Record, Suspect, WorkerIncarnation};
+
+use crate::fleet::{Fleet, LEASE};
+use crate::support::{report, step, submitted};
+
+/// Time from the storage of a suspicion to the loss of the worker's runs.
+const EXPIRY: Duration = LEASE.saturating_add(Duration::from_millis(400));
+
+/// Returns a fleet whose only worker has a run and has just come under suspicion.
+fn suspected_fleet() -> Fleet {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert_eq!(fleet.place().len(), 1);
+    fleet.advance(Duration::from_secs(2));
+    assert!(fleet.suspicions()[0].suspected);
+    fleet
+}
+
+/// Each leader counted the expiry of a recorded suspicion from its own takeover, so that the tasks
+/// of a lost worker waited for one more lease with each change (incident 7).
+#[test]
+fn two_takeovers_do_not_restart_the_expiry_of_a_suspicion() {
+    let mut fleet = suspected_fleet();
+    fleet.send_heartbeat(1);
+    let stored_at = fleet.now;
+    for epoch in [2, 3] {
+        fleet.advance(Duration::from_secs(2));
+        fleet.fold_heartbeat(epoch, Vec::new());
+        fleet.take_over();
+        fleet.send_heartbeat(epoch);
+    }
+    let left = EXPIRY - fleet.now.since(stored_at);
+    fleet.advance(
+        left.checked_sub(Duration::from_millis(300))
+            .expect("a lease is longer"),
+    );
+    assert_eq!(
+        fleet.scheduler.bound_runs(),
+        1,
+        "the lease may not have lapsed yet"
+    );
+    fleet.advance(Duration::from_millis(300));
+    assert_eq!(fleet.scheduler.bound_runs(), 0);
+}
+
+/// Without a heartbeat that lists it, the time at which a suspicion was stored is unknown. Counting
+/// from an earlier time could start a task in two places.
+#[rstest::rstest]
+#[case::heartbeat_lost(None)]
+#[case::other_number(Some((0, 0)))]
+#[case::other_term(Some((1, 1)))]
+fn an_unlisted_suspicion_expires_a_lease_after_the_takeover(#[case] listed: Option<(u32, u64)>) {
+    let mut fleet = suspected_fleet();
+    let suspects = listed.map(|(term, number)| Suspect {
+        incarnation: WorkerIncarnation {
+            term,
+            ..report("a", 1).incarnation
+        },
+        number,
+    });
+    fleet.fold_heartbeat(1, suspects.into_iter().collect());
+    fleet.advance(Duration::from_secs(3));
+    fleet.take_over();
+    fleet.advance(LEASE);
+    assert_eq!(fleet.scheduler.bound_runs(), 1);
+    fleet.advance(Duration::from_millis(400));
+    assert_eq!(fleet.scheduler.bound_runs(), 0);
+}
+
+/// A leader may queue the record of a suspicion and lose the log before it is stored. A heartbeat
+/// that listed it would let its successor count from a time at which the lease was still renewed.
+#[test]
+fn a_heartbeat_lists_only_stored_and_open_suspicions() {
+    let mut fleet = suspected_fleet();
+    assert_eq!(fleet.scheduler.stored_suspicions().len(), 1);
+    let mut answer = report("a", 1);
+    answer.acked_suspicion = 1;
+    fleet.fold(Record::new(Body::Worker(answer)));
+    fleet.advance(Duration::from_millis(1));
+    assert!(
+        fleet.scheduler.stored_suspicions().is_empty(),
+        "it is cleared"
+    );
+    fleet.now = fleet.now + Duration::from_secs(2);
+    let since = agate_core::Moment::ZERO;
+    fleet.scheduler.update_suspicions(fleet.now, since, LEASE);
+    assert!(
+        fleet.scheduler.stored_suspicions().is_empty(),
+        "it is not stored"
+    );
+    fleet.scheduler.suspicion_recorded("a", 2, fleet.now);
+    assert_eq!(fleet.scheduler.stored_suspicions()[0].number, 2);
+}
+
+/// A suspicion that its leader no longer lists is settled, so its time must not accumulate.
+#[test]
+fn the_leader_that_listed_a_suspicion_removes_it() {
+    let mut fleet = suspected_fleet();
+    let record = fleet.suspicions()[0].clone();
+    fleet.send_heartbeat(1);
+    let read_at = fleet.now;
+    fleet.advance(Duration::from_secs(1));
+    let time = |fleet: &Fleet| fleet.suspicion_times.get_or(&record, fleet.now);
+    fleet.fold_heartbeat(2, Vec::new());
+    assert_eq!(time(&fleet), read_at, "a new leader lists nothing at first");
+    fleet.send_heartbeat(2);
+    assert_eq!(time(&fleet), read_at);
+    fleet.fold_heartbeat(2, Vec::new());
+    assert_eq!(time(&fleet), fleet.now);
+}
+
+/// Processes of both versions run during an upgrade.
+#[test]
+fn heartbeats_without_suspicions_are_those_of_older_versions() {
+    let older = br#"{"leader":{"epoch":1,"entry":"e","resigns":false}}"#;
+    let parsed = Record::parse("l".to_owned(), older).expect("it is readable");
+    assert_eq!(
+        parsed.body,
+        Some(Body::Leader(LeaderHeartbeat {
+            epoch: 1,
+            entry: "e".to_owned(),
+            resigns: false,
+            started_jobs: Vec::new(),
+            suspects: Vec::new(),
+        }))
+    );
+    assert_eq!(parsed.value().expect("it is writable"), older);
+}
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -59,6 +59,7 @@
     let mut view = entry.view();
     let now = clock::now();
     view.last_contact = LastContact::from_table(&job_table, now);
+    view.suspicion_times.apply(job_table.leader(), now);
     view.job_table = job_table;
     view.leader_seen_at = now;
     view.is_leader = false;
@@ -145,6 +146,7 @@
     view.last_contact.apply(&change, now);
     if change == Change::Leader {
         view.leader_seen_at = now;
+        view.suspicion_times.apply(view.job_table.leader(), now);
     }
     if view.is_leader && change != Change::None {
         view.pending_changes.push(change);
--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -44,7 +44,7 @@
 pub(super) async fn claim(entry: &Entry) -> Option<(u64, u64)> {
     let epoch = entry.view().job_table.leader().epoch + 1;
     let sequence = rand::rng().random_range(1..u64::from(u32::MAX));
-    let record = heartbeat_record(entry, epoch, Vec::new(), false);
+    let record = heartbeat_record(entry, epoch);
     let value = match record.value() {
         Ok(value) => value,
         Err(error) => {
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -53,17 +53,26 @@
     }
 }
 
-fn heartbeat_record(
-    entry: &Entry,
-    epoch: u64,
-    started_jobs: Vec<agate_core::JobId>,
-    resigns: bool,
-) -> Record {
-    Record::new(Body::Leader(LeaderHeartbeat {
+/// Returns a heartbeat of this entry that lists neither jobs nor suspicions.
+fn heartbeat(entry: &Entry, epoch: u64) -> LeaderHeartbeat {
+    LeaderHeartbeat {
         epoch,
         entry: entry.context.name.clone(),
-        resigns,
-        started_jobs,
+        resigns: false,
+        started_jobs: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn heartbeat_record(entry: &Entry, epoch: u64) -> Record {
+    Record::new(Body::Leader(heartbeat(entry, epoch)))
+}
+
+/// Returns the record with which this entry gives up an epoch before it has scheduled anything.
+fn resignation_record(entry: &Entry, epoch: u64) -> Record {
+    Record::new(Body::Leader(LeaderHeartbeat {
+        resigns: true,
+        ..heartbeat(entry, epoch)
     }))
 }
 
@@ -92,27 +101,32 @@
         view.is_leader = true;
         view.pending_changes.clear();
         view.last_contact.prune(&view.job_table);
-        Scheduler::restore(&view.job_table, orders, &view.last_contact, now)
+        view.suspicion_times.prune(&view.job_table);
+        Scheduler::restore(
+            &view.job_table,
+            orders,
+            &view.last_contact,
+            &view.suspicion_times,
+            now,
+        )
     };
-    // The first placement may take over a second on a slow machine, and the other entries count
-    // the leader's silence meanwhile.
-    writers.write(
-        Stream::Main,
-        heartbeat_record(entry, epoch, Vec::new(), false),
-    );
     entry.context.metrics.count(Event::LeaderTaken);
     log::info!(
         event = "leader_taken", epoch = epoch, runs = scheduler.bound_runs(),
         took_ms = clock::millis(began.elapsed()); ""
     );
-    let leadership = Leadership {
+    let mut leadership = Leadership {
         entry: Arc::clone(entry),
         epoch,
         scheduler,
         writers,
         heartbeat_at: now,
         heartbeat_recorded_at: now,
+        unlisted_since: None,
     };
+    // The first placement may take over a second on a slow machine, and the other entries count
+    // the leader's silence meanwhile.
+    leadership.write_heartbeat();
     let deposed = leadership.run(outcomes, stop).await;
     entry.view().is_leader = false;
     if deposed {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -6,12 +6,12 @@
 use agate_core::{Moment, clock as wall};
 use agate_jobs::plan::{Effect, Placement, Scheduler};
 use agate_jobs::record::Body;
-use agate_jobs::{Record, lease};
+use agate_jobs::{LeaderHeartbeat, Record, lease};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, heartbeat_record};
+use super::{HEARTBEAT_PERIOD, heartbeat};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -48,6 +48,8 @@
     pub writers: StreamWriters,
     pub heartbeat_at: Moment,
     pub heartbeat_recorded_at: Moment,
+    /// Since when a suspicion has been stored that no heartbeat lists yet.
+    pub unlisted_since: Option<Moment>,
 }
 
 impl Leadership {
@@ -93,6 +95,7 @@
             Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = now,
             Outcome::SuspicionRecorded(worker, number) => {
                 self.scheduler.suspicion_recorded(&worker, number, now);
+                self.unlisted_since.get_or_insert(now);
             }
             Outcome::Deposed(stream) => {
                 log::warn!(event = "leader_deposed", epoch = self.epoch, lane:% = stream; "");
@@ -119,13 +122,35 @@
             if now.since(self.heartbeat_recorded_at) < MAX_HEARTBEAT_AGE {
                 self.close_jobs(wall_ms);
             }
-            let started_jobs = self.scheduler.take_started_jobs();
-            let record = heartbeat_record(&self.entry, self.epoch, started_jobs, false);
-            self.writers.write(Stream::Main, record);
+            self.write_heartbeat();
+        } else if self.has_suspicions_to_list(now) {
+            self.write_heartbeat();
         }
         self.write_effects();
     }
 
+    /// Returns whether to list new suspicions before the next regular heartbeat. A successor counts
+    /// their expiry from the heartbeat that lists them, so each wait adds to it.
+    fn has_suspicions_to_list(&self, now: Moment) -> bool {
+        let since = self.unlisted_since;
+        since.is_some_and(|since| now.since(since) >= SCHEDULE_PERIOD)
+    }
+
+    pub fn write_heartbeat(&mut self) {
+        self.unlisted_since = None;
+        let heartbeat = self.heartbeat();
+        self.writers
+            .write(Stream::Main, Record::new(Body::Leader(heartbeat)));
+    }
+
+    fn heartbeat(&mut self) -> LeaderHeartbeat {
+        LeaderHeartbeat {
+            started_jobs: self.scheduler.take_started_jobs(),
+            suspects: self.scheduler.stored_suspicions(),
+            ..heartbeat(&self.entry, self.epoch)
+        }
+    }
+
     fn decide(&mut self, now: Moment, wall_ms: u64) -> Vec<Placement> {
         let entry = Arc::clone(&self.entry);
         let mut view = entry.view();
@@ -210,9 +235,12 @@
     }
 
     async fn resign(mut self) {
-        let started_jobs = self.scheduler.take_started_jobs();
-        let record = heartbeat_record(&self.entry, self.epoch, started_jobs, true);
-        self.writers.write(Stream::Main, record);
+        let heartbeat = LeaderHeartbeat {
+            resigns: true,
+            ..self.heartbeat()
+        };
+        self.writers
+            .write(Stream::Main, Record::new(Body::Leader(heartbeat)));
         if tokio::time::timeout(RESIGN_TIMEOUT, self.writers.finish())
             .await
             .is_err()
--- a/crates/agate_node/src/entry/lead/takeover.rs
+++ b/crates/agate_node/src/entry/lead/takeover.rs
@@ -44,10 +44,7 @@
 pub(super) async fn send_heartbeats(entry: &Entry, epoch: u64, writers: &mut StreamWriters) {
     loop {
         sleep(HEARTBEAT_PERIOD).await;
-        writers.write(
-            Stream::Main,
-            heartbeat_record(entry, epoch, Vec::new(), false),
-        );
+        writers.write(Stream::Main, heartbeat_record(entry, epoch));
     }
 }
 
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::plan::LastContact;
+use agate_jobs::plan::{LastContact, SuspicionTimes};
 use agate_jobs::table::Change;
 use agate_jobs::{JobState, JobTable, RouteTable};
 use tokio::sync::{Notify, watch};
@@ -37,6 +37,8 @@
     pub reading: ReadContinuity,
     /// When each agent last reported.
     pub last_contact: LastContact,
+    /// When each open suspicion was first read in a heartbeat.
+    pub suspicion_times: SuspicionTimes,
     /// When the newest heartbeat of a leader was read.
     pub leader_seen_at: Moment,
     /// Whether this entry is taking over the leadership.
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -6,3 +6,4 @@
 mod leaders;
 mod orders;
 mod support;
+mod takeovers;
