Resign when told to stop during a claim or takeover

Cause: an entry that got SIGTERM while it took over left without resigning, and one that claimed went on with up to 20 attempts.

Change: epoch and sequence number are chosen before the append of a claim. An entry that is told to stop drops the pending call and, unless every attempt was certainly refused, appends a resignation with the next number. During a takeover the resignation goes through the open writers. A claim that seemed to fail and is read later is given up at the stop too. New log event claim_resigned, new event ClaimResigned of agatenotch_events_total.

Ruled out: a StreamWriter for a claim without an answer, since it adopts the sequence number that the log expects, which may be that of another entry with the same epoch.

Not done: an entry whose takeover failed (takeover_failed) and that is then stopped still doesn't resign.

--- a/crates/agate_jobs/tests/jobs/takeover.rs
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -34,17 +34,15 @@
         fleet.take_over();
         fleet.send_heartbeat(epoch);
     }
-    let left = EXPIRY - fleet.now.since(stored_at);
-    fleet.advance(
-        left.checked_sub(Duration::from_millis(300))
-            .expect("a lease is longer"),
-    );
+    let margin = Duration::from_millis(300);
+    let before_expiry = EXPIRY.saturating_sub(fleet.now.since(stored_at) + margin);
+    fleet.advance(before_expiry);
     assert_eq!(
         fleet.scheduler.bound_runs(),
         1,
         "the lease may not have lapsed yet"
     );
-    fleet.advance(Duration::from_millis(300));
+    fleet.advance(margin);
     assert_eq!(fleet.scheduler.bound_runs(), 0);
 }
 
--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -39,41 +39,65 @@
     }
 }
 
-/// Claims the next epoch on the main stream. Returns the epoch and the sequence number of the
-/// append, or `None` if another entry was faster or the log kept failing.
-pub(super) async fn claim(entry: &Entry) -> Option<(u64, u64)> {
-    let epoch = entry.view().job_table.leader().epoch + 1;
-    let sequence = rand::rng().random_range(1..u64::from(u32::MAX));
+/// A claim to an epoch of the main stream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    /// The epoch.
+    pub epoch: u64,
+    /// Sequence number of the append of the claim.
+    pub sequence: u64,
+    /// Whether the claim is or may be recorded.
+    pub may_be_recorded: bool,
+}
+
+impl Claim {
+    /// Chooses the next epoch. Nothing is recorded yet.
+    pub fn new(entry: &Entry) -> Self {
+        Self {
+            epoch: entry.view().job_table.leader().epoch + 1,
+            sequence: rand::rng().random_range(1..u64::from(u32::MAX)),
+            may_be_recorded: false,
+        }
+    }
+}
+
+/// Records a claim on the main stream. Returns whether this entry holds the epoch; otherwise another
+/// entry was faster or the log kept failing.
+pub(super) async fn record_claim(entry: &Entry, claim: &mut Claim) -> bool {
+    let Claim {
+        epoch, sequence, ..
+    } = *claim;
     let record = heartbeat_record(entry, epoch);
     let value = match record.value() {
         Ok(value) => value,
         Err(error) => {
             log::error!(event = "record_unwritable", cause:% = error; "");
-            return None;
+            return false;
         }
     };
     let records = [(record.key, value)];
     let mut last_error = AppendError::NotDone("not attempted".to_owned());
     for _ in 0..MAX_TAKEOVER_ATTEMPTS {
         let fence = Some(Fence { epoch, sequence });
-        match entry
-            .context
-            .log
-            .append(Stream::Main, &records, fence)
-            .await
-        {
-            Ok(_) => return Some((epoch, sequence)),
+        // The call may be dropped before it has returned.
+        let was_uncertain = std::mem::replace(&mut claim.may_be_recorded, true);
+        let appended = entry.context.log.append(Stream::Main, &records, fence);
+        match appended.await {
+            Ok(_) => return true,
             Err(AppendError::Fenced | AppendError::OutOfSequence(_)) => {
                 log::info!(event = "claim_lost", epoch = epoch; "another entry was faster");
+                claim.may_be_recorded = false;
                 sleep(HEARTBEAT_PERIOD).await;
-                return None;
+                return false;
             }
             Err(error) => {
+                let is_uncertain = matches!(error, AppendError::Unknown(_));
+                claim.may_be_recorded = was_uncertain || is_uncertain;
                 last_error = error;
                 sleep(TAKEOVER_RETRY_DELAY).await;
             }
         }
     }
     log::warn!(event = "claim_failed", epoch = epoch, cause:% = last_error; "");
-    None
+    false
 }
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -1,6 +1,7 @@
 //! Leader election, and scheduling while this entry leads.
 
 mod election;
+mod resign;
 mod schedule;
 mod takeover;
 
@@ -14,6 +15,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::election::Claim;
 use self::schedule::Leadership;
 use super::Entry;
 use super::follow;
@@ -38,17 +40,36 @@
 /// Pause between these attempts.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time allowed for the last records on resignation.
+const RESIGN_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Leads whenever no other entry does, until `stop` is cancelled.
 pub(super) async fn run(entry: Arc<Entry>, stop: CancellationToken) {
     entry.view().is_leader = false;
+    let mut failed_claim = None;
     while !stop.is_cancelled() {
         let jitter = rand::rng().random_range(Duration::ZERO..TAKEOVER_JITTER);
         tokio::select! {
-            () = stop.cancelled() => return,
+            biased;
+            () = stop.cancelled() => {
+                resign::resign_own_claim(&entry, failed_claim).await;
+                return;
+            }
             () = election::wait_for_vacancy(&entry, jitter) => {}
         }
-        if let Some((epoch, sequence)) = election::claim(&entry).await {
-            lead(&entry, epoch, sequence, &stop).await;
+        let mut claim = Claim::new(&entry);
+        let claimed = tokio::select! {
+            biased;
+            () = stop.cancelled() => None,
+            claimed = election::record_claim(&entry, &mut claim) => Some(claimed),
+        };
+        match claimed {
+            Some(true) => {
+                failed_claim = None;
+                lead(&entry, claim, &stop).await;
+            }
+            Some(false) => failed_claim = Some(claim),
+            None => resign::resign_claim(&entry, claim).await,
         }
     }
 }
@@ -76,17 +97,23 @@
     }))
 }
 
-async fn lead(entry: &Arc<Entry>, epoch: u64, sequence: u64, stop: &CancellationToken) {
+async fn lead(entry: &Arc<Entry>, claim: Claim, stop: &CancellationToken) {
     let began = Instant::now();
+    let epoch = claim.epoch;
     let (mut writers, outcomes) = StreamWriters::new(Arc::clone(entry), epoch);
-    writers.open(Stream::Main, sequence);
+    writers.open(Stream::Main, claim.sequence);
     entry.view().takes_over = true;
     let taken = tokio::select! {
-        taken = takeover::take_over(entry, epoch) => taken,
+        biased;
+        () = stop.cancelled() => None,
+        taken = takeover::take_over(entry, epoch) => Some(taken),
         () = takeover::send_heartbeats(entry, epoch, &mut writers) => return,
-        () = stop.cancelled() => return,
     };
     entry.view().takes_over = false;
+    let Some(taken) = taken else {
+        resign::resign_takeover(entry, epoch, writers, outcomes).await;
+        return;
+    };
     let orders = match taken {
         Ok(orders) => orders,
         Err(error) => {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, heartbeat};
+use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, heartbeat};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -27,9 +27,6 @@
 /// Extra time for which the state of a closed job is kept, since clocks differ.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
-/// Time allowed for the last records on resignation.
-const RESIGN_TIMEOUT: Duration = Duration::from_millis(800);
-
 fn log_lost_run(record: &Record) {
     let Some(Body::Ended(end)) = &record.body else {
         return;
--- a/crates/agate_node/src/metrics.rs
+++ b/crates/agate_node/src/metrics.rs
@@ -44,6 +44,8 @@
     LeaseLapsed,
     /// This entry became the leader.
     LeaderTaken,
+    /// This entry gave up a claim because it was told to stop.
+    ClaimResigned,
     /// This entry lost the leadership to another.
     LeaderLost,
     /// A call to the log failed.
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -63,6 +63,19 @@
         entry
     }
 
+    /// Starts an entry that drains when `resign` is cancelled: it resigns, but goes on reading.
+    pub(crate) async fn draining_entry(
+        &self,
+        name: &str,
+        log: FakeLog,
+        resign: &CancellationToken,
+    ) -> Arc<Entry> {
+        let started = entry::build(entry_context(name, log), resign);
+        let entry = self.run(started, &self.stop);
+        wait_until("the entry is ready", || entry.is_ready()).await;
+        entry
+    }
+
     fn run(&self, started: entry::BuiltEntry, stop: &CancellationToken) -> Arc<Entry> {
         self.tasks.spawn(started.supervisor.run(stop.clone()));
         started.entry
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -5,7 +5,9 @@
 
 use agate_node::entry::{Answer, Entry};
 use agate_node::metrics::Event;
+use agate_node::store::Stream;
 use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
 
 use crate::support::{
     Behavior, Caller as _, Cluster, FakeLog, Fault, MAX_REPLACE_TIME, one_task_job, wait_until,
@@ -70,3 +72,101 @@
     wait_until("it runs elsewhere", || other.running() == 1).await;
     assert!(began.elapsed() < MAX_REPLACE_TIME, "{:?}", began.elapsed());
 }
+
+/// Time for which a claim or takeover lasts before the entry is told to stop.
+const CLAIM_TIME: Duration = Duration::from_millis(300);
+
+fn heartbeats(cluster: &Cluster) -> usize {
+    let keys = cluster.log.keys(Stream::Main);
+    keys.iter().filter(|key| *key == "l").count()
+}
+
+/// Waits until the first claim is recorded, more often than a takeover takes.
+async fn wait_for_claim(cluster: &Cluster) {
+    while heartbeats(cluster) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Two entries in a row were told to stop while they took over and left without resigning, so the
+/// others waited for the heartbeat timeout each time.
+#[rstest::rstest]
+#[case::during_the_takeover(Fault::None, Fault::RefusesAppends)]
+#[case::with_an_unanswered_claim(Fault::LosesAppendReplies, Fault::LosesAppendReplies)]
+#[tokio::test(start_paused = true)]
+async fn an_entry_stopped_before_it_schedules_hands_over_at_once(
+    #[case] at_claim: Fault,
+    #[case] at_takeover: Fault,
+) {
+    let cluster = Cluster::new();
+    let (_worker, _agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(1)).await;
+    let (log, stop) = (cluster.log.client(), CancellationToken::new());
+    log.set_fault(at_claim);
+    let starting = cluster.draining_entry("e1", log.clone(), &stop);
+    let (first, ()) = tokio::join!(starting, async {
+        wait_for_claim(&cluster).await;
+        log.set_fault(at_takeover);
+    });
+    let second = cluster.entry("e2", cluster.log.client()).await;
+    sleep(CLAIM_TIME).await;
+    assert!(!leads(&first), "it has not taken over yet");
+    let began = Instant::now();
+    if at_takeover == Fault::RefusesAppends {
+        log.set_fault(Fault::None);
+    }
+    stop.cancel();
+    wait_until("the other schedules", || leads(&second)).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        began.elapsed()
+    );
+    assert!(!leads(&first));
+}
+
+/// A claim that was dropped while it was in flight could still be recorded after the entry has left.
+/// One that was certainly refused must leave no trace, since a resignation would depose a leader.
+#[rstest::rstest]
+#[case::in_flight(Fault::Silent, 1)]
+#[case::refused(Fault::RefusesAppends, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_stopped_entry_resigns_only_a_claim_that_may_be_recorded(
+    #[case] fault: Fault,
+    #[case] recorded: usize,
+) {
+    let cluster = Cluster::new();
+    let (log, stop) = (cluster.log.client(), CancellationToken::new());
+    log.set_fault(fault);
+    let entry = cluster.draining_entry("e1", log.clone(), &stop).await;
+    wait_until("it claims", || log.append_attempts() > 0).await;
+    // Between two attempts, if they are refused.
+    sleep(Duration::from_millis(30)).await;
+    log.set_fault(Fault::None);
+    stop.cancel();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(heartbeats(&cluster), recorded);
+    assert_eq!(
+        entry.metrics().event_count(Event::ClaimResigned),
+        recorded as u64
+    );
+}
+
+/// A claim by an entry that is about to leave costs the others another change of leader.
+#[tokio::test(start_paused = true)]
+async fn a_draining_entry_does_not_claim() {
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let leader = cluster.entry("e1", log.clone()).await;
+    wait_until("it schedules", || leads(&leader)).await;
+    let stop = CancellationToken::new();
+    let draining = cluster
+        .draining_entry("e2", cluster.log.client(), &stop)
+        .await;
+    log.set_fault(Fault::RefusesAll);
+    sleep(Duration::from_millis(1_600)).await;
+    stop.cancel();
+    sleep(Duration::from_secs(3)).await;
+    assert!(!leads(&draining));
+    assert_eq!(draining.metrics().event_count(Event::ClaimResigned), 0);
+}
