Accept submissions before the main stream has been loaded

Change: an entry with a configuration that has never read to the end records submissions. It refuses to tell the pending count, which it answered with zero, and a job's state or a cancellation wait for the load within the time of a catch-up instead of reading the stream from its start. An entry that has loaded once and lost the log refuses as before. Readiness is unchanged.

A submission that is recorded after its job was closed would start the job again in a table that is loaded once the record of the close has been dropped. The fold notes it, and the leader drops it before that record. This also covers a leader that was lost between closing a job and dropping its submission, which was possible before.

Seen to fail with the mechanism taken out: a submission of a closed job is not noted (4 tests), nor one that the close left (1); the leader doesn't drop it (1); refusal before the load (2); acceptance after the log was lost (1); pending counts before the load (1). No test fails if a state request reads the stream from its start before the load: the answer is the same, only the load is slower.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -25,6 +25,9 @@
     queue: String,
     state: JobState,
     at_ms: u64,
+    /// Whether a submission of the job may still be stored. It would start the job again in a table
+    /// that is loaded after this record has been dropped.
+    has_submission: bool,
 }
 
 /// Effect of a folded record.
@@ -89,6 +92,7 @@
                     queue,
                     state,
                     at_ms,
+                    has_submission: self.jobs.contains_key(&job),
                 },
             ),
             Body::Ended(end) => self.end_run(end, record.key),
@@ -160,8 +164,19 @@
             .collect()
     }
 
+    /// Returns whether a closed job has a submission that may still be stored.
+    pub fn has_stale_submission(&self, job: JobId) -> bool {
+        self.closed
+            .get(&job)
+            .is_some_and(|closed| closed.has_submission)
+    }
+
     fn submit(&mut self, id: JobId, job: Job) -> Change {
-        if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
+        if let Some(closed) = self.closed.get_mut(&id) {
+            closed.has_submission = true;
+            return Change::None;
+        }
+        if self.jobs.contains_key(&id) {
             return Change::None;
         }
         self.jobs.insert(id, job);
@@ -189,7 +204,9 @@
         Change::Final(id)
     }
 
-    fn close(&mut self, id: JobId, closed: Closed) -> Change {
+    fn close(&mut self, id: JobId, mut closed: Closed) -> Change {
+        let known = self.closed.get(&id);
+        closed.has_submission |= known.is_some_and(|known| known.has_submission);
         self.jobs.remove(&id);
         self.ends.remove(&id);
         self.out_of_order.remove(&id);
@@ -261,6 +278,12 @@
             "w" => {
                 self.workers.remove(rest);
             }
+            "j" => {
+                let closed = rest.parse().ok().and_then(|job| self.closed.get_mut(&job));
+                if let Some(closed) = closed {
+                    closed.has_submission = false;
+                }
+            }
             "d" => {
                 if let Ok(job) = rest.parse() {
                     self.closed.remove(&job);
--- a/crates/agate_jobs/tests/jobs/table.rs
+++ b/crates/agate_jobs/tests/jobs/table.rs
@@ -228,3 +228,35 @@
     assert_eq!(table.leader().entry, "new");
     assert_eq!(table.leader().epoch, 2);
 }
+
+fn closed(job: u64) -> Record {
+    Record::new(Body::Closed {
+        job: JobId(job),
+        queue: "moves".to_owned(),
+        state: JobState::Completed,
+        at_ms: 1_000,
+    })
+}
+
+/// A submission that outlives the record of the close starts the job again in a table that is loaded
+/// later. The leader drops it, unless it was dropped when the job was closed.
+#[rstest::rstest]
+#[case::dropped_at_the_close("sct", false)]
+#[case::left_by_a_lost_leader("sc", true)]
+#[case::recorded_after_the_close("scts", true)]
+#[case::recorded_after_the_close_and_dropped("sctst", false)]
+#[case::loaded_after_the_close("cs", true)]
+#[case::closed_twice("csc", true)]
+fn a_submission_of_a_closed_job_is_noted(#[case] records: &str, #[case] expected: bool) {
+    let mut table = JobTable::default();
+    for record in records.chars() {
+        table.fold(match record {
+            's' => submitted(1, vec![step(1)]),
+            'c' => closed(1),
+            _ => Record::tombstone(format!("j/{}", JobId(1))),
+        });
+    }
+    assert_eq!(table.has_stale_submission(JobId(1)), expected);
+    assert_eq!(table.jobs().count(), 0);
+    assert_eq!(table.state(JobId(1)), Some(JobState::Completed));
+}
--- a/crates/agate_node/src/entry/callers.rs
+++ b/crates/agate_node/src/entry/callers.rs
@@ -97,7 +97,7 @@
         let queue = &target.route.policy.queue;
         let answer = if self.state(queue, target.job).is_some() {
             Answer::Accepted
-        } else if !self.is_following() {
+        } else if !self.accepts_submissions() {
             Answer::Refused
         } else {
             let record = Record::new(Body::Submitted {
@@ -162,8 +162,12 @@
         answer
     }
 
-    /// Returns the number of jobs of a queue of which no task has started.
+    /// Returns the number of jobs of a queue of which no task has started. Refuses until the main
+    /// stream has been loaded.
     pub fn pending(&self, route: &Route) -> Answer {
+        if !self.has_loaded() {
+            return Answer::Refused;
+        }
         Answer::Pending(self.view().job_table.pending(&route.policy.queue))
     }
 
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -194,6 +194,9 @@
             .job_table
             .closed_before(wall_ms.saturating_sub(retention))
         {
+            if view.job_table.has_stale_submission(id) {
+                self.delete_key(format!("j/{id}"));
+            }
             self.delete_key(format!("d/{id}"));
         }
     }
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -89,6 +89,18 @@
         view.synced && view.reading.unbroken_since(now) < now
     }
 
+    /// Returns whether the main stream has been read to its end once. Until then nothing is known of
+    /// any job.
+    pub(super) fn has_loaded(&self) -> bool {
+        self.view().synced
+    }
+
+    /// Returns whether submissions are recorded. They are before the main stream has been loaded,
+    /// since the first submission of a job counts wherever it is recorded.
+    pub(super) fn accepts_submissions(&self) -> bool {
+        !self.has_loaded() || self.is_following()
+    }
+
     /// Returns the routes in force.
     pub fn routes(&self) -> Arc<RouteTable> {
         Arc::clone(&self.routes.borrow())
@@ -110,6 +122,11 @@
     /// `max_wait`.
     pub(super) async fn catch_up(&self, max_wait: Duration) -> bool {
         let caught_up = async {
+            let mut folded = self.folded.subscribe();
+            // Reading from the start of the stream would compete with the load for the link.
+            if folded.wait_for(|_| self.has_loaded()).await.is_err() {
+                return false;
+            }
             let from = *self.folded.borrow();
             let stream = crate::store::Stream::Main;
             let read = self.context.log.read(stream, from, Duration::ZERO).await;
@@ -120,7 +137,6 @@
                     return false;
                 }
             };
-            let mut folded = self.folded.subscribe();
             folded.wait_for(|at| *at >= end).await.is_ok()
         };
         tokio::time::timeout(max_wait, caught_up)
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -47,13 +47,17 @@
 
     /// Starts an entry. The first one becomes the leader.
     pub(crate) async fn entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
-        let resign = CancellationToken::new();
-        let started = entry::build(entry_context(name, log), &resign);
-        let entry = self.run(started, &self.stop);
+        let entry = self.start_entry(name, log);
         wait_until("the entry is ready", || entry.is_ready()).await;
         entry
     }
 
+    /// Starts an entry without waiting until it is ready.
+    pub(crate) fn start_entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
+        let started = entry::build(entry_context(name, log), &CancellationToken::new());
+        self.run(started, &self.stop)
+    }
+
     /// Starts an entry that stops when `stop` is cancelled.
     pub(crate) async fn stoppable_entry(&self, name: &str, stop: &CancellationToken) -> Arc<Entry> {
         let log = self.log.client();
@@ -189,6 +193,7 @@
     async fn submit_job(&self, job: u64, spec: JobSpec) -> Answer;
     async fn query_state(&self, job: u64) -> Answer;
     async fn cancel_job(&self, job: u64) -> Answer;
+    fn count_pending(&self) -> Answer;
     async fn wait_for_answer(&self, job: u64, expected: Answer);
 }
 
@@ -220,6 +225,10 @@
         self.cancel(at).await
     }
 
+    fn count_pending(&self) -> Answer {
+        self.pending(&queue(0))
+    }
+
     async fn wait_for_answer(&self, job: u64, expected: Answer) {
         let wait = async {
             while self.query_state(job).await != expected {
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -33,6 +33,8 @@
     LosesAppendReplies,
     /// Refuses appends, but answers reads.
     RefusesAppends,
+    /// Refuses reads of the main stream, but takes appends.
+    RefusesMainReads,
     /// Rejects appends after [`REJECTION_TIME`], but answers reads.
     RejectsSlowly,
     /// Neither appends nor answers within [`APPEND_TIMEOUT`].
@@ -108,6 +110,11 @@
         self.attempts.load(Ordering::Relaxed)
     }
 
+    fn refuses_read(&self, stream: Stream) -> bool {
+        let fault = self.fault();
+        fault == Fault::RefusesAll || (fault == Fault::RefusesMainReads && stream == Stream::Main)
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().expect("the lock is not poisoned")
     }
@@ -202,7 +209,7 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let news = self.news.notified();
-            if self.fault() == Fault::RefusesAll {
+            if self.refuses_read(stream) {
                 return Err(ReadError::Unavailable("refused".to_owned()));
             }
             let page = {
@@ -218,7 +225,7 @@
 
     async fn newest(&self, stream: Stream) -> Result<NewestRecords, ReadError> {
         sleep(CALL_TIME).await;
-        if self.fault() == Fault::RefusesAll {
+        if self.refuses_read(stream) {
             return Err(ReadError::Unavailable("refused".to_owned()));
         }
         let shared = self.shared.lock().expect("the lock is not poisoned");
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_jobs::record::Body;
+use agate_jobs::{JobState, Record};
 use agate_node::entry::{Answer, Entry};
 use agate_node::metrics::Event;
-use agate_node::store::Stream;
+use agate_node::store::{KeyedLog as _, Stream};
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeLog, Fault, MAX_REPLACE_TIME, one_task_job, wait_until,
+    Behavior, Caller as _, Cluster, FakeLog, Fault, MAX_REPLACE_TIME, job_id, one_task_job,
+    wait_until,
 };
 
 /// Time from the storage of a suspicion to its heartbeat, with some margin.
@@ -170,3 +173,63 @@
     assert!(!leads(&draining));
     assert_eq!(draining.metrics().event_count(Event::ClaimResigned), 0);
 }
+
+/// Returns an entry that has the configuration but can't load the main stream, and its log.
+async fn unloaded_entry(cluster: &Cluster) -> (Arc<Entry>, FakeLog) {
+    let log = cluster.log.client();
+    log.set_fault(Fault::RefusesMainReads);
+    let entry = cluster.start_entry("starting", log.clone());
+    wait_until("it has a configuration", || entry.routes().version > 0).await;
+    (entry, log)
+}
+
+/// Submissions were refused for up to 0.9 s after a loss of power while the entries loaded the log.
+#[tokio::test(start_paused = true)]
+async fn a_job_submitted_before_the_load_and_after_it_runs_once() {
+    let cluster = Cluster::new();
+    cluster.entry("e1", cluster.log.client()).await;
+    let (worker, _agent) = cluster.worker("w1");
+    let (entry, log) = unloaded_entry(&cluster).await;
+    assert_eq!(entry.submit_job(1, one_task_job()).await, Answer::Accepted);
+    assert_eq!(entry.submit_job(1, one_task_job()).await, Answer::Accepted);
+    assert_eq!(entry.query_state(1).await, Answer::Refused);
+    assert_eq!(entry.query_state(2).await, Answer::Refused, "it may exist");
+    assert_eq!(entry.cancel_job(1).await, Answer::Refused);
+    assert_eq!(entry.count_pending(), Answer::Refused);
+    assert!(!entry.is_ready());
+    log.set_fault(Fault::None);
+    wait_until("it has loaded", || entry.is_ready()).await;
+    assert_eq!(entry.submit_job(1, one_task_job()).await, Answer::Accepted);
+    let completed = Answer::State(JobState::Completed);
+    entry.wait_for_answer(1, completed).await;
+    assert_eq!(entry.query_state(2).await, Answer::NoJob);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(worker.started_runs().len(), 1);
+}
+
+/// A submission that is recorded after its job was closed would start the job again once the record
+/// of the close has been dropped and an entry loads the log.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_had_ended_and_is_submitted_before_the_load_does_not_run() {
+    let cluster = Cluster::new();
+    let closed = Record::new(Body::Closed {
+        job: job_id(1),
+        queue: "q0".to_owned(),
+        state: JobState::Completed,
+        at_ms: 1,
+    });
+    let value = closed.value().expect("it is writable");
+    cluster.log.put(Stream::Main, &closed.key, &value);
+    let (worker, _agent) = cluster.worker("w1");
+    let (entry, log) = unloaded_entry(&cluster).await;
+    assert_eq!(entry.submit_job(1, one_task_job()).await, Answer::Accepted);
+    log.set_fault(Fault::None);
+    wait_until("it schedules", || leads(&entry)).await;
+    sleep(Duration::from_secs(5)).await;
+    let newest = cluster.log.newest(Stream::Main).await;
+    let records = newest.expect("the log answers").records.into_iter();
+    let keys: Vec<_> = records.map(|record| record.key).collect();
+    assert!(!keys.iter().any(|key| key.starts_with("d/")), "{keys:?}");
+    assert!(!keys.iter().any(|key| key.starts_with("j/")), "{keys:?}");
+    assert_eq!(worker.started_runs().len(), 0);
+}
