Weigh claims by processor share, and place after the first heartbeat

Cause: a takeover takes up to 1.5 s on an entry with 0.12 of a processor and 0.1 to 0.4 s on one with half, but each claimed after the same random delay.

After the heartbeat timeout, entries with a quarter of a processor or more wait up to 50 ms, others that know their share 150 to 300 ms. Such entries read more often between 1.2 and 2.2 s of silence, as otherwise a poll of up to 1 s decides who notices the timeout first. Without the setting delays and reads are unchanged. agate_settings gains Kind::Decimal, read in thousandths. A leader places nothing until its first heartbeat is recorded, with or without the setting; stop orders and suspicions are sent before.

Ruled out: different delays alone (3 tests fail with polls unchanged).

Seen to fail with the mechanism taken out: the share ignored (3 tests), 251 thousandths as the bound (1), polls unchanged (3), a delay of 0.9 s for small entries (2), a heartbeat taken as recorded (1); an empty decimal rejected (5), a number below half a thousandth accepted (1). With it: agate_node, agate_jobs, agate_settings, agate_platform and agate_docs 289 of 289.

Not done: restore and first placement don't yield to the heartbeat; a placement of more than 1.7 s still deposes its leader.

--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the main stream.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,13 @@
 /// Time between reads while this entry leads or takes over.
 const LEAD_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Silence of the leader during which an entry that knows its processor share reads as often as a
+/// leader, so that entries notice the timeout in the order of their claim delays.
+const WATCHED_SILENCE: Range<Duration> = Duration::from_millis(1_200)..Duration::from_millis(2_200);
+
+/// Longest wait of a read during that time.
+const WATCH_POLL_WAIT: Duration = Duration::from_millis(50);
+
 /// Pause after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -82,7 +90,7 @@
         let wait = if monitor.is_failing() {
             Duration::ZERO
         } else {
-            POLL_WAIT
+            poll_wait(entry)
         };
         match entry.context.log.read(Stream::Main, from, wait).await {
             Ok(page) => {
@@ -104,12 +112,34 @@
     }
 }
 
+/// Returns how long a read may wait for new records. It must not last into the time when the
+/// leader's silence is watched.
+fn poll_wait(entry: &Entry) -> Duration {
+    let silence = leader_silence(entry);
+    match entry.context.processor_share {
+        Some(_) if silence < WATCHED_SILENCE.start => {
+            POLL_WAIT.min(WATCHED_SILENCE.start.saturating_sub(silence))
+        }
+        Some(_) if WATCHED_SILENCE.contains(&silence) => WATCH_POLL_WAIT,
+        _ => POLL_WAIT,
+    }
+}
+
+fn leader_silence(entry: &Entry) -> Duration {
+    clock::now().since(entry.view().leader_seen_at)
+}
+
+fn watches_silence(entry: &Entry) -> bool {
+    let knows_share = entry.context.processor_share.is_some();
+    knows_share && WATCHED_SILENCE.contains(&leader_silence(entry))
+}
+
 async fn wait_between_reads(entry: &Entry) {
     let leads = {
         let view = entry.view();
         view.is_leader || view.takes_over
     };
-    sleep(if leads {
+    sleep(if leads || watches_silence(entry) {
         LEAD_INTERVAL
     } else {
         FOLLOW_INTERVAL
--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -5,6 +5,7 @@
 use rand::Rng as _;
 use tokio::time::sleep;
 
+use super::delay::ClaimDelay;
 use super::{
     HEARTBEAT_PERIOD, LEADER_TIMEOUT, MAX_TAKEOVER_ATTEMPTS, TAKEOVER_RETRY_DELAY, heartbeat_record,
 };
@@ -16,7 +17,7 @@
 const VACANCY_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Waits until the leader has resigned or been silent for too long.
-pub(super) async fn wait_for_vacancy(entry: &Entry, jitter: Duration) {
+pub(super) async fn wait_for_vacancy(entry: &Entry, delay: ClaimDelay) {
     let mut vacant_for = Duration::ZERO;
     loop {
         sleep(VACANCY_CHECK_PERIOD).await;
@@ -26,14 +27,14 @@
         let leader = &view.job_table.leader().entry;
         let resigned = leader.is_empty() || *leader == entry.context.name;
         let since = view.leader_seen_at.max(view.reading.unbroken_since(now));
-        let silent = view.reading.last_end().since(since) > LEADER_TIMEOUT + jitter;
+        let silent = view.reading.last_end().since(since) > LEADER_TIMEOUT + delay.after_silence;
         drop(view);
         vacant_for = if is_reading && resigned {
             vacant_for + VACANCY_CHECK_PERIOD
         } else {
             Duration::ZERO
         };
-        if is_reading && (silent || vacant_for > jitter) {
+        if is_reading && (silent || vacant_for > delay.after_resignation) {
             return;
         }
     }
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -1,5 +1,6 @@
 //! Leader election, and scheduling while this entry leads.
 
+mod delay;
 mod election;
 mod resign;
 mod schedule;
@@ -11,10 +12,12 @@
 use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record};
-use rand::Rng as _;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+pub use self::delay::ProcessorShare;
+
+use self::delay::ClaimDelay;
 use self::election::Claim;
 use self::schedule::Leadership;
 use super::Entry;
@@ -31,9 +34,6 @@
 /// takes 0.24 s to record, sixty times longer than usual.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// Upper bound of the random delay that keeps entries from taking over at the same moment.
-const TAKEOVER_JITTER: Duration = Duration::from_millis(300);
-
 /// Attempts at each call to the log during a takeover.
 const MAX_TAKEOVER_ATTEMPTS: u32 = 20;
 
@@ -48,14 +48,14 @@
     entry.view().is_leader = false;
     let mut failed_claim = None;
     while !stop.is_cancelled() {
-        let jitter = rand::rng().random_range(Duration::ZERO..TAKEOVER_JITTER);
+        let delay = ClaimDelay::draw(entry.context.processor_share);
         tokio::select! {
             biased;
             () = stop.cancelled() => {
                 resign::resign_own_claim(&entry, failed_claim).await;
                 return;
             }
-            () = election::wait_for_vacancy(&entry, jitter) => {}
+            () = election::wait_for_vacancy(&entry, delay) => {}
         }
         let mut claim = Claim::new(&entry);
         let claimed = tokio::select! {
@@ -148,11 +148,9 @@
         scheduler,
         writers,
         heartbeat_at: now,
-        heartbeat_recorded_at: now,
+        heartbeat_recorded_at: None,
         unlisted_since: None,
     };
-    // The first placement may take over a second on a slow machine, and the other entries count
-    // the leader's silence meanwhile.
     leadership.write_heartbeat();
     let deposed = leadership.run(outcomes, stop).await;
     entry.view().is_leader = false;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -44,7 +44,9 @@
     pub scheduler: Scheduler,
     pub writers: StreamWriters,
     pub heartbeat_at: Moment,
-    pub heartbeat_recorded_at: Moment,
+    /// When the newest heartbeat was recorded. Nothing is placed before the first one is: that may
+    /// take over a second on a slow machine, and the other entries count the silence meanwhile.
+    pub heartbeat_recorded_at: Option<Moment>,
     /// Since when a suspicion has been stored that no heartbeat lists yet.
     pub unlisted_since: Option<Moment>,
 }
@@ -89,7 +91,7 @@
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         let now = clock::now();
         match outcome {
-            Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = now,
+            Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = Some(now),
             Outcome::SuspicionRecorded(worker, number) => {
                 self.scheduler.suspicion_recorded(&worker, number, now);
                 self.unlisted_since.get_or_insert(now);
@@ -116,7 +118,7 @@
         }
         if now.since(self.heartbeat_at) >= HEARTBEAT_PERIOD {
             self.heartbeat_at = now;
-            if now.since(self.heartbeat_recorded_at) < MAX_HEARTBEAT_AGE {
+            if self.is_heartbeat_recent(now) {
                 self.close_jobs(wall_ms);
             }
             self.write_heartbeat();
@@ -126,6 +128,11 @@
         self.write_effects();
     }
 
+    fn is_heartbeat_recent(&self, now: Moment) -> bool {
+        let recorded_at = self.heartbeat_recorded_at;
+        recorded_at.is_some_and(|at| now.since(at) < MAX_HEARTBEAT_AGE)
+    }
+
     /// Returns whether to list new suspicions before the next regular heartbeat. A successor counts
     /// their expiry from the heartbeat that lists them, so each wait adds to it.
     fn has_suspicions_to_list(&self, now: Moment) -> bool {
@@ -155,7 +162,7 @@
             self.scheduler.apply(&view.job_table, &change, now);
         }
         let since = view.reading.unbroken_since(now);
-        let current = since < now && now.since(self.heartbeat_recorded_at) < MAX_HEARTBEAT_AGE;
+        let current = since < now && self.is_heartbeat_recent(now);
         if !current {
             return Vec::new();
         }
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use callers::{Answer, JobRef, retry_after};
+pub use lead::ProcessorShare;
 pub use shared::Entry;
 
 use crate::appender::{Appender, Urgency};
@@ -41,6 +42,8 @@
     pub max_lease: Duration,
     /// Time for which the final state of a job is kept.
     pub state_retention: Duration,
+    /// Share of a processor that this process has, if known.
+    pub processor_share: Option<ProcessorShare>,
 }
 
 /// An entry and the supervisor of its tasks.
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -7,7 +7,7 @@
 use agate_jobs::route::{Route, RouteTable};
 use agate_jobs::{JobSpec, QueuePolicy, StepSpec};
 use agate_node::agent::{AgentContext, WorkerRegistry};
-use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef};
+use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef, ProcessorShare};
 use agate_node::metrics::Metrics;
 use agate_node::store::{StoredRecord, Stream};
 use agate_node::{Appender, Urgency};
@@ -58,6 +58,21 @@
         self.run(started, &self.stop)
     }
 
+    /// Starts an entry with a share of a processor, in thousandths.
+    pub(crate) async fn entry_with_share(
+        &self,
+        name: &str,
+        log: FakeLog,
+        thousandths: u64,
+    ) -> Arc<Entry> {
+        let mut context = entry_context(name, log);
+        context.processor_share = Some(ProcessorShare::from_thousandths(thousandths));
+        let started = entry::build(context, &CancellationToken::new());
+        let entry = self.run(started, &self.stop);
+        wait_until("the entry is ready", || entry.is_ready()).await;
+        entry
+    }
+
     /// Starts an entry that stops when `stop` is cancelled.
     pub(crate) async fn stoppable_entry(&self, name: &str, stop: &CancellationToken) -> Arc<Entry> {
         let log = self.log.client();
@@ -126,6 +141,7 @@
         parse_routes,
         max_lease: MAX_LEASE,
         state_retention: Duration::from_mins(2),
+        processor_share: None,
     }
 }
 
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -33,6 +33,8 @@
     LosesAppendReplies,
     /// Refuses appends, but answers reads.
     RefusesAppends,
+    /// Refuses appends to the main stream, but takes those to others and answers reads.
+    RefusesMainAppends,
     /// Refuses reads of the main stream, but takes appends.
     RefusesMainReads,
     /// Rejects appends after [`REJECTION_TIME`], but answers reads.
@@ -182,7 +184,8 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
         sleep(CALL_TIME).await;
         let fault = self.fault();
-        if matches!(fault, Fault::RefusesAll | Fault::RefusesAppends) {
+        let refuses_main = fault == Fault::RefusesMainAppends && stream == Stream::Main;
+        if matches!(fault, Fault::RefusesAll | Fault::RefusesAppends) || refuses_main {
             return Err(AppendError::NotDone("refused".to_owned()));
         }
         if fault == Fault::RejectsSlowly {
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -233,3 +233,96 @@
     assert!(!keys.iter().any(|key| key.starts_with("j/")), "{keys:?}");
     assert_eq!(worker.started_runs().len(), 0);
 }
+
+/// Starts a leader and then entries with shares of a processor, in thousandths, and makes the log
+/// refuse the leader. Returns the entries and the time until one of them leads.
+async fn replace_leader_by(shares: &[u64]) -> (Vec<Arc<Entry>>, Duration) {
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let leader = cluster.entry("e0", log.clone()).await;
+    wait_until("it schedules", || leads(&leader)).await;
+    let mut entries = Vec::new();
+    for (number, share) in shares.iter().enumerate() {
+        let name = format!("e{}", number + 1);
+        let client = cluster.log.client();
+        entries.push(cluster.entry_with_share(&name, client, *share).await);
+        sleep(Duration::from_millis(70)).await;
+    }
+    let began = Instant::now();
+    log.set_fault(Fault::RefusesAll);
+    wait_until("another schedules", || entries.iter().any(|e| leads(e))).await;
+    (entries, began.elapsed())
+}
+
+/// A takeover takes up to 1.5 s on an entry with 0.12 of a processor.
+#[rstest::rstest]
+#[case::first(&[500, 120, 120, 120], 0)]
+#[case::in_between(&[120, 120, 500, 120], 2)]
+#[case::just_a_quarter(&[249, 249, 249, 250], 3)]
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_more_processor_claims_sooner(#[case] shares: &[u64], #[case] larger: usize) {
+    for _ in 0..20 {
+        let (entries, _) = replace_leader_by(shares).await;
+        let taken: Vec<bool> = entries.iter().map(|entry| leads(entry)).collect();
+        assert!(taken[larger], "{taken:?}");
+    }
+}
+
+/// The time without a leader must not grow where all entries are small: a heartbeat may be 0.5 s old,
+/// the timeout is 1.7 s, the delay at most 0.3 s, and the takeover of an empty log takes 0.1 s.
+#[rstest::rstest]
+#[case::one(&[120])]
+#[case::three(&[120, 120, 120])]
+#[tokio::test(start_paused = true)]
+async fn small_entries_claim_within_the_usual_delay(#[case] shares: &[u64]) {
+    for _ in 0..20 {
+        let (_, took) = replace_leader_by(shares).await;
+        assert!(took < Duration::from_millis(2_600), "{took:?}");
+    }
+}
+
+/// An entry with more processor may be cut off from the log, or slower to notice the silence.
+#[tokio::test(start_paused = true)]
+async fn a_small_entry_leads_if_no_larger_one_can_claim() {
+    let cluster = Cluster::new();
+    let (first, second) = (cluster.log.client(), cluster.log.client());
+    let leader = cluster.entry("e0", first.clone()).await;
+    wait_until("it schedules", || leads(&leader)).await;
+    let large = cluster.entry_with_share("e1", second.clone(), 500).await;
+    let small = cluster
+        .entry_with_share("e2", cluster.log.client(), 120)
+        .await;
+    let (worker, _agent) = cluster.worker("w1");
+    second.set_fault(Fault::RefusesAppends);
+    first.set_fault(Fault::RefusesAll);
+    wait_until("another schedules", || leads(&small)).await;
+    second.set_fault(Fault::None);
+    assert_eq!(large.submit_job(1, one_task_job()).await, Answer::Accepted);
+    large
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+    assert_eq!(worker.started_runs().len(), 1);
+    assert!(!leads(&large), "it doesn't depose a working leader");
+}
+
+/// The first placement may take over a second on a slow machine. A leader whose last heartbeat was
+/// from before was deposed meanwhile, and its orders were for nothing.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_places_nothing_before_its_heartbeat_is_recorded() {
+    let cluster = Cluster::new();
+    let (worker, _agent) = cluster.worker("w1");
+    let (unloaded, _) = unloaded_entry(&cluster).await;
+    let accepted = unloaded.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    let log = cluster.log.client();
+    let starting = cluster.entry("e1", log.clone());
+    let (entry, ()) = tokio::join!(starting, async {
+        wait_for_claim(&cluster).await;
+        log.set_fault(Fault::RefusesMainAppends);
+    });
+    wait_until("it has restored its state", || leads(&entry)).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(worker.started_runs().len(), 0);
+    log.set_fault(Fault::None);
+    wait_until("it runs", || worker.started_runs().len() == 1).await;
+}
--- a/crates/agate_settings/src/describe.rs
+++ b/crates/agate_settings/src/describe.rs
@@ -9,6 +9,8 @@
 pub enum Kind {
     /// A whole number within a range.
     Number(RangeInclusive<u64>),
+    /// A positive decimal number up to a maximum, such as 0.12; may be empty, which means absent.
+    Decimal(u64),
     /// An IP address and a port.
     Address,
     /// Addresses joined by commas; may be empty.
--- a/crates/agate_settings/src/reference.rs
+++ b/crates/agate_settings/src/reference.rs
@@ -41,6 +41,7 @@
 fn accepted_values(kind: &Kind) -> String {
     match kind {
         Kind::Number(range) => format!("{} to {}", range.start(), range.end()),
+        Kind::Decimal(max) => format!("decimal number from 0.001 to {max}, or empty"),
         Kind::Address => "IP address and port".to_owned(),
         Kind::Addresses => "IP addresses and ports joined by commas".to_owned(),
         Kind::Name => "a name".to_owned(),
--- a/crates/agate_settings/src/value.rs
+++ b/crates/agate_settings/src/value.rs
@@ -8,10 +8,15 @@
 
 use crate::{Kind, Secret, Setting};
 
+/// Thousandths in one, the resolution of decimal numbers.
+const THOUSANDTHS: f64 = 1_000.0;
+
 /// The validated value of a setting.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Value {
     Number(u64),
+    /// In thousandths.
+    Decimal(Option<u64>),
     Address(SocketAddr),
     Addresses(Vec<SocketAddr>),
     Text(String),
@@ -29,6 +34,7 @@
     ) -> Option<Self> {
         let parsed = match &setting.kind {
             Kind::Number(range) => parse_number(text, range),
+            Kind::Decimal(max) => parse_decimal(text, *max),
             Kind::Address => parse_address(text).map(Self::Address),
             Kind::Addresses => parse_list(text, parse_address).map(Self::Addresses),
             Kind::Name => parse_name(text).map(Self::Text),
@@ -45,6 +51,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Number(number) => number.fmt(f),
+            Self::Decimal(None) => Ok(()),
+            Self::Decimal(Some(thousandths)) => (*thousandths as f64 / THOUSANDTHS).fmt(f),
             Self::Address(address) => address.fmt(f),
             Self::Addresses(list) => {
                 let list: Vec<String> = list.iter().map(ToString::to_string).collect();
@@ -68,6 +76,30 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast saturates, so negative numbers become zero, and callers limit the number"
+)]
+const fn round_to_thousandths(number: f64) -> u64 {
+    (number * THOUSANDTHS).round() as u64
+}
+
+/// Parses a decimal number and rounds it to thousandths. One below half a thousandth is rejected.
+fn parse_decimal(text: &str, max: u64) -> Result<Value, String> {
+    if text.is_empty() {
+        return Ok(Value::Decimal(None));
+    }
+    let number: Option<f64> = text.parse().ok();
+    let in_range = number.filter(|number| *number <= max as f64);
+    match in_range.map(round_to_thousandths) {
+        Some(thousandths) if thousandths > 0 => Ok(Value::Decimal(Some(thousandths))),
+        _ => Err(format!(
+            "expected a decimal number from 0.001 to {max}, such as 0.12, or nothing, found {text:?}"
+        )),
+    }
+}
+
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|error| {
         format!("expected an IP address and port such as 10.0.0.7:7000, found {text:?}: {error}")
--- a/crates/agate_settings/src/values.rs
+++ b/crates/agate_settings/src/values.rs
@@ -58,6 +58,14 @@
         Duration::from_millis(self.number(setting))
     }
 
+    /// Returns a decimal number in thousandths, or `None` if it is absent.
+    pub fn thousandths(&self, setting: S) -> Option<u64> {
+        let Value::Decimal(thousandths) = self.value(setting) else {
+            panic_on_kind_mismatch(setting)
+        };
+        *thousandths
+    }
+
     /// Returns an address.
     pub fn address(&self, setting: S) -> SocketAddr {
         let Value::Address(address) = self.value(setting) else {
--- a/crates/agate_settings/tests/load.rs
+++ b/crates/agate_settings/tests/load.rs
@@ -8,6 +8,7 @@
 enum Demo {
     Listen,
     Slots,
+    Share,
     Seeds,
     Level,
     Token,
@@ -32,6 +33,14 @@
                 kind: Kind::Number(1..=64),
                 default: Some("8"),
             },
+            Self::Share => Setting {
+                flag: "share",
+                variable: "DEMO_SHARE",
+                about: "Share of a processor",
+                unit: "processors",
+                kind: Kind::Decimal(64),
+                default: Some(""),
+            },
             Self::Seeds => Setting {
                 flag: "seeds",
                 variable: "DEMO_SEEDS",
@@ -107,6 +116,8 @@
             "--listen",
             "127.0.0.1:1",
             "--check",
+            "--share",
+            "0.12",
             "--token",
             "fedcba9876543210",
         ],
@@ -116,6 +127,7 @@
     insta::assert_snapshot!(stop.text, @r"
     listen=127.0.0.1:1 source=flag
     slots=8 source=default
+    share=0.12 source=flag
     seeds= source=default
     log-level=info source=default
     token=(hidden) source=flag
@@ -146,8 +158,42 @@
         .lines()
         .filter(|line| line.starts_with("| `--"))
         .count();
-    assert_eq!(rows, 5);
+    assert_eq!(rows, 6);
     assert!(page.contains(
         "| `--slots` | `DEMO_SLOTS` | requests | 1 to 64 | `8` | Requests worked on at once |"
     ));
 }
+
+/// The platform renders a number as it likes, and as an empty string where a deployment lacks it.
+#[rstest]
+#[case::absent(&[], None)]
+#[case::empty(&["--share", ""], None)]
+#[case::empty_after_equals_sign(&["--share="], None)]
+#[case::usual(&["--share", "0.12"], Some(120))]
+#[case::without_fraction(&["--share", "2"], Some(2_000))]
+#[case::exponent(&["--share", "1.2e-1"], Some(120))]
+#[case::many_digits(&["--share", "0.12000000000000001"], Some(120))]
+#[case::inexact_in_binary(&["--share", "1.001"], Some(1_001))]
+#[case::smallest(&["--share", "0.001"], Some(1))]
+#[case::largest(&["--share", "64"], Some(64_000))]
+fn a_decimal_is_read_in_thousandths(#[case] args: &[&str], #[case] expected: Option<u64>) {
+    let args = [&["--listen", "127.0.0.1:1"], args].concat();
+    let loaded = run(&args, &[]).expect("settings are valid");
+    assert_eq!(loaded.values.thousandths(Demo::Share), expected);
+}
+
+#[rstest]
+#[case::zero("0")]
+#[case::too_small("0.0004")]
+#[case::negative("-0.5")]
+#[case::too_large("64.1")]
+#[case::infinite("inf")]
+#[case::not_a_number("NaN")]
+#[case::word("half")]
+#[case::comma("0,5")]
+fn an_invalid_decimal_is_reported(#[case] text: &str) {
+    let share = format!("--share={text}");
+    let stop = run(&["--listen", "127.0.0.1:1", &share], &[]).expect_err("it is invalid");
+    let expected = "--share: expected a decimal number from 0.001 to 64, such as 0.12, or nothing";
+    assert!(stop.text.starts_with(expected), "{}", stop.text);
+}
