Don't count heartbeats of the takeover before the first placement

Cause: a heartbeat that was recorded during the takeover let the leader place before the first one after its restore was recorded, so the silence could again last as long as restore and placement together.

Change: results of the takeover are handled when scheduling begins, and placement waits for a later heartbeat.

Seen to fail with the mechanism taken out: a_new_leader_places_nothing_before_its_heartbeat_is_recorded, second case.

--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -142,7 +142,7 @@
         event = "leader_taken", epoch = epoch, runs = scheduler.bound_runs(),
         took_ms = clock::millis(began.elapsed()); ""
     );
-    let mut leadership = Leadership {
+    let leadership = Leadership {
         entry: Arc::clone(entry),
         epoch,
         scheduler,
@@ -151,7 +151,6 @@
         heartbeat_recorded_at: None,
         unlisted_since: None,
     };
-    leadership.write_heartbeat();
     let deposed = leadership.run(outcomes, stop).await;
     entry.view().is_leader = false;
     if deposed {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -60,6 +60,9 @@
         stop: &CancellationToken,
     ) -> bool {
         let entry = Arc::clone(&self.entry);
+        if self.begin(&mut outcomes) {
+            return true;
+        }
         loop {
             tokio::select! {
                 () = stop.cancelled() => {
@@ -82,6 +85,19 @@
         }
     }
 
+    /// Writes the first heartbeat. Those of the takeover don't count, since they were written before
+    /// the state was restored. Returns whether another entry has taken over.
+    fn begin(&mut self, outcomes: &mut UnboundedReceiver<Outcome>) -> bool {
+        while let Ok(outcome) = outcomes.try_recv() {
+            if self.handle_outcome(outcome) {
+                return true;
+            }
+        }
+        self.heartbeat_recorded_at = None;
+        self.write_heartbeat();
+        false
+    }
+
     fn is_superseded(&self) -> bool {
         let view = self.entry.view();
         !view.is_leader || view.job_table.leader().epoch > self.epoch
@@ -140,7 +156,7 @@
         since.is_some_and(|since| now.since(since) >= SCHEDULE_PERIOD)
     }
 
-    pub fn write_heartbeat(&mut self) {
+    fn write_heartbeat(&mut self) {
         self.unlisted_since = None;
         let heartbeat = self.heartbeat();
         self.writers
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -33,6 +33,8 @@
     LosesAppendReplies,
     /// Refuses appends, but answers reads.
     RefusesAppends,
+    /// Refuses appends to the order streams, but takes those to others and answers reads.
+    RefusesOrderAppends,
     /// Refuses appends to the main stream, but takes those to others and answers reads.
     RefusesMainAppends,
     /// Refuses reads of the main stream, but takes appends.
@@ -184,8 +186,13 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
         sleep(CALL_TIME).await;
         let fault = self.fault();
-        let refuses_main = fault == Fault::RefusesMainAppends && stream == Stream::Main;
-        if matches!(fault, Fault::RefusesAll | Fault::RefusesAppends) || refuses_main {
+        let refuses = match fault {
+            Fault::RefusesAll | Fault::RefusesAppends => true,
+            Fault::RefusesMainAppends => stream == Stream::Main,
+            Fault::RefusesOrderAppends => matches!(stream, Stream::Orders(_)),
+            _ => false,
+        };
+        if refuses {
             return Err(AppendError::NotDone("refused".to_owned()));
         }
         if fault == Fault::RejectsSlowly {
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -307,8 +307,11 @@
 
 /// The first placement may take over a second on a slow machine. A leader whose last heartbeat was
 /// from before was deposed meanwhile, and its orders were for nothing.
+#[rstest::rstest]
+#[case::of_a_quick_takeover(Duration::ZERO)]
+#[case::of_one_that_sent_heartbeats(Duration::from_millis(700))]
 #[tokio::test(start_paused = true)]
-async fn a_new_leader_places_nothing_before_its_heartbeat_is_recorded() {
+async fn a_new_leader_places_nothing_before_its_heartbeat_is_recorded(#[case] takeover: Duration) {
     let cluster = Cluster::new();
     let (worker, _agent) = cluster.worker("w1");
     let (unloaded, _) = unloaded_entry(&cluster).await;
@@ -318,6 +321,8 @@
     let starting = cluster.entry("e1", log.clone());
     let (entry, ()) = tokio::join!(starting, async {
         wait_for_claim(&cluster).await;
+        log.set_fault(Fault::RefusesOrderAppends);
+        sleep(takeover).await;
         log.set_fault(Fault::RefusesMainAppends);
     });
     wait_until("it has restored its state", || leads(&entry)).await;
