--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -14,7 +14,8 @@
 pub mod zones;
 
 pub use record::{
-    Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, SuspicionRecord,
+    Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, Suspect,
+    SuspicionRecord,
 };
 pub use route::{Route, RouteTable};
 pub use spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -9,6 +9,7 @@
 mod restore;
 mod scheduler;
 mod suspicion;
+mod suspicion_times;
 mod withdrawal;
 mod worker;
 
@@ -16,4 +17,5 @@
 pub use last_contact::LastContact;
 pub use scheduler::{Placement, Scheduler};
 pub use suspicion::SUSPECT_AFTER;
+pub use suspicion_times::SuspicionTimes;
 pub use withdrawal::{ZoneChange, ZoneRuns};
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -8,4 +8,5 @@
 mod support;
 mod suspicion;
 mod table;
+mod takeover;
 mod zones;
--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -5,6 +5,7 @@
 use rand::Rng as _;
 use tokio::time::sleep;
 
+use super::delay::ClaimDelay;
 use super::{
     HEARTBEAT_PERIOD, LEADER_TIMEOUT, MAX_TAKEOVER_ATTEMPTS, TAKEOVER_RETRY_DELAY, heartbeat_record,
 };
@@ -16,7 +17,7 @@
 const VACANCY_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Waits until the leader has resigned or been silent for too long.
-pub(super) async fn wait_for_vacancy(entry: &Entry, jitter: Duration) {
+pub(super) async fn wait_for_vacancy(entry: &Entry, delay: ClaimDelay) {
     let mut vacant_for = Duration::ZERO;
     loop {
         sleep(VACANCY_CHECK_PERIOD).await;
@@ -26,54 +27,78 @@
         let leader = &view.job_table.leader().entry;
         let resigned = leader.is_empty() || *leader == entry.context.name;
         let since = view.leader_seen_at.max(view.reading.unbroken_since(now));
-        let silent = view.reading.last_end().since(since) > LEADER_TIMEOUT + jitter;
+        let silent = view.reading.last_end().since(since) > LEADER_TIMEOUT + delay.after_silence;
         drop(view);
         vacant_for = if is_reading && resigned {
             vacant_for + VACANCY_CHECK_PERIOD
         } else {
             Duration::ZERO
         };
-        if is_reading && (silent || vacant_for > jitter) {
+        if is_reading && (silent || vacant_for > delay.after_resignation) {
             return;
         }
     }
 }
 
-/// Claims the next epoch on the main stream. Returns the epoch and the sequence number of the
-/// append, or `None` if another entry was faster or the log kept failing.
-pub(super) async fn claim(entry: &Entry) -> Option<(u64, u64)> {
-    let epoch = entry.view().job_table.leader().epoch + 1;
-    let sequence = rand::rng().random_range(1..u64::from(u32::MAX));
-    let record = heartbeat_record(entry, epoch, Vec::new(), false);
+/// A claim to an epoch of the main stream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    /// The epoch.
+    pub epoch: u64,
+    /// Sequence number of the append of the claim.
+    pub sequence: u64,
+    /// Whether the claim is or may be recorded.
+    pub may_be_recorded: bool,
+}
+
+impl Claim {
+    /// Chooses the next epoch. Nothing is recorded yet.
+    pub fn new(entry: &Entry) -> Self {
+        Self {
+            epoch: entry.view().job_table.leader().epoch + 1,
+            sequence: rand::rng().random_range(1..u64::from(u32::MAX)),
+            may_be_recorded: false,
+        }
+    }
+}
+
+/// Records a claim on the main stream. Returns whether this entry holds the epoch; otherwise another
+/// entry was faster or the log kept failing.
+pub(super) async fn record_claim(entry: &Entry, claim: &mut Claim) -> bool {
+    let Claim {
+        epoch, sequence, ..
+    } = *claim;
+    let record = heartbeat_record(entry, epoch);
     let value = match record.value() {
         Ok(value) => value,
         Err(error) => {
             log::error!(event = "record_unwritable", cause:% = error; "");
-            return None;
+            return false;
         }
     };
     let records = [(record.key, value)];
     let mut last_error = AppendError::NotDone("not attempted".to_owned());
     for _ in 0..MAX_TAKEOVER_ATTEMPTS {
         let fence = Some(Fence { epoch, sequence });
-        match entry
-            .context
-            .log
-            .append(Stream::Main, &records, fence)
-            .await
-        {
-            Ok(_) => return Some((epoch, sequence)),
+        // The call may be dropped before it has returned.
+        let was_uncertain = std::mem::replace(&mut claim.may_be_recorded, true);
+        let appended = entry.context.log.append(Stream::Main, &records, fence);
+        match appended.await {
+            Ok(_) => return true,
             Err(AppendError::Fenced | AppendError::OutOfSequence(_)) => {
                 log::info!(event = "claim_lost", epoch = epoch; "another entry was faster");
+                claim.may_be_recorded = false;
                 sleep(HEARTBEAT_PERIOD).await;
-                return None;
+                return false;
             }
             Err(error) => {
+                let is_uncertain = matches!(error, AppendError::Unknown(_));
+                claim.may_be_recorded = was_uncertain || is_uncertain;
                 last_error = error;
                 sleep(TAKEOVER_RETRY_DELAY).await;
             }
         }
     }
     log::warn!(event = "claim_failed", epoch = epoch, cause:% = last_error; "");
-    None
+    false
 }
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -1,6 +1,8 @@
 //! Leader election, and scheduling while this entry leads.
 
+mod delay;
 mod election;
+mod resign;
 mod schedule;
 mod takeover;
 mod zones;
@@ -11,10 +13,13 @@
 use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record};
-use rand::Rng as _;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+pub use self::delay::ProcessorShare;
+
+use self::delay::ClaimDelay;
+use self::election::Claim;
 use self::schedule::Leadership;
 use super::Entry;
 use super::follow;
@@ -30,55 +35,86 @@
 /// takes 0.24 s to record, sixty times longer than usual.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// Upper bound of the random delay that keeps entries from taking over at the same moment.
-const TAKEOVER_JITTER: Duration = Duration::from_millis(300);
-
 /// Attempts at each call to the log during a takeover.
 const MAX_TAKEOVER_ATTEMPTS: u32 = 20;
 
 /// Pause between these attempts.
 const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time allowed for the last records on resignation.
+const RESIGN_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Leads whenever no other entry does, until `stop` is cancelled.
 pub(super) async fn run(entry: Arc<Entry>, stop: CancellationToken) {
     entry.view().is_leader = false;
+    let mut failed_claim = None;
     while !stop.is_cancelled() {
-        let jitter = rand::rng().random_range(Duration::ZERO..TAKEOVER_JITTER);
+        let delay = ClaimDelay::draw(entry.context.processor_share);
         tokio::select! {
-            () = stop.cancelled() => return,
-            () = election::wait_for_vacancy(&entry, jitter) => {}
+            biased;
+            () = stop.cancelled() => {
+                resign::resign_own_claim(&entry, failed_claim).await;
+                return;
+            }
+            () = election::wait_for_vacancy(&entry, delay) => {}
         }
-        if let Some((epoch, sequence)) = election::claim(&entry).await {
-            lead(&entry, epoch, sequence, &stop).await;
+        let mut claim = Claim::new(&entry);
+        let claimed = tokio::select! {
+            biased;
+            () = stop.cancelled() => None,
+            claimed = election::record_claim(&entry, &mut claim) => Some(claimed),
+        };
+        match claimed {
+            Some(true) => {
+                failed_claim = None;
+                lead(&entry, claim, &stop).await;
+            }
+            Some(false) => failed_claim = Some(claim),
+            None => resign::resign_claim(&entry, claim).await,
         }
     }
 }
 
-fn heartbeat_record(
-    entry: &Entry,
-    epoch: u64,
-    started_jobs: Vec<agate_core::JobId>,
-    resigns: bool,
-) -> Record {
-    Record::new(Body::Leader(LeaderHeartbeat {
+/// Returns a heartbeat of this entry that lists neither jobs nor suspicions.
+fn heartbeat(entry: &Entry, epoch: u64) -> LeaderHeartbeat {
+    LeaderHeartbeat {
         epoch,
         entry: entry.context.name.clone(),
-        resigns,
-        started_jobs,
+        resigns: false,
+        started_jobs: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+fn heartbeat_record(entry: &Entry, epoch: u64) -> Record {
+    Record::new(Body::Leader(heartbeat(entry, epoch)))
+}
+
+/// Returns the record with which this entry gives up an epoch before it has scheduled anything.
+fn resignation_record(entry: &Entry, epoch: u64) -> Record {
+    Record::new(Body::Leader(LeaderHeartbeat {
+        resigns: true,
+        ..heartbeat(entry, epoch)
     }))
 }
 
-async fn lead(entry: &Arc<Entry>, epoch: u64, sequence: u64, stop: &CancellationToken) {
+async fn lead(entry: &Arc<Entry>, claim: Claim, stop: &CancellationToken) {
     let began = Instant::now();
+    let epoch = claim.epoch;
     let (mut writers, outcomes) = StreamWriters::new(Arc::clone(entry), epoch);
-    writers.open(Stream::Main, sequence);
+    writers.open(Stream::Main, claim.sequence);
     entry.view().takes_over = true;
     let taken = tokio::select! {
-        taken = takeover::take_over(entry, epoch) => taken,
+        biased;
+        () = stop.cancelled() => None,
+        taken = takeover::take_over(entry, epoch) => Some(taken),
         () = takeover::send_heartbeats(entry, epoch, &mut writers) => return,
-        () = stop.cancelled() => return,
     };
     entry.view().takes_over = false;
+    let Some(taken) = taken else {
+        resign::resign_takeover(entry, epoch, writers, outcomes).await;
+        return;
+    };
     let orders = match taken {
         Ok(orders) => orders,
         Err(error) => {
@@ -93,14 +129,15 @@
         view.is_leader = true;
         view.pending_changes.clear();
         view.last_contact.prune(&view.job_table);
-        Scheduler::restore(&view.job_table, orders, &view.last_contact, now)
+        view.suspicion_times.prune(&view.job_table);
+        Scheduler::restore(
+            &view.job_table,
+            orders,
+            &view.last_contact,
+            &view.suspicion_times,
+            now,
+        )
     };
-    // The first placement may take over a second on a slow machine, and the other entries count
-    // the leader's silence meanwhile.
-    writers.write(
-        Stream::Main,
-        heartbeat_record(entry, epoch, Vec::new(), false),
-    );
     entry.context.metrics.count(Event::LeaderTaken);
     log::info!(
         event = "leader_taken", epoch = epoch, runs = scheduler.bound_runs(),
@@ -112,7 +149,8 @@
         scheduler,
         writers,
         heartbeat_at: now,
-        heartbeat_recorded_at: now,
+        heartbeat_recorded_at: None,
+        unlisted_since: None,
     };
     let deposed = leadership.run(outcomes, stop).await;
     entry.view().is_leader = false;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -6,12 +6,12 @@
 use agate_core::{Moment, clock as wall};
 use agate_jobs::plan::{Effect, Placement, Scheduler};
 use agate_jobs::record::Body;
-use agate_jobs::{Record, lease};
+use agate_jobs::{LeaderHeartbeat, Record, lease};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, heartbeat_record, zones};
+use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, heartbeat, zones};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -27,9 +27,6 @@
 /// Extra time for which the state of a closed job is kept, since clocks differ.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
-/// Time allowed for the last records on resignation.
-const RESIGN_TIMEOUT: Duration = Duration::from_millis(800);
-
 fn log_lost_run(record: &Record) {
     let Some(Body::Ended(end)) = &record.body else {
         return;
@@ -47,7 +44,11 @@
     pub scheduler: Scheduler,
     pub writers: StreamWriters,
     pub heartbeat_at: Moment,
-    pub heartbeat_recorded_at: Moment,
+    /// When the newest heartbeat was recorded. Nothing is placed before the first one is: that may
+    /// take over a second on a slow machine, and the other entries count the silence meanwhile.
+    pub heartbeat_recorded_at: Option<Moment>,
+    /// Since when a suspicion has been stored that no heartbeat lists yet.
+    pub unlisted_since: Option<Moment>,
 }
 
 impl Leadership {
@@ -59,6 +60,9 @@
         stop: &CancellationToken,
     ) -> bool {
         let entry = Arc::clone(&self.entry);
+        if self.begin(&mut outcomes) {
+            return true;
+        }
         loop {
             tokio::select! {
                 () = stop.cancelled() => {
@@ -81,6 +85,19 @@
         }
     }
 
+    /// Writes the first heartbeat. Those of the takeover don't count, since they were written before
+    /// the state was restored. Returns whether another entry has taken over.
+    fn begin(&mut self, outcomes: &mut UnboundedReceiver<Outcome>) -> bool {
+        while let Ok(outcome) = outcomes.try_recv() {
+            if self.handle_outcome(outcome) {
+                return true;
+            }
+        }
+        self.heartbeat_recorded_at = None;
+        self.write_heartbeat();
+        false
+    }
+
     fn is_superseded(&self) -> bool {
         let view = self.entry.view();
         !view.is_leader || view.job_table.leader().epoch > self.epoch
@@ -90,9 +107,10 @@
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         let now = clock::now();
         match outcome {
-            Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = now,
+            Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = Some(now),
             Outcome::SuspicionRecorded(worker, number) => {
                 self.scheduler.suspicion_recorded(&worker, number, now);
+                self.unlisted_since.get_or_insert(now);
             }
             Outcome::Deposed(stream) => {
                 log::warn!(event = "leader_deposed", epoch = self.epoch, lane:% = stream; "");
@@ -118,16 +136,43 @@
         }
         if now.since(self.heartbeat_at) >= HEARTBEAT_PERIOD {
             self.heartbeat_at = now;
-            if now.since(self.heartbeat_recorded_at) < MAX_HEARTBEAT_AGE {
+            if self.is_heartbeat_recent(now) {
                 self.close_jobs(wall_ms);
             }
-            let started_jobs = self.scheduler.take_started_jobs();
-            let record = heartbeat_record(&self.entry, self.epoch, started_jobs, false);
-            self.writers.write(Stream::Main, record);
+            self.write_heartbeat();
+        } else if self.has_suspicions_to_list(now) {
+            self.write_heartbeat();
         }
         self.write_effects();
     }
 
+    fn is_heartbeat_recent(&self, now: Moment) -> bool {
+        let recorded_at = self.heartbeat_recorded_at;
+        recorded_at.is_some_and(|at| now.since(at) < MAX_HEARTBEAT_AGE)
+    }
+
+    /// Returns whether to list new suspicions before the next regular heartbeat. A successor counts
+    /// their expiry from the heartbeat that lists them, so each wait adds to it.
+    fn has_suspicions_to_list(&self, now: Moment) -> bool {
+        let since = self.unlisted_since;
+        since.is_some_and(|since| now.since(since) >= SCHEDULE_PERIOD)
+    }
+
+    fn write_heartbeat(&mut self) {
+        self.unlisted_since = None;
+        let heartbeat = self.heartbeat();
+        self.writers
+            .write(Stream::Main, Record::new(Body::Leader(heartbeat)));
+    }
+
+    fn heartbeat(&mut self) -> LeaderHeartbeat {
+        LeaderHeartbeat {
+            started_jobs: self.scheduler.take_started_jobs(),
+            suspects: self.scheduler.stored_suspicions(),
+            ..heartbeat(&self.entry, self.epoch)
+        }
+    }
+
     fn decide(&mut self, now: Moment, wall_ms: u64) -> Vec<Placement> {
         let entry = Arc::clone(&self.entry);
         let mut view = entry.view();
@@ -135,7 +180,7 @@
             self.scheduler.apply(&view.job_table, &change, now);
         }
         let since = view.reading.unbroken_since(now);
-        let current = since < now && now.since(self.heartbeat_recorded_at) < MAX_HEARTBEAT_AGE;
+        let current = since < now && self.is_heartbeat_recent(now);
         if !current {
             return Vec::new();
         }
@@ -174,6 +219,9 @@
             .job_table
             .closed_before(wall_ms.saturating_sub(retention))
         {
+            if view.job_table.has_stale_submission(id) {
+                self.delete_key(format!("j/{id}"));
+            }
             self.delete_key(format!("d/{id}"));
         }
     }
@@ -212,9 +260,12 @@
     }
 
     async fn resign(mut self) {
-        let started_jobs = self.scheduler.take_started_jobs();
-        let record = heartbeat_record(&self.entry, self.epoch, started_jobs, true);
-        self.writers.write(Stream::Main, record);
+        let heartbeat = LeaderHeartbeat {
+            resigns: true,
+            ..self.heartbeat()
+        };
+        self.writers
+            .write(Stream::Main, Record::new(Body::Leader(heartbeat)));
         if tokio::time::timeout(RESIGN_TIMEOUT, self.writers.finish())
             .await
             .is_err()
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -6,4 +6,5 @@
 mod leaders;
 mod orders;
 mod support;
+mod takeovers;
 mod zones;
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -8,7 +8,7 @@
 use agate_jobs::zones::ZoneRecord;
 use agate_jobs::{JobSpec, QueuePolicy, StepSpec};
 use agate_node::agent::{AgentContext, WithdrawalSettings, WorkerRegistry};
-use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef};
+use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef, ProcessorShare};
 use agate_node::metrics::Metrics;
 use agate_node::store::{StoredRecord, Stream};
 use agate_node::{Appender, ParseZone, Urgency};
@@ -61,8 +61,27 @@
 
     /// Starts an entry. The first one becomes the leader.
     pub(crate) async fn entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
-        let resign = CancellationToken::new();
-        let started = entry::build(self.entry_context(name, log), &resign);
+        let entry = self.start_entry(name, log);
+        wait_until("the entry is ready", || entry.is_ready()).await;
+        entry
+    }
+
+    /// Starts an entry without waiting until it is ready.
+    pub(crate) fn start_entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
+        let started = entry::build(self.entry_context(name, log), &CancellationToken::new());
+        self.run(started, &self.stop)
+    }
+
+    /// Starts an entry with a share of a processor, in thousandths.
+    pub(crate) async fn entry_with_share(
+        &self,
+        name: &str,
+        log: FakeLog,
+        thousandths: u64,
+    ) -> Arc<Entry> {
+        let mut context = self.entry_context(name, log);
+        context.processor_share = Some(ProcessorShare::from_thousandths(thousandths));
+        let started = entry::build(context, &CancellationToken::new());
         let entry = self.run(started, &self.stop);
         wait_until("the entry is ready", || entry.is_ready()).await;
         entry
@@ -77,6 +96,19 @@
         entry
     }
 
+    /// Starts an entry that drains when `resign` is cancelled: it resigns, but goes on reading.
+    pub(crate) async fn draining_entry(
+        &self,
+        name: &str,
+        log: FakeLog,
+        resign: &CancellationToken,
+    ) -> Arc<Entry> {
+        let started = entry::build(self.entry_context(name, log), resign);
+        let entry = self.run(started, &self.stop);
+        wait_until("the entry is ready", || entry.is_ready()).await;
+        entry
+    }
+
     fn entry_context(&self, name: &str, log: FakeLog) -> EntryContext {
         EntryContext {
             name: name.to_owned(),
@@ -86,6 +118,7 @@
             parse_zone: self.parse_zone,
             max_lease: MAX_LEASE,
             state_retention: Duration::from_mins(2),
+            processor_share: None,
         }
     }
 
@@ -223,6 +256,7 @@
     async fn submit_job(&self, job: u64, spec: JobSpec) -> Answer;
     async fn query_state(&self, job: u64) -> Answer;
     async fn cancel_job(&self, job: u64) -> Answer;
+    fn count_pending(&self) -> Answer;
     async fn wait_for_answer(&self, job: u64, expected: Answer);
 }
 
@@ -254,6 +288,10 @@
         self.cancel(at).await
     }
 
+    fn count_pending(&self) -> Answer {
+        self.pending(&queue(0))
+    }
+
     async fn wait_for_answer(&self, job: u64, expected: Answer) {
         let wait = async {
             while self.query_state(job).await != expected {
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -33,6 +33,12 @@
     LosesAppendReplies,
     /// Refuses appends, but answers reads.
     RefusesAppends,
+    /// Refuses appends to the order streams, but takes those to others and answers reads.
+    RefusesOrderAppends,
+    /// Refuses appends to the main stream, but takes those to others and answers reads.
+    RefusesMainAppends,
+    /// Refuses reads of the main stream, but takes appends.
+    RefusesMainReads,
     /// Rejects appends after [`REJECTION_TIME`], but answers reads.
     RejectsSlowly,
     /// Refuses reads of the configuration only.
@@ -133,6 +139,7 @@
     fn refuses_read(&self, stream: Stream) -> bool {
         match self.fault() {
             Fault::RefusesAll => true,
+            Fault::RefusesMainReads => stream == Stream::Main,
             Fault::RefusesConfig => stream == Stream::Config,
             _ => false,
         }
@@ -205,7 +212,13 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
         sleep(CALL_TIME).await;
         let fault = self.fault();
-        if matches!(fault, Fault::RefusesAll | Fault::RefusesAppends) {
+        let refuses = match fault {
+            Fault::RefusesAll | Fault::RefusesAppends => true,
+            Fault::RefusesMainAppends => stream == Stream::Main,
+            Fault::RefusesOrderAppends => matches!(stream, Stream::Orders(_)),
+            _ => false,
+        };
+        if refuses {
             return Err(AppendError::NotDone("refused".to_owned()));
         }
         if fault == Fault::RejectsSlowly {
