Return no order that an agent's predecessor may have started

Cause: an agent that restarts in a withdrawn zone returned an order as soon as it had read the zones. The worker could still carry out the start that the agent had sent before its restart, while the leader placed the task elsewhere. Besides, the deadline of a start counted from a clock reading after the check, so a machine that was suspended between the two could start a task past the bound. Change: for 2.5 s after its start an agent lets such orders wait with the reason earlier_start. One clock reading serves the check and the deadline. Ruled out: phase Unconfirmed for such an order, whose end counts as a lost run. The suspension has no test, since no seam lies between the two readings.

--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -122,11 +122,12 @@
         refuse(worker, state, &order, EndCause::Refused);
         return Ok(());
     }
-    if zones::check_start(worker, state, &order)? == Verdict::Return {
+    // The deadline counts from the time of the check, also if the machine is suspended in between.
+    let now = clock::boottime();
+    if zones::check_start(worker, state, &order, now)? == Verdict::Return {
         refuse(worker, state, &order, EndCause::Refused);
         return Ok(());
     }
-    let now = clock::boottime();
     let (Some(until), Some(reading)) = (worker.lease_limit(state), state.clock) else {
         return Err(WaitReason::NoLease);
     };
--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -36,6 +36,9 @@
     ZonesNotLoaded,
     /// The withdrawn zones have not been read to their end recently enough.
     ZonesStale,
+    /// The zone is withdrawn, but a start that was sent before this agent started may still be
+    /// carried out.
+    EarlierStart,
 }
 
 impl WaitReason {
--- a/crates/agate_node/src/agent/zones.rs
+++ b/crates/agate_node/src/agent/zones.rs
@@ -19,6 +19,11 @@
 /// Pause after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Time after the start of the agent for which orders in withdrawn zones are not returned. Within it,
+/// the worker may carry out a start that the agent sent before it was restarted (1.5 s, and 2 % for
+/// the worker's clock), and then has to list it (0.5 s).
+const EARLIER_START_WAIT: Duration = Duration::from_millis(2_500);
+
 /// Settings of the check against withdrawn zones.
 #[derive(Debug, Clone, Copy)]
 pub struct WithdrawalSettings {
@@ -32,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct ZoneWatch {
     parse_zone: ParseZone,
+    /// Boot time at which the agent started.
+    created_at: Duration,
     gate: Mutex<ZoneGate>,
 }
 
@@ -48,6 +55,7 @@
     pub fn new(settings: WithdrawalSettings) -> Self {
         Self {
             parse_zone: settings.parse_zone,
+            created_at: clock::boottime(),
             gate: Mutex::new(ZoneGate::new(settings.bound)),
         }
     }
@@ -57,7 +65,7 @@
     }
 }
 
-/// Checks whether a start may be sent to the worker.
+/// Checks whether a start may be sent to the worker at the boot time `now`.
 ///
 /// # Errors
 ///
@@ -66,15 +74,19 @@
     worker: &ManagedWorker,
     state: &State,
     order: &Order,
+    now: Duration,
 ) -> Result<Verdict, WaitReason> {
     let Some(zones) = &worker.zones else {
         return Ok(Verdict::Start);
     };
     let zone = state.heartbeat.zone.as_str();
-    match zones.gate().check(zone, clock::boottime()) {
+    match zones.gate().check(zone, now) {
         StartCheck::Allowed => Ok(Verdict::Start),
         StartCheck::NotLoaded => Err(WaitReason::ZonesNotLoaded),
         StartCheck::Stale => Err(WaitReason::ZonesStale),
+        StartCheck::Withdrawn if now < zones.created_at + EARLIER_START_WAIT => {
+            Err(WaitReason::EarlierStart)
+        }
         StartCheck::Withdrawn => {
             worker.context.metrics.count(Event::ZoneRefused);
             log::info!(
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -25,6 +25,9 @@
 /// Delay of a late start, longer than its deadline allows.
 const LATE_START_TIME: Duration = Duration::from_secs(2);
 
+/// Delay of a slow start, shorter than its deadline allows.
+const SLOW_START_TIME: Duration = Duration::from_millis(1_300);
+
 /// How the worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Behavior {
@@ -39,6 +42,8 @@
     LosesStartReplies,
     /// Executes starts only after [`LATE_START_TIME`].
     StartsLate,
+    /// Executes starts only after [`SLOW_START_TIME`].
+    StartsSlowly,
     /// Tasks use processor time without making progress.
     Stalls,
     /// Takes long to answer stops.
@@ -260,8 +265,11 @@
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
         self.ensure_reachable().await?;
-        if self.state().behavior == Behavior::StartsLate {
-            sleep(LATE_START_TIME).await;
+        let behavior = self.state().behavior;
+        match behavior {
+            Behavior::StartsLate => sleep(LATE_START_TIME).await,
+            Behavior::StartsSlowly => sleep(SLOW_START_TIME).await,
+            _ => {}
         }
         let mut state = self.state();
         state.advance();
--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -118,6 +118,26 @@
     assert_eq!((worker.running(), worker.started_runs().len()), (1, 1));
 }
 
+/// A start that the agent sent before it was restarted is carried out after its successor has read
+/// the request. An order returned before that would let the task run in two places.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_agent_returns_no_order_that_may_still_start() {
+    let cluster = Cluster::new();
+    let (worker, agent) = zone_worker(cluster.log.client(), "w1");
+    worker.keep_tasks_running();
+    worker.set_behavior(Behavior::StartsSlowly);
+    sleep(SECOND).await;
+    put(&cluster.log, "w1", &start_order("w1", 0, 1));
+    sleep(SECOND / 10).await;
+    withdraw(&cluster, "north");
+    agent.renew_leases().await;
+    agent.detach_all();
+    let successor = Cluster::zone_agent(cluster.log.client());
+    successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(4 * SECOND).await;
+    assert_eq!((worker.running(), returned(&cluster)), (1, 0));
+}
+
 /// The record of the return is dropped before the agent reads it. A malformed key that is loaded again
 /// is not logged again.
 #[tokio::test(start_paused = true)]
