Test that a step in one rack gathers outside of a withdrawn zone

Cause: no test covered the choice of the rack when siblings still run in a withdrawn zone. Change: one test. Ruled out: a case of nothing_is_placed_in_a_withdrawn_zone, whose step has no running sibling. Result: it fails if withdrawn siblings decide the rack, and passes.

--- a/crates/agate_jobs/tests/jobs/zones.rs
+++ b/crates/agate_jobs/tests/jobs/zones.rs
@@ -159,6 +159,25 @@
     assert_eq!(place_with(&mut fleet, &table), ["b"]);
 }
 
+/// Tasks of a step in one rack gathered around siblings that still ran in the withdrawn zone, where no
+/// other task could join them, and were spread over the other racks.
+#[test]
+fn a_step_in_one_rack_gathers_outside_of_a_withdrawn_zone() {
+    let mut fleet = Fleet::new(&[at("north", "a")]);
+    let one_rack = StepSpec {
+        one_rack: true,
+        ..step(6)
+    };
+    fleet.fold(submitted(1, vec![one_rack]));
+    assert_eq!(place_with(&mut fleet, &loaded(Vec::new(), 3)), ["a"]);
+    for name in ["b", "c"] {
+        let worker = agate_jobs::Body::Worker(at("south", name));
+        fleet.fold(agate_jobs::Record::new(worker));
+    }
+    let table = loaded(vec![withdraws(3, "north")], 4);
+    assert_eq!(place_with(&mut fleet, &table), ["b"]);
+}
+
 /// Reserved capacity in a withdrawn zone would keep other tasks away from nothing, and the task
 /// itself would wait for a worker that it never gets.
 #[test]
