--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -44,8 +44,8 @@
 /// Weight, for the same tasks, of each task of the same step on a worker.
 const SIBLING_WEIGHT: f64 = 0.05;
 
-/// Cost of a worker that is still slow after its start. It outweighs all others but that of a prior
-/// failure.
+/// Cost of a worker that is still slow after its start. It exceeds the usual differences in cost
+/// between workers, but not the cost of a prior failure.
 const COLD_COST: f64 = 5.0;
 
 /// Weight of a worker's slowness, which is a logarithm.
