Raise suspicions before the first heartbeat of a new leader

Cause: a new leader evaluated neither silence nor the expiry of suspicions until its first heartbeat was recorded, although the design says that suspicions don't wait for it. Only the placement waits. Ruled out: evaluating them without a limit, since a leader whose heartbeats are not recorded is about to be replaced.

--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -147,6 +147,7 @@
         epoch,
         scheduler,
         writers,
+        taken_at: now,
         heartbeat_at: now,
         heartbeat_recorded_at: None,
         unlisted_since: None,
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -43,6 +43,8 @@
     pub epoch: u64,
     pub scheduler: Scheduler,
     pub writers: StreamWriters,
+    /// When the state was restored. Suspicions are raised without waiting for the first heartbeat.
+    pub taken_at: Moment,
     pub heartbeat_at: Moment,
     /// When the newest heartbeat was recorded. Nothing is placed before the first one is: that may
     /// take over a second on a slow machine, and the other entries count the silence meanwhile.
@@ -178,12 +180,16 @@
             self.scheduler.apply(&view.job_table, &change, now);
         }
         let since = view.reading.unbroken_since(now);
-        let current = since < now && self.is_heartbeat_recent(now);
-        if !current {
+        let confirmed_at = self.heartbeat_recorded_at.unwrap_or(self.taken_at);
+        let is_current = since < now && now.since(confirmed_at) < MAX_HEARTBEAT_AGE;
+        if !is_current {
             return Vec::new();
         }
         let lease = lease::duration(entry.context.max_lease);
         self.scheduler.update_suspicions(now, since, lease);
+        if self.heartbeat_recorded_at.is_none() {
+            return Vec::new();
+        }
         self.scheduler.place(&view.job_table, now, wall_ms)
     }
 
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -331,3 +331,32 @@
     log.set_fault(Fault::None);
     wait_until("it runs", || worker.started_runs().len() == 1).await;
 }
+
+/// A lost worker was suspected only after the log had recorded a heartbeat of the new leader, which
+/// delayed its tasks where appends to the main stream are slow.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_suspects_workers_before_its_heartbeat_is_recorded() {
+    let cluster = Cluster::new();
+    let (first, second) = (cluster.log.client(), cluster.log.client());
+    let leader = cluster.entry("e1", first.clone()).await;
+    wait_until("it schedules", || leads(&leader)).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    let accepted = leader.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    wait_until("it runs", || worker.running() == 1).await;
+    let successor = cluster.entry("e2", second.clone()).await;
+    first.set_fault(Fault::RefusesAll);
+    agent.detach_all();
+    worker.set_behavior(Behavior::Unreachable);
+    sleep(Duration::from_millis(100)).await;
+    let before = heartbeats(&cluster);
+    while heartbeats(&cluster) == before {
+        sleep(Duration::from_millis(1)).await;
+    }
+    second.set_fault(Fault::RefusesMainAppends);
+    wait_until("the other schedules", || leads(&successor)).await;
+    sleep(Duration::from_secs(1)).await;
+    let suspected = successor.metrics().event_count(Event::WorkerSuspected);
+    assert_eq!(suspected, 1);
+}
