Skip pending heartbeats of the takeover before the first placement

Cause: heartbeats of the takeover that were recorded before the restore were skipped, but not one that was still in flight then. Its result, which a slow machine handles only after the restore, permitted placement. Change: the leader counts the heartbeats that it writes during the takeover and skips as many results. The stream keeps their order. Ruled out: a mark in the record, which other processes would have to skip. Result: a_pending_heartbeat_of_the_takeover_does_not_permit_placement failed before the change (1 run started) and passes with it.

--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -103,11 +103,17 @@
     let (mut writers, outcomes) = StreamWriters::new(Arc::clone(entry), epoch);
     writers.open(Stream::Main, claim.sequence);
     entry.view().takes_over = true;
+    let mut takeover_heartbeats = 0;
     let taken = tokio::select! {
         biased;
         () = stop.cancelled() => None,
         taken = takeover::take_over(entry, epoch) => Some(taken),
-        () = takeover::send_heartbeats(entry, epoch, &mut writers) => return,
+        () = takeover::send_heartbeats(
+            entry,
+            epoch,
+            &mut writers,
+            &mut takeover_heartbeats,
+        ) => return,
     };
     entry.view().takes_over = false;
     let Some(taken) = taken else {
@@ -149,6 +155,7 @@
         writers,
         taken_at: now,
         heartbeat_at: now,
+        takeover_heartbeats,
         heartbeat_recorded_at: None,
         unlisted_since: None,
     };
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -46,8 +46,11 @@
     /// When the state was restored. Suspicions are raised without waiting for the first heartbeat.
     pub taken_at: Moment,
     pub heartbeat_at: Moment,
-    /// When the newest heartbeat was recorded. Nothing is placed before the first one is: that may
-    /// take over a second on a slow machine, and the other entries count the silence meanwhile.
+    /// Heartbeats that were written before the restore and whose outcome has not been handled.
+    pub takeover_heartbeats: u32,
+    /// When the newest heartbeat since the restore was recorded. Nothing is placed before the first
+    /// one is: that may take over a second on a slow machine, and the other entries count the silence
+    /// meanwhile.
     pub heartbeat_recorded_at: Option<Moment>,
     /// Since when a suspicion has been stored that no heartbeat lists yet.
     pub unlisted_since: Option<Moment>,
@@ -62,9 +65,7 @@
         stop: &CancellationToken,
     ) -> bool {
         let entry = Arc::clone(&self.entry);
-        if self.begin(&mut outcomes) {
-            return true;
-        }
+        self.write_heartbeat();
         loop {
             tokio::select! {
                 () = stop.cancelled() => {
@@ -87,19 +88,6 @@
         }
     }
 
-    /// Writes the first heartbeat. Those of the takeover don't count, since they were written before
-    /// the state was restored. Returns whether another entry has taken over.
-    fn begin(&mut self, outcomes: &mut UnboundedReceiver<Outcome>) -> bool {
-        while let Ok(outcome) = outcomes.try_recv() {
-            if self.handle_outcome(outcome) {
-                return true;
-            }
-        }
-        self.heartbeat_recorded_at = None;
-        self.write_heartbeat();
-        false
-    }
-
     fn is_superseded(&self) -> bool {
         let view = self.entry.view();
         !view.is_leader || view.job_table.leader().epoch > self.epoch
@@ -109,6 +97,10 @@
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         let now = clock::now();
         match outcome {
+            // Heartbeats are recorded in order, so those of the takeover come first.
+            Outcome::HeartbeatRecorded if self.takeover_heartbeats > 0 => {
+                self.takeover_heartbeats -= 1;
+            }
             Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = Some(now),
             Outcome::SuspicionRecorded(worker, number) => {
                 self.scheduler.suspicion_recorded(&worker, number, now);
--- a/crates/agate_node/src/entry/lead/takeover.rs
+++ b/crates/agate_node/src/entry/lead/takeover.rs
@@ -40,11 +40,17 @@
 }
 
 /// Sends heartbeats during a takeover, which may take longer than the silence after which another
-/// entry would take over.
-pub(super) async fn send_heartbeats(entry: &Entry, epoch: u64, writers: &mut StreamWriters) {
+/// entry would take over. Counts them in `written`.
+pub(super) async fn send_heartbeats(
+    entry: &Entry,
+    epoch: u64,
+    writers: &mut StreamWriters,
+    written: &mut u32,
+) {
     loop {
         sleep(HEARTBEAT_PERIOD).await;
         writers.write(Stream::Main, heartbeat_record(entry, epoch));
+        *written += 1;
     }
 }
 
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -360,3 +360,33 @@
     let suspected = successor.metrics().event_count(Event::WorkerSuspected);
     assert_eq!(suspected, 1);
 }
+
+/// A heartbeat of the takeover may be recorded only after the restore. Taken for one that follows
+/// the restore, it let a leader place whose last heartbeat was already old.
+#[tokio::test(start_paused = true)]
+async fn a_pending_heartbeat_of_the_takeover_does_not_permit_placement() {
+    let cluster = Cluster::new();
+    let (worker, _agent) = cluster.worker("w1");
+    let (unloaded, _) = unloaded_entry(&cluster).await;
+    let accepted = unloaded.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    let log = cluster.log.client();
+    let starting = cluster.entry("e1", log.clone());
+    let (entry, ()) = tokio::join!(starting, async {
+        wait_for_claim(&cluster).await;
+        log.set_fault(Fault::RefusesAppends);
+        sleep(Duration::from_millis(700)).await;
+        log.set_fault(Fault::RefusesMainAppends);
+    });
+    wait_until("it has restored its state", || leads(&entry)).await;
+    log.set_fault(Fault::None);
+    while heartbeats(&cluster) < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::RefusesMainAppends);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(heartbeats(&cluster), 2, "only that of the takeover");
+    assert_eq!(worker.started_runs().len(), 0);
+    log.set_fault(Fault::None);
+    wait_until("it runs", || worker.started_runs().len() == 1).await;
+}
