Match stored suspicions by their whole record

Cause: the result of a suspicion's append was matched by the worker's name and the number. Numbers start again when a worker restarts, so a record of the earlier incarnation that was stored late started the expiry of the current one, whose own record was not stored yet. Also, the record of a cleared suspicion caused an additional heartbeat that listed nothing new. Change: a result counts only if its record is that of the open suspicion, and only then is a heartbeat sent early. Ruled out: numbers that continue across incarnations, which would change what agents acknowledge. Result: a_record_of_an_earlier_incarnation_does_not_start_the_expiry failed with the old comparison and passes with the new one.

--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -7,7 +7,7 @@
 use crate::lease;
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
-use crate::record::{Record, Suspect};
+use crate::record::{Record, Suspect, SuspicionRecord};
 
 /// Silence after which a worker is suspected. Agents report every 800 ms.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_900);
@@ -27,16 +27,19 @@
         }
     }
 
-    /// Records that suspicion `number` of a worker has been stored, which starts the expiry of the
-    /// worker's lease.
-    pub fn suspicion_recorded(&mut self, worker: &str, number: u64, now: Moment) {
-        let Some(slot) = self.slots.get(worker).copied() else {
-            return;
+    /// Records that a suspicion record has been stored. An open one starts the expiry of the worker's
+    /// lease, unless the worker has restarted or the suspicion was settled since. Returns whether it
+    /// is open.
+    pub fn suspicion_recorded(&mut self, stored: &SuspicionRecord, now: Moment) -> bool {
+        let Some(slot) = self.slots.get(&stored.incarnation.name).copied() else {
+            return false;
         };
         let worker = &mut self.workers[slot];
-        if worker.suspicion.suspected && worker.suspicion.number == number {
+        let is_open = stored.suspected && worker.suspicion == *stored;
+        if is_open {
             worker.suspected_at.get_or_insert(now);
         }
+        is_open
     }
 
     /// Returns the open suspicions whose record is stored, the oldest first, for the heartbeat.
--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -151,9 +151,7 @@
                     }
                     Effect::Order { record, .. } => {
                         if let Some(Body::Suspicion(suspicion)) = &record.body {
-                            let (name, at) = (&suspicion.incarnation.name, self.now);
-                            self.scheduler
-                                .suspicion_recorded(name, suspicion.number, at);
+                            self.scheduler.suspicion_recorded(suspicion, self.now);
                         }
                         self.orders.push(record);
                     }
--- a/crates/agate_jobs/tests/jobs/takeover.rs
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use agate_jobs::record::Body;
-use agate_jobs::{LeaderHeartbeat, Record, Suspect, WorkerIncarnation};
+use agate_jobs::{LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation};
 
 use crate::fleet::{Fleet, LEASE};
 use crate::support::{report, step, submitted};
@@ -91,10 +91,40 @@
         fleet.scheduler.stored_suspicions().is_empty(),
         "it is not stored"
     );
-    fleet.scheduler.suspicion_recorded("a", 2, fleet.now);
+    let stored = SuspicionRecord {
+        incarnation: report("a", 1).incarnation,
+        number: 2,
+        suspected: true,
+    };
+    assert!(fleet.scheduler.suspicion_recorded(&stored, fleet.now));
     assert_eq!(fleet.scheduler.stored_suspicions()[0].number, 2);
 }
 
+/// Numbers start again with each incarnation. The record of an earlier incarnation may be stored late,
+/// and starting the expiry of the current one by it would end a lease that is still renewed.
+#[test]
+fn a_record_of_an_earlier_incarnation_does_not_start_the_expiry() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let since = agate_core::Moment::ZERO;
+    let silence = Duration::from_secs(2);
+    fleet.now = fleet.now + silence;
+    fleet.scheduler.update_suspicions(fleet.now, since, LEASE);
+    fleet.scheduler.take_effects();
+    fleet.fold(Record::new(Body::Worker(report("a", 2))));
+    fleet.scheduler.take_effects();
+    fleet.now = fleet.now + silence;
+    fleet.scheduler.update_suspicions(fleet.now, since, LEASE);
+    let [earlier, current] = [1, 2].map(|started_ms| SuspicionRecord {
+        incarnation: report("a", started_ms).incarnation,
+        number: 1,
+        suspected: true,
+    });
+    assert!(!fleet.scheduler.suspicion_recorded(&earlier, fleet.now));
+    assert!(fleet.scheduler.stored_suspicions().is_empty());
+    assert!(fleet.scheduler.suspicion_recorded(&current, fleet.now));
+    assert_eq!(fleet.scheduler.stored_suspicions().len(), 1);
+}
+
 /// A suspicion that its leader no longer lists is settled, so its time must not accumulate.
 #[test]
 fn the_leader_that_listed_a_suspicion_removes_it() {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -102,9 +102,10 @@
                 self.takeover_heartbeats -= 1;
             }
             Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = Some(now),
-            Outcome::SuspicionRecorded(worker, number) => {
-                self.scheduler.suspicion_recorded(&worker, number, now);
-                self.unlisted_since.get_or_insert(now);
+            Outcome::SuspicionRecorded(suspicion) => {
+                if self.scheduler.suspicion_recorded(&suspicion, now) {
+                    self.unlisted_since.get_or_insert(now);
+                }
             }
             Outcome::Deposed(stream) => {
                 log::warn!(event = "leader_deposed", epoch = self.epoch, lane:% = stream; "");
--- a/crates/agate_node/src/entry/writers.rs
+++ b/crates/agate_node/src/entry/writers.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::Record;
 use agate_jobs::record::Body;
+use agate_jobs::{Record, SuspicionRecord};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -27,8 +27,8 @@
 /// Results of appends.
 #[derive(Debug)]
 pub(super) enum Outcome {
-    /// The suspicion of this worker with this number is recorded.
-    SuspicionRecorded(String, u64),
+    /// A suspicion record is stored.
+    SuspicionRecorded(SuspicionRecord),
     /// A heartbeat is recorded.
     HeartbeatRecorded,
     /// Another entry has taken over this stream.
@@ -186,10 +186,9 @@
     fn notify_recorded(&self, group: &[Record]) {
         for record in group {
             match &record.body {
-                Some(Body::Suspicion(suspicion)) => self.notify(Outcome::SuspicionRecorded(
-                    suspicion.incarnation.name.clone(),
-                    suspicion.number,
-                )),
+                Some(Body::Suspicion(suspicion)) => {
+                    self.notify(Outcome::SuspicionRecorded(suspicion.clone()));
+                }
                 Some(Body::Leader(_)) => self.notify(Outcome::HeartbeatRecorded),
                 _ => {}
             }
