--- a/crates/agate_jobs/src/plan/suspicion_times.rs
+++ b/crates/agate_jobs/src/plan/suspicion_times.rs
@@ -26,7 +26,7 @@
     /// that listed it no longer does. A new leader lists none until it has restored its state.
     pub fn apply(&mut self, leader: &Leader, now: Moment) {
         for suspect in &leader.suspects {
-            self.note(suspect, leader.epoch, now);
+            self.record_listed(suspect, leader.epoch, now);
         }
         self.0.retain(|_, known| {
             known.epoch != leader.epoch || leader.suspects.contains(&known.suspect)
@@ -50,7 +50,7 @@
         self.0.retain(|worker, _| table.worker(worker).is_some());
     }
 
-    fn note(&mut self, suspect: &Suspect, epoch: u64, now: Moment) {
+    fn record_listed(&mut self, suspect: &Suspect, epoch: u64, now: Moment) {
         let known = self.0.get(&suspect.incarnation.name);
         let known = known.filter(|known| known.suspect == *suspect);
         let listed = Listed {
--- a/crates/agate_node/src/entry/lead/delay.rs
+++ b/crates/agate_node/src/entry/lead/delay.rs
@@ -10,7 +10,8 @@
 pub struct ProcessorShare(u64);
 
 impl ProcessorShare {
-    /// A takeover on half a processor takes 0.1 to 0.4 s, one on 0.12 of a processor up to 1.5 s.
+    /// Smallest share with which an entry claims sooner. A takeover on half a processor takes 0.1 to
+    /// 0.4 s, one on 0.12 of a processor up to 1.5 s.
     const QUARTER: Self = Self(250);
 
     /// Creates a share from thousandths of a processor.
@@ -19,6 +20,16 @@
     }
 }
 
+/// Delays of entries whose share is unknown, and of small ones after a resignation.
+const DEFAULT_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(300);
+
+/// Delays of entries with a quarter of a processor or more.
+const LARGE_SHARE_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(50);
+
+/// Delays of entries with less after a silence. The longest is that of [`DEFAULT_DELAY`], so that
+/// deployments with small entries only are not without a leader for longer.
+const SMALL_SHARE_DELAY: Range<Duration> = Duration::from_millis(150)..Duration::from_millis(300);
+
 /// Delays that keep entries from claiming at the same moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ClaimDelay {
@@ -29,14 +40,14 @@
 }
 
 impl ClaimDelay {
-    /// Draws the delays of an entry. The ranges of small and large shares are further apart than the
-    /// entries' readings of the last heartbeat usually are.
+    /// Draws the delays of an entry. After a silence, the ranges for small and large shares are 100 ms
+    /// apart, since entries read the last heartbeat at slightly different times.
     pub fn draw(share: Option<ProcessorShare>) -> Self {
         let is_large = share.is_some_and(|share| share >= ProcessorShare::QUARTER);
         let (silence, resignation) = match share {
-            None => (ANY_SHARE, ANY_SHARE),
-            Some(_) if is_large => (LARGE_SHARE, LARGE_SHARE),
-            Some(_) => (SMALL_SHARE, ANY_SHARE),
+            None => (DEFAULT_DELAY, DEFAULT_DELAY),
+            Some(_) if is_large => (LARGE_SHARE_DELAY, LARGE_SHARE_DELAY),
+            Some(_) => (SMALL_SHARE_DELAY, DEFAULT_DELAY),
         };
         Self {
             after_silence: rand::rng().random_range(silence),
@@ -44,7 +55,3 @@
         }
     }
 }
-
-const ANY_SHARE: Range<Duration> = Duration::ZERO..Duration::from_millis(300);
-const LARGE_SHARE: Range<Duration> = Duration::ZERO..Duration::from_millis(50);
-const SMALL_SHARE: Range<Duration> = Duration::from_millis(150)..Duration::from_millis(300);
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -84,7 +84,7 @@
     keys.iter().filter(|key| *key == "l").count()
 }
 
-/// Waits until the first claim is recorded, more often than a takeover takes.
+/// Waits until the first claim is recorded. Polls in less time than a takeover takes.
 async fn wait_for_claim(cluster: &Cluster) {
     while heartbeats(cluster) == 0 {
         sleep(Duration::from_millis(1)).await;
@@ -306,7 +306,7 @@
 }
 
 /// The first placement may take over a second on a slow machine. A leader whose last heartbeat was
-/// from before was deposed meanwhile, and its orders were for nothing.
+/// from before was deposed meanwhile, and its orders were rejected.
 #[rstest::rstest]
 #[case::of_a_quick_takeover(Duration::ZERO)]
 #[case::of_one_that_sent_heartbeats(Duration::from_millis(700))]
