Place at once when the first heartbeat is confirmed

Cause: the leader handles the results of appends without a scheduling step. If it had read its first heartbeat before the log confirmed it, for instance because the reply was lost, the first placement waited for the next period. Change: the result of the first heartbeat is followed by a step. Ruled out: a step after each result, which costs processor time. Result: a_new_leader_places_as_soon_as_its_heartbeat_is_confirmed measured 104 ms before the change and less than 15 ms with it.

--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -75,10 +75,15 @@
                 () = entry.changed.notified() => {}
                 () = sleep(SCHEDULE_PERIOD) => {}
                 Some(outcome) = outcomes.recv() => {
+                    let was_unconfirmed = self.heartbeat_recorded_at.is_none();
                     if self.handle_outcome(outcome) {
                         return true;
                     }
-                    continue;
+                    // The first placement waits only for the first heartbeat.
+                    let is_first = was_unconfirmed && self.heartbeat_recorded_at.is_some();
+                    if !is_first {
+                        continue;
+                    }
                 }
             }
             if self.is_superseded() {
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -390,3 +390,34 @@
     log.set_fault(Fault::None);
     wait_until("it runs", || worker.started_runs().len() == 1).await;
 }
+
+/// An entry may read its first heartbeat before the log has confirmed it. Its first placement then
+/// waited for the next scheduling period, up to 100 ms.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_places_as_soon_as_its_heartbeat_is_confirmed() {
+    let cluster = Cluster::new();
+    let (_worker, _agent) = cluster.worker("w1");
+    let (unloaded, _) = unloaded_entry(&cluster).await;
+    let accepted = unloaded.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    let log = cluster.log.client();
+    let entry = cluster.start_entry("e1", log.clone());
+    while !leads(&entry) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::LosesAppendReplies);
+    while heartbeats(&cluster) < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let attempts = log.append_attempts();
+    while log.append_attempts() == attempts {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::None);
+    let retried = Instant::now();
+    while entry.metrics().event_count(Event::TaskBound) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let took = retried.elapsed();
+    assert!(took < Duration::from_millis(15), "{took:?}");
+}
