Keep a closed job whose submission was recorded last

Cause: a submission accepted before the load could be recorded after the leader had decided to drop the record of the close, and before that was dropped. The fold forgot the job, the submission stayed, and the job would start again at an entry that loads the log later. Change: dropping the record of the close has no effect on a job that has a submission on record, so the leader drops both with its next heartbeat. Ruled out: dropping the submission after the record of the close, since an entry that loads in between would start the job. An entry that loads within the half second until the next heartbeat can still start the job.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -285,7 +285,11 @@
                 }
             }
             "d" => {
-                if let Ok(job) = rest.parse() {
+                // The leader drops the submission first, unless that was recorded meanwhile. It then
+                // drops both.
+                if let Ok(job) = rest.parse()
+                    && !self.has_stale_submission(job)
+                {
                     self.closed.remove(&job);
                 }
             }
--- a/crates/agate_jobs/tests/jobs/table.rs
+++ b/crates/agate_jobs/tests/jobs/table.rs
@@ -260,3 +260,19 @@
     assert_eq!(table.jobs().count(), 0);
     assert_eq!(table.state(JobId(1)), Some(JobState::Completed));
 }
+
+/// A submission may be recorded between the leader's decision to drop the record of a close and that
+/// tombstone. Once forgotten, it would start the job again in a table that is loaded later.
+#[test]
+fn a_closed_job_is_kept_until_its_submission_is_dropped() {
+    let mut table = JobTable::default();
+    table.fold(closed(1));
+    table.fold(submitted(1, vec![step(1)]));
+    table.fold(Record::tombstone(format!("d/{}", JobId(1))));
+    assert_eq!(table.closed_before(u64::MAX), [JobId(1)]);
+    assert!(table.has_stale_submission(JobId(1)));
+    table.fold(Record::tombstone(format!("j/{}", JobId(1))));
+    table.fold(Record::tombstone(format!("d/{}", JobId(1))));
+    assert!(table.closed_before(u64::MAX).is_empty());
+    assert_eq!(table.state(JobId(1)), None);
+}
