--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -43,9 +43,14 @@
     pub epoch: u64,
     pub scheduler: Scheduler,
     pub writers: StreamWriters,
+    /// When the state was restored. Suspicions are raised without waiting for the first heartbeat.
+    pub taken_at: Moment,
     pub heartbeat_at: Moment,
-    /// When the newest heartbeat was recorded. Nothing is placed before the first one is: that may
-    /// take over a second on a slow machine, and the other entries count the silence meanwhile.
+    /// Heartbeats that were written before the restore and whose outcome has not been handled.
+    pub takeover_heartbeats: u32,
+    /// When the newest heartbeat since the restore was recorded. Nothing is placed before the first
+    /// one is: that may take over a second on a slow machine, and the other entries count the silence
+    /// meanwhile.
     pub heartbeat_recorded_at: Option<Moment>,
     /// Since when a suspicion has been stored that no heartbeat lists yet.
     pub unlisted_since: Option<Moment>,
@@ -60,9 +65,7 @@
         stop: &CancellationToken,
     ) -> bool {
         let entry = Arc::clone(&self.entry);
-        if self.begin(&mut outcomes) {
-            return true;
-        }
+        self.write_heartbeat();
         loop {
             tokio::select! {
                 () = stop.cancelled() => {
@@ -72,10 +75,15 @@
                 () = entry.changed.notified() => {}
                 () = sleep(SCHEDULE_PERIOD) => {}
                 Some(outcome) = outcomes.recv() => {
+                    let was_unconfirmed = self.heartbeat_recorded_at.is_none();
                     if self.handle_outcome(outcome) {
                         return true;
                     }
-                    continue;
+                    // The first placement waits only for the first heartbeat.
+                    let is_first = was_unconfirmed && self.heartbeat_recorded_at.is_some();
+                    if !is_first {
+                        continue;
+                    }
                 }
             }
             if self.is_superseded() {
@@ -85,19 +93,6 @@
         }
     }
 
-    /// Writes the first heartbeat. Those of the takeover don't count, since they were written before
-    /// the state was restored. Returns whether another entry has taken over.
-    fn begin(&mut self, outcomes: &mut UnboundedReceiver<Outcome>) -> bool {
-        while let Ok(outcome) = outcomes.try_recv() {
-            if self.handle_outcome(outcome) {
-                return true;
-            }
-        }
-        self.heartbeat_recorded_at = None;
-        self.write_heartbeat();
-        false
-    }
-
     fn is_superseded(&self) -> bool {
         let view = self.entry.view();
         !view.is_leader || view.job_table.leader().epoch > self.epoch
@@ -107,10 +102,15 @@
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         let now = clock::now();
         match outcome {
+            // Heartbeats are recorded in order, so those of the takeover come first.
+            Outcome::HeartbeatRecorded if self.takeover_heartbeats > 0 => {
+                self.takeover_heartbeats -= 1;
+            }
             Outcome::HeartbeatRecorded => self.heartbeat_recorded_at = Some(now),
-            Outcome::SuspicionRecorded(worker, number) => {
-                self.scheduler.suspicion_recorded(&worker, number, now);
-                self.unlisted_since.get_or_insert(now);
+            Outcome::SuspicionRecorded(suspicion) => {
+                if self.scheduler.suspicion_recorded(&suspicion, now) {
+                    self.unlisted_since.get_or_insert(now);
+                }
             }
             Outcome::Deposed(stream) => {
                 log::warn!(event = "leader_deposed", epoch = self.epoch, lane:% = stream; "");
@@ -180,12 +180,16 @@
             self.scheduler.apply(&view.job_table, &change, now);
         }
         let since = view.reading.unbroken_since(now);
-        let current = since < now && self.is_heartbeat_recent(now);
-        if !current {
+        let confirmed_at = self.heartbeat_recorded_at.unwrap_or(self.taken_at);
+        let is_current = since < now && now.since(confirmed_at) < MAX_HEARTBEAT_AGE;
+        if !is_current {
             return Vec::new();
         }
         let lease = lease::duration(entry.context.max_lease);
         self.scheduler.update_suspicions(now, since, lease);
+        if self.heartbeat_recorded_at.is_none() {
+            return Vec::new();
+        }
         self.scheduler.place(&view.job_table, now, wall_ms)
     }
 
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -84,7 +84,7 @@
     keys.iter().filter(|key| *key == "l").count()
 }
 
-/// Waits until the first claim is recorded, more often than a takeover takes.
+/// Waits until the first claim is recorded. Polls in less time than a takeover takes.
 async fn wait_for_claim(cluster: &Cluster) {
     while heartbeats(cluster) == 0 {
         sleep(Duration::from_millis(1)).await;
@@ -306,7 +306,7 @@
 }
 
 /// The first placement may take over a second on a slow machine. A leader whose last heartbeat was
-/// from before was deposed meanwhile, and its orders were for nothing.
+/// from before was deposed meanwhile, and its orders were rejected.
 #[rstest::rstest]
 #[case::of_a_quick_takeover(Duration::ZERO)]
 #[case::of_one_that_sent_heartbeats(Duration::from_millis(700))]
@@ -331,3 +331,93 @@
     log.set_fault(Fault::None);
     wait_until("it runs", || worker.started_runs().len() == 1).await;
 }
+
+/// A lost worker was suspected only after the log had recorded a heartbeat of the new leader, which
+/// delayed its tasks where appends to the main stream are slow.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_suspects_workers_before_its_heartbeat_is_recorded() {
+    let cluster = Cluster::new();
+    let (first, second) = (cluster.log.client(), cluster.log.client());
+    let leader = cluster.entry("e1", first.clone()).await;
+    wait_until("it schedules", || leads(&leader)).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    let accepted = leader.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    wait_until("it runs", || worker.running() == 1).await;
+    let successor = cluster.entry("e2", second.clone()).await;
+    first.set_fault(Fault::RefusesAll);
+    agent.detach_all();
+    worker.set_behavior(Behavior::Unreachable);
+    sleep(Duration::from_millis(100)).await;
+    let before = heartbeats(&cluster);
+    while heartbeats(&cluster) == before {
+        sleep(Duration::from_millis(1)).await;
+    }
+    second.set_fault(Fault::RefusesMainAppends);
+    wait_until("the other schedules", || leads(&successor)).await;
+    sleep(Duration::from_secs(1)).await;
+    let suspected = successor.metrics().event_count(Event::WorkerSuspected);
+    assert_eq!(suspected, 1);
+}
+
+/// A heartbeat of the takeover may be recorded only after the restore. Taken for one that follows
+/// the restore, it let a leader place whose last heartbeat was already old.
+#[tokio::test(start_paused = true)]
+async fn a_pending_heartbeat_of_the_takeover_does_not_permit_placement() {
+    let cluster = Cluster::new();
+    let (worker, _agent) = cluster.worker("w1");
+    let (unloaded, _) = unloaded_entry(&cluster).await;
+    let accepted = unloaded.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    let log = cluster.log.client();
+    let starting = cluster.entry("e1", log.clone());
+    let (entry, ()) = tokio::join!(starting, async {
+        wait_for_claim(&cluster).await;
+        log.set_fault(Fault::RefusesAppends);
+        sleep(Duration::from_millis(700)).await;
+        log.set_fault(Fault::RefusesMainAppends);
+    });
+    wait_until("it has restored its state", || leads(&entry)).await;
+    log.set_fault(Fault::None);
+    while heartbeats(&cluster) < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::RefusesMainAppends);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(heartbeats(&cluster), 2, "only that of the takeover");
+    assert_eq!(worker.started_runs().len(), 0);
+    log.set_fault(Fault::None);
+    wait_until("it runs", || worker.started_runs().len() == 1).await;
+}
+
+/// An entry may read its first heartbeat before the log has confirmed it. Its first placement then
+/// waited for the next scheduling period, up to 100 ms.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_places_as_soon_as_its_heartbeat_is_confirmed() {
+    let cluster = Cluster::new();
+    let (_worker, _agent) = cluster.worker("w1");
+    let (unloaded, _) = unloaded_entry(&cluster).await;
+    let accepted = unloaded.submit_job(1, one_task_job()).await;
+    assert_eq!(accepted, Answer::Accepted);
+    let log = cluster.log.client();
+    let entry = cluster.start_entry("e1", log.clone());
+    while !leads(&entry) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::LosesAppendReplies);
+    while heartbeats(&cluster) < 2 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let attempts = log.append_attempts();
+    while log.append_attempts() == attempts {
+        sleep(Duration::from_millis(1)).await;
+    }
+    log.set_fault(Fault::None);
+    let retried = Instant::now();
+    while entry.metrics().event_count(Event::TaskBound) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let took = retried.elapsed();
+    assert!(took < Duration::from_millis(15), "{took:?}");
+}
