Ignore worker reports that are older by term or acknowledgement

Cause: an append that took effect late (a paused relay, or a log that held it back) replaced a newer report of the same incarnation. If it was read together with an acknowledgement, the leader didn't clear the suspicion until the next report, and the agent couldn't renew the lease in the meantime. It also counted as contact.

Change: within an incarnation, a report with a lower term, or with the same term and a lower acknowledged suspicion, is ignored. Both never decrease. A report that the worker is gone always counts, since an agent that has restarted may send it before it knows the term.

Ruled out: a run in two places. A lease is renewed only after the leader's record that clears the suspicion has been read, not after an acknowledgement. Not covered: an older report with equal term and acknowledgement (ready after draining, figures of pacing); the next report follows in 0.8 s. A sequence number in reports would cover it, but changes the record for every process.

Result: both cases of the new test failed before.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -218,12 +218,8 @@
 
     fn update_worker(&mut self, report: WorkerReport) -> Change {
         let name = report.incarnation.name.clone();
-        let outdated = |known: &WorkerReport| {
-            let (known_start, start) =
-                (known.incarnation.started_ms, report.incarnation.started_ms);
-            known_start > start || (known_start == start && known.state == WorkerState::Gone)
-        };
-        if self.workers.get(&name).is_some_and(outdated) {
+        let known = self.workers.get(&name);
+        if known.is_some_and(|known| is_outdated(&report, known)) {
             return Change::None;
         }
         self.workers.insert(name.clone(), report);
@@ -267,3 +263,17 @@
         }
     }
 }
+
+/// Returns whether a report is older than the newest one. An append may take effect after later ones.
+/// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease.
+/// The report that the worker has left is final, and an agent may send it before it knows the term.
+fn is_outdated(report: &WorkerReport, known: &WorkerReport) -> bool {
+    let start = report.incarnation.started_ms;
+    let known_start = known.incarnation.started_ms;
+    if start != known_start {
+        return start < known_start;
+    }
+    let progress = |report: &WorkerReport| (report.incarnation.term, report.acked_suspicion);
+    known.state == WorkerState::Gone
+        || (report.state != WorkerState::Gone && progress(report) < progress(known))
+}
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -56,6 +56,56 @@
     assert_eq!(fleet.scheduler.bound_runs(), 1);
 }
 
+/// An append that took effect late replaced the acknowledgement, so that the agent could not renew
+/// the lease until its next report.
+#[rstest::rstest]
+#[case::earlier_acknowledgement(0, 0)]
+#[case::earlier_term(1, 1)]
+fn an_older_report_that_is_recorded_late_does_not_replace_the_acknowledgement(
+    #[case] term: u32,
+    #[case] late_acked: u64,
+) {
+    let mut fleet = Fleet::new(&[WorkerReport {
+        incarnation: WorkerIncarnation {
+            term,
+            ..report("a", 1).incarnation
+        },
+        ..report("a", 1)
+    }]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert_eq!(fleet.place().len(), 1);
+    fleet.advance(Duration::from_secs(2));
+    let newest = fleet.suspicions().last().cloned().expect("it is suspected");
+    let acknowledgement = WorkerReport {
+        incarnation: newest.incarnation,
+        acked_suspicion: newest.number,
+        ..report("a", 1)
+    };
+    fleet.fold(Record::new(Body::Worker(acknowledgement)));
+    let late = WorkerReport {
+        acked_suspicion: late_acked,
+        ..report("a", 1)
+    };
+    fleet.fold(Record::new(Body::Worker(late)));
+    fleet.advance(Duration::from_millis(1));
+    assert!(!fleet.suspicions().last().expect("it was").suspected);
+}
+
+/// An agent that has restarted may report the end of an incarnation before it knows the term.
+#[test]
+fn a_worker_that_leaves_is_gone_whatever_its_agent_has_acknowledged() {
+    let mut fleet = fleet_with_one_run();
+    fleet.advance(Duration::from_secs(2));
+    let mut answer = report("a", 1);
+    answer.acked_suspicion = 1;
+    fleet.fold(Record::new(Body::Worker(answer)));
+    let mut gone = report("a", 1);
+    gone.state = WorkerState::Gone;
+    fleet.fold(Record::new(Body::Worker(gone)));
+    fleet.advance(Duration::from_millis(1));
+    assert_eq!(fleet.scheduler.bound_runs(), 0);
+}
+
 #[test]
 fn a_report_that_is_older_than_the_suspicion_does_not_clear_it() {
     let mut fleet = fleet_with_one_run();
