End failovers that a slow log causes sooner, and ignore late rejections

(2) An append that a slow log holds back for 0.8 s begins a failover, in which each append goes to two peers with 0.5 s each, up to twice the load, and an entry doesn't claim leadership. The first probe came only after a second. (3) A relayed call to an order stream that does not exist was made at the log; two rejections began a failover of the relay.

Change: late failures are ignored before they are counted. After a timeout the first probe is due at once; after rejections it is due after a second as before, since a log that rejects only appends would otherwise start and end a failover with every second append. A relay answers 400 for such a stream. The test of the probe period now starts from rejections and compares the times of the probes instead of their number.

Ruled out: not starting a failover by a timed-out append. A log that ignores the process looks the same, and costs 0.8 s for each call.

--- a/crates/agate_node/src/relay/failover.rs
+++ b/crates/agate_node/src/relay/failover.rs
@@ -51,7 +51,8 @@
 #[derive(Debug)]
 struct Active {
     since: Moment,
-    probed_at: Moment,
+    /// The time from which the period of the next probe counts; `None` if one is due at once.
+    probed_at: Option<Moment>,
     cause: String,
     calls: u64,
     peer: Option<SocketAddr>,
@@ -77,9 +78,11 @@
         let Some(active) = &mut self.active else {
             return false;
         };
-        let is_due = now.since(active.probed_at) >= PROBE_PERIOD;
+        let is_due = active
+            .probed_at
+            .is_none_or(|at| now.since(at) >= PROBE_PERIOD);
         if is_due {
-            active.probed_at = now;
+            active.probed_at = Some(now);
         }
         is_due
     }
@@ -104,12 +107,16 @@
         match result {
             CallResult::Answered => self.record_answer(began, now),
             CallResult::QueueFull => None,
+            CallResult::Rejected | CallResult::TimedOut if began < self.answered => None,
             CallResult::Rejected => {
                 self.rejections += 1;
                 let is_repeated = self.rejections >= MAX_REJECTIONS;
-                is_repeated.then(|| self.start(cause, began, now)).flatten()
+                is_repeated
+                    .then(|| self.start(cause, now, Some(now)))
+                    .flatten()
             }
-            CallResult::TimedOut => self.start(cause, began, now),
+            // A log that is only slow answers reads, so the first probe is due at once.
+            CallResult::TimedOut => self.start(cause, now, None),
         }
     }
 
@@ -132,13 +139,13 @@
         }))
     }
 
-    fn start(&mut self, cause: &str, began: Moment, now: Moment) -> Option<Transition> {
-        if self.is_active() || began < self.answered {
+    fn start(&mut self, cause: &str, now: Moment, probed_at: Option<Moment>) -> Option<Transition> {
+        if self.is_active() {
             return None;
         }
         self.active = Some(Active {
             since: now,
-            probed_at: now,
+            probed_at,
             cause: cause.to_owned(),
             calls: 0,
             peer: None,
--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -51,6 +51,9 @@
             Ok(call) => call,
             Err(response) => return response,
         };
+        if !self.has_stream(&call) {
+            return RelayResponse::failure(status::MALFORMED, "there is no such stream");
+        }
         let _permit = match self.admit(&call) {
             Ok(permit) => permit,
             Err(cause) => {
@@ -76,6 +79,17 @@
         }
     }
 
+    /// Returns whether the stream of a call exists. The log's rejections of calls to others would
+    /// start a failover of this process.
+    fn has_stream(&self, call: &Call) -> bool {
+        let (Call::Append { stream, .. } | Call::Read { stream, .. } | Call::Newest { stream }) =
+            call;
+        match stream {
+            Stream::Orders(number) => *number < self.direct.order_streams(),
+            Stream::Main | Stream::Config => true,
+        }
+    }
+
     /// Returns a permit for a call, or why it is refused.
     fn admit(&self, call: &Call) -> Result<SemaphorePermit<'_>, &'static str> {
         if self.direct.is_in_failover() {
--- a/crates/agate_node/tests/it/relay.rs
+++ b/crates/agate_node/tests/it/relay.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use agate_node::metrics::Event;
-use agate_node::relay::Relay;
-use agate_node::store::{AppendError, Fence, KeyedLog, Stream};
+use agate_node::relay::{Relay, read_request, status};
+use agate_node::store::{AppendError, Fence, KeyedLog, ORDER_STREAMS, Stream};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{FakeLog, Fault, Link, Network, wait_until};
@@ -294,3 +294,18 @@
     .await;
     assert_eq!(metrics.event_count(Event::RelayServed), 128);
 }
+
+/// The log rejects calls to streams that it does not have; two of them began a failover of the
+/// relay.
+#[tokio::test(start_paused = true)]
+async fn a_call_to_a_stream_that_does_not_exist_is_malformed_and_starts_no_failover() {
+    let (network, shared) = (Network::default(), FakeLog::default());
+    let (relay, _) = network.machine(1, &shared, &[1, 2]);
+    shared.set_fault(Fault::RefusesAll);
+    for _ in 0..2 {
+        let request = read_request(Stream::Orders(ORDER_STREAMS), 0, NO_WAIT);
+        let response = relay.server.handle(&request).await;
+        assert_eq!(response.status, status::MALFORMED);
+    }
+    assert!(!relay.log.is_relayed());
+}
--- a/crates/agate_node/tests/it/relay_state.rs
+++ b/crates/agate_node/tests/it/relay_state.rs
@@ -72,11 +72,34 @@
     assert!(!failover.is_active());
 }
 
+/// Late results of earlier calls were counted, so that the next single rejection began a failover.
 #[test]
-fn the_log_is_probed_once_a_second() {
+fn a_rejection_of_a_call_that_began_before_an_answered_one_is_not_counted() {
+    let mut failover = Failover::default();
+    failover.record(CallResult::Answered, "", at(500), at(510));
+    failover.record(CallResult::Rejected, "", at(200), at(600));
+    failover.record(CallResult::Rejected, "", at(700), at(710));
+    assert!(!failover.is_active());
+}
+
+/// A slow log can hold an append back until it times out while it answers reads. The failover that
+/// begins then sent each append to two peers for a second.
+#[test]
+fn the_first_probe_after_a_timeout_is_due_at_once() {
     let mut failover = failed_over();
+    assert!(failover.takes_probe(at(1_000)));
+    assert!(!failover.takes_probe(at(1_999)));
+    call(&mut failover, CallResult::Answered, 1_020);
+    assert!(!failover.is_active());
+}
+
+#[test]
+fn the_log_is_probed_once_a_second() {
+    let mut failover = Failover::default();
+    call(&mut failover, CallResult::Rejected, 900);
+    call(&mut failover, CallResult::Rejected, 1_000);
     let probes = (0..100).filter(|tick| failover.takes_probe(at(1_000 + tick * 50)));
-    assert_eq!(probes.count(), 4);
+    assert_eq!(probes.collect::<Vec<_>>(), [20, 40, 60, 80]);
     assert!(!Failover::default().takes_probe(at(9_000)));
 }
 
