Use plain terms for rejected machines in the relay

Cause: "turned away" and "fare" read oddly, the comment on claims did not say why a relayed entry waits, and two constants had names that said neither what they measure nor what follows.

Change: "rejected"; SILENCE is UNANSWERED_AFTER; QUEUE_TIME is SLOW_REJECTION, as in admission.

Ruled out: sentences that the change did not touch.

--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -22,7 +22,7 @@
         sleep(VACANCY_CHECK_PERIOD).await;
         let now = clock::now();
         let view = entry.view();
-        // The log may cut off a relayed entry altogether at any time, so others claim first.
+        // A relayed entry loses the log if its peers fail as well, so it leaves the claim to others.
         let is_reading = view.synced
             && view.reading.unbroken_since(now) < now
             && !entry.context.log.is_relayed();
--- a/crates/agate_node/src/relay/direct.rs
+++ b/crates/agate_node/src/relay/direct.rs
@@ -14,11 +14,11 @@
 use crate::store::{AppendError, Fence, KeyedLog, NewestRecords, Page, ReadError, Stream};
 
 /// Duration, beyond the wait for records, from which a failed call counts as unanswered.
-const SILENCE: Duration = Duration::from_millis(500);
+const UNANSWERED_AFTER: Duration = Duration::from_millis(500);
 
 /// Duration from which a rejected append counts as one that the log's queue has no room for. A log
-/// that turns a process away answers within a few milliseconds.
-const QUEUE_TIME: Duration = Duration::from_millis(80);
+/// that rejects just this process answers within a few milliseconds.
+const SLOW_REJECTION: Duration = Duration::from_millis(80);
 
 /// The log over the process's own connection, and the state that its results determine.
 #[derive(Debug)]
@@ -103,7 +103,7 @@
     fn record_read(&self, error: Option<&ReadError>, began: Moment, wait: Duration) {
         let kind = match error {
             None | Some(ReadError::Deleted) => CallResult::Answered,
-            Some(_) if clock::now().since(began) >= wait + SILENCE => CallResult::TimedOut,
+            Some(_) if clock::now().since(began) >= wait + UNANSWERED_AFTER => CallResult::TimedOut,
             Some(_) => CallResult::Rejected,
         };
         self.record(kind, error, began);
@@ -133,8 +133,8 @@
 fn append_kind(result: &Result<u64, AppendError>, took: Duration) -> CallResult {
     match result {
         Ok(_) | Err(AppendError::Fenced | AppendError::OutOfSequence(_)) => CallResult::Answered,
-        Err(_) if took >= SILENCE => CallResult::TimedOut,
-        Err(AppendError::NotDone(_)) if took >= QUEUE_TIME => CallResult::QueueFull,
+        Err(_) if took >= UNANSWERED_AFTER => CallResult::TimedOut,
+        Err(AppendError::NotDone(_)) if took >= SLOW_REJECTION => CallResult::QueueFull,
         Err(_) => CallResult::Rejected,
     }
 }
--- a/crates/agate_node/tests/it/relay_state.rs
+++ b/crates/agate_node/tests/it/relay_state.rs
@@ -55,7 +55,7 @@
     assert_eq!(ended.lasted.as_millis(), 2_000);
 }
 
-/// The end of a long poll that began before the log turned the process away ended the failover.
+/// The end of a long poll that began before the log rejected the process ended the failover.
 #[test]
 fn a_call_that_began_earlier_does_not_end_a_failover() {
     let mut failover = failed_over();
--- a/crates/agate_node/tests/it/support/network.rs
+++ b/crates/agate_node/tests/it/support/network.rs
@@ -18,7 +18,7 @@
 /// Duration of a request in each direction.
 const LINK_TIME: Duration = Duration::from_millis(2);
 
-/// How requests to a relay fare.
+/// What happens to requests to a relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Link {
     /// They are answered.
