--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -23,7 +23,10 @@
         sleep(VACANCY_CHECK_PERIOD).await;
         let now = clock::now();
         let view = entry.view();
-        let is_reading = view.synced && view.reading.unbroken_since(now) < now;
+        // A relayed entry loses the log if its peers fail as well, so it leaves the claim to others.
+        let is_reading = view.synced
+            && view.reading.unbroken_since(now) < now
+            && !entry.context.log.is_relayed();
         let leader = &view.job_table.leader().entry;
         let resigned = leader.is_empty() || *leader == entry.context.name;
         let since = view.leader_seen_at.max(view.reading.unbroken_since(now));
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -10,7 +10,7 @@
 use agate_node::agent::{AgentContext, WithdrawalSettings, WorkerRegistry};
 use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef, ProcessorShare};
 use agate_node::metrics::Metrics;
-use agate_node::store::{StoredRecord, Stream};
+use agate_node::store::{KeyedLog, StoredRecord, Stream};
 use agate_node::{Appender, ParseZone, Urgency};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -60,14 +60,14 @@
     }
 
     /// Starts an entry. The first one becomes the leader.
-    pub(crate) async fn entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
+    pub(crate) async fn entry(&self, name: &str, log: impl Into<Arc<dyn KeyedLog>>) -> Arc<Entry> {
         let entry = self.start_entry(name, log);
         wait_until("the entry is ready", || entry.is_ready()).await;
         entry
     }
 
     /// Starts an entry without waiting until it is ready.
-    pub(crate) fn start_entry(&self, name: &str, log: FakeLog) -> Arc<Entry> {
+    pub(crate) fn start_entry(&self, name: &str, log: impl Into<Arc<dyn KeyedLog>>) -> Arc<Entry> {
         let started = entry::build(self.entry_context(name, log), &CancellationToken::new());
         self.run(started, &self.stop)
     }
@@ -109,10 +109,10 @@
         entry
     }
 
-    fn entry_context(&self, name: &str, log: FakeLog) -> EntryContext {
+    fn entry_context(&self, name: &str, log: impl Into<Arc<dyn KeyedLog>>) -> EntryContext {
         EntryContext {
             name: name.to_owned(),
-            log: Arc::new(log),
+            log: log.into(),
             metrics: Arc::new(Metrics::default()),
             parse_routes,
             parse_zone: self.parse_zone,
@@ -128,7 +128,7 @@
     }
 
     /// Starts an agent.
-    pub(crate) fn agent(log: FakeLog) -> WorkerRegistry {
+    pub(crate) fn agent(log: impl Into<Arc<dyn KeyedLog>>) -> WorkerRegistry {
         Self::agent_with(log, None)
     }
 
@@ -141,15 +141,14 @@
         Self::agent_with(log, Some(settings))
     }
 
-    fn agent_with(log: FakeLog, withdrawal: Option<WithdrawalSettings>) -> WorkerRegistry {
-        let log = Arc::new(log);
+    fn agent_with(
+        log: impl Into<Arc<dyn KeyedLog>>,
+        withdrawal: Option<WithdrawalSettings>,
+    ) -> WorkerRegistry {
+        let log = log.into();
         let metrics = Arc::new(Metrics::default());
         WorkerRegistry::new(AgentContext {
-            appender: Appender::start(
-                Arc::clone(&log) as _,
-                Urgency::Background,
-                Arc::clone(&metrics),
-            ),
+            appender: Appender::start(Arc::clone(&log), Urgency::Background, Arc::clone(&metrics)),
             log,
             metrics,
             dial: FakeWorker::dial,
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -18,6 +18,9 @@
 /// Timeout of an append.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Timeout of a read beyond its wait.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time after which a full log rejects an append.
 const REJECTION_TIME: Duration = Duration::from_millis(200);
 
@@ -45,6 +48,8 @@
     RefusesConfig,
     /// Neither appends nor answers within [`APPEND_TIMEOUT`].
     Silent,
+    /// Processes and answers no call.
+    AnswersNothing,
 }
 
 #[derive(Debug, Default)]
@@ -145,6 +150,14 @@
         }
     }
 
+    async fn check_answers(&self, wait: Duration) -> Result<(), ReadError> {
+        if self.fault() != Fault::AnswersNothing {
+            return Ok(());
+        }
+        sleep(wait + READ_TIMEOUT).await;
+        Err(ReadError::Unavailable("no answer".to_owned()))
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().expect("the lock is not poisoned")
     }
@@ -201,6 +214,12 @@
     }
 }
 
+impl From<FakeLog> for Arc<dyn KeyedLog> {
+    fn from(log: FakeLog) -> Self {
+        Arc::<FakeLog>::new(log)
+    }
+}
+
 #[async_trait]
 impl KeyedLog for FakeLog {
     async fn append(
@@ -225,7 +244,7 @@
             sleep(REJECTION_TIME).await;
             return Err(AppendError::NotDone("the queue is full".to_owned()));
         }
-        if fault == Fault::Silent {
+        if matches!(fault, Fault::Silent | Fault::AnswersNothing) {
             sleep(APPEND_TIMEOUT).await;
             return Err(AppendError::Unknown("no answer".to_owned()));
         }
@@ -243,6 +262,7 @@
     async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
         self.count_read(stream);
         sleep(CALL_TIME).await;
+        self.check_answers(wait).await?;
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let news = self.news.notified();
@@ -263,6 +283,7 @@
     async fn newest(&self, stream: Stream) -> Result<NewestRecords, ReadError> {
         self.count_read(stream);
         sleep(CALL_TIME).await;
+        self.check_answers(Duration::ZERO).await?;
         if self.refuses_read(stream) {
             return Err(ReadError::Unavailable("refused".to_owned()));
         }
