Plan the backlog of best-effort jobs in a first form

The order by urgency moved to plan/order.rs unchanged. Ruled out: going on in a step after a task without a worker, since its tasks all ask for the same.

--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate performs no I/O and reads no clock.
 
+pub mod backlog;
 pub mod lease;
 pub mod pace;
 pub mod plan;
@@ -12,6 +13,7 @@
 mod task;
 mod worker;
 
+pub use backlog::BatchOrder;
 pub use record::{
     Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, SuspicionRecord,
 };
--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -16,10 +16,6 @@
 /// Weight, for a best-effort task, of the share of its speed that it would lose.
 const SLOWDOWN_WEIGHT: f64 = 2.0;
 
-/// Share of its speed below which a best-effort task waits for a better worker, as long as more
-/// than half of the service's processors are in use.
-const MIN_SPEED: f64 = 0.7;
-
 /// Lower bound for the interference of a pair. Less is indistinguishable from none.
 const MIN_INTERFERENCE: f64 = 0.01;
 
@@ -47,6 +43,19 @@
 /// Weight of a worker's slowness, which is a logarithm.
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
+/// Weight, for a straggler, of the share of its speed that it would lose. Room for other tasks
+/// matters less than the time that its job waits for it.
+const STRAGGLER_WEIGHT: f64 = 6.0;
+
+/// What counts most in the choice of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Preference {
+    /// Room and speed.
+    Balanced,
+    /// The speed of the task.
+    Fastest,
+}
+
 /// A task to be placed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate<'a> {
@@ -56,6 +65,10 @@
     pub failed_on: &'a str,
     /// Rack in which other tasks of the step run; empty if there is none or it doesn't matter.
     pub rack: &'a str,
+    /// Share of its speed below which a best-effort task waits for a better worker, as long as more
+    /// than half of the service's processors are in use.
+    pub min_speed: f64,
+    pub preference: Preference,
 }
 
 /// Returns the worker with the lowest cost among those that the task fits on.
@@ -71,7 +84,7 @@
         if !fits(worker, task, now) {
             continue;
         }
-        if may_wait && expected_speed(worker, interference, &task.step.image) < MIN_SPEED {
+        if may_wait && expected_speed(worker, interference, &task.step.image) < task.min_speed {
             continue;
         }
         let cost = cost(worker, interference, task);
@@ -145,7 +158,11 @@
         }
     } else if step.best_effort {
         let speed = expected_speed(worker, interference, &step.image);
-        cost += busy + best_effort_share + SLOWDOWN_WEIGHT * (1.0 - speed);
+        let weight = match task.preference {
+            Preference::Balanced => SLOWDOWN_WEIGHT,
+            Preference::Fastest => STRAGGLER_WEIGHT,
+        };
+        cost += busy + best_effort_share + weight * (1.0 - speed);
     } else {
         cost += busy
             + BEST_EFFORT_WEIGHT * best_effort_share
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -5,6 +5,8 @@
 mod health;
 mod interference;
 mod last_contact;
+mod misses;
+mod order;
 mod place;
 mod restore;
 mod scheduler;
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -2,36 +2,37 @@
 
 use agate_core::{JobId, Moment, Resources};
 
-use crate::plan::choose::{self, Candidate};
+use crate::backlog::Part;
+use crate::plan::choose::{self, Candidate, Preference};
 use crate::plan::effect::Effect;
+use crate::plan::misses::Misses;
+use crate::plan::order::Turn;
 use crate::plan::scheduler::{Placement, Scheduler};
 use crate::plan::worker::Binding;
 use crate::record::{Order, OrderKind};
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
 
-/// Whether a job can still meet its objective.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Timeliness {
-    /// The job can finish within its objective.
-    InTime,
-    /// The job can finish within [`LATE_FACTOR`] times its objective.
-    Late,
-    /// The job can't finish within either.
-    Missed,
+/// A round of placement.
+struct Round {
+    now: Moment,
+    placed: Vec<Placement>,
+    misses: Misses,
 }
 
-/// Multiple of its objective after which a job counts as missed.
-const LATE_FACTOR: u64 = 3;
-
 impl Scheduler {
     /// Binds all tasks that are ready to run and fit on a worker.
     pub fn place(&mut self, table: &JobTable, now: Moment, wall_ms: u64) -> Vec<Placement> {
-        let mut placed = Vec::new();
+        let mut round = Round {
+            now,
+            placed: Vec::new(),
+            misses: Misses::default(),
+        };
         for worker in &mut self.workers {
             worker.reserved = Resources::ZERO;
         }
-        for (id, job) in jobs_by_urgency(table, wall_ms) {
+        for turn in self.turns(table, now, wall_ms) {
+            let job = turn.job;
             for occurrence in 0..job.progress.len() {
                 let due = job
                     .spec
@@ -39,54 +40,50 @@
                 if due > wall_ms {
                     break;
                 }
-                self.place_occurrence(id, job, occurrence, now, &mut placed);
+                self.place_occurrence(&turn, occurrence, &mut round);
             }
         }
-        placed
+        round.placed
     }
 
-    fn place_occurrence(
-        &mut self,
-        id: JobId,
-        job: &Job,
-        occurrence: usize,
-        now: Moment,
-        placed: &mut Vec<Placement>,
-    ) {
+    fn place_occurrence(&mut self, turn: &Turn<'_>, occurrence: usize, round: &mut Round) {
+        let job = turn.job;
         for step in 0..job.spec.steps.len() {
             if job.progress[occurrence][step].is_done() || !job.is_ready(occurrence, step) {
                 continue;
             }
             if job.spec.steps[step].gang {
-                self.place_gang(id, job, (occurrence, step), now, placed);
+                self.place_gang(turn, (occurrence, step), round);
             } else {
-                self.place_step(id, job, (occurrence, step), now, placed);
+                self.place_step(turn, (occurrence, step), round);
             }
         }
     }
 
-    fn place_step(
-        &mut self,
-        id: JobId,
-        job: &Job,
-        at: (usize, usize),
-        now: Moment,
-        placed: &mut Vec<Placement>,
-    ) {
-        let long_running = job.spec.steps[at.1].long_running;
-        for task in self.pending_tasks(id, job, at) {
-            match self.choose(job, task, now) {
-                Some(slot) => placed.push(self.bind(job, task, slot, None)),
-                None if long_running => self.reserve(job, task, now),
-                None => return,
+    /// Places the tasks of a step until one finds no worker. The others of the same turn would find
+    /// none either, since they ask for the same.
+    fn place_step(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
+        let step = &turn.job.spec.steps[at.1];
+        if turn.part != Part::All && round.misses.covers(turn, step) {
+            return;
+        }
+        let pending = self.pending_tasks(turn, at);
+        for task in turn.part.of(&turn.job.progress[at.0][at.1], pending) {
+            match self.choose(turn, task, round.now) {
+                Some(slot) => round.placed.push(self.bind(turn.job, task, slot, None)),
+                None if step.long_running => self.reserve(turn, task, round.now),
+                None => {
+                    round.misses.add(turn, step);
+                    return;
+                }
             }
         }
     }
 
     /// Reserves resources for a long-running task that fits nowhere. Otherwise short tasks would
     /// take each freed part of them.
-    fn reserve(&mut self, job: &Job, task: TaskKey, now: Moment) {
-        let Some(candidate) = self.candidate(job, task) else {
+    fn reserve(&mut self, turn: &Turn<'_>, task: TaskKey, now: Moment) {
+        let Some(candidate) = self.candidate(turn, task) else {
             return;
         };
         let demand = candidate.step.demand;
@@ -96,15 +93,9 @@
     }
 
     /// Places all tasks of a gang or none.
-    fn place_gang(
-        &mut self,
-        id: JobId,
-        job: &Job,
-        at: (usize, usize),
-        now: Moment,
-        placed: &mut Vec<Placement>,
-    ) {
-        let pending_tasks = self.pending_tasks(id, job, at);
+    fn place_gang(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
+        let job = turn.job;
+        let pending_tasks = self.pending_tasks(turn, at);
         let tasks = &job.progress[at.0][at.1].tasks;
         if pending_tasks.len() != tasks.len() {
             return;
@@ -113,7 +104,7 @@
         let effects = self.effects.len();
         let mut members: Vec<Placement> = Vec::new();
         for task in pending_tasks {
-            let Some(slot) = self.choose(job, task, now) else {
+            let Some(slot) = self.choose(turn, task, round.now) else {
                 self.effects.truncate(effects);
                 for member in members {
                     self.unbind(member.task);
@@ -122,7 +113,7 @@
             };
             members.push(self.bind(job, task, slot, Some(run)));
         }
-        placed.append(&mut members);
+        round.placed.append(&mut members);
     }
 
     fn unbind(&mut self, task: TaskKey) {
@@ -134,8 +125,7 @@
     /// Returns the tasks of a step that are neither finished, nor bound, nor given up.
     fn pending_tasks(
         &self,
-        id: JobId,
-        job: &Job,
+        &Turn { id, job, .. }: &Turn<'_>,
         (occurrence, step): (usize, usize),
     ) -> Vec<TaskKey> {
         let long_running = job.spec.steps[step].long_running;
@@ -148,12 +138,13 @@
             .collect()
     }
 
-    fn choose(&self, job: &Job, task: TaskKey, now: Moment) -> Option<usize> {
-        let candidate = self.candidate(job, task)?;
+    fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
+        let candidate = self.candidate(turn, task)?;
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
-    fn candidate<'a>(&'a self, job: &'a Job, task: TaskKey) -> Option<Candidate<'a>> {
+    fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
+        let job = turn.job;
         let step = job.step(task)?;
         let progress = &job.step_progress(task)?.tasks[task.index as usize];
         let rack = if step.one_rack {
@@ -167,6 +158,11 @@
             service: &job.policy.service,
             failed_on: &progress.failed_on,
             rack,
+            min_speed: turn.min_speed,
+            preference: match turn.part {
+                Part::Stragglers => Preference::Fastest,
+                Part::Others | Part::All => Preference::Balanced,
+            },
         })
     }
 
@@ -250,39 +246,3 @@
         index: narrow(index),
     }
 }
-
-/// Returns the open jobs, ordered by priority, then long-running before others, then by timeliness
-/// and objective.
-fn jobs_by_urgency(table: &JobTable, wall_ms: u64) -> Vec<(JobId, &Job)> {
-    let open = table.jobs().filter(|(_, job)| !job.state().is_final());
-    let mut jobs: Vec<_> = open
-        .map(|(id, job)| {
-            let is_finite = !job.spec.steps.iter().any(|step| step.long_running);
-            (
-                (job.policy.priority, is_finite, timeliness(job, wall_ms), id),
-                job,
-            )
-        })
-        .collect();
-    jobs.sort_unstable_by_key(|(key, _)| *key);
-    jobs.into_iter()
-        .map(|((_, _, _, id), job)| (id, job))
-        .collect()
-}
-
-/// Returns the timeliness of a job and the wall-clock time by which it should finish. Jobs that
-/// can't finish in time give way to those that can.
-fn timeliness(job: &Job, wall_ms: u64) -> (Timeliness, u64) {
-    let allowed_ms =
-        job.policy.slack_ms + job.spec.critical_path_ms() * job.policy.stretch_milli / 1_000;
-    let objective_ms = job.at_ms + allowed_ms;
-    let finish_ms = wall_ms + job.remaining_ms();
-    let timeliness = if job.spec.repeat.is_some() || finish_ms <= objective_ms {
-        Timeliness::InTime
-    } else if finish_ms <= job.at_ms + LATE_FACTOR * allowed_ms {
-        Timeliness::Late
-    } else {
-        Timeliness::Missed
-    };
-    (timeliness, objective_ms)
-}
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
+use crate::plan::order::JobOrder;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
 use crate::table::{Change, JobTable};
@@ -36,6 +37,7 @@
     pub(super) started_jobs: Vec<JobId>,
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
+    pub(super) order: JobOrder,
     mean_slowness: f64,
 }
 
--- a/crates/agate_jobs/src/spec.rs
+++ b/crates/agate_jobs/src/spec.rs
@@ -1,5 +1,7 @@
 //! Job specifications.
 
+use std::ops::Add;
+
 use agate_core::Resources;
 use serde::{Deserialize, Serialize};
 
@@ -131,15 +133,22 @@
     /// Returns the critical path over the steps that `counts` selects, in milliseconds of estimated
     /// run time.
     pub(crate) fn critical_path_over(&self, counts: impl Fn(usize) -> bool) -> u64 {
-        let mut finish_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
+        let estimate_ms = |at: usize| self.steps[at].estimate_ms;
+        self.longest_path(0, |at| if counts(at) { estimate_ms(at) } else { 0 })
+    }
+
+    /// Returns the length of the longest path through the steps.
+    pub(crate) fn longest_path<T>(&self, zero: T, length: impl Fn(usize) -> T) -> T
+    where
+        T: Copy + PartialOrd + Add<Output = T>,
+    {
+        let longer = |a: T, b: T| if b > a { b } else { a };
+        let mut finish: Vec<T> = Vec::with_capacity(self.steps.len());
         for (at, step) in self.steps.iter().enumerate() {
-            let ready = step
-                .after
-                .iter()
-                .filter_map(|at| finish_ms.get(*at as usize));
-            let own = if counts(at) { step.estimate_ms } else { 0 };
-            finish_ms.push(ready.max().copied().unwrap_or(0) + own);
+            let after = step.after.iter();
+            let ready = after.filter_map(|at| finish.get(*at as usize)).copied();
+            finish.push(ready.fold(zero, longer) + length(at));
         }
-        finish_ms.into_iter().max().unwrap_or(0)
+        finish.into_iter().fold(zero, longer)
     }
 }
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -4,7 +4,8 @@
 
 use agate_core::JobId;
 
-use crate::record::{Body, LeaderHeartbeat, Record, RunEnd};
+use crate::backlog::RunTimes;
+use crate::record::{Body, EndCause, LeaderHeartbeat, Record, RunEnd};
 use crate::table::{Job, JobState};
 use crate::worker::{WorkerReport, WorkerState};
 
@@ -51,6 +52,7 @@
     leader: Leader,
     ends: HashMap<JobId, Vec<String>>,
     out_of_order: HashMap<JobId, OutOfOrder>,
+    run_times: RunTimes,
 }
 
 /// Events of a job that precede its submission in the log. The log keeps the newest record of each
@@ -139,6 +141,11 @@
         self.workers.get(name)
     }
 
+    /// Returns the run times learned from finished tasks.
+    pub const fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
     /// Returns the current leader.
     pub const fn leader(&self) -> &Leader {
         &self.leader
@@ -209,10 +216,14 @@
             return Change::None;
         };
         let keys = self.ends.entry(id).or_default();
-        if !keys.contains(&key) {
+        let is_new = !keys.contains(&key);
+        if is_new {
             keys.push(key);
         }
         job.apply_end(&end);
+        if is_new && end.cause == EndCause::Done {
+            learn(&mut self.run_times, job, &end);
+        }
         Change::Ended(end)
     }
 
@@ -267,3 +278,12 @@
         }
     }
 }
+
+fn learn(run_times: &mut RunTimes, job: &Job, end: &RunEnd) {
+    let index = end.task.index as usize;
+    let progress = job.step_progress(end.task);
+    let task = progress.and_then(|step| step.tasks.get(index));
+    if let (Some(step), Some(task)) = (job.step(end.task), task) {
+        run_times.record(&job.policy.queue, step, task.ran_ms);
+    }
+}
--- a/crates/agate_jobs/src/table/job.rs
+++ b/crates/agate_jobs/src/table/job.rs
@@ -95,6 +95,12 @@
         self.spec.critical_path_over(is_open)
     }
 
+    /// Returns the time within which the job should finish, in milliseconds.
+    pub fn allowed_ms(&self) -> u64 {
+        let stretched_ms = self.spec.critical_path_ms() * self.policy.stretch_milli / 1_000;
+        self.policy.slack_ms + stretched_ms
+    }
+
     pub(super) fn apply_end(&mut self, end: &RunEnd) {
         let Some(spec) = self.spec.steps.get(end.task.step as usize) else {
             return;
--- a/crates/agate_jobs/src/table/progress.rs
+++ b/crates/agate_jobs/src/table/progress.rs
@@ -15,6 +15,9 @@
     pub checkpoint: String,
     /// Worker on which the most recent failure occurred; empty if no run has failed.
     pub failed_on: String,
+    /// Run time of the runs that count: the one that finished and those that it continued, in
+    /// milliseconds.
+    pub ran_ms: u64,
     /// Last run if its recorded end is inferred, otherwise zero. An end reported by the worker
     /// overrides an inferred one.
     inferred_run: u32,
@@ -56,6 +59,9 @@
         }
         task.inferred_run = if end.cause.is_inferred() { end.run } else { 0 };
         task.last_run = end.run;
+        if matches!(end.cause, EndCause::Done | EndCause::Stopped) {
+            task.ran_ms = task.ran_ms.saturating_add(end.ran_ms);
+        }
         match end.cause {
             EndCause::Done if gang => {
                 self.finish_all();
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -86,7 +86,7 @@
         }
     };
     let now = clock::now();
-    let scheduler = {
+    let mut scheduler = {
         let mut view = entry.view();
         let view = &mut *view;
         view.is_leader = true;
@@ -94,6 +94,7 @@
         view.last_contact.prune(&view.job_table);
         Scheduler::restore(&view.job_table, orders, &view.last_contact, now)
     };
+    scheduler.set_batch_order(entry.context.batch_order);
     // The first placement may take over a second on a slow machine, and the other entries count
     // the leader's silence meanwhile.
     writers.write(
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::RouteTable;
+use agate_jobs::{BatchOrder, RouteTable};
 use agate_super::{ChildError, Policy, Restart, Supervisor};
 use tokio_util::sync::CancellationToken;
 
@@ -41,6 +41,8 @@
     pub max_lease: Duration,
     /// Time for which the final state of a job is kept.
     pub state_retention: Duration,
+    /// Order in which jobs of the same priority are served.
+    pub batch_order: BatchOrder,
 }
 
 /// An entry and the supervisor of its tasks.
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -5,7 +5,7 @@
 
 use agate_core::{JobId, Resources};
 use agate_jobs::route::{Route, RouteTable};
-use agate_jobs::{JobSpec, QueuePolicy, StepSpec};
+use agate_jobs::{BatchOrder, JobSpec, QueuePolicy, StepSpec};
 use agate_node::agent::{AgentContext, WorkerRegistry};
 use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef};
 use agate_node::metrics::Metrics;
@@ -109,6 +109,7 @@
         parse_routes,
         max_lease: MAX_LEASE,
         state_retention: Duration::from_mins(2),
+        batch_order: BatchOrder::default(),
     }
 }
 
