Play loads beyond the capacity with both orders of batch jobs in the model

Change: a load of narrow jobs in bursts, estimates wrong by up to 90 %, 5 % failed runs, a few tasks seven times as long; the fate of a run depends on seed, task and run only, so both orders play the same load. The capacity is the work done under a saturating load with the order by urgency.

--- a/crates/agate_bench/src/main.rs
+++ b/crates/agate_bench/src/main.rs
@@ -39,6 +39,7 @@
     urgent::run(options.seed, &mut report);
     batch::run(options.seed, &mut report);
     shared::run(options.seed, &mut report);
+    shared::run_backlog(options.seed, &mut report);
     if let Some(folder) = options.costs {
         match InstructionCounts::read_from(&folder) {
             Ok(counts) => check_costs(&counts, &mut report),
--- a/crates/agate_bench/src/shared/mod.rs
+++ b/crates/agate_bench/src/shared/mod.rs
@@ -6,6 +6,8 @@
 //! simulation departs from real workers in that orders and reports are never lost, workers don't
 //! fail, and all tasks of an image interfere alike.
 
+mod backlog;
+mod load;
 mod scenario;
 mod simulation;
 mod stats;
@@ -13,6 +15,8 @@
 mod truth;
 mod worker;
 
+pub use backlog::{capacity, run as run_backlog};
+pub use load::Load;
 pub use scenario::{Knowledge, Scenario};
 pub use simulation::simulate;
 pub use stats::Stats;
--- a/crates/agate_bench/src/shared/scenario.rs
+++ b/crates/agate_bench/src/shared/scenario.rs
@@ -2,17 +2,19 @@
 
 use std::time::Duration;
 
-use agate_core::{JobId, Resources};
-use agate_jobs::{Body, JobSpec, QueuePolicy, Record, StepSpec};
+use agate_core::{JobId, Moment, Resources};
+use agate_jobs::{BatchOrder, Body, JobSpec, QueuePolicy, Record, StepSpec};
 use rand::Rng as _;
 use rand::rngs::StdRng;
 use strum::{Display, EnumIter};
 
+use super::load::{self, Load};
+
 /// Number of serving images.
 pub(super) const SERVING_IMAGES: u32 = 16;
 
 /// Number of best-effort images.
-const BEST_EFFORT_IMAGES: u32 = 30;
+pub(super) const BEST_EFFORT_IMAGES: u32 = 30;
 
 /// Serving tasks per ten workers.
 const SERVING_PER_TEN: u32 = 46;
@@ -20,6 +22,9 @@
 /// Best-effort jobs per second and worker.
 const JOBS_PER_WORKER: f64 = 0.0182;
 
+/// Largest number of jobs that arrive at once in a backlog.
+const MAX_ARRIVALS: u32 = 8;
+
 /// Target of the serving tasks for their tail latency, in milliseconds.
 pub(super) const TARGET_MS: u64 = 18;
 
@@ -45,6 +50,10 @@
     pub duration: Duration,
     /// What the scheduler is told.
     pub knowledge: Knowledge,
+    /// Load of best-effort jobs.
+    pub load: Load,
+    /// Order in which the scheduler serves them.
+    pub order: BatchOrder,
     /// Seed of the workload.
     pub seed: u64,
 }
@@ -60,7 +69,7 @@
             let id = jobs.len() as u64;
             let step = StepSpec {
                 tasks,
-                demand: Resources::new(rng.random_range(10_000..=16_000), 26_000, 0),
+                demand: self.serving_demand(rng),
                 long_running: true,
                 image: serving_image(rng.random_range(0..SERVING_IMAGES)),
                 target_ms: TARGET_MS,
@@ -72,9 +81,29 @@
     }
 
     /// Returns the number of best-effort jobs that arrive within `tick`.
-    pub(super) fn arrivals(&self, rng: &mut StdRng, tick: Duration) -> u32 {
-        let expected = f64::from(self.workers) * JOBS_PER_WORKER * tick.as_secs_f64();
-        u32::from(rng.random_bool(expected.min(1.0)))
+    pub(super) fn arrivals(&self, rng: &mut StdRng, now: Moment, tick: Duration) -> u32 {
+        let (per_s, draws) = match self.load {
+            Load::Standard => (f64::from(self.workers) * JOBS_PER_WORKER, 1),
+            Load::Backlog { runs } => (load::jobs_per_s(runs, now), MAX_ARRIVALS),
+        };
+        let expected = per_s * tick.as_secs_f64() / f64::from(draws);
+        let draw = |_| u32::from(rng.random_bool(expected.min(1.0)));
+        (0..draws).map(draw).sum()
+    }
+
+    /// Returns the resources of a worker.
+    pub(super) const fn capacity(&self) -> Resources {
+        match self.load {
+            Load::Standard => Resources::new(64_000, 250_000, 0),
+            Load::Backlog { .. } => Resources::new(16_000, 62_500, 0),
+        }
+    }
+
+    fn serving_demand(&self, rng: &mut StdRng) -> Resources {
+        match self.load {
+            Load::Standard => Resources::new(rng.random_range(10_000..=16_000), 26_000, 0),
+            Load::Backlog { .. } => Resources::new(rng.random_range(2_500..=4_000), 9_000, 0),
+        }
     }
 }
 
@@ -108,7 +137,7 @@
     format!("serves-{number}")
 }
 
-fn submission(id: u64, steps: Vec<StepSpec>, priority: u32, at_ms: u64) -> Record {
+pub(super) fn submission(id: u64, steps: Vec<StepSpec>, priority: u32, at_ms: u64) -> Record {
     Record::new(Body::Submitted {
         job: JobId(id),
         spec: JobSpec {
--- a/crates/agate_bench/src/shared/simulation.rs
+++ b/crates/agate_bench/src/shared/simulation.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 
+use super::load::{self, Fate, Load};
 use super::scenario::{self, Scenario};
 use super::stats::Stats;
 use super::worker::{BestEffortRun, Ended, Worker};
@@ -54,6 +55,8 @@
     orders: Vec<(Moment, Order)>,
     /// Work left of the tasks that were given back.
     left: HashMap<TaskKey, Duration>,
+    /// Run time over estimate of each step, where the estimate is wrong.
+    ratios: HashMap<JobId, Vec<f64>>,
     /// When each best-effort job was submitted and finished, and its objective.
     jobs: HashMap<JobId, (Moment, Option<Moment>, Duration)>,
     next_job: u64,
@@ -65,23 +68,26 @@
     fn new(scenario: Scenario) -> Self {
         let mut rng = StdRng::seed_from_u64(scenario.seed);
         let workers: Vec<Worker> = (0..scenario.workers)
-            .map(|number| Worker::new(number, scenario.seed))
+            .map(|number| Worker::new(number, scenario.seed, scenario.capacity()))
             .collect();
         let names = (0..workers.len())
             .map(|at| (format!("w{at}"), at))
             .collect();
         let serving = scenario.serving_jobs(&mut rng);
         let next_job = serving.len() as u64;
+        let mut scheduler = Scheduler::default();
+        scheduler.set_batch_order(scenario.order);
         let mut simulation = Self {
             scenario,
             rng,
             table: JobTable::default(),
-            scheduler: Scheduler::default(),
+            scheduler,
             workers,
             names,
             records: Vec::new(),
             orders: Vec::new(),
             left: HashMap::new(),
+            ratios: HashMap::new(),
             jobs: HashMap::new(),
             next_job,
             reported_at: Moment::ZERO,
@@ -95,7 +101,7 @@
     }
 
     fn step(&mut self, now: Moment) {
-        for _ in 0..self.scenario.arrivals(&mut self.rng, TICK) {
+        for _ in 0..self.scenario.arrivals(&mut self.rng, now, TICK) {
             self.submit(now);
         }
         self.advance_workers(now);
@@ -112,7 +118,15 @@
     fn submit(&mut self, now: Moment) {
         let id = self.next_job;
         self.next_job += 1;
-        let record = scenario::best_effort_job(id, wall_ms(now), &mut self.rng);
+        let (at_ms, rng) = (wall_ms(now), &mut self.rng);
+        let record = match self.scenario.load {
+            Load::Standard => scenario::best_effort_job(id, at_ms, rng),
+            Load::Backlog { .. } => {
+                let (record, ratios) = load::backlog_job(id, at_ms, rng);
+                self.ratios.insert(JobId(id), ratios);
+                record
+            }
+        };
         if let Some(Body::Submitted { spec, policy, .. }) = &record.body {
             let allowed_ms =
                 policy.slack_ms + spec.critical_path_ms() * policy.stretch_milli / 1_000;
@@ -134,6 +148,9 @@
     fn end(&mut self, worker: String, ended: Ended, now: Moment) -> Record {
         let Ended { best_effort, cause } = ended;
         let mut checkpoint = String::new();
+        if cause == EndCause::Done {
+            self.stats.work += self.whole(best_effort.task);
+        }
         if cause == EndCause::Stopped {
             self.stats.given_back += 1;
             self.left
@@ -151,6 +168,18 @@
         }))
     }
 
+    /// Returns the run time of a task at full speed.
+    fn whole(&self, task: TaskKey) -> Duration {
+        let step = self.table.job(task.job).and_then(|job| job.step(task));
+        let estimate_ms = step.map_or(0, |step| step.estimate_ms);
+        let ratios = self.ratios.get(&task.job);
+        let ratio = ratios.and_then(|ratios| ratios.get(task.step as usize));
+        let length = ratio.map_or(1.0, |ratio| {
+            ratio * load::length_factor(self.scenario.seed, task)
+        });
+        Duration::from_millis(estimate_ms).mul_f64(length)
+    }
+
     fn report_all(&mut self, now: Moment) {
         for worker in &self.workers {
             let report = worker.report(self.scenario.knowledge);
@@ -211,6 +240,7 @@
         let Some(at) = self.names.get(&order.incarnation.name).copied() else {
             return;
         };
+        let fate = self.fate(&order);
         let OrderKind::Start {
             best_effort,
             image,
@@ -226,18 +256,28 @@
             return;
         }
         self.stats.runs += 1;
-        let whole = Duration::from_millis(estimate_ms);
+        let whole = Duration::from_millis(estimate_ms).mul_f64(fate.ratio);
+        let left = self.left.remove(&order.task).unwrap_or(whole);
         let started = BestEffortRun {
             task: order.task,
             run: order.run,
             image,
-            left: self.left.remove(&order.task).unwrap_or(whole),
+            left,
+            fails_at: fate.fails_after.map(|share| left.mul_f64(1.0 - share)),
             percent: 100,
             started_at: now,
         };
         self.workers[at].start(started, &interference, now);
     }
 
+    fn fate(&self, order: &Order) -> Fate {
+        let ratios = self.ratios.get(&order.task.job);
+        let ratio = ratios.and_then(|ratios| ratios.get(order.task.step as usize));
+        ratio.map_or(Fate::AS_ESTIMATED, |ratio| {
+            Fate::draw(self.scenario.seed, order, *ratio)
+        })
+    }
+
     /// Counts the jobs whose objective has passed.
     fn count_jobs(&mut self, now: Moment) {
         for (submitted, finished, objective) in self.jobs.values() {
@@ -247,6 +287,8 @@
             self.stats.jobs += 1;
             let in_time = finished.is_some_and(|at| at.since(*submitted) <= *objective);
             self.stats.in_time += u32::from(in_time);
+            let ended_at = finished.unwrap_or(now);
+            self.stats.ends.push(ended_at.since(*submitted));
         }
     }
 }
--- a/crates/agate_bench/src/shared/summary.rs
+++ b/crates/agate_bench/src/shared/summary.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use agate_jobs::BatchOrder;
 use strum::IntoEnumIterator;
 
-use super::{Knowledge, Scenario, Stats, simulate};
+use super::{Knowledge, Load, Scenario, Stats, simulate};
 use crate::report::{Bound, Limit, Report, Table};
 
 /// Numbers of workers: those of the small, grown and large deployments.
@@ -35,6 +36,8 @@
                 workers,
                 duration: DURATION,
                 knowledge,
+                load: Load::Standard,
+                order: BatchOrder::Urgency,
                 seed,
             })
         });
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -36,6 +36,8 @@
     pub(super) image: String,
     /// Work left, as time at full speed.
     pub(super) left: Duration,
+    /// Work left at which the run fails, if it does.
+    pub(super) fails_at: Option<Duration>,
     pub(super) percent: u32,
     pub(super) started_at: Moment,
 }
@@ -52,6 +54,7 @@
 pub(super) struct Worker {
     name: String,
     seed: u64,
+    capacity: Resources,
     serving: Vec<Serving>,
     best_effort: Vec<BestEffortRun>,
     pacer: Pacer,
@@ -61,12 +64,13 @@
 }
 
 impl Worker {
-    pub(super) fn new(number: u32, seed: u64) -> Self {
+    pub(super) fn new(number: u32, seed: u64, capacity: Resources) -> Self {
         // Workers take their samples at different times.
         let phase = Duration::from_millis(u64::from(number) * 50 % 250);
         Self {
             name: format!("w{number}"),
             seed,
+            capacity,
             serving: Vec::new(),
             best_effort: Vec::new(),
             pacer: Pacer::default(),
@@ -122,7 +126,7 @@
             },
             state: WorkerState::Ready,
             service: SERVICE.to_owned(),
-            capacity: Resources::new(64_000, 250_000, 0),
+            capacity: self.capacity,
             labels: Vec::new(),
             address: self.name.clone(),
             zone: "zone".to_owned(),
@@ -200,6 +204,12 @@
             if best_effort.left.is_zero() {
                 let cause = EndCause::Done;
                 ended.push(Ended { best_effort, cause });
+            } else if best_effort
+                .fails_at
+                .is_some_and(|at| best_effort.left <= at)
+            {
+                let cause = EndCause::Failed;
+                ended.push(Ended { best_effort, cause });
             } else if stopped == Some(run) {
                 let cause = EndCause::Stopped;
                 ended.push(Ended { best_effort, cause });
--- a/crates/agate_bench/tests/it/shared.rs
+++ b/crates/agate_bench/tests/it/shared.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
-use agate_bench::shared::{Knowledge, Scenario, simulate};
+use agate_bench::shared::{Knowledge, Load, Scenario, simulate};
+use agate_jobs::BatchOrder;
 
 fn scenario(workers: u32, knowledge: Knowledge) -> Scenario {
     Scenario {
         workers,
         duration: Duration::from_secs(20),
         knowledge,
+        load: Load::Standard,
+        order: BatchOrder::Urgency,
         seed: 1,
     }
 }
