--- a/crates/agate_jobs/src/backlog/mod.rs
+++ b/crates/agate_jobs/src/backlog/mod.rs
@@ -19,7 +19,7 @@
 pub use plan::Plan;
 pub use run_time::{RunTimes, median};
 pub use select::select;
-pub(crate) use speed::MIN_SPEED;
-pub use speed::min_speed;
+pub(crate) use speed::{MIN_SPEED, min_speed};
+
 pub use standing::Standing;
 pub(crate) use straggler::Part;
--- a/crates/agate_jobs/src/backlog/open_job.rs
+++ b/crates/agate_jobs/src/backlog/open_job.rs
@@ -17,6 +17,12 @@
 /// Least share of its run time that a returned task still needs.
 const MIN_RESUMED_SHARE: f64 = 0.2;
 
+/// Run time of the slowest task of a step, relative to the median one.
+const STEP_FACTOR: f64 = 1.5;
+
+/// Time of a step that isn't run time: orders, ends, and a second run of some task, in milliseconds.
+const STEP_DELAY_MS: f64 = 500.0;
+
 /// An open best-effort job. Times are in milliseconds, points in time on the wall clock.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OpenJob<'a> {
@@ -32,6 +38,8 @@
     pub work_ms: f64,
     /// Part of the work that is left.
     pub left_ms: f64,
+    /// Part of the work left that is ready to run and not bound.
+    pub ready_ms: f64,
     /// Expected run time of the unfinished steps, one after the other.
     pub path_ms: f64,
     /// Whether a task has started.
@@ -42,7 +50,7 @@
     /// Returns the view of a job that doesn't repeat and has `bound` bound tasks.
     pub fn new(id: JobId, job: &'a Job, run_times: &RunTimes, bound: usize) -> Self {
         let expected_ms = run_times.expected_ms(job);
-        let (mut work_ms, mut left_ms, mut bound_ms) = (0.0, 0.0, 0.0);
+        let (mut work_ms, mut left_ms, mut bound_ms, mut ready_ms) = (0.0, 0.0, 0.0, 0.0);
         let mut open = Vec::with_capacity(expected_ms.len());
         let steps = job.progress.first().map_or(&[][..], Vec::as_slice);
         for (at, (step, each_ms)) in steps.iter().zip(&expected_ms).enumerate() {
@@ -52,16 +60,22 @@
                 continue;
             }
             let tasks = step.tasks.iter().filter(|task| !task.done);
-            left_ms += tasks
+            let step_ms = tasks
                 .map(|task| (each_ms - task.ran_ms as f64).max(MIN_RESUMED_SHARE * each_ms))
                 .sum::<f64>();
+            left_ms += step_ms;
             if job.is_ready(0, at) {
+                ready_ms += (step_ms - bound as f64 * each_ms).max(0.0);
                 bound_ms = bound as f64 * each_ms * (1.0 - BOUND_SHARE);
             }
         }
         let path_ms = job.spec.longest_path(0.0, |at| {
             let is_open = open.get(at).copied().unwrap_or(false);
-            if is_open { expected_ms[at] } else { 0.0 }
+            if is_open {
+                expected_ms[at] * STEP_FACTOR + STEP_DELAY_MS
+            } else {
+                0.0
+            }
         });
         Self {
             id,
@@ -70,6 +84,7 @@
             allowed_ms: job.allowed_ms(),
             work_ms,
             left_ms: (left_ms - bound_ms).max(0.0),
+            ready_ms,
             path_ms,
             begun: job.started || bound > 0,
         }
--- a/crates/agate_jobs/src/backlog/plan.rs
+++ b/crates/agate_jobs/src/backlog/plan.rs
@@ -5,7 +5,7 @@
 
 use agate_core::{JobId, Moment};
 
-use crate::backlog::{OpenJob, Standing, min_speed, select};
+use crate::backlog::{OpenJob, Standing, select};
 
 /// Time for which a plan is kept.
 pub const PERIOD: Duration = Duration::from_millis(200);
@@ -36,8 +36,8 @@
     pub standing: Standing,
     /// Position among the jobs of its group.
     pub position: usize,
-    /// Share of their speed below which its tasks wait.
-    pub min_speed: f64,
+    /// Whether jobs of its group had to be left out of the selection.
+    pub exceeded: bool,
 }
 
 /// The newest plan and the measured rates.
@@ -71,7 +71,7 @@
         self.ranks.get(&job).copied().unwrap_or(Rank {
             standing: Standing::Late,
             position: 0,
-            min_speed: min_speed(Standing::Late, false),
+            exceeded: false,
         })
     }
 
@@ -90,7 +90,7 @@
             let rank = Rank {
                 standing,
                 position,
-                min_speed: min_speed(standing, exceeded),
+                exceeded,
             };
             self.ranks.insert(id, rank);
         }
--- a/crates/agate_jobs/src/backlog/select.rs
+++ b/crates/agate_jobs/src/backlog/select.rs
@@ -40,6 +40,7 @@
         rate,
         wall_ms,
         taken_ms: overdue_ms * OVERDUE_SHARE,
+        ready_ms: 0.0,
     };
     let (selected, open) = schedule.fit(open, OpenJob::objective_ms);
     let (late, postponed) = schedule.fit(open, OpenJob::late_ms);
@@ -103,6 +104,8 @@
     wall_ms: u64,
     /// Work that precedes that of the next jobs.
     taken_ms: f64,
+    /// Part of it that is ready to run.
+    ready_ms: f64,
 }
 
 impl<'a> Schedule<'a> {
@@ -127,12 +130,17 @@
             fitting[*at] = true;
             most_costly.push((self.costs[*at].to_bits(), Reverse(job.id), *at));
             self.taken_ms += job.left_ms;
-            while self.taken_ms > time_left_ms * self.rate {
+            self.ready_ms += job.ready_ms;
+            while self.taken_ms > time_left_ms * self.rate
+                || (fitting[*at]
+                    && self.ready_ms - job.ready_ms > (time_left_ms - job.path_ms) * self.rate)
+            {
                 let Some((_, _, removed)) = most_costly.pop() else {
                     break;
                 };
                 fitting[removed] = false;
                 self.taken_ms -= self.jobs[removed].left_ms;
+                self.ready_ms -= self.jobs[removed].ready_ms;
             }
         }
         by_limit.retain(|at| fitting[*at]);
--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -5,7 +5,7 @@
 use agate_core::{JobId, Moment};
 
 use crate::backlog::plan::Group;
-use crate::backlog::{BatchOrder, LATE_FACTOR, MIN_SPEED, OpenJob, Part, Plan};
+use crate::backlog::{BatchOrder, LATE_FACTOR, MIN_SPEED, OpenJob, Part, Plan, min_speed};
 use crate::plan::scheduler::Scheduler;
 use crate::table::{Job, JobTable};
 
@@ -133,7 +133,7 @@
             [Part::Stragglers, Part::Others].map(|part| {
                 let turn = Turn {
                     part,
-                    min_speed: rank.min_speed,
+                    min_speed: min_speed(part, rank.standing, rank.exceeded),
                     ..whole(id, job)
                 };
                 let key = (rank.standing, part, rank.position, id);
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -280,10 +280,7 @@
 }
 
 fn learn(run_times: &mut RunTimes, job: &Job, end: &RunEnd) {
-    let index = end.task.index as usize;
-    let progress = job.step_progress(end.task);
-    let task = progress.and_then(|step| step.tasks.get(index));
-    if let (Some(step), Some(task)) = (job.step(end.task), task) {
-        run_times.record(&job.policy.queue, step, task.ran_ms);
+    if let (Some(spec), Some(step)) = (job.step(end.task), job.step_progress(end.task)) {
+        run_times.record(&job.policy.queue, spec, step);
     }
 }
