--- a/crates/agate_jobs/src/backlog/plan.rs
+++ b/crates/agate_jobs/src/backlog/plan.rs
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Plan {
     made_at: Option<Moment>,
+    /// Number of plans made.
+    pub(crate) made: u64,
     ranks: HashMap<JobId, Rank>,
     /// Moving average of the active runs of each group.
     rates: HashMap<GroupKey, f64>,
@@ -58,6 +60,7 @@
     /// Replaces the plan by one for the given groups.
     pub fn update(&mut self, groups: &BTreeMap<GroupKey, Group<'_>>, now: Moment, wall_ms: u64) {
         self.made_at = Some(now);
+        self.made += 1;
         self.ranks.clear();
         self.rates.retain(|key, _| groups.contains_key(key));
         for (key, group) in groups {
@@ -66,6 +69,12 @@
         }
     }
 
+    /// Returns the class of each job.
+    pub fn standings(&self) -> BTreeMap<JobId, Standing> {
+        let ranks = self.ranks.iter();
+        ranks.map(|(id, rank)| (*id, rank.standing)).collect()
+    }
+
     /// Returns the rank of a job. A job that is newer than the plan follows the selected ones.
     pub fn rank_of(&self, job: JobId) -> Rank {
         self.ranks.get(&job).copied().unwrap_or(Rank {
--- a/crates/agate_jobs/src/backlog/select.rs
+++ b/crates/agate_jobs/src/backlog/select.rs
@@ -1,6 +1,5 @@
 //! Selection of the jobs that can finish in time together.
 
-use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
 use agate_core::JobId;
@@ -120,7 +119,7 @@
         by_limit.sort_by_key(|at| limit(&self.jobs[*at]));
         let mut fitting = vec![false; self.jobs.len()];
         // The bits of floating-point numbers that are not negative have the order of the numbers.
-        let mut most_costly: BinaryHeap<(u64, Reverse<JobId>, usize)> = BinaryHeap::new();
+        let mut most_costly: BinaryHeap<(u64, JobId, usize)> = BinaryHeap::new();
         for at in &by_limit {
             let job = &self.jobs[*at];
             let time_left_ms = limit(job).saturating_sub(self.wall_ms) as f64;
@@ -128,7 +127,7 @@
                 continue;
             }
             fitting[*at] = true;
-            most_costly.push((self.costs[*at].to_bits(), Reverse(job.id), *at));
+            most_costly.push((self.costs[*at].to_bits(), job.id, *at));
             self.taken_ms += job.left_ms;
             self.ready_ms += job.ready_ms;
             while self.taken_ms > time_left_ms * self.rate
--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -5,7 +5,9 @@
 use agate_core::{JobId, Moment};
 
 use crate::backlog::plan::Group;
-use crate::backlog::{BatchOrder, LATE_FACTOR, MIN_SPEED, OpenJob, Part, Plan, min_speed};
+use crate::backlog::{
+    BatchOrder, LATE_FACTOR, MIN_SPEED, OpenJob, Part, Plan, Standing, min_speed,
+};
 use crate::plan::scheduler::Scheduler;
 use crate::table::{Job, JobTable};
 
@@ -49,6 +51,22 @@
         };
     }
 
+    /// Returns the number of plans made since the order was set.
+    pub const fn plans_made(&self) -> u64 {
+        match &self.order {
+            JobOrder::Urgency => 0,
+            JobOrder::Backlog(plan) => plan.made,
+        }
+    }
+
+    /// Returns the class of each job of the newest plan.
+    pub fn standings(&self) -> BTreeMap<JobId, Standing> {
+        match &self.order {
+            JobOrder::Urgency => BTreeMap::new(),
+            JobOrder::Backlog(plan) => plan.standings(),
+        }
+    }
+
     /// Returns the turns of the open jobs.
     pub(super) fn turns<'a>(
         &mut self,
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of job records, the job table, the scheduler and pacing.
 
+mod backlog;
 mod fleet;
 mod lease;
 mod pace;
