--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate performs no I/O and reads no clock.
 
+pub mod backlog;
 pub mod lease;
 pub mod pace;
 pub mod plan;
@@ -13,6 +14,7 @@
 mod worker;
 pub mod zones;
 
+pub use backlog::BatchOrder;
 pub use record::{
     Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, Suspect,
     SuspicionRecord,
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
+use crate::plan::order::JobOrder;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
@@ -38,6 +39,7 @@
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
     pub(super) withdrawal: Withdrawal,
+    pub(super) order: JobOrder,
     mean_slowness: f64,
 }
 
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -1,5 +1,6 @@
 //! Leader election, and scheduling while this entry leads.
 
+mod backlog;
 mod delay;
 mod election;
 mod resign;
@@ -129,7 +130,7 @@
         }
     };
     let now = clock::now();
-    let scheduler = {
+    let mut scheduler = {
         let mut view = entry.view();
         let view = &mut *view;
         view.is_leader = true;
@@ -144,6 +145,7 @@
             now,
         )
     };
+    scheduler.set_batch_order(entry.context.batch_order);
     entry.context.metrics.count(Event::LeaderTaken);
     log::info!(
         event = "leader_taken", epoch = epoch, runs = scheduler.bound_runs(),
@@ -161,6 +163,7 @@
         unlisted_since: None,
     };
     let deposed = leadership.run(outcomes, stop).await;
+    entry.context.metrics.backlog.clear();
     entry.view().is_leader = false;
     entry.context.metrics.clear_zone_runs();
     if deposed {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, heartbeat, zones};
+use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, heartbeat, zones};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -134,6 +134,9 @@
                 offset = *self.entry.folded.borrow(); ""
             );
         }
+        if let Some(summary) = self.scheduler.take_backlog_summary() {
+            backlog::report(&self.entry.context.metrics, &summary);
+        }
         if now.since(self.heartbeat_at) >= HEARTBEAT_PERIOD {
             self.heartbeat_at = now;
             if self.is_heartbeat_recent(now) {
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::RouteTable;
+use agate_jobs::{BatchOrder, RouteTable};
 use agate_super::{ChildError, Policy, Restart, Supervisor};
 use tokio_util::sync::CancellationToken;
 
@@ -48,6 +48,8 @@
     pub state_retention: Duration,
     /// Share of a processor that this process has, if known.
     pub processor_share: Option<ProcessorShare>,
+    /// Order in which jobs of the same priority are served.
+    pub batch_order: BatchOrder,
 }
 
 /// An entry and the supervisor of its tasks.
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -6,7 +6,7 @@
 use agate_core::{JobId, Resources};
 use agate_jobs::route::{Route, RouteTable};
 use agate_jobs::zones::ZoneRecord;
-use agate_jobs::{JobSpec, QueuePolicy, StepSpec};
+use agate_jobs::{BatchOrder, JobSpec, QueuePolicy, StepSpec};
 use agate_node::agent::{AgentContext, WithdrawalSettings, WorkerRegistry};
 use agate_node::entry::{self, Answer, Entry, EntryContext, JobRef, ProcessorShare};
 use agate_node::metrics::Metrics;
@@ -119,6 +119,7 @@
             max_lease: MAX_LEASE,
             state_retention: Duration::from_mins(2),
             processor_share: None,
+            batch_order: BatchOrder::default(),
         }
     }
 
