Move serving tasks out of a withdrawn zone

Cause: long-running tasks in a withdrawn zone stayed there until a caller cancelled their job, so such a zone never became empty.

Change: after each placement round, plan::moves stops at most one available task of each long-running step with max_unavailable above zero, while a worker elsewhere has room now, fewer than max_unavailable tasks of the step are unavailable, and fewer than 8 moves are in progress. Room for a stopped task is held until it has ended. A restored binding counts as bound at the takeover; open stops, and tasks without a worker that have run before, count as moves in progress. The leader logs task_moves and counts TaskMoved.

Ruled out: a pause of all moves for 6 s after a takeover. Moving single members of a gang: a gang is placed whole or not at all. Counting moves without their target's room: two moves would rely on the same room.

The test max_unavailable > 0 in movable_step is also implied by the limit of the step, so its removal alone changes nothing.

--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod interference;
 mod last_contact;
+mod moves;
 mod place;
 mod restore;
 mod scheduler;
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -35,6 +35,7 @@
         for worker in &mut self.workers {
             worker.reserved = Resources::ZERO;
         }
+        self.hold_room_for_moves();
         for (id, job) in jobs_by_urgency(table, wall_ms) {
             for occurrence in 0..job.progress.len() {
                 let due = job
@@ -46,6 +47,7 @@
                 self.place_occurrence(id, job, occurrence, now, &mut placed);
             }
         }
+        self.begin_moves(table, now);
         placed
     }
 
@@ -80,7 +82,7 @@
         let long_running = job.spec.steps[at.1].long_running;
         for task in self.pending_tasks(id, job, at) {
             match self.choose(job, task, now) {
-                Some(slot) => placed.push(self.bind(job, task, slot, None)),
+                Some(slot) => placed.push(self.bind(job, task, (slot, None), now)),
                 None if long_running => {
                     self.note_zone_wait(job, task);
                     self.reserve(job, task, now);
@@ -131,7 +133,7 @@
                 self.note_zone_wait(job, task);
                 return;
             };
-            members.push(self.bind(job, task, slot, Some(run)));
+            members.push(self.bind(job, task, (slot, Some(run)), now));
         }
         placed.append(&mut members);
     }
@@ -159,7 +161,7 @@
             .collect()
     }
 
-    fn choose(&self, job: &Job, task: TaskKey, now: Moment) -> Option<usize> {
+    pub(super) fn choose(&self, job: &Job, task: TaskKey, now: Moment) -> Option<usize> {
         let candidate = self.candidate(job, task)?;
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
@@ -190,7 +192,14 @@
         sibling.map_or("", choose::rack)
     }
 
-    fn bind(&mut self, job: &Job, task: TaskKey, slot: usize, run: Option<u32>) -> Placement {
+    /// Binds a task to the worker at a slot, as run number `run` or the next one.
+    fn bind(
+        &mut self,
+        job: &Job,
+        task: TaskKey,
+        (slot, run): (usize, Option<u32>),
+        now: Moment,
+    ) -> Placement {
         let step = &job.spec.steps[task.step as usize];
         let progress = &job.progress[task.occurrence as usize][task.step as usize];
         let progress = &progress.tasks[task.index as usize];
@@ -211,6 +220,7 @@
                 step.estimate_ms
             },
             stopping: false,
+            bound_at: now,
         };
         worker.bind(task, &binding);
         if !step.long_running {
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -43,9 +43,10 @@
             scheduler.apply_report(report, last_contact.get_or(&report.incarnation.name, now));
         }
         for order in open_orders {
-            scheduler.restore_order(table, &order);
+            scheduler.restore_order(table, &order, now);
         }
         scheduler.settle_restored(table);
+        scheduler.adopt_moves(table, now);
         scheduler
     }
 
@@ -63,7 +64,7 @@
         }
     }
 
-    fn restore_order(&mut self, table: &JobTable, order: &Order) {
+    fn restore_order(&mut self, table: &JobTable, order: &Order, now: Moment) {
         let name = order.incarnation.name.clone();
         let key = format!("r/{name}/{}", order.task);
         let job = table.job(order.task.job);
@@ -101,6 +102,7 @@
             long_running: step.is_some_and(|step| step.long_running),
             estimate_ms,
             stopping,
+            bound_at: now,
         };
         if let Some(old) = self.bindings.insert(order.task, binding.clone()) {
             self.workers[old.worker].release(order.task, &old);
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
+use crate::plan::moves::Moves;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
@@ -38,6 +39,7 @@
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
     pub(super) withdrawal: Withdrawal,
+    pub(super) moves: Moves,
     mean_slowness: f64,
 }
 
@@ -84,7 +86,7 @@
         }
     }
 
-    fn stop(&mut self, task: TaskKey) {
+    pub(super) fn stop(&mut self, task: TaskKey) {
         let Some(binding) = self.bindings.get_mut(&task) else {
             return;
         };
--- a/crates/agate_jobs/src/plan/withdrawal.rs
+++ b/crates/agate_jobs/src/plan/withdrawal.rs
@@ -44,6 +44,19 @@
         /// A task of the step.
         task: TaskKey,
     },
+    /// A serving task in a withdrawn zone is stopped, to be started elsewhere.
+    TaskMoves {
+        /// The task.
+        task: TaskKey,
+        /// Number of the run that is stopped.
+        run: u32,
+        /// Name of the zone.
+        zone: String,
+        /// Worker on which it runs.
+        worker: String,
+        /// Worker that has room for it now.
+        room_on: String,
+    },
 }
 
 /// Number of runs that are left in a withdrawn zone.
@@ -95,6 +108,11 @@
         self.zones().is_some_and(|zones| zones.contains_key(zone))
     }
 
+    /// Adds a change to those that are logged.
+    pub fn note(&mut self, change: ZoneChange) {
+        self.changes.push(change);
+    }
+
     const fn zones(&self) -> Option<&BTreeMap<String, WithdrawnZone>> {
         match &self.known {
             KnownZones::Known(zones) => Some(zones),
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -32,6 +32,8 @@
     pub long_running: bool,
     pub estimate_ms: u64,
     pub stopping: bool,
+    /// Time of the binding; a restored one counts as bound at the takeover.
+    pub bound_at: Moment,
 }
 
 /// A worker and the tasks bound to it.
@@ -52,6 +54,8 @@
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
+    /// Resources held for tasks that are being moved here and still run elsewhere.
+    pub held: Resources,
     /// Whether the worker's records have been dropped because it left.
     pub records_dropped: bool,
     /// Whether the operator has withdrawn the worker's zone.
@@ -78,6 +82,7 @@
             best_effort_millicores: 0,
             long_running_millicores: 0,
             reserved: Resources::ZERO,
+            held: Resources::ZERO,
             records_dropped: false,
             withdrawn: false,
             cold_until: Moment::ZERO,
@@ -107,12 +112,16 @@
         !self.step_tasks.is_empty()
     }
 
-    /// Returns whether new tasks may be bound to the worker.
-    pub fn accepts_tasks(&self, now: Moment) -> bool {
+    /// Returns whether the worker is neither about to leave nor suspected.
+    pub fn is_in_service(&self) -> bool {
         self.report.state == WorkerState::Ready
             && self.report.incarnation == self.suspicion.incarnation
             && !self.suspicion.suspected
-            && self.health.accepts_tasks(now)
+    }
+
+    /// Returns whether new tasks may be bound to the worker.
+    pub fn accepts_tasks(&self, now: Moment) -> bool {
+        self.is_in_service() && self.health.accepts_tasks(now)
     }
 
     /// Returns whether a task of a step fits beside the bound tasks and the reservations.
@@ -120,12 +129,13 @@
         let demand = step.demand;
         let room = self.report.capacity.saturating_sub(self.used);
         if step.long_running {
-            return demand.fits_in(room);
+            return demand.fits_in(room.saturating_sub(self.held));
         }
         if !step.best_effort {
+            let room = room.saturating_sub(self.held);
             return demand.fits_in(room.saturating_sub(self.reserved));
         }
-        let room = room.saturating_sub(without_cpu(self.reserved));
+        let room = room.saturating_sub(without_cpu(self.reserved + self.held));
         let idle = self.long_running_millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         let spare = (room.millicores + idle).saturating_sub(self.best_effort_millicores);
         demand.fits_in(Resources {
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod lease;
+mod moves;
 mod pace;
 mod place;
 mod records;
--- a/crates/agate_jobs/tests/jobs/zones.rs
+++ b/crates/agate_jobs/tests/jobs/zones.rs
@@ -13,7 +13,7 @@
 
 const BOUND: Duration = Duration::from_secs(5);
 
-fn withdraws(offset: u64, zone: &str) -> ZoneRecord {
+pub(crate) fn withdraws(offset: u64, zone: &str) -> ZoneRecord {
     ZoneRecord {
         offset,
         zone: zone.to_owned(),
@@ -21,20 +21,20 @@
     }
 }
 
-fn returns(offset: u64, zone: &str) -> ZoneRecord {
+pub(crate) fn returns(offset: u64, zone: &str) -> ZoneRecord {
     ZoneRecord {
         withdrawn: false,
         ..withdraws(offset, zone)
     }
 }
 
-fn loaded(records: Vec<ZoneRecord>, end: u64) -> ZoneTable {
+pub(crate) fn loaded(records: Vec<ZoneRecord>, end: u64) -> ZoneTable {
     let mut table = ZoneTable::default();
     table.apply_load(records, end);
     table
 }
 
-fn at(zone: &str, name: &str) -> WorkerReport {
+pub(crate) fn at(zone: &str, name: &str) -> WorkerReport {
     WorkerReport {
         zone: zone.to_owned(),
         ..report(name, 1)
--- a/crates/agate_node/src/entry/lead/zones.rs
+++ b/crates/agate_node/src/entry/lead/zones.rs
@@ -3,6 +3,7 @@
 use agate_jobs::plan::{Scheduler, ZoneChange};
 
 use crate::entry::Entry;
+use crate::metrics::Event;
 
 /// Passes the zones that this entry has read to the scheduler.
 pub(super) fn update(entry: &Entry, scheduler: &mut Scheduler) {
@@ -15,8 +16,12 @@
 pub(super) fn report(entry: &Entry, scheduler: &mut Scheduler, epoch: u64) {
     for change in scheduler.take_zone_changes() {
         log_change(&change, epoch);
-        if let ZoneChange::Returned { zone, .. } = &change {
-            entry.context.metrics.remove_zone_runs(zone);
+        match &change {
+            ZoneChange::Returned { zone, .. } => entry.context.metrics.remove_zone_runs(zone),
+            ZoneChange::TaskMoves { .. } => entry.context.metrics.count(Event::TaskMoved),
+            ZoneChange::Withdrawn { .. }
+            | ZoneChange::Empty { .. }
+            | ZoneChange::StepWaits { .. } => {}
         }
     }
     for left in scheduler.zone_runs() {
@@ -41,5 +46,16 @@
             event = "step_needs_zone", task:% = task, epoch = epoch;
             "only workers of withdrawn zones could run its step"
         ),
+        ZoneChange::TaskMoves {
+            task,
+            run,
+            zone,
+            worker,
+            room_on,
+        } => log::info!(
+            event = "task_moves", task:% = task, run = run, zone = zone.as_str(),
+            worker = worker.as_str(), room_on = room_on.as_str(), epoch = epoch;
+            "it is stopped, to be started elsewhere"
+        ),
     }
 }
--- a/crates/agate_node/src/metrics.rs
+++ b/crates/agate_node/src/metrics.rs
@@ -35,6 +35,8 @@
     OrderOverdue,
     /// An order for an earlier term was settled by the agent.
     OrderAbandoned,
+    /// A serving task was stopped to be moved out of a withdrawn zone.
+    TaskMoved,
     /// An order was returned because the worker's zone is withdrawn.
     ZoneRefused,
     /// The end of a run was recorded.
