Test moves out of two zones with a task in each

Cause: the test on two zones had both tasks in one of them, and a limit for each worker that hid the limit of the step.

Change: one task in each withdrawn zone, two workers elsewhere with room for one task each. Steps with a limit for each worker have one builder.

Ruled out: nothing.

The test fails without the limit of the step, and with targets in withdrawn zones.

--- a/crates/agate_jobs/tests/jobs/moves.rs
+++ b/crates/agate_jobs/tests/jobs/moves.rs
@@ -24,6 +24,14 @@
     }
 }
 
+/// Returns a step of which each worker may run one task.
+fn spread(tasks: u32, max_unavailable: u32) -> StepSpec {
+    StepSpec {
+        per_worker: 1,
+        ..serving(tasks, max_unavailable)
+    }
+}
+
 /// Workers of zone `north` run the steps; workers of zone `south` have joined since.
 struct Moving {
     fleet: Fleet,
@@ -175,11 +183,7 @@
     m.zones.apply_page(vec![withdraws(3, "north")], 4);
 })]
 fn a_task_that_is_down_counts(#[case] goes_down: fn(&mut Moving)) {
-    let whole = StepSpec {
-        per_worker: 1,
-        ..serving(3, 1)
-    };
-    let mut moving = Moving::new(vec![whole], &["a", "b", "c"], &["d", "e"]);
+    let mut moving = Moving::new(vec![spread(3, 1)], &["a", "b", "c"], &["d", "e"]);
     moving.zones.apply_page(vec![withdraws(1, "north")], 2);
     goes_down(&mut moving);
     assert_eq!(moving.round(), []);
@@ -266,11 +270,7 @@
 /// A step with a limit for each worker stopped more tasks than the only worker elsewhere may run.
 #[test]
 fn a_worker_is_the_target_of_one_task_if_it_may_run_one() {
-    let each = StepSpec {
-        per_worker: 1,
-        ..serving(2, 2)
-    };
-    let mut moving = Moving::withdrawn(vec![each], &["a", "b"], &["c"]);
+    let mut moving = Moving::withdrawn(vec![spread(2, 2)], &["a", "b"], &["c"]);
     assert_eq!(moving.round(), [(1, 0)]);
     assert_eq!(moving.round(), []);
     moving.end_stopped();
@@ -281,11 +281,7 @@
 /// A lapsed worker that reports again runs nothing of its earlier term, before the ends are recorded.
 #[test]
 fn a_run_of_an_earlier_term_counts_until_its_end_is_recorded() {
-    let each = StepSpec {
-        per_worker: 1,
-        ..serving(3, 1)
-    };
-    let mut moving = Moving::withdrawn(vec![each], &["a", "b", "c"], &["d"]);
+    let mut moving = Moving::withdrawn(vec![spread(3, 1)], &["a", "b", "c"], &["d"]);
     let fleet = &mut moving.fleet;
     for (state, term) in [(WorkerState::Lapsed, 0), (WorkerState::Ready, 1)] {
         let mut report = at("north", "c");
@@ -310,22 +306,30 @@
     assert_eq!(moving.rounds_for(Duration::from_millis(500)), [(1, 1)]);
 }
 
-/// Both zones of a region: a task never moves from one withdrawn zone to the other.
+/// Two zones at once: each zone with a limit of its own would take down two tasks of the step, and a
+/// task could move from one withdrawn zone to the other.
 #[test]
 fn tasks_of_two_zones_share_the_limit_of_their_step() {
-    let each = StepSpec {
-        per_worker: 1,
+    let large = StepSpec {
+        demand: Resources::new(3_000, 100, 0),
         ..serving(2, 1)
     };
-    let mut moving = Moving::withdrawn(vec![each], &["a", "b"], &["c"]);
-    let east = at("east", "d");
-    moving.fleet.fold(Record::new(Body::Worker(east)));
-    moving.zones.apply_page(vec![withdraws(2, "south")], 3);
+    let mut moving = Moving::withdrawn(vec![large], &["a", "b"], &["c", "d", "e"]);
+    for name in ["b", "c"] {
+        let west = Record::new(Body::Worker(at("west", name)));
+        moving.fleet.fold(west);
+    }
+    moving.zones.apply_page(vec![withdraws(2, "west")], 3);
     assert_eq!(moving.round(), [(1, 0)]);
+    assert_eq!(moving.round(), []);
+    moving.end_stopped();
+    assert_eq!(moving.rounds_for(READY), [], "bound 5.5 s ago");
+    assert_eq!(moving.round(), []);
+    assert_eq!(moving.rounds_for(Duration::from_millis(500)), [(1, 1)]);
     moving.end_stopped();
     moving.round();
-    assert_eq!(moving.workers_of(1), ["b", "d"]);
-    moving.zones.apply_page(vec![withdraws(3, "east")], 4);
+    assert_eq!(moving.workers_of(1), ["d", "e"]);
+    moving.zones.apply_page(vec![withdraws(3, "south")], 4);
     assert_eq!(moving.rounds_for(READY * 2), [], "no zone is left");
 }
 
