--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -6,6 +6,7 @@
 mod interference;
 mod last_contact;
 mod misses;
+mod moves;
 mod order;
 mod place;
 mod restore;
--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -180,7 +180,8 @@
     all.into_iter().map(|(_, turn)| turn).collect()
 }
 
-const fn whole(id: JobId, job: &Job) -> Turn<'_> {
+/// Returns the turn of a job in which all of its tasks may be placed.
+pub(super) const fn whole(id: JobId, job: &Job) -> Turn<'_> {
     Turn {
         id,
         job,
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -35,6 +35,7 @@
         for worker in &mut self.workers {
             worker.reserved = Resources::ZERO;
         }
+        self.hold_room_for_moves();
         for turn in self.turns(table, now, wall_ms) {
             let job = turn.job;
             for occurrence in 0..job.progress.len() {
@@ -47,6 +48,7 @@
                 self.place_occurrence(&turn, occurrence, &mut round);
             }
         }
+        self.begin_moves(table, now);
         round.placed
     }
 
@@ -74,7 +76,9 @@
         let pending = self.pending_tasks(turn, at);
         for task in turn.part.of(&turn.job.progress[at.0][at.1], pending) {
             match self.choose(turn, task, round.now) {
-                Some(slot) => round.placed.push(self.bind(turn.job, task, slot, None)),
+                Some(slot) => round
+                    .placed
+                    .push(self.bind(turn.job, task, (slot, None), round.now)),
                 None if step.long_running => {
                     self.note_zone_wait(turn.job, task);
                     self.reserve(turn, task, round.now);
@@ -120,7 +124,7 @@
                 self.note_zone_wait(job, task);
                 return;
             };
-            members.push(self.bind(job, task, slot, Some(run)));
+            members.push(self.bind(job, task, (slot, Some(run)), round.now));
         }
         round.placed.append(&mut members);
     }
@@ -147,7 +151,7 @@
             .collect()
     }
 
-    fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
+    pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
         let candidate = self.candidate(turn, task)?;
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
@@ -184,7 +188,14 @@
         sibling.map_or("", choose::rack)
     }
 
-    fn bind(&mut self, job: &Job, task: TaskKey, slot: usize, run: Option<u32>) -> Placement {
+    /// Binds a task to the worker at a slot, as run number `run` or the next one.
+    fn bind(
+        &mut self,
+        job: &Job,
+        task: TaskKey,
+        (slot, run): (usize, Option<u32>),
+        now: Moment,
+    ) -> Placement {
         let step = &job.spec.steps[task.step as usize];
         let progress = &job.progress[task.occurrence as usize][task.step as usize];
         let progress = &progress.tasks[task.index as usize];
@@ -205,6 +216,7 @@
                 step.estimate_ms
             },
             stopping: false,
+            bound_at: now,
         };
         worker.bind(task, &binding);
         if !step.long_running {
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
+use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
@@ -39,6 +40,7 @@
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
     pub(super) withdrawal: Withdrawal,
+    pub(super) moves: Moves,
     pub(super) order: JobOrder,
     mean_slowness: f64,
 }
@@ -86,7 +88,7 @@
         }
     }
 
-    fn stop(&mut self, task: TaskKey) {
+    pub(super) fn stop(&mut self, task: TaskKey) {
         let Some(binding) = self.bindings.get_mut(&task) else {
             return;
         };
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod fleet;
 mod lease;
+mod moves;
 mod pace;
 mod place;
 mod records;
