--- a/crates/agate_settings/src/value.rs
+++ b/crates/agate_settings/src/value.rs
@@ -56,8 +56,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Number(number) | Self::OptionalNumber(Some(number)) => number.fmt(f),
-            Self::OptionalNumber(None) => Ok(()),
-            Self::Decimal(None) => Ok(()),
+            Self::OptionalNumber(None) | Self::Decimal(None) => Ok(()),
             Self::Decimal(Some(thousandths)) => (*thousandths as f64 / THOUSANDTHS).fmt(f),
             Self::Address(address) => address.fmt(f),
             Self::Addresses(list) => {
