Keep fenced appends off the relay

Two loaded peers (0.12 cores each) answered its calls with timeouts of 0.3 to 0.5 s, and nothing was scheduled for 5 s, while without the relay another entry takes over after 2.3 s. After a loss of power, one append of the new leader that took 0.8 s started a failover that cost another takeover. Change: a fenced append is made once over the process's own connection, with the timeout that it has without relays, and its result does not count for the failover state. A rejected leader is replaced by another entry, and its own entry goes on accepting jobs through a peer. Tests: an_unanswered_fenced_append_is_relayed_with_the_same_fence, an_append_by_two_relays_is_recorded_once_if_it_is_fenced and a_rejected_leader_goes_on_and_accepts_jobs assumed the opposite. They are replaced by three tests of fenced appends (with every fault: same result, duration and number of calls as without relays), an_append_with_a_fence_is_malformed and a_rejected_leader_is_replaced_and_its_entry_accepts_jobs (within 2.5 s, each job runs once). Ruled out, by reasoning: fenced appends through a peer only after a failure, as the leader would still keep its leadership behind loaded peers; counting their results, as a slow append then starts a failover; ignoring unknown parameters, as above.

--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -63,7 +63,8 @@
 /// Records and the offset after them.
 type Stored = (Vec<StoredRecord>, u64);
 
-/// The log over the process's own connection, or else through a peer.
+/// The log over the process's own connection, or else through a peer. Fenced appends use the own
+/// connection only.
 #[derive(Debug)]
 pub(super) struct RelayedLog {
     direct: Arc<DirectLog>,
@@ -88,10 +89,9 @@
         &self,
         stream: Stream,
         records: &[(String, Vec<u8>)],
-        fence: Option<Fence>,
         limit: Duration,
     ) -> Attempt<u64, AppendError> {
-        let (result, kind) = self.direct.append(stream, records, fence, limit).await;
+        let (result, kind) = self.direct.append(stream, records, limit).await;
         match (result, kind) {
             (Err(error), CallResult::Rejected | CallResult::TimedOut) => Attempt::Failed(error),
             (result, _) => Attempt::Answered(result),
@@ -224,6 +224,11 @@
         records: &[(String, Vec<u8>)],
         fence: Option<Fence>,
     ) -> Result<u64, AppendError> {
+        // A leader behind loaded peers keeps its leadership but schedules nothing, whereas another
+        // entry takes over in about two seconds.
+        if let Some(fence) = fence {
+            return self.direct.append_fenced(stream, records, fence).await;
+        }
         let deadline = Instant::now() + APPEND_TIMEOUT;
         let mut attempts = self.direct.attempts();
         let mut failure = None;
@@ -233,8 +238,8 @@
                 break;
             }
             let attempt = match target {
-                Target::Store => self.append_at_store(stream, records, fence, left).await,
-                Target::Peer(peer) => match append_request(stream, records, fence) {
+                Target::Store => self.append_at_store(stream, records, left).await,
+                Target::Peer(peer) => match append_request(stream, records) {
                     Ok(request) => {
                         let limit = left.min(PEER_TIMEOUT);
                         self.append_at_peer(peer, request, limit).await
--- a/crates/agate_node/src/relay/direct.rs
+++ b/crates/agate_node/src/relay/direct.rs
@@ -69,15 +69,27 @@
         attempts.next(&self.state().peers, clock::now())
     }
 
+    /// Makes the append of a stream's only writer. Its result does not count for the failover state:
+    /// a leader that the log does not serve is replaced, and its appends fail without disturbing the
+    /// other calls of the process.
+    pub async fn append_fenced(
+        &self,
+        stream: Stream,
+        records: &[(String, Vec<u8>)],
+        fence: Fence,
+    ) -> Result<u64, AppendError> {
+        self.log.append(stream, records, Some(fence)).await
+    }
+
+    /// Makes an unfenced append.
     pub async fn append(
         &self,
         stream: Stream,
         records: &[(String, Vec<u8>)],
-        fence: Option<Fence>,
         limit: Duration,
     ) -> (Result<u64, AppendError>, CallResult) {
         let began = clock::now();
-        let result = timeout(limit, self.log.append(stream, records, fence)).await;
+        let result = timeout(limit, self.log.append(stream, records, None)).await;
         let result = result.unwrap_or_else(|_elapsed| {
             Err(AppendError::Unknown(format!("timed out after {limit:?}")))
         });
@@ -132,7 +144,7 @@
 
 fn append_kind(result: &Result<u64, AppendError>, took: Duration) -> CallResult {
     match result {
-        Ok(_) | Err(AppendError::Fenced | AppendError::OutOfSequence(_)) => CallResult::Answered,
+        Ok(_) => CallResult::Answered,
         Err(_) if took >= UNANSWERED_AFTER => CallResult::TimedOut,
         Err(AppendError::NotDone(_)) if took >= SLOW_REJECTION => CallResult::QueueFull,
         Err(_) => CallResult::Rejected,
--- a/crates/agate_node/src/relay/protocol.rs
+++ b/crates/agate_node/src/relay/protocol.rs
@@ -6,7 +6,7 @@
     DecodeError, EncodeError, decode_offset, decode_records, decode_stored, encode_records,
     encode_stored,
 };
-use crate::store::{AppendError, Fence, ReadError, StoredRecord, Stream};
+use crate::store::{AppendError, ReadError, StoredRecord, Stream};
 
 /// Status codes of responses.
 pub mod status {
@@ -16,8 +16,6 @@
     pub const MALFORMED: u16 = 400;
     /// There is no such call; nothing was done.
     pub const NO_SUCH_CALL: u16 = 404;
-    /// The log rejected the append for its epoch or sequence number.
-    pub const FENCED: u16 = 409;
     /// The records at the requested offset have been deleted.
     pub const DELETED: u16 = 410;
     /// The request is too long; nothing was done.
@@ -34,9 +32,6 @@
 const READ_PATH: &str = "/relay/read";
 const NEWEST_PATH: &str = "/relay/newest";
 
-/// Body of a response to an append that a higher epoch has fenced out.
-const FENCED: &[u8] = b"fenced";
-
 /// Method of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "UPPERCASE")]
@@ -83,14 +78,12 @@
 /// A call to the log, as decoded from a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Call {
-    /// An append.
+    /// An unfenced append.
     Append {
         /// The stream.
         stream: Stream,
         /// Keys and values.
         records: Vec<(String, Vec<u8>)>,
-        /// Fence of the stream's only writer.
-        fence: Option<Fence>,
     },
     /// A read from an offset on.
     Read {
@@ -108,7 +101,7 @@
     },
 }
 
-/// Encodes an append.
+/// Encodes an unfenced append.
 ///
 /// # Errors
 ///
@@ -116,14 +109,10 @@
 pub fn append_request(
     stream: Stream,
     records: &[(String, Vec<u8>)],
-    fence: Option<Fence>,
 ) -> Result<RelayRequest, EncodeError> {
-    let fence = fence.map_or_else(String::new, |Fence { epoch, sequence }| {
-        format!("&epoch={epoch}&sequence={sequence}")
-    });
     Ok(RelayRequest {
         method: Method::Post,
-        target: format!("{APPEND_PATH}?stream={}{fence}", stream_name(stream)),
+        target: format!("{APPEND_PATH}?stream={}", stream_name(stream)),
         body: encode_records(records)?,
     })
 }
@@ -168,20 +157,14 @@
     decoded.map_err(|error| RelayResponse::failure(status::MALFORMED, &error))
 }
 
+/// Decodes an append. A condition in a further parameter, such as an epoch, must not be ignored.
 fn decode_append_call(query: &str, body: &[u8]) -> Result<Call, DecodeError> {
-    let fence = match (number(query, "epoch")?, number(query, "sequence")?) {
-        (Some(epoch), Some(sequence)) => Some(Fence { epoch, sequence }),
-        (None, None) => None,
-        _ => {
-            return Err(DecodeError(
-                "an epoch and a sequence number belong together",
-            ));
-        }
-    };
+    if query.contains('&') {
+        return Err(DecodeError("an append has no parameter but the stream"));
+    }
     Ok(Call::Append {
         stream: stream(query)?,
         records: decode_records(body)?,
-        fence,
     })
 }
 
@@ -241,16 +224,8 @@
             status: status::OK,
             body: end.to_be_bytes().to_vec(),
         },
-        Err(AppendError::Fenced) => RelayResponse {
-            status: status::FENCED,
-            body: FENCED.to_vec(),
-        },
-        Err(AppendError::OutOfSequence(next)) => RelayResponse {
-            status: status::FENCED,
-            body: next.to_be_bytes().to_vec(),
-        },
-        Err(AppendError::NotDone(cause)) => RelayResponse::failure(status::UNAVAILABLE, cause),
         Err(AppendError::Unknown(cause)) => RelayResponse::failure(status::UNKNOWN, cause),
+        Err(error) => RelayResponse::failure(status::UNAVAILABLE, error),
     }
 }
 
@@ -261,12 +236,9 @@
 ///
 /// Returns the error of the append.
 pub fn decode_append(response: &RelayResponse) -> Result<u64, AppendError> {
-    let unknown = |error: DecodeError| AppendError::Unknown(error.to_string());
     match response.status {
-        status::OK => decode_offset(&response.body).map_err(unknown),
-        status::FENCED if response.body == FENCED => Err(AppendError::Fenced),
-        status::FENCED => {
-            Err(decode_offset(&response.body).map_or_else(unknown, AppendError::OutOfSequence))
+        status::OK => {
+            decode_offset(&response.body).map_err(|error| AppendError::Unknown(error.to_string()))
         }
         status::MALFORMED
         | status::NO_SUCH_CALL
--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -11,7 +11,7 @@
     Call, RelayRequest, RelayResponse, append_response, decode_call, read_response, status,
 };
 use crate::metrics::{Event, Metrics};
-use crate::store::{Fence, Stream};
+use crate::store::Stream;
 
 /// Most calls in progress for others. Each holds a connection to the log and up to a page.
 const MAX_CALLS: usize = 128;
@@ -63,11 +63,7 @@
         };
         self.metrics.count(Event::RelayServed);
         match call {
-            Call::Append {
-                stream,
-                records,
-                fence,
-            } => self.append(stream, &records, fence).await,
+            Call::Append { stream, records } => self.append(stream, &records).await,
             Call::Read { stream, from, wait } => {
                 let page = self.direct.read(stream, from, wait.min(MAX_WAIT)).await;
                 read_response(page.as_ref().map(|page| (&*page.records, page.end)))
@@ -102,13 +98,8 @@
         permits.try_acquire().map_err(|_none| "too many calls")
     }
 
-    async fn append(
-        &self,
-        stream: Stream,
-        records: &[(String, Vec<u8>)],
-        fence: Option<Fence>,
-    ) -> RelayResponse {
-        let append = self.direct.append(stream, records, fence, APPEND_TIMEOUT);
+    async fn append(&self, stream: Stream, records: &[(String, Vec<u8>)]) -> RelayResponse {
+        let append = self.direct.append(stream, records, APPEND_TIMEOUT);
         match append.await {
             (Err(error), CallResult::QueueFull) => {
                 RelayResponse::failure(status::QUEUE_FULL, &error)
--- a/crates/agate_node/tests/it/relay.rs
+++ b/crates/agate_node/tests/it/relay.rs
@@ -6,6 +6,7 @@
 use agate_node::metrics::Event;
 use agate_node::relay::{Relay, read_request, status};
 use agate_node::store::{AppendError, Fence, KeyedLog, ORDER_STREAMS, Stream};
+use rstest::rstest;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{FakeLog, Fault, Link, Network, wait_until};
@@ -18,6 +19,10 @@
 
 const NO_WAIT: Duration = Duration::ZERO;
 
+const fn fence(sequence: u64) -> Fence {
+    Fence { epoch: 3, sequence }
+}
+
 /// A machine with the number 9 and its own connection to the log, and two relays.
 struct Site {
     network: Network,
@@ -43,12 +48,8 @@
     }
 
     async fn append(&self, key: &str) -> Result<u64, AppendError> {
-        self.append_fenced(key, None).await
-    }
-
-    async fn append_fenced(&self, key: &str, fence: Option<Fence>) -> Result<u64, AppendError> {
         let records = [(key.to_owned(), b"value".to_vec())];
-        let append = self.log.append(Stream::Main, &records, fence);
+        let append = self.log.append(Stream::Main, &records, None);
         let result = timeout(APPEND_TIMEOUT + SHORT, append).await;
         result.expect("the append ends with its timeout")
     }
@@ -118,31 +119,72 @@
     }
 }
 
-/// A repeat under another sequence number would be recorded twice.
+/// Makes a fenced append and returns its result and duration.
+async fn append_fenced(log: &dyn KeyedLog, sequence: u64) -> (Result<u64, AppendError>, Duration) {
+    let records = [("l".to_owned(), b"value".to_vec())];
+    let began = Instant::now();
+    let result = log.append(Stream::Main, &records, Some(fence(sequence)));
+    (result.await, began.elapsed())
+}
+
+/// Loaded peers answered a rejected leader with timeouts, and nothing was scheduled for 5 s. After a
+/// single slow append a new leader went to such peers as well.
+#[rstest]
+#[case::rejected(Fault::RefusesAll)]
+#[case::queue_full(Fault::RejectsSlowly)]
+#[case::unanswered(Fault::LosesAppendReplies)]
+#[case::silent(Fault::AnswersNothing)]
+#[case::undisturbed(Fault::None)]
 #[tokio::test(start_paused = true)]
-async fn an_unanswered_fenced_append_is_relayed_with_the_same_fence() {
+async fn a_fenced_append_is_made_once_at_the_log_and_starts_no_failover(#[case] fault: Fault) {
+    let (site, without_relays) = (Site::new(), FakeLog::default());
+    site.own.set_fault(fault);
+    without_relays.set_fault(fault);
+    for sequence in 1..=4 {
+        let expected = append_fenced(&without_relays, sequence).await;
+        assert_eq!(append_fenced(&*site.log, sequence).await, expected);
+        assert!(!site.log.is_relayed());
+    }
+    assert_eq!(site.own.append_attempts(), 4);
+    assert_eq!(site.relayed(), 0);
+    assert_eq!(
+        site.shared.keys(Stream::Main),
+        without_relays.keys(Stream::Main)
+    );
+}
+
+/// Peers are tried first in a failover; the leader's appends would have gone on through them.
+#[tokio::test(start_paused = true)]
+async fn a_fenced_append_in_a_failover_is_not_offered_to_a_peer() {
     let site = Site::new();
-    let fence = Some(Fence {
-        epoch: 3,
-        sequence: 8,
-    });
-    site.own.set_fault(Fault::LosesAppendReplies);
-    assert_eq!(site.append_fenced("l", fence).await, Ok(1));
-    assert_eq!(site.shared.keys(Stream::Main), ["l"]);
+    site.own.set_fault(Fault::RefusesAll);
+    for _ in 0..2 {
+        site.log.read(Stream::Main, 0, NO_WAIT).await.unwrap();
+    }
+    assert!(site.log.is_relayed());
+    let before = (site.relayed(), site.own.append_attempts());
+    let (result, took) = append_fenced(&*site.log, 1).await;
+    assert!(matches!(result, Err(AppendError::NotDone(_))), "{result:?}");
+    assert!(took < SHORT, "{took:?}");
+    let after = (site.relayed(), site.own.append_attempts());
+    assert_eq!(after, (before.0, before.1 + 1));
 }
 
+/// A leader whose heartbeats succeed would have ended every failover of its reads, and one whose
+/// heartbeats fail would have sent them to a peer.
 #[tokio::test(start_paused = true)]
-async fn an_append_by_two_relays_is_recorded_once_if_it_is_fenced() {
+async fn fenced_appends_do_not_count_for_the_failover() {
     let site = Site::new();
     site.own.set_fault(Fault::RefusesAll);
-    site.set_first_link(Link::DiesBeforeResponse).await;
-    let fence = Some(Fence {
-        epoch: 3,
-        sequence: 8,
-    });
-    assert_eq!(site.append_fenced("l", fence).await, Ok(2));
-    assert_eq!(site.append("j").await, Ok(3));
-    assert_eq!(site.shared.keys(Stream::Main), ["probe", "l", "j"]);
+    site.log.read(Stream::Main, 0, NO_WAIT).await.unwrap();
+    append_fenced(&*site.log, 1).await.0.unwrap_err();
+    assert!(!site.log.is_relayed(), "a failure was counted");
+    site.own.set_fault(Fault::RefusesMainReads);
+    append_fenced(&*site.log, 1).await.0.unwrap();
+    site.log.read(Stream::Main, 0, NO_WAIT).await.unwrap();
+    assert!(site.log.is_relayed(), "a success reset the rejections");
+    append_fenced(&*site.log, 2).await.0.unwrap();
+    assert!(site.log.is_relayed(), "a success ended the failover");
 }
 
 /// "Not recorded" would be a false statement to the caller.
--- a/crates/agate_node/tests/it/relay_clusters.rs
+++ b/crates/agate_node/tests/it/relay_clusters.rs
@@ -4,7 +4,7 @@
 
 use agate_node::entry::Answer;
 use agate_node::metrics::Event;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
@@ -14,6 +14,10 @@
 /// Longer than a lease.
 const REJECTION: Duration = Duration::from_secs(9);
 
+/// Longest time until another entry has replaced a leader: 1.7 s without a heartbeat, a claim delay of
+/// 0.3 s, the checks for a vacancy and the takeover.
+const MAX_REPLACEMENT_TIME: Duration = Duration::from_millis(2_500);
+
 /// An agent that the log rejected for longer than a lease lost all runs of its worker.
 #[tokio::test(start_paused = true)]
 async fn a_rejected_agent_keeps_its_runs() {
@@ -64,9 +68,10 @@
     .await;
 }
 
-/// A leader that the log rejected was deposed, and its callers were refused.
+/// A rejected leader that went on through loaded peers scheduled nothing for 5 s. Without a peer the
+/// callers of its entry were refused.
 #[tokio::test(start_paused = true)]
-async fn a_rejected_leader_goes_on_and_accepts_jobs() {
+async fn a_rejected_leader_is_replaced_and_its_entry_accepts_jobs() {
     let (cluster, network) = (Cluster::new(), Network::default());
     let log = cluster.log.client();
     let first = cluster
@@ -79,17 +84,28 @@
     let relay = network.machine(2, &cluster.log.client(), &[1, 2]).0;
     let second = cluster.entry("e2", relay.log).await;
     let (worker, _agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(2)).await;
+    let taken = || second.metrics().event_count(Event::LeaderTaken);
+    let began = Instant::now();
     log.set_fault(Fault::RefusesAll);
-    for job in 1..=9 {
+    for job in 1..=30 {
         assert_eq!(
             first.submit_job(job, one_task_job()).await,
             Answer::Accepted
         );
-        sleep(Duration::from_secs(1)).await;
+        assert!(
+            taken() == 1 || began.elapsed() < MAX_REPLACEMENT_TIME,
+            "no other entry has taken over"
+        );
+        sleep(Duration::from_millis(300)).await;
     }
-    assert_eq!(worker.started_runs().len(), 9);
-    assert_eq!(first.metrics().event_count(Event::LeaderLost), 0);
-    assert_eq!(second.metrics().event_count(Event::LeaderTaken), 0);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(worker.started_runs().len(), 30, "each job runs once");
+    assert_eq!(first.metrics().event_count(Event::LeaderLost), 1);
+    log.set_fault(Fault::None);
+    sleep(REJECTION).await;
+    assert_eq!(first.metrics().event_count(Event::LeaderTaken), 1);
+    assert_eq!(taken(), 1, "it leads until it stops");
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/agate_node/tests/it/relay_protocol.rs
+++ b/crates/agate_node/tests/it/relay_protocol.rs
@@ -4,11 +4,10 @@
 
 use agate_node::relay::{
     Call, Method, RelayRequest, RelayResponse, append_request, append_response, decode_append,
-    decode_call, decode_read, newest_request, read_request, read_response,
+    decode_call, decode_read, newest_request, read_request, read_response, status,
 };
-use agate_node::store::{AppendError, Fence, ReadError, StoredRecord, Stream};
+use agate_node::store::{AppendError, ReadError, StoredRecord, Stream};
 use proptest::collection::vec;
-use proptest::option;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -20,23 +19,16 @@
     ]
 }
 
-fn fence() -> impl Strategy<Value = Fence> {
-    (any::<u64>(), any::<u64>()).prop_map(|(epoch, sequence)| Fence { epoch, sequence })
-}
-
 fn record() -> impl Strategy<Value = (String, Vec<u8>)> {
     (".{0,20}", vec(any::<u8>(), 0..40))
 }
 
 proptest! {
-    /// A relayed append with another stream, fence or record than the direct one would break the
-    /// fencing or lose a record.
+    /// A relayed append with another stream or record than the direct one would lose a record.
     #[test]
-    fn an_append_arrives_as_it_was_sent(
-        stream in stream(), records in vec(record(), 0..5), fence in option::of(fence()),
-    ) {
-        let request = append_request(stream, &records, fence).unwrap();
-        prop_assert_eq!(decode_call(&request), Ok(Call::Append { stream, records, fence }));
+    fn an_append_arrives_as_it_was_sent(stream in stream(), records in vec(record(), 0..5)) {
+        let request = append_request(stream, &records).unwrap();
+        prop_assert_eq!(decode_call(&request), Ok(Call::Append { stream, records }));
     }
 
     #[test]
@@ -75,15 +67,42 @@
     }
 }
 
-/// A refusal that is decoded as "not recorded" is passed on to the caller, so it must be certain.
+/// An earlier version relayed fenced appends. Recorded without its fence, an order of a deposed
+/// leader would start a task.
 #[rstest]
-#[case::recorded(Ok(7))]
-#[case::fenced(Err(AppendError::Fenced))]
-#[case::sequence(Err(AppendError::OutOfSequence(9)))]
-fn the_result_of_an_append_arrives_as_it_was_sent(#[case] result: Result<u64, AppendError>) {
-    assert_eq!(decode_append(&append_response(&result)), result);
+#[case::fence("&epoch=3&sequence=8")]
+#[case::epoch("&epoch=3")]
+#[case::sequence("&sequence=8")]
+fn an_append_with_a_fence_is_malformed(#[case] fence: &str) {
+    let records = [("o/1".to_owned(), vec![1])];
+    let mut request = append_request(Stream::Orders(3), &records).unwrap();
+    request.target.push_str(fence);
+    let response = decode_call(&request).unwrap_err();
+    assert_eq!(response.status, status::MALFORMED);
 }
 
+/// A result that is decoded as another would make a caller repeat or drop its records.
+#[rstest]
+#[case::recorded(Ok(7), true, false)]
+#[case::not_recorded(Err(AppendError::NotDone("refused".to_owned())), false, true)]
+#[case::fenced(Err(AppendError::Fenced), false, true)]
+#[case::sequence(Err(AppendError::OutOfSequence(9)), false, true)]
+#[case::unknown(Err(AppendError::Unknown("timed out".to_owned())), false, false)]
+fn the_result_of_an_append_arrives_as_it_was_sent(
+    #[case] result: Result<u64, AppendError>,
+    #[case] recorded: bool,
+    #[case] refused: bool,
+) {
+    let decoded = decode_append(&append_response(&result));
+    match &decoded {
+        Ok(_) => assert_eq!(decoded, result),
+        Err(AppendError::NotDone(_)) => assert!(refused, "{result:?}"),
+        Err(AppendError::Unknown(_)) => assert!(!recorded && !refused, "{result:?}"),
+        Err(error) => panic!("{error} is decoded from {result:?}"),
+    }
+}
+
+/// A refusal that is decoded as "not recorded" is passed on to the caller, so it must be certain.
 #[rstest]
 #[case::refused(503, true)]
 #[case::too_long(413, true)]
@@ -91,7 +110,7 @@
 #[case::unknown(504, false)]
 #[case::failed_handler(500, false)]
 #[case::unreadable_success(200, false)]
-#[case::unreadable_rejection(409, false)]
+#[case::undefined(409, false)]
 fn only_certain_refusals_count_as_not_recorded(#[case] status: u16, #[case] certain: bool) {
     let body = b"?".to_vec();
     let result = decode_append(&RelayResponse { status, body });
