Test a move with an entry and two agents

Cause: the line task_moves and the counter TaskMoved had no test.

Change: a serving task moves from a withdrawn zone to another one, with one line, one count, and zone_empty.

Ruled out: nothing.

The test fails without the moves, and without the count.

--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -5,6 +5,7 @@
 use agate_jobs::JobState;
 use agate_node::agent::{Heartbeat, WorkerRegistry};
 use agate_node::entry::Answer;
+use agate_node::metrics::Event;
 use agate_node::store::Stream;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -218,6 +219,37 @@
     assert_eq!(malformed.len(), 3, "one line of each process");
 }
 
+/// A serving task stayed in the zone before; an operator sees its move in the log and in the counter.
+#[tokio::test(start_paused = true)]
+async fn a_serving_task_moves_to_another_zone() {
+    capture_logs();
+    let cluster = Cluster::with_zones();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (north, _north_agent) = zone_worker(cluster.log.client(), "w1");
+    north.keep_tasks_running();
+    sleep(2 * SECOND).await;
+    let mut job = one_task_job();
+    job.steps[0].long_running = true;
+    job.steps[0].max_unavailable = 1;
+    entry.submit_job(1, job).await;
+    wait_until("it runs", || north.running() == 1).await;
+    let south = FakeWorker::open("w2");
+    south.keep_tasks_running();
+    let agent = Cluster::zone_agent(cluster.log.client());
+    agent.apply_heartbeat(Heartbeat {
+        zone: "south".to_owned(),
+        ..FakeWorker::heartbeat("w2", "w2", 1)
+    });
+    withdraw(&cluster, "north");
+    wait_until("it runs elsewhere", || south.running() == 1).await;
+    assert_eq!(north.running(), 0);
+    sleep(10 * SECOND).await;
+    let moves = lines_with(&["event=task_moves", "zone=north worker=w1 room_on=w2"]);
+    assert_eq!(moves.len(), 1);
+    assert_eq!(entry.metrics().event_count(Event::TaskMoved), 1);
+    assert_eq!(lines_with(&["event=zone_empty", "zone=north"]).len(), 1);
+}
+
 /// A start that the worker carries out late is bounded by its deadline, 1.5 s after the check.
 #[tokio::test(start_paused = true)]
 async fn a_start_that_is_carried_out_late_is_rejected() {
