--- a/crates/agate_bench/src/shared/load.rs
+++ b/crates/agate_bench/src/shared/load.rs
@@ -65,7 +65,7 @@
         fails_after: None,
     };
 
-    /// Returns the fate of a run whose task takes `ratio` times its estimate. It depends only on the
+    /// Returns the outcome of a run whose task takes `ratio` times its estimate. It depends only on the
     /// seed, the task and the run, so that all orders play the same load.
     pub(super) fn draw(seed: u64, order: &Order, ratio: f64) -> Self {
         let (task, run) = (order.task.to_string(), order.run.to_string());
