Let refused orders not hold up placement

Cause: the limit on unrecorded records counted those of a stream that the log doesn't take, so that placement would stop everywhere while one partition is down. Found by reading. Change: records count while their append is in flight and until it first fails. Ruled out: a limit for each stream, which lets 240 streams fill the link.

--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -21,10 +21,9 @@
 /// Longest time between two scheduling steps while leading.
 const SCHEDULE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Number of records that may wait to be recorded while more tasks are placed, 0.2 s of a link of
-/// 10 Mbit/s. After a loss of power all tasks are placed at once, and the leader's heartbeats would
+/// Number of records that may be in flight while more tasks are placed, 0.2 s of a link of 10 Mbit/s. After a loss of power all tasks are placed at once, and the leader's heartbeats would
 /// wait behind their orders until another entry takes over.
-const MAX_UNRECORDED: usize = 200;
+const MAX_IN_FLIGHT: usize = 200;
 
 /// Age of the newest recorded heartbeat from which on nothing more is placed.
 const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(1_500);
@@ -198,7 +197,7 @@
         if self.heartbeat_recorded_at.is_none() {
             return Vec::new();
         }
-        let limit = MAX_UNRECORDED.saturating_sub(self.writers.unrecorded());
+        let limit = MAX_IN_FLIGHT.saturating_sub(self.writers.in_flight());
         self.scheduler
             .place_up_to(limit, &view.job_table, now, wall_ms)
     }
--- a/crates/agate_node/src/entry/writers.rs
+++ b/crates/agate_node/src/entry/writers.rs
@@ -44,7 +44,7 @@
     senders: HashMap<Stream, UnboundedSender<Record>>,
     tasks: JoinSet<()>,
     outcomes: UnboundedSender<Outcome>,
-    unrecorded: Arc<AtomicUsize>,
+    in_flight: Arc<AtomicUsize>,
 }
 
 impl StreamWriters {
@@ -56,7 +56,7 @@
             senders: HashMap::new(),
             tasks: JoinSet::new(),
             outcomes,
-            unrecorded: Arc::default(),
+            in_flight: Arc::default(),
         };
         (writers, receiver)
     }
@@ -75,7 +75,7 @@
             },
             monitor: OutageMonitor::new(stream, "append"),
             outcomes: self.outcomes.clone(),
-            unrecorded: Arc::clone(&self.unrecorded),
+            in_flight: Arc::clone(&self.in_flight),
         };
         self.tasks.spawn(writer.run(receiver));
     }
@@ -83,21 +83,19 @@
     /// Queues a record. Records of one stream keep their order. A stream that is not open yet is
     /// opened.
     pub fn write(&mut self, stream: Stream, record: Record) {
-        let counted = usize::from(record.body.is_some());
         if !self.senders.contains_key(&stream) {
             self.open(stream, 0);
         }
         let sender = self.senders.get(&stream);
         if sender.is_none_or(|sender| sender.send(record).is_err()) {
             log::error!(event = "lane_closed", lane:% = stream; "record not written");
-            return;
         }
-        self.unrecorded.fetch_add(counted, Ordering::Relaxed);
     }
 
-    /// Returns the number of records, without removals, that are queued or being appended.
-    pub fn unrecorded(&self) -> usize {
-        self.unrecorded.load(Ordering::Relaxed)
+    /// Returns the number of records, without removals, in appends that have not failed so far. The
+    /// records of a stream that the log doesn't take hold up no others.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
     }
 
     /// Waits until every queued record has been appended or the writers have given up.
@@ -111,13 +109,36 @@
     }
 }
 
+/// Records counted as in flight until it is dropped.
+struct InFlight {
+    total: Arc<AtomicUsize>,
+    records: usize,
+}
+
+impl InFlight {
+    fn new(total: &Arc<AtomicUsize>, group: &[Record]) -> Self {
+        let records = group.iter().filter(|record| record.body.is_some()).count();
+        total.fetch_add(records, Ordering::Relaxed);
+        Self {
+            total: Arc::clone(total),
+            records,
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.total.fetch_sub(self.records, Ordering::Relaxed);
+    }
+}
+
 struct StreamWriter {
     entry: Arc<Entry>,
     stream: Stream,
     fence: Fence,
     monitor: OutageMonitor,
     outcomes: UnboundedSender<Outcome>,
-    unrecorded: Arc<AtomicUsize>,
+    in_flight: Arc<AtomicUsize>,
 }
 
 impl StreamWriter {
@@ -127,8 +148,6 @@
                 self.notify(Outcome::Deposed(self.stream));
                 return;
             }
-            let counted = group.iter().filter(|record| record.body.is_some()).count();
-            self.unrecorded.fetch_sub(counted, Ordering::Relaxed);
             self.notify_recorded(&group);
         }
     }
@@ -167,6 +186,7 @@
                 Err(error) => log::error!(event = "record_unwritable", cause:% = error; ""),
             }
         }
+        let mut in_flight = Some(InFlight::new(&self.in_flight, group));
         let mut uncertain = false;
         self.fence.sequence += 1;
         loop {
@@ -189,6 +209,7 @@
                     uncertain = true;
                 }
                 Err(error) => {
+                    drop(in_flight.take());
                     uncertain |= matches!(error, AppendError::Unknown(_));
                     self.monitor
                         .record_result(&self.entry.context.metrics, Some(&error));
