Tell the worker to reject a run before its order is returned

Cause: an agent that returned an order (zone withdrawn, worker not ready, start rejected) recorded that, and was killed before the leader removed the order. Its successor found the order and started the run, while the leader had placed the task elsewhere. The refusal for a worker that is not ready had the same fault before. Change: the worker is told to stop the run first, which prevents any later start, and then the end is recorded. A worker that doesn't answer three times is not waited for, as before. Ruled out: a successor that returns every order it finds, which delays all work after each restart.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -21,6 +21,9 @@
 /// Pause before a stop is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Attempts at a stop that only prevents a later start.
+const MAX_PREVENT_ATTEMPTS: u32 = 3;
+
 /// Attempts at a stop. After that the worker's lease decides.
 const MAX_STOP_ATTEMPTS: u32 = 20;
 
@@ -119,6 +122,47 @@
     tokio::spawn(async move { stop(&worker, task, run).await });
 }
 
+/// Returns a run in phase [`Phase::Stopping`] that is not running to the scheduler, without waiting.
+/// The worker is told to stop it first: it then rejects the start that a restarted agent would send,
+/// which still finds the order, while the task already runs elsewhere. A worker that doesn't answer is
+/// not waited for.
+pub(super) fn return_in_background(
+    worker: &Arc<ManagedWorker>,
+    task: TaskKey,
+    run: u32,
+    cause: EndCause,
+) {
+    let worker = Arc::clone(worker);
+    tokio::spawn(async move {
+        prevent_start(&worker, task, run).await;
+        let end = {
+            let mut state = worker.state();
+            let known = state.runs.get_mut(&task);
+            let Some(known) = known.filter(|r| r.number == run && r.phase == Phase::Stopping)
+            else {
+                return;
+            };
+            known.phase = Phase::Ended;
+            end_of(&state, task, run, cause, "")
+        };
+        append_ends(&worker, vec![end]).await;
+    });
+}
+
+/// Tells the worker to reject any start of a run that is not running.
+async fn prevent_start(worker: &ManagedWorker, task: TaskKey, run: u32) {
+    for _ in 0..MAX_PREVENT_ATTEMPTS {
+        let incarnation = worker.state().incarnation.clone();
+        match worker.client.stop(&incarnation, task, run).await {
+            Ok(()) => return,
+            Err(error) => {
+                log::warn!(event = "stop_failed", task:% = task, run = run, cause:% = error; "");
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Stops a run in phase [`Phase::Stopping`], retrying until the worker answers.
 pub(super) async fn stop(worker: &ManagedWorker, task: TaskKey, run: u32) {
     for _ in 0..MAX_STOP_ATTEMPTS {
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -148,9 +148,8 @@
 }
 
 fn refuse(worker: &Arc<ManagedWorker>, state: &mut State, order: &Order, cause: EndCause) {
-    insert(state, order, Phase::Ended);
-    let end = ends::end_of(state, order.task, order.run, cause, "");
-    ends::record(worker, vec![end]);
+    insert(state, order, Phase::Stopping);
+    ends::return_in_background(worker, order.task, order.run, cause);
 }
 
 fn handle_stop(worker: &Arc<ManagedWorker>, state: &mut State, order: &Order) {
@@ -186,7 +185,7 @@
     };
     let started = Instant::now();
     if !is_in_time(worker, deadline_ms) {
-        return_run(worker, task, run, EndCause::Refused);
+        return_stopped(worker, task, run, EndCause::Refused);
         return;
     }
     let reply = worker
@@ -239,11 +238,11 @@
                 Rejection::Room => EndCause::NoRoom,
                 _ => EndCause::Refused,
             };
-            return_run(worker, task, run, cause);
+            return_stopped(worker, task, run, cause);
         }
         Err(CallError::Refused(_)) => {
             metrics.count(Event::StartRejected);
-            return_run(worker, task, run, EndCause::Refused);
+            return_stopped(worker, task, run, EndCause::Refused);
         }
         Err(CallError::NotSent(_)) => {
             retry_later(worker, task, run);
@@ -257,6 +256,13 @@
     worker.changed.notify_waiters();
 }
 
+/// Returns a run that a worker has rejected, or that was not sent to a worker that answers.
+fn return_stopped(worker: &Arc<ManagedWorker>, task: TaskKey, run: u32, cause: EndCause) {
+    ends::set_phase(worker, task, run, Phase::Stopping);
+    ends::return_in_background(worker, task, run, cause);
+}
+
+/// Returns a run whose start can't be sent.
 fn return_run(worker: &Arc<ManagedWorker>, task: TaskKey, run: u32, cause: EndCause) {
     let end = {
         let mut state = worker.state();
--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -139,6 +139,26 @@
     assert_eq!((worker.running(), returned(&cluster)), (1, 0));
 }
 
+/// The successor of an agent that has returned an order still finds the order. It started the run, and
+/// the worker exceeded its capacity while the task was placed elsewhere (soak, seed 901).
+#[tokio::test(start_paused = true)]
+async fn a_restarted_agent_does_not_start_a_returned_order() {
+    let cluster = Cluster::new();
+    let (worker, agent) = zone_worker(cluster.log.client(), "w1");
+    worker.keep_tasks_running();
+    withdraw(&cluster, "north");
+    sleep(4 * SECOND).await;
+    put(&cluster.log, "w1", &start_order("w1", 0, 1));
+    wait_until("the order is returned", || returned(&cluster) == 1).await;
+    agent.renew_leases().await;
+    agent.detach_all();
+    return_zone(&cluster, "north");
+    let successor = Cluster::zone_agent(cluster.log.client());
+    successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(4 * SECOND).await;
+    assert_eq!((worker.running(), worker.started_runs().len()), (0, 0));
+}
+
 /// The record of the return is dropped before the agent reads it. A malformed key that is loaded again
 /// is not logged again.
 #[tokio::test(start_paused = true)]
