Log why a run is lost, and what ran on a worker that crashed

Cause: run_lost had one message for a crash, a lapsed lease and a departure, so hypotheses about tasks that crash their workers could not be told apart. Change: a reason in the record and the line of each lost run; worker_crashed and run_crashed of the agent, with the ages of the runs; counters WorkerCrashed and RunLost. No decision depends on them.

--- a/crates/agate_bench/src/shared/simulation.rs
+++ b/crates/agate_bench/src/shared/simulation.rs
@@ -165,6 +165,7 @@
             checkpoint,
             worker,
             ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
+            loss: None,
         }))
     }
 
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod backlog;
 pub mod lease;
+mod loss;
 pub mod pace;
 pub mod plan;
 pub mod record;
@@ -15,6 +16,7 @@
 pub mod zones;
 
 pub use backlog::BatchOrder;
+pub use loss::LossReason;
 pub use record::{
     Body, EndCause, LeaderHeartbeat, Order, OrderKind, Record, RecordError, RunEnd, Suspect,
     SuspicionRecord,
--- /dev/null
+++ b/crates/agate_jobs/src/loss.rs
@@ -0,0 +1,22 @@
+//! Why runs are lost.
+
+use serde::{Deserialize, Serialize};
+
+/// Why the scheduler counts a run as lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum LossReason {
+    /// The worker has restarted under its name.
+    Restarted,
+    /// Another worker has started at the worker's address.
+    Replaced,
+    /// The agent reported that the worker has left.
+    Left,
+    /// The agent reported that the lease has lapsed.
+    Lapsed,
+    /// The agent was silent until every lease had expired.
+    Silent,
+    /// An earlier leader ended the incarnation or term.
+    Superseded,
+}
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -6,6 +6,7 @@
 
 use agate_core::Moment;
 
+use crate::loss::LossReason;
 use crate::plan::effect::Effect;
 use crate::plan::last_contact::LastContact;
 use crate::plan::scheduler::Scheduler;
@@ -118,7 +119,7 @@
 
     fn settle_restored(&mut self, table: &JobTable) {
         for slot in 0..self.workers.len() {
-            self.record_lost_runs(slot);
+            self.record_lost_runs(slot, LossReason::Superseded);
         }
         let done: Vec<_> = table
             .jobs()
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -4,6 +4,7 @@
 
 use agate_core::{JobId, Moment};
 
+use crate::loss::LossReason;
 use crate::plan::effect::Effect;
 use crate::plan::interference::InterferenceTable;
 use crate::plan::moves::Moves;
@@ -178,8 +179,15 @@
             self.raise_term(slot);
         }
         let adopted = self.adopt_incarnation(&report.incarnation);
-        if restarted || lapsed || gone || adopted {
-            self.record_lost_runs(slot);
+        let reason = match (restarted, gone, lapsed, adopted) {
+            (true, ..) => Some(LossReason::Restarted),
+            (_, true, ..) => Some(LossReason::Left),
+            (_, _, true, _) => Some(LossReason::Lapsed),
+            (.., true) => Some(LossReason::Superseded),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            self.record_lost_runs(slot, reason);
         }
         self.retire_predecessors(&report.address);
     }
@@ -196,7 +204,7 @@
             let older = Some(worker.report.incarnation.started_ms) < newest;
             if at_address(worker) && older && worker.report.state != WorkerState::Gone {
                 worker.report.state = WorkerState::Gone;
-                self.record_lost_runs(slot);
+                self.record_lost_runs(slot, LossReason::Replaced);
             }
         }
     }
@@ -249,7 +257,7 @@
 
     /// Records runs bound to earlier terms or incarnations of a worker as lost, or all of its runs
     /// if it is gone.
-    pub(super) fn record_lost_runs(&mut self, slot: usize) {
+    pub(super) fn record_lost_runs(&mut self, slot: usize, reason: LossReason) {
         let worker = &self.workers[slot];
         let gone = worker.is_gone();
         let current = (
@@ -269,6 +277,7 @@
                     checkpoint: String::new(),
                     worker: worker.report.incarnation.name.clone(),
                     ran_ms: 0,
+                    loss: Some(reason),
                 })))
             })
             .collect();
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -5,6 +5,7 @@
 use agate_core::Moment;
 
 use crate::lease;
+use crate::loss::LossReason;
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
 use crate::record::{Record, Suspect, SuspicionRecord};
@@ -106,7 +107,7 @@
                 .is_some_and(|at| now.since(at) > expiry_delay)
             {
                 self.raise_term(slot);
-                self.record_lost_runs(slot);
+                self.record_lost_runs(slot, LossReason::Silent);
             }
             return;
         }
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use strum::EnumString;
 
+use crate::loss::LossReason;
 use crate::pace::Interference;
 use crate::spec::{JobSpec, QueuePolicy};
 use crate::task::TaskKey;
@@ -64,6 +65,9 @@
     /// Run time as observed by the agent, in milliseconds; zero if the task did not run.
     #[serde(default)]
     pub ran_ms: u64,
+    /// Why the scheduler counts the run as lost; `None` for other ends.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loss: Option<LossReason>,
 }
 
 /// Heartbeat of the leader, the entry that schedules.
--- a/crates/agate_jobs/tests/jobs/backlog.rs
+++ b/crates/agate_jobs/tests/jobs/backlog.rs
@@ -65,6 +65,7 @@
         checkpoint: String::new(),
         worker: "a".to_owned(),
         ran_ms,
+        loss: None,
     }))
 }
 
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -60,6 +60,7 @@
         checkpoint: String::new(),
         worker: worker.to_owned(),
         ran_ms: 500,
+        loss: None,
     }))
 }
 
--- /dev/null
+++ b/crates/agate_node/src/agent/crash.rs
@@ -0,0 +1,105 @@
+//! What ran on a worker when it crashed.
+//!
+//! A worker has crashed if it comes back in another incarnation without having announced that it
+//! leaves. Only its agent knows which orders had been executed by then.
+
+use std::time::Duration;
+
+use agate_jobs::TaskKey;
+use tokio::time::Instant;
+
+use super::managed::{ManagedWorker, Phase, Run, State};
+use crate::clock;
+use crate::metrics::Event;
+
+/// Longest time for which a run counts as recently started. Agents renew the lease at least every
+/// half second, so a run that started just before the crash may not have been listed yet.
+const RECENT: Duration = Duration::from_millis(250);
+
+/// When the worker was last known to be alive.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Contact {
+    answered_at: Instant,
+    /// Time of the first call since then that failed.
+    failed_at: Option<Instant>,
+}
+
+impl Default for Contact {
+    fn default() -> Self {
+        Self {
+            answered_at: Instant::now(),
+            failed_at: None,
+        }
+    }
+}
+
+impl Contact {
+    /// Records that the worker has answered a call.
+    pub fn record_answer(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records that a call has failed.
+    pub fn record_failure(&mut self) {
+        self.failed_at.get_or_insert_with(Instant::now);
+    }
+}
+
+/// A run that was in progress when its worker crashed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct CrashedRun {
+    pub task: TaskKey,
+    pub run: u32,
+    /// Time for which it is known to have run.
+    pub ran: Duration,
+    /// Time from its start within which the worker crashed.
+    pub within: Duration,
+    /// Number of other runs that had not been running for noticeably longer.
+    pub peers: usize,
+}
+
+/// Returns the runs that were in progress when the worker crashed.
+pub(super) fn crashed_runs(state: &State) -> Vec<CrashedRun> {
+    let answered_at = state.contact.answered_at;
+    let failed_at = state.contact.failed_at.unwrap_or_else(Instant::now);
+    let in_progress = |run: &Run| run.phase != Phase::Ended && run.since <= failed_at;
+    let runs = state.runs.iter().filter(|(_, run)| in_progress(run));
+    let known: Vec<_> = runs
+        .map(|(task, run)| {
+            let ran = answered_at.saturating_duration_since(run.since);
+            (*task, run, ran)
+        })
+        .collect();
+    let younger = |limit: Duration| known.iter().filter(|(.., ran)| *ran <= limit).count();
+    known
+        .iter()
+        .map(|(task, run, ran)| CrashedRun {
+            task: *task,
+            run: run.number,
+            ran: *ran,
+            within: failed_at.duration_since(run.since),
+            peers: younger(*ran + RECENT) - 1,
+        })
+        .collect()
+}
+
+/// Logs the crash of a worker that had not announced that it leaves.
+pub(super) fn report(worker: &ManagedWorker) {
+    let state = worker.state();
+    if state.is_leaving() {
+        return;
+    }
+    let runs = crashed_runs(&state);
+    worker.context.metrics.count(Event::WorkerCrashed);
+    log::warn!(
+        event = "worker_crashed", worker:% = state.incarnation,
+        address = state.heartbeat.address.as_str(), runs = runs.len(); ""
+    );
+    for run in runs {
+        log::info!(
+            event = "run_crashed", task:% = run.task, run = run.run, worker:% = state.incarnation,
+            ran_ms = clock::millis(run.ran), within_ms = clock::millis(run.within),
+            peers = run.peers; ""
+        );
+    }
+}
--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -46,6 +46,7 @@
         checkpoint: checkpoint.to_owned(),
         worker: state.incarnation.name.clone(),
         ran_ms,
+        loss: None,
     }
 }
 
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -192,8 +192,14 @@
         .client
         .start(&order.incarnation, &call, deadline_ms)
         .await;
-    if !matches!(reply, Err(CallError::NotSent(_))) {
-        worker.state().record_grant(deadline_ms);
+    {
+        let mut state = worker.state();
+        if !matches!(reply, Err(CallError::NotSent(_))) {
+            state.record_grant(deadline_ms);
+        }
+        if reply.is_ok() {
+            state.contact.record_answer();
+        }
     }
     let took = started.elapsed();
     worker
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -12,6 +12,7 @@
 
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
+use super::crash::Contact;
 use super::introduction::Introduction;
 use super::pacing::Pacing;
 use super::stall::Progress;
@@ -83,6 +84,7 @@
     /// Boot time at the start of the newest read that reached the end of the orders.
     pub synced_at: Option<Duration>,
     pub clock: Option<ClockReading>,
+    pub contact: Contact,
     /// Boot time at which every lease granted so far has certainly lapsed.
     pub lapses_at: Duration,
     pub runs: HashMap<TaskKey, Run>,
@@ -138,6 +140,7 @@
             suspicion: None,
             synced_at: None,
             clock: None,
+            contact: Contact::default(),
             lapses_at: clock::boottime() + lease::expiry_delay(lease),
             runs: HashMap::new(),
             recorded_up_to: 0,
@@ -195,6 +198,11 @@
         )
     }
 
+    /// Returns whether the worker has left or announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.heartbeat.draining || self.status == WorkerState::Gone
+    }
+
     /// Returns the time since the worker last answered; zero before its first answer.
     pub fn silent_for(&self, now: Duration) -> Duration {
         self.clock
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! An agent runs what the leader orders on the workers of its machine.
 
 mod client;
+mod crash;
 mod ends;
 mod execute;
 mod follow;
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -10,7 +10,7 @@
 use super::client::Heartbeat;
 use super::managed::ManagedWorker;
 use super::zones::{self, ZoneWatch};
-use super::{AgentContext, execute, follow, renewal, report};
+use super::{AgentContext, crash, execute, follow, renewal, report};
 
 /// A worker and the token that stops its tasks.
 #[derive(Debug)]
@@ -69,6 +69,8 @@
                 }
                 return;
             }
+            drop(state);
+            crash::report(&registered.worker);
         }
         record_predecessors_gone(&workers, &heartbeat);
         let name = heartbeat.name.clone();
@@ -136,6 +138,7 @@
                 && state.incarnation.started_ms < heartbeat.started_ms
         };
         if older {
+            crash::report(&registered.worker);
             record_gone(&registered.worker);
         }
     }
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -116,13 +116,21 @@
     if let (Some(deadline), false) = (deadline, matches!(reply, Err(CallError::NotSent(_)))) {
         state.record_grant(deadline);
     }
-    let reply = reply.map_err(|error| error.to_string())?;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(error) => {
+            state.contact.record_failure();
+            return Err(error.to_string());
+        }
+    };
     if reply
         .started_ms
         .is_some_and(|started_ms| started_ms != incarnation.started_ms)
     {
+        state.contact.record_failure();
         return Err(CallError::OtherLife.to_string());
     }
+    state.contact.record_answer();
     state.clock = Some(ClockReading {
         worker_ms: reply.worker_ms,
         at: clock::boottime(),
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -21,7 +21,8 @@
 /// Longest time between two scheduling steps while leading.
 const SCHEDULE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Number of records that may be in flight while more tasks are placed, 0.2 s of a link of 10 Mbit/s. After a loss of power all tasks are placed at once, and the leader's heartbeats would
+/// Number of records that may be in flight while more tasks are placed, 0.2 s of a link of 10 Mbit/s.
+/// After a loss of power all tasks are placed at once, and the leader's heartbeats would
 /// wait behind their orders until another entry takes over.
 const MAX_IN_FLIGHT: usize = 200;
 
@@ -31,16 +32,6 @@
 /// Extra time for which the state of a closed job is kept, since clocks differ.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
-fn log_lost_run(record: &Record) {
-    let Some(Body::Ended(end)) = &record.body else {
-        return;
-    };
-    log::warn!(
-        event = "run_lost", task:% = end.task, run = end.run, worker = end.worker.as_str();
-        "its worker is gone or its lease has lapsed"
-    );
-}
-
 /// The state of an entry that leads.
 pub(super) struct Leadership {
     pub entry: Arc<Entry>,
@@ -248,7 +239,7 @@
         for effect in self.scheduler.take_effects() {
             match effect {
                 Effect::Main(record) => {
-                    log_lost_run(&record);
+                    self.report_lost_run(&record);
                     self.writers.write(Stream::Main, record);
                 }
                 Effect::Order { worker, record } => {
@@ -259,6 +250,17 @@
         }
     }
 
+    fn report_lost_run(&self, record: &Record) {
+        let Some(Body::Ended(end)) = &record.body else {
+            return;
+        };
+        self.entry.context.metrics.count(Event::RunLost);
+        log::warn!(
+            event = "run_lost", task:% = end.task, run = end.run, worker = end.worker.as_str(),
+            reason:% = end.loss.map(|loss| loss.to_string()).unwrap_or_default(); ""
+        );
+    }
+
     fn log_suspicion(&self, record: &Record) {
         let Some(Body::Suspicion(suspicion)) = &record.body else {
             return;
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -51,6 +51,10 @@
     WorkerSuspected,
     /// A lease lapsed.
     LeaseLapsed,
+    /// A worker crashed: it restarted or was replaced without having announced that it leaves.
+    WorkerCrashed,
+    /// A run was lost with its worker.
+    RunLost,
     /// This entry became the leader.
     LeaderTaken,
     /// This entry gave up a claim because it was told to stop.
