Give up a job whose task crashes its workers

Cause: a run that goes down with its worker ends as lost, and only failed runs count against a task's attempts. The worker comes back under a new name, so nothing that is remembered of a worker applies either. Change: the agent records, in the append that reports the old worker as gone, an end for each run in progress, with the address, the known run time, the time from start to crash and the number of runs of about the same age. Every entry folds these ends into the task's history (agate_jobs::crash), so a takeover, a restart or dropped history changes nothing; a run counts once. The history attributes crashes to a task after two prompt ones under a lone start (three if on one machine), four on several machines, or five. A run that survived for 3 s clears it. Serving tasks count as well. Where the agent doesn't know the old worker, the leader records what it knows. Ends without the new field read as before. Ruled out: counting every loss against the attempts (leases lapse for other causes), and counting by worker (names change).

--- a/crates/agate_bench/src/shared/simulation.rs
+++ b/crates/agate_bench/src/shared/simulation.rs
@@ -166,6 +166,7 @@
             worker,
             ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
             loss: None,
+            crash: None,
         }))
     }
 
--- /dev/null
+++ b/crates/agate_jobs/src/crash/history.rs
@@ -0,0 +1,111 @@
+//! The crashes under the runs of a task.
+
+use std::time::Duration;
+
+use super::evidence::Crash;
+
+/// Time after which a run has surely survived its start. Later crashes don't count, and earlier ones
+/// are forgotten.
+const SURVIVAL_TIME: Duration = Duration::from_secs(3);
+
+/// Number of decisive crashes that attribute them to the task.
+const MAX_DECISIVE: usize = 2;
+
+/// Number of crashes, decisive ones among them, that attribute them to the task even if all occurred
+/// at one address.
+const MAX_WITH_DECISIVE: usize = 3;
+
+/// Number of crashes at more than one address that attribute them to the task.
+const MAX_CRASHES: usize = 4;
+
+/// Number of crashes that attribute them to the task in any case. One more start would be the third
+/// after three crashes.
+const MAX_AT_ONE_ADDRESS: usize = 5;
+
+/// Whether crashes are attributed to a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Attribution {
+    /// The task has not been running during a crash, or not in a way that suggests that it caused it.
+    Unsuspected,
+    /// The task may have caused a crash.
+    Suspected,
+    /// The task crashes its workers.
+    AtFault,
+}
+
+/// The crashes under the runs of a task, by run.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CrashHistory(Vec<(u32, Crash)>);
+
+impl CrashHistory {
+    /// Records a crash under a run. A run counts once: its agent and the leader may both record its
+    /// end.
+    pub fn record(&mut self, run: u32, crash: &Crash) {
+        if self.0.iter().any(|(known, _)| *known == run) {
+            return;
+        }
+        if has_survived(crash.ran_ms) {
+            self.0.clear();
+        } else if self.0.len() < MAX_AT_ONE_ADDRESS {
+            self.0.push((run, crash.clone()));
+        }
+    }
+
+    /// Records that a run ended without a crash after `ran_ms` milliseconds.
+    pub fn record_end(&mut self, ran_ms: u64) {
+        if has_survived(ran_ms) {
+            self.0.clear();
+        }
+    }
+
+    /// Returns whether the crashes are attributed to the task.
+    pub fn attribution(&self) -> Attribution {
+        let crashes = self.0.len();
+        let decisive = self.0.iter().filter(|(_, crash)| crash.is_decisive());
+        let decisive = decisive.count();
+        let several = self.has_several_addresses();
+        let is_proven = decisive >= MAX_DECISIVE && (several || crashes >= MAX_WITH_DECISIVE);
+        let is_repeated = crashes >= MAX_CRASHES && several || crashes >= MAX_AT_ONE_ADDRESS;
+        if is_proven || is_repeated {
+            return Attribution::AtFault;
+        }
+        let is_recent = self.0.last().is_some_and(|(_, crash)| crash.is_recent());
+        if is_recent || crashes > 1 {
+            return Attribution::Suspected;
+        }
+        Attribution::Unsuspected
+    }
+
+    /// Returns the number of crashes that count.
+    pub const fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether there has been no crash that counts.
+    pub const fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns whether a crash occurred at an address.
+    pub fn has_address(&self, address: &str) -> bool {
+        self.0.iter().any(|(_, crash)| crash.address == address)
+    }
+
+    /// Returns the longest time for which a run had run when its worker crashed.
+    pub fn longest_run(&self) -> Duration {
+        let longest = self.0.iter().map(|(_, crash)| crash.ran_ms).max();
+        Duration::from_millis(longest.unwrap_or(0))
+    }
+
+    fn has_several_addresses(&self) -> bool {
+        let first = self.0.first().map(|(_, crash)| &crash.address);
+        self.0
+            .iter()
+            .any(|(_, crash)| Some(&crash.address) != first)
+    }
+}
+
+fn has_survived(ran_ms: u64) -> bool {
+    Duration::from_millis(ran_ms) > SURVIVAL_TIME
+}
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate performs no I/O and reads no clock.
 
 pub mod backlog;
+pub mod crash;
 pub mod lease;
 mod loss;
 pub mod pace;
--- a/crates/agate_jobs/src/loss.rs
+++ b/crates/agate_jobs/src/loss.rs
@@ -20,3 +20,11 @@
     /// An earlier leader ended the incarnation or term.
     Superseded,
 }
+
+impl LossReason {
+    /// Returns whether the worker has crashed: it is back without having announced that it leaves,
+    /// and its agent has not recorded what ran there.
+    pub(crate) const fn is_crash(self) -> bool {
+        matches!(self, Self::Restarted | Self::Replaced)
+    }
+}
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -268,6 +268,7 @@
             .bindings
             .iter()
             .filter(|(_, binding)| binding.worker == slot && (gone || binding.term != current));
+        let peers = self.bindings.values().filter(|b| b.worker == slot).count();
         let ends: Vec<Effect> = lost
             .map(|(task, binding)| {
                 Effect::Main(Record::new(Body::Ended(RunEnd {
@@ -278,6 +279,9 @@
                     worker: worker.report.incarnation.name.clone(),
                     ran_ms: 0,
                     loss: Some(reason),
+                    crash: reason
+                        .is_crash()
+                        .then(|| worker.crash_under(binding, peers)),
                 })))
             })
             .collect();
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -5,6 +5,7 @@
 
 use agate_core::{JobId, Moment, Resources};
 
+use crate::crash::Crash;
 use crate::plan::health::Health;
 use crate::record::SuspicionRecord;
 use crate::spec::StepSpec;
@@ -208,6 +209,18 @@
         room.map_or(DEFAULT_HEADROOM, |room| f64::from(room.milli) / 1_000.0)
     }
 
+    /// Returns what the scheduler knows of a crash under a run. It can't tell which of the `bound` runs
+    /// had been started.
+    pub fn crash_under(&self, binding: &Binding, bound: usize) -> Crash {
+        let ran = self.last_contact.since(binding.bound_at).as_millis();
+        Crash {
+            address: self.report.address.clone(),
+            ran_ms: u64::try_from(ran).unwrap_or(u64::MAX),
+            within_ms: u64::MAX,
+            peers: u32::try_from(bound).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Returns the number of runs that are bound to the worker.
     pub fn runs(&self) -> usize {
         self.step_tasks.values().map(|tasks| *tasks as usize).sum()
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use strum::EnumString;
 
+use crate::crash::Crash;
 use crate::loss::LossReason;
 use crate::pace::Interference;
 use crate::spec::{JobSpec, QueuePolicy};
@@ -68,6 +69,9 @@
     /// Why the scheduler counts the run as lost; `None` for other ends.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub loss: Option<LossReason>,
+    /// How the worker crashed; `None` if the run didn't end with a crash.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crash: Option<Crash>,
 }
 
 /// Heartbeat of the leader, the entry that schedules.
@@ -220,10 +224,11 @@
     Suspicion(SuspicionRecord),
 }
 
-/// Returns the key prefix of an end. Lost, inferred and listed ends have different prefixes, so
-/// that the log doesn't replace one with another.
-const fn end_kind(cause: EndCause) -> &'static str {
-    match cause {
+/// Returns the key prefix of an end. Lost, inferred and listed ends, and those by a crash, have
+/// different prefixes, so that the log doesn't replace one with another.
+const fn end_kind(end: &RunEnd) -> &'static str {
+    match end.cause {
+        EndCause::Lost if end.crash.is_some() => "k",
         EndCause::Lost => "x",
         cause if cause.is_inferred() => "n",
         _ => "e",
@@ -248,7 +253,7 @@
             Body::Submitted { job, .. } => format!("j/{job}"),
             Body::Cancelled { job } => format!("c/{job}"),
             Body::Closed { job, .. } => format!("d/{job}"),
-            Body::Ended(end) => format!("{}/{}/{}", end_kind(end.cause), end.task, end.run),
+            Body::Ended(end) => format!("{}/{}/{}", end_kind(end), end.task, end.run),
             Body::Worker(report) => format!("w/{}", report.incarnation.name),
             Body::Leader(_) => "l".to_owned(),
             Body::Order(order) => format!("r/{}/{}", order.incarnation.name, order.task),
--- a/crates/agate_jobs/src/table/job.rs
+++ b/crates/agate_jobs/src/table/job.rs
@@ -1,8 +1,9 @@
 //! A single job.
 
+use crate::crash::Attribution;
 use crate::record::RunEnd;
 use crate::spec::{JobSpec, QueuePolicy, StepSpec};
-use crate::table::{JobState, StepProgress};
+use crate::table::{JobState, StepProgress, TaskProgress};
 use crate::task::TaskKey;
 
 /// A job and its progress.
@@ -20,6 +21,8 @@
     pub started: bool,
     /// Progress by occurrence and step.
     pub progress: Vec<Vec<StepProgress>>,
+    /// Number of recorded ends of its runs by a crash of their worker.
+    pub crashed_runs: u32,
     failed: bool,
     open_steps: usize,
 }
@@ -39,6 +42,7 @@
             cancelled: false,
             started: false,
             progress,
+            crashed_runs: 0,
             failed: false,
             open_steps,
         }
@@ -118,10 +122,16 @@
             self.open_steps -= 1;
         }
         let max_attempts = self.policy.max_attempts.max(1);
-        let exhausted =
-            |task: &crate::table::TaskProgress| !task.done && task.failures >= max_attempts;
+        let exhausted = |task: &TaskProgress| !task.done && task.failures >= max_attempts;
         if !spec.long_running && step.tasks.iter().any(exhausted) {
             self.failed = true;
         }
+        let Some(task) = step.tasks.get(end.task.index as usize) else {
+            return;
+        };
+        self.crashed_runs += u32::from(end.crash.is_some());
+        if !task.done && task.crashes.attribution() == Attribution::AtFault {
+            self.failed = true;
+        }
     }
 }
--- a/crates/agate_jobs/src/table/progress.rs
+++ b/crates/agate_jobs/src/table/progress.rs
@@ -1,5 +1,6 @@
 //! Progress of a step's tasks.
 
+use crate::crash::CrashHistory;
 use crate::record::{EndCause, RunEnd};
 
 /// Progress of a single task.
@@ -18,6 +19,8 @@
     /// Run time of the runs that count: the one that finished and those that it continued, in
     /// milliseconds.
     pub ran_ms: u64,
+    /// Crashes of workers under the task's runs.
+    pub crashes: CrashHistory,
     /// Last run if its recorded end is inferred, otherwise zero. An end reported by the worker
     /// overrides an inferred one.
     inferred_run: u32,
@@ -48,15 +51,21 @@
     /// Applies the end of a run. A gang finishes as soon as one of its members does.
     ///
     /// The first recorded end of a run wins, except that an end reported by the worker overrides
-    /// an inferred one. Ends of earlier runs are ignored.
+    /// an inferred one. Ends of earlier runs are ignored, but for the crashes that they report.
     pub(super) fn apply_end(&mut self, end: &RunEnd, gang: bool) {
         let Some(task) = self.tasks.get_mut(end.task.index as usize) else {
             return;
         };
+        if let (Some(crash), false) = (&end.crash, task.done) {
+            task.crashes.record(end.run, crash);
+        }
         let overrides_inferred = end.run == task.inferred_run && !end.cause.is_inferred();
         if end.run <= task.last_run && !overrides_inferred {
             return;
         }
+        if end.crash.is_none() {
+            task.crashes.record_end(end.ran_ms);
+        }
         task.inferred_run = if end.cause.is_inferred() { end.run } else { 0 };
         task.last_run = end.run;
         if matches!(end.cause, EndCause::Done | EndCause::Stopped) {
--- a/crates/agate_jobs/src/table/state.rs
+++ b/crates/agate_jobs/src/table/state.rs
@@ -13,7 +13,7 @@
     Running,
     /// All tasks have finished.
     Completed,
-    /// A task has used up its attempts.
+    /// A task has used up its attempts or crashes its workers.
     Failed,
     /// The job was cancelled.
     Cancelled,
--- a/crates/agate_jobs/tests/jobs/backlog.rs
+++ b/crates/agate_jobs/tests/jobs/backlog.rs
@@ -66,6 +66,7 @@
         worker: "a".to_owned(),
         ran_ms,
         loss: None,
+        crash: None,
     }))
 }
 
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -61,6 +61,7 @@
         worker: worker.to_owned(),
         ran_ms: 500,
         loss: None,
+        crash: None,
     }))
 }
 
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -5,17 +5,14 @@
 
 use std::time::Duration;
 
-use agate_jobs::TaskKey;
+use agate_jobs::crash::{Crash, RECENT_START};
+use agate_jobs::{EndCause, LossReason, RunEnd, TaskKey};
 use tokio::time::Instant;
 
 use super::managed::{ManagedWorker, Phase, Run, State};
 use crate::clock;
 use crate::metrics::Event;
 
-/// Longest time for which a run counts as recently started. Agents renew the lease at least every
-/// half second, so a run that started just before the crash may not have been listed yet.
-const RECENT: Duration = Duration::from_millis(250);
-
 /// When the worker was last known to be alive.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Contact {
@@ -78,16 +75,17 @@
             run: run.number,
             ran: *ran,
             within: failed_at.duration_since(run.since),
-            peers: younger(*ran + RECENT) - 1,
+            peers: younger(*ran + RECENT_START) - 1,
         })
         .collect()
 }
 
-/// Logs the crash of a worker that had not announced that it leaves.
-pub(super) fn report(worker: &ManagedWorker) {
-    let state = worker.state();
+/// Logs the crash of a worker, and returns the ends of the runs that were in progress. Returns none if
+/// the worker had announced that it leaves.
+pub(super) fn end_runs(worker: &ManagedWorker, reason: LossReason) -> Vec<RunEnd> {
+    let mut state = worker.state();
     if state.is_leaving() {
-        return;
+        return Vec::new();
     }
     let runs = crashed_runs(&state);
     worker.context.metrics.count(Event::WorkerCrashed);
@@ -95,11 +93,35 @@
         event = "worker_crashed", worker:% = state.incarnation,
         address = state.heartbeat.address.as_str(), runs = runs.len(); ""
     );
-    for run in runs {
+    let ends = runs.into_iter().map(|run| {
         log::info!(
             event = "run_crashed", task:% = run.task, run = run.run, worker:% = state.incarnation,
             ran_ms = clock::millis(run.ran), within_ms = clock::millis(run.within),
             peers = run.peers; ""
         );
+        if let Some(known) = state.runs.get_mut(&run.task) {
+            known.phase = Phase::Ended;
+        }
+        end_of(&state, &run, reason)
+    });
+    ends.collect()
+}
+
+fn end_of(state: &State, run: &CrashedRun, reason: LossReason) -> RunEnd {
+    let ran_ms = clock::millis(run.ran).max(1);
+    RunEnd {
+        task: run.task,
+        run: run.run,
+        cause: EndCause::Lost,
+        checkpoint: String::new(),
+        worker: state.incarnation.name.clone(),
+        ran_ms,
+        loss: Some(reason),
+        crash: Some(Crash {
+            address: state.heartbeat.address.clone(),
+            ran_ms,
+            within_ms: clock::millis(run.within),
+            peers: u32::try_from(run.peers).unwrap_or(u32::MAX),
+        }),
     }
 }
--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -47,6 +47,7 @@
         worker: state.incarnation.name.clone(),
         ran_ms,
         loss: None,
+        crash: None,
     }
 }
 
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -6,7 +6,9 @@
 
 use agate_core::Resources;
 use agate_jobs::lease::{self, ClockReading};
-use agate_jobs::{Order, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport, WorkerState};
+use agate_jobs::{
+    Order, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport, WorkerState,
+};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -95,6 +97,9 @@
     pub pacing: Pacing,
     pub introduction: Introduction,
     pub reported_at: Option<Instant>,
+    /// Ends of runs that went down with a crash of this incarnation or the one before. They are recorded
+    /// with the next report.
+    pub crash_ends: Vec<RunEnd>,
     /// Whether the worker has listed its runs since this agent started.
     pub has_listed: bool,
     /// Whether the worker has not answered since its lease lapsed.
@@ -148,6 +153,7 @@
             pacing: Pacing::default(),
             introduction: Introduction::default(),
             reported_at: None,
+            crash_ends: Vec::new(),
             has_listed: false,
             unreachable: false,
         };
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use agate_jobs::WorkerState;
+use agate_jobs::{LossReason, RunEnd, WorkerState};
 use agate_super::{Policy, Restart, Supervisor};
 use tokio_util::sync::CancellationToken;
 
@@ -49,6 +49,7 @@
     /// Applies a heartbeat. One of an earlier incarnation is ignored.
     pub fn apply_heartbeat(&self, heartbeat: Heartbeat) {
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut crash_ends = Vec::new();
         if let Some(registered) = workers.get(&heartbeat.name) {
             let mut state = registered.worker.state();
             if heartbeat.started_ms < state.incarnation.started_ms {
@@ -70,11 +71,11 @@
                 return;
             }
             drop(state);
-            crash::report(&registered.worker);
+            crash_ends = crash::end_runs(&registered.worker, LossReason::Restarted);
         }
         record_predecessors_gone(&workers, &heartbeat);
         let name = heartbeat.name.clone();
-        let registered = self.register(heartbeat);
+        let registered = self.register(heartbeat, crash_ends);
         if let Some(old) = workers.insert(name, registered) {
             old.stop.cancel();
         }
@@ -108,12 +109,13 @@
         }
     }
 
-    fn register(&self, heartbeat: Heartbeat) -> RegisteredWorker {
+    fn register(&self, heartbeat: Heartbeat, crash_ends: Vec<RunEnd>) -> RegisteredWorker {
         let worker = Arc::new(ManagedWorker::new(
             self.context.clone(),
             self.zones.clone(),
             heartbeat,
         ));
+        worker.state().crash_ends = crash_ends;
         log_found(&worker);
         let stop = CancellationToken::new();
         let mut tree = Supervisor::new("worker", Policy::default());
@@ -138,7 +140,8 @@
                 && state.incarnation.started_ms < heartbeat.started_ms
         };
         if older {
-            crash::report(&registered.worker);
+            let ends = crash::end_runs(&registered.worker, LossReason::Replaced);
+            registered.worker.state().crash_ends.extend(ends);
             record_gone(&registered.worker);
         }
     }
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -22,15 +22,21 @@
 pub(super) async fn run(worker: Arc<ManagedWorker>) {
     loop {
         wait_until_due(&worker).await;
-        let report = worker.state().report();
+        let (report, ends) = {
+            let state = worker.state();
+            (state.report(), state.crash_ends.clone())
+        };
         let state = report.state;
-        let record = Record::new(Body::Worker(report));
-        match worker
-            .context
-            .appender
-            .record(&[record], APPEND_TIMEOUT)
-            .await
-        {
+        // The ends come first: the report makes the leader end whatever is still bound.
+        let bodies = ends.iter().cloned().map(Body::Ended);
+        let bodies = bodies.chain([Body::Worker(report)]);
+        let records: Vec<Record> = bodies.map(Record::new).collect();
+        let recorded = worker.context.appender.record(&records, APPEND_TIMEOUT);
+        let recorded = recorded.await;
+        if recorded.is_ok() {
+            worker.state().crash_ends.retain(|end| !ends.contains(end));
+        }
+        match recorded {
             Ok(_) if state == WorkerState::Gone => return,
             Ok(_) => {}
             Err(error) => {
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -1,6 +1,7 @@
 //! Leader election, and scheduling while this entry leads.
 
 mod backlog;
+mod crashes;
 mod delay;
 mod election;
 mod resign;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, heartbeat, zones};
+use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, crashes, heartbeat, zones};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -175,6 +175,7 @@
         let entry = Arc::clone(&self.entry);
         let mut view = entry.view();
         for change in std::mem::take(&mut view.pending_changes) {
+            crashes::report(&entry.context.metrics, &view.job_table, &change);
             self.scheduler.apply(&view.job_table, &change, now);
         }
         let since = view.reading.unbroken_since(now);
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -55,6 +55,10 @@
     WorkerCrashed,
     /// A run was lost with its worker.
     RunLost,
+    /// A crash made a task a suspect.
+    CrashSuspected,
+    /// A crash was attributed to a task, whose job is given up.
+    CrashAttributed,
     /// This entry became the leader.
     LeaderTaken,
     /// This entry gave up a claim because it was told to stop.
