Start tasks that may have crashed a worker alone

What callers saw: sound jobs were given up with a deadly one, or went down with worker after worker. Cause: all runs that a crash ends are started again together on the worker that has just come back, which is empty and therefore the cheapest. One deadly task among them takes them all down again, so each of them collects crashes. Change: a task that had just been started when its worker crashed is a suspect. Suspects are placed before all others, where nothing was started shortly before, on workers that run nothing else if there are any within 1.5 s, and nothing is started beside one until it has survived its start (120 ms, plus the time that its runs had lasted). After 2.5 s it is placed like any other task. Crashes are attributed to a task after two prompt ones, one of them under a lone start on a machine that hasn't crashed without a start right before; else after four on several machines, or five. Suspects are restored at a takeover from the log. Ruled out: attributing the first crash (a rule says two, and a chance crash within 0.1 s of some start isn't rare), probing several at a time (they would share the blame), and counting lone crashes on one machine without looking at the machine (one that keeps crashing while it runs suspects would condemn them).

--- a/crates/agate_jobs/src/crash/evidence.rs
+++ b/crates/agate_jobs/src/crash/evidence.rs
@@ -6,11 +6,11 @@
 
 /// Longest time for which a run counts as recently started. Agents hear from a worker at least every
 /// half second, so a run may be unlisted for as long as this before it has surely survived its start.
-pub const RECENT_START: Duration = Duration::from_millis(250);
+pub const RECENT_START: Duration = Duration::from_millis(40);
 
 /// Longest time from the start of a run to the crash for which the crash counts as prompt. A worker
-/// that crashes for another reason rarely does so this soon after the start of a lone task.
-const PROMPT: Duration = Duration::from_millis(150);
+/// that crashes for another reason rarely does so this soon after a start.
+pub const PROMPT_CRASH: Duration = Duration::from_millis(100);
 
 /// The crash of a worker under a run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +24,9 @@
     /// Number of other runs that had not been running for longer than this one by
     /// [`RECENT_START`].
     pub peers: u32,
+    /// Whether the machine had crashed not long before without any start right before that.
+    #[serde(default)]
+    pub unstable: bool,
 }
 
 impl Crash {
@@ -32,8 +35,14 @@
         Duration::from_millis(self.ran_ms) <= RECENT_START
     }
 
-    /// Returns whether the run, and no other, was started right before the crash.
+    /// Returns whether the run was started right before the crash.
+    pub(super) fn is_prompt(&self) -> bool {
+        Duration::from_millis(self.within_ms) <= PROMPT_CRASH
+    }
+
+    /// Returns whether this run, and no other, was started right before the crash of a machine that
+    /// doesn't crash by itself.
     pub(super) fn is_decisive(&self) -> bool {
-        self.peers == 0 && Duration::from_millis(self.within_ms) <= PROMPT
+        self.is_prompt() && self.peers == 0 && !self.unstable
     }
 }
--- a/crates/agate_jobs/src/crash/mod.rs
+++ b/crates/agate_jobs/src/crash/mod.rs
@@ -8,5 +8,5 @@
 mod evidence;
 mod history;
 
-pub use evidence::{Crash, RECENT_START};
+pub use evidence::{Crash, PROMPT_CRASH, RECENT_START};
 pub use history::{Attribution, CrashHistory};
--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -102,6 +102,17 @@
     best.map(|(_, slot)| slot)
 }
 
+/// Returns the workers that a task fits on.
+pub(super) fn fitting<'a>(
+    workers: &'a [Worker],
+    task: Candidate<'a>,
+    now: Moment,
+) -> impl Iterator<Item = usize> + 'a {
+    let workers = workers.iter().enumerate();
+    let fitting = workers.filter(move |(_, worker)| fits(worker, task, now));
+    fitting.map(|(slot, _)| slot)
+}
+
 /// Returns whether more than half of a service's processors are in use, apart from those of
 /// withdrawn zones.
 fn is_half_used(workers: &[Worker], service: &str) -> bool {
@@ -144,6 +155,7 @@
     worker.report.service == task.service
         && !worker.withdrawn
         && worker.accepts_tasks(now)
+        && !worker.is_probing(now)
         && (step.long_running || !worker.health.is_probing())
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
         && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -11,6 +11,7 @@
 mod place;
 mod restore;
 mod scheduler;
+mod suspects;
 mod suspicion;
 mod suspicion_times;
 mod withdrawal;
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -8,13 +8,14 @@
 use crate::plan::misses::Misses;
 use crate::plan::order::Turn;
 use crate::plan::scheduler::{Placement, Scheduler};
+use crate::plan::suspects;
 use crate::plan::worker::Binding;
 use crate::record::{Order, OrderKind};
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
 
 /// A round of placement.
-struct Round {
+pub(super) struct Round {
     now: Moment,
     /// Number of tasks that may still be placed.
     left: usize,
@@ -22,6 +23,21 @@
     misses: Misses,
 }
 
+impl Round {
+    pub(super) const fn now(&self) -> Moment {
+        self.now
+    }
+
+    pub(super) const fn is_full(&self) -> bool {
+        self.left == 0
+    }
+
+    pub(super) fn add(&mut self, placement: Placement) {
+        self.placed.push(placement);
+        self.left -= 1;
+    }
+}
+
 impl Scheduler {
     /// Binds all tasks that are ready to run and fit on a worker.
     pub fn place(&mut self, table: &JobTable, now: Moment, wall_ms: u64) -> Vec<Placement> {
@@ -51,36 +67,20 @@
             worker.reserved = Resources::ZERO;
         }
         self.hold_room_for_moves();
+        self.place_suspects(table, &mut round, wall_ms);
         for turn in self.turns(table, now, wall_ms) {
-            let job = turn.job;
-            for occurrence in 0..job.progress.len() {
-                let due = job
-                    .spec
-                    .due_ms(u32::try_from(occurrence).unwrap_or(u32::MAX));
-                if due > wall_ms {
-                    break;
+            for at in ready_steps(turn.job, wall_ms) {
+                if turn.job.spec.steps[at.1].gang {
+                    self.place_gang(&turn, at, &mut round);
+                } else {
+                    self.place_step(&turn, at, &mut round);
                 }
-                self.place_occurrence(&turn, occurrence, &mut round);
             }
         }
         self.begin_moves(table, now);
         round.placed
     }
 
-    fn place_occurrence(&mut self, turn: &Turn<'_>, occurrence: usize, round: &mut Round) {
-        let job = turn.job;
-        for step in 0..job.spec.steps.len() {
-            if job.progress[occurrence][step].is_done() || !job.is_ready(occurrence, step) {
-                continue;
-            }
-            if job.spec.steps[step].gang {
-                self.place_gang(turn, (occurrence, step), round);
-            } else {
-                self.place_step(turn, (occurrence, step), round);
-            }
-        }
-    }
-
     /// Places the tasks of a step until one finds no worker. The others of the same turn would find
     /// none either, since they ask for the same.
     fn place_step(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
@@ -88,7 +88,11 @@
         if turn.part != Part::All && round.misses.covers(turn, step) {
             return;
         }
-        let pending = self.pending_tasks(turn, at);
+        let mut pending = self.pending_tasks(turn, at);
+        if turn.job.crashed_runs > 0 {
+            let tasks = &turn.job.progress[at.0][at.1].tasks;
+            pending.retain(|task| !suspects::is_suspected(&tasks[task.index as usize]));
+        }
         for task in turn.part.of(&turn.job.progress[at.0][at.1], pending) {
             if round.left == 0 {
                 return;
@@ -96,8 +100,7 @@
             match self.choose(turn, task, round.now) {
                 Some(slot) => {
                     let placement = self.bind(turn.job, task, (slot, None), round.now);
-                    round.placed.push(placement);
-                    round.left -= 1;
+                    round.add(placement);
                 }
                 None if step.long_running => {
                     self.note_zone_wait(turn.job, task);
@@ -158,7 +161,7 @@
     }
 
     /// Returns the tasks of a step that are neither finished, nor bound, nor given up.
-    fn pending_tasks(
+    pub(super) fn pending_tasks(
         &self,
         &Turn { id, job, .. }: &Turn<'_>,
         (occurrence, step): (usize, usize),
@@ -178,7 +181,7 @@
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
-    fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
+    pub(super) fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
         let job = turn.job;
         let step = job.step(task)?;
         let progress = &job.step_progress(task)?.tasks[task.index as usize];
@@ -211,7 +214,7 @@
     }
 
     /// Binds a task to the worker at a slot, as run number `run` or the next one.
-    fn bind(
+    pub(super) fn bind(
         &mut self,
         job: &Job,
         task: TaskKey,
@@ -239,6 +242,7 @@
             },
             stopping: false,
             bound_at: now,
+            probe_until: suspects::probe_until(step, progress, now),
         };
         worker.bind(task, &binding);
         if !step.long_running {
@@ -280,6 +284,14 @@
     }
 }
 
+/// Returns the unfinished steps that are due and whose dependencies have finished, by occurrence.
+pub(super) fn ready_steps(job: &Job, wall_ms: u64) -> impl Iterator<Item = (usize, usize)> {
+    let due_ms = |at: usize| job.spec.due_ms(u32::try_from(at).unwrap_or(u32::MAX));
+    let due = (0..job.progress.len()).take_while(move |at| due_ms(*at) <= wall_ms);
+    let steps = due.flat_map(|at| (0..job.spec.steps.len()).map(move |step| (at, step)));
+    steps.filter(|(at, step)| !job.progress[*at][*step].is_done() && job.is_ready(*at, *step))
+}
+
 fn task_key(job: JobId, occurrence: usize, step: usize, index: usize) -> TaskKey {
     let narrow = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
     TaskKey {
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -10,6 +10,7 @@
 use crate::plan::effect::Effect;
 use crate::plan::last_contact::LastContact;
 use crate::plan::scheduler::Scheduler;
+use crate::plan::suspects;
 use crate::plan::suspicion_times::SuspicionTimes;
 use crate::plan::worker::Binding;
 use crate::record::{Body, Order, OrderKind, Record, SuspicionRecord};
@@ -110,6 +111,9 @@
             estimate_ms,
             stopping,
             bound_at: now,
+            probe_until: step
+                .zip(task)
+                .and_then(|(step, task)| suspects::probe_until(step, task, now)),
         };
         if let Some(old) = self.bindings.insert(order.task, binding.clone()) {
             self.workers[old.worker].release(order.task, &old);
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::plan::interference::InterferenceTable;
 use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
+use crate::plan::suspects::Suspects;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
@@ -43,6 +44,7 @@
     pub(super) withdrawal: Withdrawal,
     pub(super) moves: Moves,
     pub(super) order: JobOrder,
+    pub(super) suspects: Suspects,
     mean_slowness: f64,
 }
 
--- /dev/null
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -0,0 +1,165 @@
+//! Placement of tasks that may have crashed a worker.
+//!
+//! Such a task is started where nothing else has been started shortly before, and nothing is started
+//! beside it until it has survived its start. A further crash then tells whether it is the cause. Workers
+//! that run nothing else are preferred, so that a crash takes nothing else down.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use agate_core::Moment;
+
+use crate::crash::{Attribution, CrashHistory, RECENT_START};
+use crate::plan::choose;
+use crate::plan::order;
+use crate::plan::place::{Round, ready_steps};
+use crate::plan::scheduler::Scheduler;
+use crate::spec::StepSpec;
+use crate::table::{Job, JobTable, TaskProgress};
+use crate::task::TaskKey;
+
+/// Time allowed for the delivery of an order and for the news of a crash.
+const DELIVERY_TIME: Duration = Duration::from_millis(80);
+
+/// Wait for a worker that runs nothing else. A crashed worker is usually back, and empty, by the time
+/// that its runs are placed again.
+const IDLE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Wait after which a suspect is placed like any other task, so that none waits for long beside free
+/// capacity.
+const MAX_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Suspects that wait for a worker, and since when.
+#[derive(Debug, Default)]
+pub(super) struct Suspects(BTreeMap<TaskKey, Moment>);
+
+/// A suspect that is ready to run.
+struct Pending<'a> {
+    task: TaskKey,
+    job: &'a Job,
+    crashes: &'a CrashHistory,
+    waited: Duration,
+}
+
+/// Returns the time by which a suspect that is bound at `now` has survived its start; `None` for other
+/// tasks, and for members of a gang, which are started together.
+pub(super) fn probe_until(step: &StepSpec, task: &TaskProgress, now: Moment) -> Option<Moment> {
+    let time = RECENT_START + DELIVERY_TIME + task.crashes.longest_run();
+    (!step.gang && is_suspected(task)).then(|| now + time)
+}
+
+/// Returns whether a task may have crashed a worker.
+pub(super) fn is_suspected(task: &TaskProgress) -> bool {
+    task.crashes.attribution() == Attribution::Suspected
+}
+
+impl Scheduler {
+    /// Places suspects before all other tasks. Few of them run at a time, so they take little capacity,
+    /// but the others must not occupy the workers on which they can be told apart.
+    pub(super) fn place_suspects(&mut self, table: &JobTable, round: &mut Round, wall_ms: u64) {
+        let pending = self.pending_suspects(table, round.now(), wall_ms);
+        if pending.is_empty() {
+            return;
+        }
+        let mut busy = self.recently_used(round.now());
+        for suspect in pending {
+            if round.is_full() {
+                return;
+            }
+            let Some(slot) = self.choose_for_suspect(&suspect, &busy, round.now()) else {
+                continue;
+            };
+            let placement = self.bind(suspect.job, suspect.task, (slot, None), round.now());
+            self.suspects.0.remove(&suspect.task);
+            round.add(placement);
+            busy.insert(slot);
+        }
+    }
+
+    /// Returns the suspects that are ready to run. Those with the fewest crashes come first, and among
+    /// them those that were started right before a crash: the sooner the cause is found, the sooner the
+    /// others are cleared.
+    fn pending_suspects<'a>(
+        &mut self,
+        table: &'a JobTable,
+        now: Moment,
+        wall_ms: u64,
+    ) -> Vec<Pending<'a>> {
+        let jobs = table.jobs().filter(|(_, job)| job.crashed_runs > 0);
+        let open = jobs.filter(|(_, job)| !job.state().is_final());
+        let mut pending = Vec::new();
+        for (id, job) in open {
+            let turn = order::whole(id, job);
+            for at in ready_steps(job, wall_ms) {
+                if job.spec.steps[at.1].gang {
+                    continue;
+                }
+                for task in self.pending_tasks(&turn, at) {
+                    let progress = &job.progress[at.0][at.1].tasks[task.index as usize];
+                    if !is_suspected(progress) {
+                        continue;
+                    }
+                    let since = *self.suspects.0.entry(task).or_insert(now);
+                    pending.push(Pending {
+                        task,
+                        job,
+                        crashes: &progress.crashes,
+                        waited: now.since(since),
+                    });
+                }
+            }
+        }
+        pending.sort_by_key(|suspect| {
+            let crashes = suspect.crashes;
+            (crashes.len(), crashes.shortest_delay(), suspect.task)
+        });
+        let waiting: BTreeSet<TaskKey> = pending.iter().map(|suspect| suspect.task).collect();
+        self.suspects.0.retain(|task, _| waiting.contains(task));
+        pending
+    }
+
+    /// Returns the workers on which a run was bound shortly before.
+    fn recently_used(&self, now: Moment) -> BTreeSet<usize> {
+        let recent = self
+            .bindings
+            .values()
+            .filter(|binding| now.since(binding.bound_at) < RECENT_START + DELIVERY_TIME);
+        recent.map(|binding| binding.worker).collect()
+    }
+
+    fn choose_for_suspect(
+        &self,
+        suspect: &Pending<'_>,
+        busy: &BTreeSet<usize>,
+        now: Moment,
+    ) -> Option<usize> {
+        let turn = order::whole(suspect.task.job, suspect.job);
+        if suspect.waited >= MAX_WAIT {
+            return self.choose(&turn, suspect.task, now);
+        }
+        let candidate = self.candidate(&turn, suspect.task)?;
+        let may_share = suspect.waited >= IDLE_WAIT && !self.has_shared_probe(now);
+        let slots = choose::fitting(&self.workers, candidate, now);
+        let usable = slots.filter(|slot| {
+            let worker = &self.workers[*slot];
+            !busy.contains(slot) && (worker.is_idle() || may_share)
+        });
+        usable.min_by_key(|slot| {
+            let worker = &self.workers[*slot];
+            let crashed_there = suspect.crashes.has_address(&worker.report.address);
+            (
+                !worker.is_idle(),
+                worker.long_running_millicores,
+                crashed_there,
+                worker.used.millicores + worker.best_effort_millicores,
+            )
+        })
+    }
+
+    /// Returns whether a suspect runs beside other tasks and has not survived its start yet. One such
+    /// task at a time limits what a wrong guess costs.
+    fn has_shared_probe(&self, now: Moment) -> bool {
+        let mut workers = self.workers.iter();
+        workers.any(|worker| worker.is_probing(now) && !worker.is_idle())
+    }
+}
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -35,6 +35,9 @@
     pub stopping: bool,
     /// Time of the binding; a restored one counts as bound at the takeover.
     pub bound_at: Moment,
+    /// Time until which nothing else is started beside the run, because its task may have crashed a
+    /// worker; `None` for other tasks.
+    pub probe_until: Option<Moment>,
 }
 
 /// A worker and the tasks bound to it.
@@ -68,6 +71,8 @@
     pub serving_images: BTreeMap<String, u32>,
     /// Number of best-effort tasks, by image.
     pub best_effort_images: BTreeMap<String, u32>,
+    /// Runs whose tasks may have crashed a worker, and until when nothing is started beside them.
+    pub probes: BTreeMap<TaskKey, Moment>,
     /// Number of bound tasks, by job, occurrence and step.
     pub step_tasks: BTreeMap<(JobId, u32, u32), u32>,
 }
@@ -90,6 +95,7 @@
             health: Health::default(),
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
+            probes: BTreeMap::new(),
             step_tasks: BTreeMap::new(),
         }
     }
@@ -120,6 +126,16 @@
             && !self.suspicion.suspected
     }
 
+    /// Returns whether a run must survive its start before anything else is started.
+    pub fn is_probing(&self, now: Moment) -> bool {
+        self.probes.values().any(|until| now < *until)
+    }
+
+    /// Returns whether nothing runs but tasks that may have crashed a worker.
+    pub fn is_idle(&self) -> bool {
+        self.runs() == self.probes.len()
+    }
+
     /// Returns whether new tasks may be bound to the worker.
     pub fn accepts_tasks(&self, now: Moment) -> bool {
         self.is_in_service() && self.health.accepts_tasks(now)
@@ -158,6 +174,9 @@
 
     pub fn bind(&mut self, task: TaskKey, binding: &Binding) {
         *self.step_tasks.entry(step_of(task)).or_default() += 1;
+        if let Some(until) = binding.probe_until {
+            self.probes.insert(task, until);
+        }
         let demand = binding.demand;
         if binding.best_effort {
             self.best_effort_millicores += demand.millicores;
@@ -184,6 +203,7 @@
 
     pub fn release(&mut self, task: TaskKey, binding: &Binding) {
         decrement(&mut self.step_tasks, &step_of(task));
+        self.probes.remove(&task);
         decrement(&mut self.serving_images, &binding.serving_image);
         decrement(&mut self.best_effort_images, &binding.best_effort_image);
         let demand = binding.demand;
@@ -218,6 +238,7 @@
             ran_ms: u64::try_from(ran).unwrap_or(u64::MAX),
             within_ms: u64::MAX,
             peers: u32::try_from(bound).unwrap_or(u32::MAX),
+            unstable: false,
         }
     }
 
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -3,9 +3,10 @@
 //! A worker has crashed if it comes back in another incarnation without having announced that it
 //! leaves. Only its agent knows which orders had been executed by then.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use agate_jobs::crash::{Crash, RECENT_START};
+use agate_jobs::crash::{Crash, PROMPT_CRASH, RECENT_START};
 use agate_jobs::{EndCause, LossReason, RunEnd, TaskKey};
 use tokio::time::Instant;
 
@@ -42,6 +43,28 @@
     }
 }
 
+/// Time for which a crash without a start right before it makes a machine unstable.
+const UNSTABLE_FOR: Duration = Duration::from_mins(1);
+
+/// Machines that crash by themselves, by address, with the time of the newest such crash.
+#[derive(Debug, Default)]
+pub(super) struct UnstableMachines(HashMap<String, Instant>);
+
+impl UnstableMachines {
+    fn contains(&self, address: &str) -> bool {
+        let newest = self.0.get(address);
+        newest.is_some_and(|at| at.elapsed() < UNSTABLE_FOR)
+    }
+
+    /// Records a crash under `runs`, unless one of them was started right before it.
+    fn record(&mut self, address: &str, runs: &[CrashedRun]) {
+        self.0.retain(|_, at| at.elapsed() < UNSTABLE_FOR);
+        if runs.iter().all(|run| run.within > PROMPT_CRASH) {
+            self.0.insert(address.to_owned(), Instant::now());
+        }
+    }
+}
+
 /// A run that was in progress when its worker crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct CrashedRun {
@@ -82,16 +105,23 @@
 
 /// Logs the crash of a worker, and returns the ends of the runs that were in progress. Returns none if
 /// the worker had announced that it leaves.
-pub(super) fn end_runs(worker: &ManagedWorker, reason: LossReason) -> Vec<RunEnd> {
+pub(super) fn end_runs(
+    worker: &ManagedWorker,
+    reason: LossReason,
+    machines: &mut UnstableMachines,
+) -> Vec<RunEnd> {
     let mut state = worker.state();
     if state.is_leaving() {
         return Vec::new();
     }
+    let address = state.heartbeat.address.clone();
     let runs = crashed_runs(&state);
+    let unstable = machines.contains(&address);
+    machines.record(&address, &runs);
     worker.context.metrics.count(Event::WorkerCrashed);
     log::warn!(
-        event = "worker_crashed", worker:% = state.incarnation,
-        address = state.heartbeat.address.as_str(), runs = runs.len(); ""
+        event = "worker_crashed", worker:% = state.incarnation, address = address.as_str(),
+        runs = runs.len(), unstable = unstable; ""
     );
     let ends = runs.into_iter().map(|run| {
         log::info!(
@@ -102,26 +132,23 @@
         if let Some(known) = state.runs.get_mut(&run.task) {
             known.phase = Phase::Ended;
         }
-        end_of(&state, &run, reason)
+        let ran_ms = clock::millis(run.ran).max(1);
+        RunEnd {
+            task: run.task,
+            run: run.run,
+            cause: EndCause::Lost,
+            checkpoint: String::new(),
+            worker: state.incarnation.name.clone(),
+            ran_ms,
+            loss: Some(reason),
+            crash: Some(Crash {
+                address: address.clone(),
+                ran_ms,
+                within_ms: clock::millis(run.within),
+                peers: u32::try_from(run.peers).unwrap_or(u32::MAX),
+                unstable,
+            }),
+        }
     });
     ends.collect()
 }
-
-fn end_of(state: &State, run: &CrashedRun, reason: LossReason) -> RunEnd {
-    let ran_ms = clock::millis(run.ran).max(1);
-    RunEnd {
-        task: run.task,
-        run: run.run,
-        cause: EndCause::Lost,
-        checkpoint: String::new(),
-        worker: state.incarnation.name.clone(),
-        ran_ms,
-        loss: Some(reason),
-        crash: Some(Crash {
-            address: state.heartbeat.address.clone(),
-            ran_ms,
-            within_ms: clock::millis(run.within),
-            peers: u32::try_from(run.peers).unwrap_or(u32::MAX),
-        }),
-    }
-}
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::client::Heartbeat;
+use super::crash::UnstableMachines;
 use super::managed::ManagedWorker;
 use super::zones::{self, ZoneWatch};
 use super::{AgentContext, crash, execute, follow, renewal, report};
@@ -28,6 +29,7 @@
     /// Stops the follower of the zones.
     stop: CancellationToken,
     workers: Mutex<HashMap<String, RegisteredWorker>>,
+    unstable: Mutex<UnstableMachines>,
 }
 
 impl WorkerRegistry {
@@ -43,12 +45,14 @@
             zones: watch,
             stop,
             workers: Mutex::default(),
+            unstable: Mutex::default(),
         }
     }
 
     /// Applies a heartbeat. One of an earlier incarnation is ignored.
     pub fn apply_heartbeat(&self, heartbeat: Heartbeat) {
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut unstable = self.unstable.lock().unwrap_or_else(PoisonError::into_inner);
         let mut crash_ends = Vec::new();
         if let Some(registered) = workers.get(&heartbeat.name) {
             let mut state = registered.worker.state();
@@ -71,9 +75,9 @@
                 return;
             }
             drop(state);
-            crash_ends = crash::end_runs(&registered.worker, LossReason::Restarted);
+            crash_ends = crash::end_runs(&registered.worker, LossReason::Restarted, &mut unstable);
         }
-        record_predecessors_gone(&workers, &heartbeat);
+        record_predecessors_gone(&workers, &heartbeat, &mut unstable);
         let name = heartbeat.name.clone();
         let registered = self.register(heartbeat, crash_ends);
         if let Some(old) = workers.insert(name, registered) {
@@ -131,7 +135,11 @@
 /// Marks workers of other names that started earlier at the address of `heartbeat` as gone. Calls
 /// name the worker, so nothing meant for them can run any more. An earlier incarnation of the same
 /// name is settled by its successor.
-fn record_predecessors_gone(workers: &HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) {
+fn record_predecessors_gone(
+    workers: &HashMap<String, RegisteredWorker>,
+    heartbeat: &Heartbeat,
+    unstable: &mut UnstableMachines,
+) {
     for registered in workers.values() {
         let older = {
             let state = registered.worker.state();
@@ -140,7 +148,7 @@
                 && state.incarnation.started_ms < heartbeat.started_ms
         };
         if older {
-            let ends = crash::end_runs(&registered.worker, LossReason::Replaced);
+            let ends = crash::end_runs(&registered.worker, LossReason::Replaced, unstable);
             registered.worker.state().crash_ends.extend(ends);
             record_gone(&registered.worker);
         }
--- a/crates/agate_node/tests/it/crashes.rs
+++ b/crates/agate_node/tests/it/crashes.rs
@@ -6,7 +6,8 @@
 use agate_jobs::{JobState, TaskKey};
 use agate_node::agent::WorkerRegistry;
 use agate_node::entry::Answer;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::support::{Caller as _, Cluster, FakeWorker, job_id, one_task_job, wait_until};
 
@@ -95,3 +96,113 @@
         .wait_for_answer(2, Answer::State(JobState::Completed))
         .await;
 }
+
+/// Sound tasks that were started together with a deadly one were started together again, and were given
+/// up with it.
+#[tokio::test(start_paused = true)]
+async fn sound_tasks_beside_one_that_crashes_its_worker_finish() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let machines = machines(&cluster, &["w1", "w2"]);
+    for machine in &machines {
+        machine.worker.crash_under(job_id(1));
+    }
+    for job in 1..=8 {
+        entry.submit_job(job, one_task_job()).await;
+    }
+    for job in 2..=8 {
+        entry
+            .wait_for_answer(job, Answer::State(JobState::Completed))
+            .await;
+    }
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Failed))
+        .await;
+}
+
+/// A new leader must count the crashes that its predecessor has read.
+#[tokio::test(start_paused = true)]
+async fn crashes_count_across_takeovers() {
+    let cluster = Cluster::new();
+    let stop = CancellationToken::new();
+    let first = cluster.stoppable_entry("e1", &stop).await;
+    let machines = machines(&cluster, &["w1"]);
+    machines[0].worker.crash_under(job_id(1));
+    first.submit_job(1, one_task_job()).await;
+    wait_until("it crashes", || machines[0].worker.crashes() == 1).await;
+    let second = cluster.entry("e2", cluster.log.client()).await;
+    stop.cancel();
+    second
+        .wait_for_answer(1, Answer::State(JobState::Failed))
+        .await;
+    assert!(starts_of(&machines, first_task(1)) < STARTS_TOO_MANY);
+}
+
+/// A worker that keeps its name knows nothing of its earlier incarnation.
+#[tokio::test(start_paused = true)]
+async fn crashes_count_for_a_worker_that_keeps_its_name() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.crash_under(job_id(1));
+    entry.submit_job(1, one_task_job()).await;
+    for incarnation in 2..=3 {
+        wait_for_crash(&worker).await;
+        sleep(OUTAGE).await;
+        worker.recover();
+        agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", incarnation));
+    }
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Failed))
+        .await;
+}
+
+/// An agent that restarts while its worker is down knows nothing of the earlier incarnation.
+#[tokio::test(start_paused = true)]
+async fn crashes_count_if_the_agent_restarts_during_each_outage() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, mut agent) = cluster.worker("w1");
+    worker.crash_under(job_id(1));
+    entry.submit_job(1, one_task_job()).await;
+    for incarnation in 2..=7 {
+        let crash = timeout(OUTAGE * 4, wait_for_crash(&worker)).await;
+        if crash.is_err() {
+            break;
+        }
+        agent.detach_all();
+        sleep(OUTAGE).await;
+        worker.recover();
+        agent = Cluster::agent(cluster.log.client());
+        let name = format!("w1-{incarnation}");
+        agent.apply_heartbeat(FakeWorker::heartbeat(&name, "w1", incarnation));
+    }
+    assert_eq!(entry.query_state(1).await, Answer::State(JobState::Failed));
+    assert!(worker.started_runs().len() < STARTS_TOO_MANY);
+}
+
+/// Tasks that run on a machine that keeps crashing were taken for the cause.
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_crashes_by_itself_condemns_no_task() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let machines = machines(&cluster, &["w1", "w2"]);
+    let unstable = machines[0].worker.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(1_700)).await;
+            if !unstable.is_down() {
+                unstable.crash();
+            }
+        }
+    });
+    for job in 1..=20 {
+        entry.submit_job(job, one_task_job()).await;
+        sleep(Duration::from_millis(400)).await;
+    }
+    for job in 1..=20 {
+        entry
+            .wait_for_answer(job, Answer::State(JobState::Completed))
+            .await;
+    }
+}
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -374,6 +374,9 @@
         loop {
             {
                 let mut state = self.state();
+                if state.behavior == Behavior::Unreachable {
+                    return Err(CallError::Unknown("connection reset".to_owned()));
+                }
                 state.advance();
                 state.ended.retain(|end| end.number > acknowledged);
                 if !state.ended.is_empty() || Instant::now() >= answer_by {
