Bind nothing to a worker that doesn't answer its agent

What callers saw: during the 3 s in which a crashed worker is away, tasks were bound to it over and over; each start was refused by the network and returned after 0.7 s. Cause: an agent goes on reporting its worker as ready until the lease has lapsed. Change: two calls in a row that fail, renewals or starts that don't reach the worker, make it unreachable; the agent reports that at once, and at once again when it answers. The scheduler counts such a worker as out of service, and the agent returns starts that can't be sent to it without waiting. Its runs stay bound to it: only the lease decides about them. Ruled out: counting a refused connection as the end of the runs (a cut may refuse connections while the worker runs on).

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -75,6 +75,7 @@
         zone: "zone".to_owned(),
         acked_suspicion: 0,
         cold_ms: 0,
+        unreachable: false,
         headroom: serving
             .iter()
             .map(|image| Headroom {
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -134,6 +134,7 @@
             headroom,
             interference,
             cold_ms: 0,
+            unreachable: false,
         }
     }
 
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -69,6 +69,9 @@
     /// Time for which the worker stays slow after its start, in milliseconds.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub cold_ms: u64,
+    /// Whether the worker doesn't answer its agent, so that nothing can be started on it.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unreachable: bool,
 }
 
 #[expect(
@@ -78,3 +81,11 @@
 const fn is_zero(value: &u64) -> bool {
     *value == 0
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -252,3 +252,16 @@
     };
     end
 }
+
+#[test]
+fn nothing_is_bound_to_a_worker_that_does_not_answer_its_agent() {
+    let mut down = report("a", 1);
+    down.unreachable = true;
+    let mut fleet = Fleet::new(&[down, report("b", 1)]);
+    fleet.fold(submitted(1, vec![step(4)]));
+    assert_eq!(workers_of(&fleet.place()), ["b"; 4]);
+    fleet.fold(submitted(2, vec![step(1)]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(Record::new(Body::Worker(report("a", 1))));
+    assert_eq!(workers_of(&fleet.place()), ["a"]);
+}
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -83,5 +83,6 @@
         headroom: Vec::new(),
         interference: Vec::new(),
         cold_ms: 0,
+        unreachable: false,
     }
 }
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -14,12 +14,18 @@
 use crate::clock;
 use crate::metrics::Event;
 
+/// Number of calls in a row that fail before the worker counts as unreachable. A single connection may
+/// be reset.
+const UNREACHABLE_FAILURES: u32 = 2;
+
 /// When the worker was last known to be alive.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Contact {
     answered_at: Instant,
     /// Time of the first call since then that failed.
     failed_at: Option<Instant>,
+    /// Number of calls since then that failed.
+    failures: u32,
 }
 
 impl Default for Contact {
@@ -27,6 +33,7 @@
         Self {
             answered_at: Instant::now(),
             failed_at: None,
+            failures: 0,
         }
     }
 }
@@ -40,6 +47,12 @@
     /// Records that a call has failed.
     pub fn record_failure(&mut self) {
         self.failed_at.get_or_insert_with(Instant::now);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Returns whether the worker doesn't answer, so that nothing should be started on it.
+    pub const fn is_unreachable(&self) -> bool {
+        self.failures >= UNREACHABLE_FAILURES
     }
 }
 
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -197,8 +197,10 @@
         if !matches!(reply, Err(CallError::NotSent(_))) {
             state.record_grant(deadline_ms);
         }
-        if reply.is_ok() {
-            state.contact.record_answer();
+        match reply {
+            Ok(_) => worker.record_contact(&mut state, true),
+            Err(CallError::NotSent(_)) => worker.record_contact(&mut state, false),
+            Err(_) => {}
         }
     }
     let took = started.elapsed();
@@ -286,7 +288,11 @@
 /// stays unreachable. The orders are not checked at once: a worker that refuses connections answers
 /// within a fraction of a millisecond.
 fn retry_later(worker: &Arc<ManagedWorker>, task: TaskKey, run: u32) {
-    if worker.state().silent_for(clock::boottime()) > UNREACHABLE_TIMEOUT {
+    let is_lost = {
+        let state = worker.state();
+        state.contact.is_unreachable() || state.silent_for(clock::boottime()) > UNREACHABLE_TIMEOUT
+    };
+    if is_lost {
         return_run(worker, task, run, EndCause::Refused);
         return;
     }
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -170,6 +170,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a call to the worker was answered, or that it failed. The worker is reported at once
+    /// if it has become reachable or unreachable.
+    pub fn record_contact(&self, state: &mut State, answered: bool) {
+        let was_unreachable = state.contact.is_unreachable();
+        if answered {
+            state.contact.record_answer();
+        } else {
+            state.contact.record_failure();
+        }
+        if state.contact.is_unreachable() != was_unreachable {
+            state.reported_at = None;
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Returns the boot time up to which the lease may be renewed; `None` if it may not.
     pub fn lease_limit(&self, state: &State) -> Option<Duration> {
         let suspected = state.suspicion.as_ref().is_some_and(|s| s.suspected);
@@ -295,6 +310,7 @@
             headroom: self.pacing.headroom(),
             interference: self.pacing.interference(),
             cold_ms: self.cold_ms(),
+            unreachable: self.contact.is_unreachable(),
         }
     }
 
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -119,7 +119,7 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
-            state.contact.record_failure();
+            worker.record_contact(&mut state, false);
             return Err(error.to_string());
         }
     };
@@ -127,10 +127,10 @@
         .started_ms
         .is_some_and(|started_ms| started_ms != incarnation.started_ms)
     {
-        state.contact.record_failure();
+        worker.record_contact(&mut state, false);
         return Err(CallError::OtherLife.to_string());
     }
-    state.contact.record_answer();
+    worker.record_contact(&mut state, true);
     state.clock = Some(ClockReading {
         worker_ms: reply.worker_ms,
         at: clock::boottime(),
--- a/crates/agate_node/tests/it/crashes.rs
+++ b/crates/agate_node/tests/it/crashes.rs
@@ -206,3 +206,21 @@
             .await;
     }
 }
+
+/// Tasks were bound to a crashed worker until it came back, and each start was attempted for 0.7 s.
+#[tokio::test(start_paused = true)]
+async fn a_crashed_worker_gets_no_tasks() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (down, _agent) = cluster.worker("w1");
+    let (other, _other_agent) = cluster.worker("w2");
+    sleep(Duration::from_secs(2)).await;
+    down.crash();
+    sleep(Duration::from_secs(1)).await;
+    let attempts = down.start_attempts();
+    for job in 1..=3 {
+        entry.submit_job(job, one_task_job()).await;
+    }
+    wait_until("they run", || other.running() == 3).await;
+    assert_eq!(down.start_attempts(), attempts);
+}
