Continue the runs of a crashed worker from their last listed checkpoint

What callers saw: a task that had run for seconds began anew after the crash of its worker, though it writes checkpoints. Cause: the leader ended such runs as lost, without a checkpoint; the agent had read one every half second and dropped it. Change: the agent keeps the newest checkpoint that the worker lists for each run, and records it with the end by a crash. Result: a_crashed_run_continues_from_the_checkpoint_listed_last fails before and passes.

--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -87,6 +87,8 @@
     pub ran: Duration,
     /// Time from its start within which the worker crashed.
     pub within: Duration,
+    /// Newest checkpoint that the worker has listed; empty if there is none.
+    pub checkpoint: String,
     /// Number of other runs that had not been running for noticeably longer.
     pub peers: usize,
 }
@@ -111,6 +113,7 @@
             run: run.number,
             ran: *ran,
             within: failed_at.duration_since(run.since),
+            checkpoint: run.checkpoint.clone(),
             peers: younger(*ran + RECENT_START) - 1,
         })
         .collect()
@@ -150,7 +153,7 @@
             task: run.task,
             run: run.run,
             cause: EndCause::Lost,
-            checkpoint: String::new(),
+            checkpoint: run.checkpoint,
             worker: state.incarnation.name.clone(),
             ran_ms,
             loss: Some(reason),
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -102,6 +102,7 @@
     let run = state.runs.entry(row.task);
     let run = run.or_insert_with(|| Run::new(row.run, Phase::Started(clock::boottime())));
     if run.number == row.run {
+        run.checkpoint.clone_from(&row.checkpoint);
         run.missing_lists = 0;
         run.unanswered = false;
         if let Phase::Unconfirmed(_) = run.phase {
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -50,6 +50,8 @@
     /// When it was first known to run, or when its start was sent.
     pub since: Instant,
     pub progress: Progress,
+    /// Newest checkpoint that the worker has listed; empty if there is none.
+    pub checkpoint: String,
     /// Whether it was stopped for lack of progress.
     pub stalled: bool,
     /// Number of consecutive lists, requested after the worker's answer, that lacked the run.
@@ -119,6 +121,7 @@
             phase,
             since: Instant::now(),
             progress: Progress::default(),
+            checkpoint: String::new(),
             stalled: false,
             missing_lists: 0,
             unanswered: false,
--- a/crates/agate_node/tests/it/crashes.rs
+++ b/crates/agate_node/tests/it/crashes.rs
@@ -224,3 +224,19 @@
     wait_until("they run", || other.running() == 3).await;
     assert_eq!(down.start_attempts(), attempts);
 }
+
+/// Work since the start of a run was lost although the worker had listed a checkpoint.
+#[tokio::test(start_paused = true)]
+async fn a_crashed_run_continues_from_the_checkpoint_listed_last() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let machines = machines(&cluster, &["w1"]);
+    let worker = &machines[0].worker;
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    sleep(Duration::from_secs(1)).await;
+    worker.crash();
+    wait_until("it runs again", || worker.running() == 1).await;
+    assert_eq!(worker.checkpoint_of(first_task(1)), "half");
+}
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -53,6 +53,8 @@
 #[derive(Debug)]
 struct Running {
     run: u32,
+    /// Checkpoint that it was started from.
+    checkpoint: String,
     since: Instant,
 }
 
@@ -202,6 +204,13 @@
         self.state().started_runs.clone()
     }
 
+    /// Returns the checkpoint that a running task was started from.
+    pub(crate) fn checkpoint_of(&self, task: TaskKey) -> String {
+        let state = self.state();
+        let running = state.running.get(&task).expect("it runs");
+        running.checkpoint.clone()
+    }
+
     pub(crate) fn running(&self) -> usize {
         let mut state = self.state();
         state.advance();
@@ -291,6 +300,7 @@
             order.task,
             Running {
                 run: order.run,
+                checkpoint: order.checkpoint.clone(),
                 since: Instant::now(),
             },
         );
