Place the tasks of a step together where nothing else decides

What callers saw: one crash made nearly every urgent job late that ran at that time. Cause: tasks of a step were spread over the workers, and a job finishes with its last task, so it depended on all of them. Change: the placement of tasks that are neither serving nor best-effort prefers workers that run others of their step, by as much as a tenth of a worker's load.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -38,7 +38,7 @@
 const BEST_EFFORT_WEIGHT: f64 = 0.3;
 
 /// Weight, for the same tasks, of each task of the same step on a worker.
-const SIBLING_WEIGHT: f64 = 0.05;
+const SIBLING_WEIGHT: f64 = -0.1;
 
 /// Cost of a worker that is still slow after its start. It exceeds the usual differences in cost
 /// between workers, but not the cost of a prior failure.
--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -5,7 +5,9 @@
 use agate_jobs::crash::{Attribution, Crash, CrashHistory};
 use agate_jobs::plan::Placement;
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, JobState, JobTable, LossReason, Record, RunEnd, TaskKey, WorkerState};
+use agate_jobs::{
+    EndCause, JobState, JobTable, LossReason, Record, RunEnd, TaskKey, WorkerReport, WorkerState,
+};
 use rstest::rstest;
 
 use crate::fleet::Fleet;
@@ -265,3 +267,17 @@
     fleet.fold(Record::new(Body::Worker(report("a", 1))));
     assert_eq!(workers_of(&fleet.place()), ["a"]);
 }
+
+/// A job spread over many workers is late whichever of them crashes.
+#[test]
+fn tasks_of_a_step_are_placed_together() {
+    let large = |name| WorkerReport {
+        capacity: agate_core::Resources::new(64_000, 256_000, 0),
+        ..report(name, 1)
+    };
+    let mut fleet = Fleet::new(&[large("a"), large("b"), large("c")]);
+    fleet.fold(submitted(1, vec![step(6)]));
+    let placed = fleet.place();
+    let workers = workers_of(&placed);
+    assert_eq!(workers, [workers[0]; 6]);
+}
