Forget a crashed worker once its departure is recorded

What operators saw: worker_left lines for every earlier worker of a machine after each crash, and more calls to the store from crash to crash. Cause: an agent kept every worker that had ever registered, went on reading its orders, and reported all of them as gone again when the next one registered. Change: a worker whose departure is recorded is dropped, and its tasks stop, when its successor registers. A heartbeat is ignored if a worker that started later is known at its address, so a delayed one of a dropped worker doesn't bring it back.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -11,6 +11,7 @@
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
@@ -69,6 +70,8 @@
     pub zones: Option<Arc<ZoneWatch>>,
     /// Notified when orders, suspicion or state have changed.
     pub changed: Notify,
+    /// Cancelled once it is recorded that the worker has left.
+    pub departed: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -165,6 +168,7 @@
             client,
             zones,
             changed: Notify::new(),
+            departed: CancellationToken::new(),
             state: Mutex::new(state),
         }
     }
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -77,7 +77,15 @@
             drop(state);
             crash_ends = crash::end_runs(&registered.worker, LossReason::Restarted, &mut unstable);
         }
+        if has_successor(&workers, &heartbeat) {
+            log::info!(
+                event = "heartbeat_stale", worker = heartbeat.name.as_str(),
+                born = heartbeat.started_ms, address = heartbeat.address.as_str(); ""
+            );
+            return;
+        }
         record_predecessors_gone(&workers, &heartbeat, &mut unstable);
+        forget_departed(&mut workers, &heartbeat);
         let name = heartbeat.name.clone();
         let registered = self.register(heartbeat, crash_ends);
         if let Some(old) = workers.insert(name, registered) {
@@ -85,6 +93,12 @@
         }
     }
 
+    /// Returns the number of known workers.
+    pub fn worker_count(&self) -> usize {
+        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        workers.len()
+    }
+
     /// Marks a worker as gone.
     pub fn mark_gone(&self, name: &str) {
         let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -146,6 +160,7 @@
             state.heartbeat.address == heartbeat.address
                 && state.incarnation.name != heartbeat.name
                 && state.incarnation.started_ms < heartbeat.started_ms
+                && state.status != WorkerState::Gone
         };
         if older {
             let ends = crash::end_runs(&registered.worker, LossReason::Replaced, unstable);
@@ -155,6 +170,28 @@
     }
 }
 
+/// Returns whether a worker that started later is known at the address of `heartbeat`, which has then
+/// been delayed.
+fn has_successor(workers: &HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) -> bool {
+    workers.values().any(|registered| {
+        let state = registered.worker.state();
+        state.heartbeat.address == heartbeat.address
+            && state.incarnation.started_ms > heartbeat.started_ms
+    })
+}
+
+/// Stops the tasks of workers that have left the address of `heartbeat`, once that is recorded.
+fn forget_departed(workers: &mut HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) {
+    workers.retain(|_, registered| {
+        let address = registered.worker.state().heartbeat.address.clone();
+        let departed = registered.worker.departed.is_cancelled() && address == heartbeat.address;
+        if departed {
+            registered.stop.cancel();
+        }
+        !departed
+    });
+}
+
 fn log_found(worker: &ManagedWorker) {
     let state = worker.state();
     log::info!(
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -37,7 +37,10 @@
             worker.state().crash_ends.retain(|end| !ends.contains(end));
         }
         match recorded {
-            Ok(_) if state == WorkerState::Gone => return,
+            Ok(_) if state == WorkerState::Gone => {
+                worker.departed.cancel();
+                return;
+            }
             Ok(_) => {}
             Err(error) => {
                 log::warn!(event = "report_failed", cause:% = error; "");
--- a/crates/agate_node/tests/it/crashes.rs
+++ b/crates/agate_node/tests/it/crashes.rs
@@ -240,3 +240,24 @@
     wait_until("it runs again", || worker.running() == 1).await;
     assert_eq!(worker.checkpoint_of(first_task(1)), "half");
 }
+
+/// An agent followed the orders of every worker that had ever crashed at its address, and reported each
+/// as gone again after every further crash.
+#[tokio::test(start_paused = true)]
+async fn an_agent_forgets_a_crashed_worker_once_its_departure_is_recorded() {
+    let cluster = Cluster::new();
+    let _entry = cluster.entry("e1", cluster.log.client()).await;
+    let (_worker, agent) = cluster.worker("w1");
+    for incarnation in 2..=20 {
+        sleep(Duration::from_secs(2)).await;
+        let name = format!("w1-{incarnation}");
+        agent.apply_heartbeat(FakeWorker::heartbeat(&name, "w1", incarnation));
+    }
+    assert!(
+        agent.worker_count() <= 2,
+        "{} workers",
+        agent.worker_count()
+    );
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1-3", "w1", 3));
+    assert!(agent.worker_count() <= 2, "a delayed heartbeat counts");
+}
