Count a run that goes down with its worker right after its start as failed, on the product's own log

The agent reported a run that its restarted worker no longer knows as stopped, which neither the attempts in the log nor the failure records of the entries count, so a task that crashes its workers is started without a limit. Change: such a run counts as failed if it is known to have run for a second at most. The existing rules then apply: attempts in the log, and blame split between workers and jobs at the entries. The stand-in of the worker can restart. Ruled out: counting runs on workers that stay silent until their lease lapses (cuts do that too). Result: the test's case right after the start fails before (stopped) and passes.

--- a/crates/agate_agent/src/batch/hold.rs
+++ b/crates/agate_agent/src/batch/hold.rs
@@ -20,6 +20,10 @@
 /// Time after a lease's deadline by which even a slow worker has paused the run.
 const LEASE_LAPSE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time after its start within which a run that its restarted worker doesn't know counts as failed. A
+/// longer one was surely running, so the worker more likely restarted for another reason.
+const CRASH_WINDOW: Duration = Duration::from_secs(1);
+
 /// Supervises one run and tracks what was sent to the worker.
 struct RunHolder {
     core: Arc<Core>,
@@ -30,6 +34,8 @@
     pace: Pace,
     worker_contact: Contact,
     started_at: Instant,
+    /// Time for which the run is known to have run.
+    ran: Duration,
 }
 
 /// Whether the worker answered the last call.
@@ -66,6 +72,7 @@
         pace: Pace::Full,
         worker_contact: Contact::Answered,
         started_at: Instant::now(),
+        ran: Duration::ZERO,
     };
     let holding = bindings.holders.track_future(holder.hold(request, reply));
     core.tasks.spawn(holding);
@@ -149,11 +156,12 @@
             match self.poll().await {
                 Ok(status) => {
                     self.worker_contact = Contact::Answered;
+                    self.ran = self.started_at.elapsed();
                     if let Some(result) = status::to_result(status) {
                         return RunExit::Ended(result);
                     }
                 }
-                Err(WorkerError::Unknown) => return RunExit::Ended(RunResult::Stopped),
+                Err(WorkerError::Unknown) => return RunExit::Ended(self.crash_result()),
                 Err(WorkerError::Refused(cause)) => {
                     log::warn!(event = "worker_refused", run:% = self.run, cause = cause.as_str(); "");
                 }
@@ -167,6 +175,23 @@
         }
     }
 
+    /// Returns the result of a run that its worker has forgotten, as a restarted one has. Without the
+    /// failure, a task that crashes each worker would be started without a limit.
+    fn crash_result(&self) -> RunResult {
+        let is_ending = self.core.phase() == Phase::Ending;
+        if is_ending || self.ran > CRASH_WINDOW {
+            return RunResult::Stopped;
+        }
+        log::warn!(
+            event = "worker_restarted", run:% = self.run,
+            ran_ms = u64::try_from(self.ran.as_millis()).unwrap_or(u64::MAX); ""
+        );
+        RunResult::Failed {
+            reason: "the worker restarted right after the start".to_owned(),
+            exhausted: false,
+        }
+    }
+
     /// Applies the step in force for the run or, without one, renews the lease.
     async fn poll(&mut self) -> Result<TaskStatus, WorkerError> {
         let worker = &self.core.worker;
--- a/crates/agate_agent/tests/agent/runs.rs
+++ b/crates/agate_agent/tests/agent/runs.rs
@@ -1,5 +1,7 @@
 //! Start, actions and end of batch runs.
 
+use std::time::Duration;
+
 use agate_core::ids::Offset;
 use agate_core::{Position, Resources, Version};
 use agate_wire::message::{
@@ -8,7 +10,7 @@
 };
 use agate_wire::rpc::AgentRpcClient;
 use rstest::rstest;
-use standin_worker::TaskStatus;
+use standin_worker::{Fault, TaskStatus};
 
 use crate::support::{LONG_TASK, SHORT_TASK, WorkerFixture, connect_agent, is_refused, wait_until};
 
@@ -80,6 +82,29 @@
     assert!(fixture.worker.ran().peak_memory <= 4_096);
 }
 
+/// A task that crashes each worker was reported as stopped, which no limit counts.
+#[rstest]
+#[case::right_after_the_start(Duration::ZERO, true)]
+#[case::long_after_the_start(Duration::from_millis(1_600), false)]
+#[tokio::test]
+async fn run_that_a_restarted_worker_has_forgotten_counts_as_failed_if_it_was_new(
+    #[case] age: Duration,
+    #[case] fails: bool,
+) {
+    let fixture = WorkerFixture::set_up().await;
+    let run = fixture.start_request(0, 1, LONG_TASK);
+    assert_eq!(fixture.start(run.clone()).await, StartReply::Started);
+    tokio::time::sleep(age).await;
+    fixture.worker.set_fault(Fault::Restarted);
+    let result = fixture.wait_for_report(run.run).await.result;
+    assert_eq!(
+        matches!(result, RunResult::Failed { .. }),
+        fails,
+        "{result:?}"
+    );
+    assert_eq!(result == RunResult::Stopped, !fails);
+}
+
 #[tokio::test]
 async fn evicted_run_resumes_from_its_checkpoint() {
     let fixture = WorkerFixture::set_up().await;
--- a/crates/standin_worker/src/engine.rs
+++ b/crates/standin_worker/src/engine.rs
@@ -155,7 +155,12 @@
     }
 
     pub(crate) fn set_fault(&self, fault: Fault) {
-        self.lock().fault = fault;
+        let mut inner = self.lock();
+        inner.fault = fault;
+        if fault == Fault::Restarted {
+            inner.tasks.clear();
+            inner.order.clear();
+        }
     }
 
     pub(crate) fn fault(&self) -> Fault {
--- a/crates/standin_worker/src/fault.rs
+++ b/crates/standin_worker/src/fault.rs
@@ -15,6 +15,8 @@
     /// No request is answered, except for the record and faults; tasks run until their leases
     /// expire.
     Silence,
+    /// The worker has restarted: it knows none of the tasks that it had been given. Later ones run.
+    Restarted,
     /// The next checkpoint request switches the worker to [`Fault::Silence`] and never completes.
     VanishInCheckpoint,
 }
