Keep a late report from bringing back an earlier capacity

What operators would see: tasks placed beyond the capacity of a worker that has shrunk, until its agent's next report. Cause: of two reports on one incarnation with the same term and acknowledgement the one recorded last counted, and an append may take effect seconds late. Change: reports carry the sequence number of the worker's heartbeat, and one with an older heartbeat is ignored. Reports of older agents carry none and are compared as before. Ruled out: the agent's own clock (it begins anew with the process).

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -76,6 +76,7 @@
         acked_suspicion: 0,
         cold_ms: 0,
         unreachable: false,
+        heartbeat: 0,
         headroom: serving
             .iter()
             .map(|image| Headroom {
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -135,6 +135,7 @@
             interference,
             cold_ms: 0,
             unreachable: false,
+            heartbeat: 0,
         }
     }
 
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -1,5 +1,6 @@
 //! Folding of records into job and worker state.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 use agate_core::JobId;
@@ -306,7 +307,9 @@
 }
 
 /// Returns whether a report is older than the newest one. An append may take effect after later ones.
-/// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease.
+/// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease, and
+/// of two reports with the same ones that with the later heartbeat is valid: the worker's capacity may
+/// have changed.
 /// The report that the worker has left is final, and an agent may send it before it knows the term.
 fn is_outdated(report: &WorkerReport, known: &WorkerReport) -> bool {
     let start = report.incarnation.started_ms;
@@ -315,8 +318,13 @@
         return start < known_start;
     }
     let progress = |report: &WorkerReport| (report.incarnation.term, report.acked_suspicion);
-    known.state == WorkerState::Gone
-        || (report.state != WorkerState::Gone && progress(report) < progress(known))
+    let has_older_heartbeat = report.heartbeat > 0 && report.heartbeat < known.heartbeat;
+    let is_older = match progress(report).cmp(&progress(known)) {
+        Ordering::Less => true,
+        Ordering::Equal => has_older_heartbeat,
+        Ordering::Greater => false,
+    };
+    known.state == WorkerState::Gone || (report.state != WorkerState::Gone && is_older)
 }
 
 fn learn(run_times: &mut RunTimes, job: &Job, end: &RunEnd) {
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -72,6 +72,10 @@
     /// Whether the worker doesn't answer its agent, so that nothing can be started on it.
     #[serde(default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
+    /// Sequence number of the worker's heartbeat that the report is based on; zero if unknown. It
+    /// increases within an incarnation, whichever agent reports.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub heartbeat: u64,
 }
 
 #[expect(
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -84,5 +84,6 @@
         interference: Vec::new(),
         cold_ms: 0,
         unreachable: false,
+        heartbeat: 0,
     }
 }
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -318,6 +318,7 @@
             interference: self.pacing.interference(),
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
+            heartbeat: self.heartbeat.sequence,
         }
     }
 
