Offer no spare processor time on a worker smaller than its tasks

What callers would see: best-effort tasks on a worker that has shrunk below its serving tasks, which then miss their targets. Cause: the room left was clamped at zero before the idle share of the serving tasks was added. Change: both are taken from the capacity together. Ruled out by tests that pass on the old code: placements, gangs, stops that have not ended and takeovers on a shrunken worker. Result: a_worker_smaller_than_its_serving_tasks_has_nothing_to_spare fails before and passes.

--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -155,7 +155,9 @@
         }
         let room = room.saturating_sub(without_cpu(self.reserved + self.held));
         let idle = self.long_running_millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
-        let spare = (room.millicores + idle).saturating_sub(self.best_effort_millicores);
+        // More may be in use than the worker has, if it has shrunk.
+        let used = self.used.millicores + self.best_effort_millicores;
+        let spare = (self.report.capacity.millicores + idle).saturating_sub(used);
         demand.fits_in(Resources {
             millicores: spare,
             ..room
