Check at the agent that a run fits on its worker as it is now

What operators would see: starts beyond the capacity of a worker that guards nothing and has shrunk since its tasks were bound. Cause: the leader decides with the newest report, and an order may wait at the agent or on its way for seconds; nobody compared it with the worker's size again. Change: before a start the agent adds up what the runs in progress occupy, those that are being stopped included, and returns an order that doesn't fit as having no room. Ruled out: asking the leader to withdraw orders (it may not be reachable, and the agent knows the size first). Result: orders_beyond_the_current_capacity_are_returned fails before (four run on two cores) and passes.

--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -157,6 +157,26 @@
     },
 }
 
+impl Order {
+    /// Returns the resources that the run takes from its worker's capacity. A best-effort task uses
+    /// processor time that others leave.
+    pub const fn occupies(&self) -> agate_core::Resources {
+        let (OrderKind::Start {
+            demand,
+            best_effort,
+            ..
+        }
+        | OrderKind::Stop {
+            demand,
+            best_effort,
+        }) = &self.kind;
+        agate_core::Resources {
+            millicores: if *best_effort { 0 } else { demand.millicores },
+            ..*demand
+        }
+    }
+}
+
 /// The scheduler's suspicion of a worker. Written only by the scheduler.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionRecord {
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -135,6 +135,10 @@
     if until < now + MIN_LEASE {
         return Err(WaitReason::ShortLease);
     }
+    if !state.has_room(&order) {
+        refuse(worker, state, &order, EndCause::NoRoom);
+        return Ok(());
+    }
     let deadline_ms = reading.deadline(until.min(now + START_WINDOW));
     insert(state, &order, Phase::Starting);
     let worker = Arc::clone(worker);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -281,6 +281,17 @@
         order.is_some_and(|order| order.run == run && self.is_current(order))
     }
 
+    /// Returns whether a run fits beside the runs in progress, those that are being stopped included. The
+    /// worker's capacity may have shrunk since the scheduler bound the run.
+    pub fn has_room(&self, order: &Order) -> bool {
+        let in_progress = self.orders.values().filter(|known| {
+            let run = self.runs.get(&known.task);
+            run.is_some_and(|run| run.number == known.run && run.phase != Phase::Ended)
+        });
+        let used = in_progress.fold(Resources::ZERO, |used, known| used + known.occupies());
+        (used + order.occupies()).fits_in(self.heartbeat.capacity)
+    }
+
     /// Returns the runs that were ordered for earlier incarnations of the worker.
     pub fn earlier_runs(&self) -> HashSet<(TaskKey, u32)> {
         let earlier = self.orders.values();
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod capacity;
 mod crashes;
 mod diagnosis;
 mod leaders;
