Blame a silent worker's crash on the first start that it didn't answer

What callers would see: sound jobs given up, and deadly tasks started six times, where a crash shows only as silence. The known run time was counted to the last answer, so every start since then looked equally new, also those sent to a worker that was down already, and one that had been answered long before the next was sent. A machine's crashes by such tasks also counted as crashes by itself, which made later evidence on it void. Change: if a broken connection shows the crash, it is timed by that, else by the first start that got no answer; later starts are not blamed.

--- a/crates/agate_jobs/src/crash/evidence.rs
+++ b/crates/agate_jobs/src/crash/evidence.rs
@@ -4,8 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Longest time for which a run counts as recently started. Agents hear from a worker at least every
-/// half second, so a run may be unlisted for as long as this before it has surely survived its start.
+/// Largest difference in age at which two runs may equally have caused a crash.
 pub const RECENT_START: Duration = Duration::from_millis(40);
 
 /// Longest time from the start of a run to the crash for which the crash counts as prompt. A worker
@@ -17,7 +16,7 @@
 pub struct Crash {
     /// Address of the worker, which outlives its incarnations.
     pub address: String,
-    /// Time for which the run is known to have run, in milliseconds.
+    /// Time for which the run ran, by the best estimate of the time of the crash, in milliseconds.
     pub ran_ms: u64,
     /// Time from the start of the run within which the worker crashed, in milliseconds.
     pub within_ms: u64,
@@ -32,7 +31,7 @@
 impl Crash {
     /// Returns whether the run had just been started.
     pub(super) fn is_recent(&self) -> bool {
-        Duration::from_millis(self.ran_ms) <= RECENT_START
+        Duration::from_millis(self.ran_ms) <= PROMPT_CRASH
     }
 
     /// Returns whether the run was started right before the crash.
@@ -40,9 +39,14 @@
         Duration::from_millis(self.within_ms) <= PROMPT_CRASH
     }
 
+    /// Returns whether this run alone was the newest one.
+    pub(super) const fn is_lone(&self) -> bool {
+        self.peers == 0
+    }
+
     /// Returns whether this run, and no other, was started right before the crash of a machine that
     /// doesn't crash by itself.
     pub(super) fn is_decisive(&self) -> bool {
-        self.is_prompt() && self.peers == 0 && !self.unstable
+        self.is_prompt() && self.is_lone() && !self.unstable
     }
 }
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -56,6 +56,10 @@
     }
 }
 
+/// Longest time from a worker's last answer to the first failure if the crash broke a connection. A lease
+/// renewal waits for half a second at most; one that gets no answer fails after 0.7 s or more.
+const PROMPT_NOTICE: Duration = Duration::from_millis(600);
+
 /// Time for which a crash without a start right before it makes a machine unstable.
 const UNSTABLE_FOR: Duration = Duration::from_mins(1);
 
@@ -72,7 +76,7 @@
     /// Records a crash under `runs`, unless one of them was started right before it.
     fn record(&mut self, address: &str, runs: &[CrashedRun]) {
         self.0.retain(|_, at| at.elapsed() < UNSTABLE_FOR);
-        if runs.iter().all(|run| run.within > PROMPT_CRASH) {
+        if runs.iter().all(|run| run.ran > PROMPT_CRASH) {
             self.0.insert(address.to_owned(), Instant::now());
         }
     }
@@ -83,7 +87,7 @@
 pub(super) struct CrashedRun {
     pub task: TaskKey,
     pub run: u32,
-    /// Time for which it is known to have run.
+    /// Time for which it ran, by the best estimate of the time of the crash.
     pub ran: Duration,
     /// Time from its start within which the worker crashed.
     pub within: Duration,
@@ -93,15 +97,26 @@
     pub peers: usize,
 }
 
-/// Returns the runs that were in progress when the worker crashed.
+/// Returns the runs that may have been in progress when the worker crashed. Of the starts since its
+/// last answer only the first ones may have reached it: if they did not crash it, it was down already.
 pub(super) fn crashed_runs(state: &State) -> Vec<CrashedRun> {
     let answered_at = state.contact.answered_at;
     let failed_at = state.contact.failed_at.unwrap_or_else(Instant::now);
     let in_progress = |run: &Run| run.phase != Phase::Ended && run.since <= failed_at;
-    let runs = state.runs.iter().filter(|(_, run)| in_progress(run));
-    let known: Vec<_> = runs
+    let runs = || state.runs.iter().filter(|(_, run)| in_progress(run));
+    let unanswered = runs().map(|(_, run)| run.since);
+    let first_unanswered = unanswered.filter(|since| *since > answered_at).min();
+    let noticed_at_once = failed_at.duration_since(answered_at) <= PROMPT_NOTICE;
+    let crashed_at = if noticed_at_once {
+        failed_at
+    } else {
+        first_unanswered.unwrap_or(answered_at)
+    };
+    let latest = first_unanswered.map_or(failed_at, |first| first + RECENT_START);
+    let known: Vec<_> = runs()
+        .filter(|(_, run)| run.since <= latest)
         .map(|(task, run)| {
-            let ran = answered_at.saturating_duration_since(run.since);
+            let ran = crashed_at.saturating_duration_since(run.since);
             (*task, run, ran)
         })
         .collect();
--- a/crates/agate_node/src/entry/lead/crashes.rs
+++ b/crates/agate_node/src/entry/lead/crashes.rs
@@ -22,7 +22,7 @@
     log::warn!(
         event = "crash_attributed", task:% = end.task, run = end.run, worker = end.worker.as_str(),
         address = crash.address.as_str(), ran_ms = crash.ran_ms, within_ms = crash.within_ms,
-        peers = crash.peers, attribution:%; ""
+        peers = crash.peers, unstable = crash.unstable, attribution:%; ""
     );
 }
 
