--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -307,10 +307,10 @@
 }
 
 /// Returns whether a report is older than the newest one. An append may take effect after later ones.
-/// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease, and
-/// of two reports with the same ones that with the later heartbeat is valid: the worker's capacity may
-/// have changed.
-/// The report that the worker has left is final, and an agent may send it before it knows the term.
+/// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease. Of
+/// two reports that agree in both, the one with the later heartbeat is valid: the worker's capacity may
+/// have changed. The report that the worker has left is final, and an agent may send it before it knows
+/// the term.
 fn is_outdated(report: &WorkerReport, known: &WorkerReport) -> bool {
     let start = report.incarnation.started_ms;
     let known_start = known.incarnation.started_ms;
