--- a/crates/agate_records/tests/support/mod.rs
+++ b/crates/agate_records/tests/support/mod.rs
@@ -104,8 +104,8 @@
         incarnation(),
         any::<SocketAddr>(),
     )
-        .prop_map(|(heartbeat, random, incarnation, address)| KeyBound {
-            key: Key::from_parts(heartbeat, random),
+        .prop_map(|(made_ms, random, incarnation, address)| KeyBound {
+            key: Key::from_parts(made_ms, random),
             incarnation,
             // Addresses in settings have no IPv6 flow label or scope id.
             address: SocketAddr::new(address.ip(), address.port()),
--- a/crates/agate_state/tests/cases/keys.rs
+++ b/crates/agate_state/tests/cases/keys.rs
@@ -13,8 +13,8 @@
 const WINDOW: Duration = Duration::from_mins(15);
 const NOW_MS: u64 = 10_000_000;
 
-fn key(heartbeat: u64, id: u8) -> Key {
-    Key::from_parts(heartbeat, [id; 10])
+fn key(made_ms: u64, id: u8) -> Key {
+    Key::from_parts(made_ms, [id; 10])
 }
 
 fn bound(key: Key, incarnation: Incarnation) -> KeyBound {
@@ -49,9 +49,9 @@
 #[case::within_the_skew(NOW_MS - 960_000, true)]
 #[case::past_window_and_skew(NOW_MS - 960_001, false)]
 #[case::from_the_future(NOW_MS + 60_001, false)]
-fn key_is_bound_only_within_the_window_plus_clock_skew(#[case] heartbeat: u64, #[case] held: bool) {
+fn key_is_bound_only_within_the_window_plus_clock_skew(#[case] made_ms: u64, #[case] held: bool) {
     let mut bindings = KeyBindings::new(WINDOW);
-    let effect = bindings.apply(position(1), &bound(key(heartbeat, 1), A), NOW_MS);
+    let effect = bindings.apply(position(1), &bound(key(made_ms, 1), A), NOW_MS);
     assert_eq!(effect == KeyEffect::Bound, held);
 }
 
