Report why long-running tasks wait for a worker

The logs couldn't tell a lack of room from a task that is passed over although there is room. The leader logs the long-running task that has waited longest, once a second, with its demand, the workers that it may run on and the most that one of them has free, and exports the number of waiting ones.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -136,15 +136,22 @@
     task: Candidate<'_>,
     now: Moment,
 ) -> Option<usize> {
-    let allowed = workers
-        .iter()
-        .enumerate()
-        .filter(|(_, worker)| is_allowed(worker, task, now));
-    let lacking = allowed
-        .filter_map(|(slot, worker)| Some((worker.missing_millicores(task.step.demand)?, slot)));
+    let lacking = allowed(workers, task, now)
+        .filter_map(|slot| Some((workers[slot].missing_millicores(task.step.demand)?, slot)));
     lacking.min().map(|(_, slot)| slot)
 }
 
+/// Returns the workers that a task may run on, regardless of the room left.
+pub(super) fn allowed<'a>(
+    workers: &'a [Worker],
+    task: Candidate<'a>,
+    now: Moment,
+) -> impl Iterator<Item = usize> + 'a {
+    let workers = workers.iter().enumerate();
+    let allowed = workers.filter(move |(_, worker)| is_allowed(worker, task, now));
+    allowed.map(|(slot, _)| slot)
+}
+
 fn fits(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     is_allowed(worker, task, now) && worker.has_room(task.step)
 }
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -14,6 +14,7 @@
 mod suspects;
 mod suspicion;
 mod suspicion_times;
+mod waits;
 mod withdrawal;
 mod worker;
 
@@ -22,4 +23,5 @@
 pub use scheduler::{Placement, Scheduler};
 pub use suspicion::SUSPECT_AFTER;
 pub use suspicion_times::SuspicionTimes;
+pub use waits::LongWait;
 pub use withdrawal::{ZoneChange, ZoneRuns};
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -21,6 +21,8 @@
     left: usize,
     placed: Vec<Placement>,
     misses: Misses,
+    /// Long-running tasks that found no worker.
+    waiting: Vec<TaskKey>,
 }
 
 impl Round {
@@ -28,6 +30,10 @@
         self.now
     }
 
+    pub(super) fn waiting(&self) -> &[TaskKey] {
+        &self.waiting
+    }
+
     pub(super) const fn is_full(&self) -> bool {
         self.left == 0
     }
@@ -62,6 +68,7 @@
             left: limit,
             placed: Vec::new(),
             misses: Misses::default(),
+            waiting: Vec::new(),
         };
         for worker in &mut self.workers {
             worker.reserved = Resources::ZERO;
@@ -78,6 +85,7 @@
             }
         }
         self.begin_moves(table, now);
+        self.record_waits(&round);
         round.placed
     }
 
@@ -105,6 +113,7 @@
                 None if step.long_running => {
                     self.note_zone_wait(turn.job, task);
                     self.reserve(turn, task, round.now);
+                    round.waiting.push(task);
                 }
                 None => {
                     self.note_zone_wait(turn.job, task);
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
 use crate::plan::suspects::Suspects;
+use crate::plan::waits::Waits;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
 use crate::record::{Body, EndCause, Order, OrderKind, Record, RunEnd, SuspicionRecord};
@@ -45,6 +46,7 @@
     pub(super) moves: Moves,
     pub(super) order: JobOrder,
     pub(super) suspects: Suspects,
+    pub(super) waits: Waits,
     mean_slowness: f64,
 }
 
--- /dev/null
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -0,0 +1,127 @@
+//! Long-running tasks that are ready to run and find no worker.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use agate_core::{Moment, Resources};
+
+use crate::plan::choose::{self, Candidate};
+use crate::plan::order;
+use crate::plan::place::Round;
+use crate::plan::scheduler::Scheduler;
+use crate::table::JobTable;
+use crate::task::TaskKey;
+
+/// Wait from which on a task is reported.
+const REPORT_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between two reports.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// The long-running task that has waited longest, and what the workers offer to it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LongWait {
+    /// The task.
+    pub task: TaskKey,
+    /// Time for which it has waited.
+    pub waited: Duration,
+    /// Number of long-running tasks that wait.
+    pub waiting: usize,
+    /// What it asks for.
+    pub demand: Resources,
+    /// Number of workers of its service that have not left.
+    pub workers: usize,
+    /// Number of those that it may run on, regardless of the room left.
+    pub allowed: usize,
+    /// Largest amount of each resource that is free on one of these.
+    pub largest_free: Resources,
+    /// Worker on which room is reserved for it; empty if there is none.
+    pub reserved_on: String,
+}
+
+/// The waiting tasks.
+#[derive(Debug, Default)]
+pub(super) struct Waits {
+    since: BTreeMap<TaskKey, Moment>,
+    reported_at: Option<Moment>,
+}
+
+impl Waits {
+    /// Replaces the waiting tasks by those of a round.
+    fn update(&mut self, waiting: &[TaskKey], now: Moment) {
+        let known = std::mem::take(&mut self.since);
+        let since = |task| known.get(task).copied().unwrap_or(now);
+        self.since = waiting.iter().map(|task| (*task, since(task))).collect();
+    }
+
+    /// Returns the task that has waited longest if it is due for a report.
+    fn due(&mut self, now: Moment) -> Option<(TaskKey, Duration)> {
+        let recent = |at: Moment| now.since(at) < REPORT_PERIOD;
+        if self.reported_at.is_some_and(recent) {
+            return None;
+        }
+        let (task, since) = self.since.iter().min_by_key(|(_, since)| **since)?;
+        let waited = now.since(*since);
+        if waited < REPORT_AFTER {
+            return None;
+        }
+        self.reported_at = Some(now);
+        Some((*task, waited))
+    }
+}
+
+impl Scheduler {
+    /// Returns the number of long-running tasks that found no worker in the newest round.
+    pub fn waiting_tasks(&self) -> usize {
+        self.waits.since.len()
+    }
+
+    /// Returns the long-running task that has waited longest, at most once a second.
+    pub fn take_long_wait(&mut self, table: &JobTable, now: Moment) -> Option<LongWait> {
+        let (task, waited) = self.waits.due(now)?;
+        let turn = order::whole(task.job, table.job(task.job)?);
+        let candidate = self.candidate(&turn, task)?;
+        let reserved = choose::reservation_worker(&self.workers, candidate, now);
+        let reserved_on = reserved.map(|slot| self.workers[slot].report.incarnation.name.clone());
+        Some(LongWait {
+            waited,
+            reserved_on: reserved_on.unwrap_or_default(),
+            ..self.diagnose(candidate, now)
+        })
+    }
+
+    pub(super) fn record_waits(&mut self, round: &Round) {
+        // A full round has not come to all tasks.
+        if !round.is_full() {
+            self.waits.update(round.waiting(), round.now());
+        }
+    }
+
+    fn diagnose(&self, candidate: Candidate<'_>, now: Moment) -> LongWait {
+        let of_service = |worker: &&super::worker::Worker| {
+            worker.report.service == candidate.service && !worker.is_gone()
+        };
+        let mut wait = LongWait {
+            task: candidate.task,
+            waited: Duration::ZERO,
+            waiting: self.waiting_tasks(),
+            demand: candidate.step.demand,
+            workers: self.workers.iter().filter(of_service).count(),
+            allowed: 0,
+            largest_free: Resources::ZERO,
+            reserved_on: String::new(),
+        };
+        for slot in choose::allowed(&self.workers, candidate, now) {
+            let worker = &self.workers[slot];
+            let free = worker.report.capacity.saturating_sub(worker.used);
+            let free = free.saturating_sub(worker.held);
+            wait.allowed += 1;
+            wait.largest_free = Resources {
+                millicores: wait.largest_free.millicores.max(free.millicores),
+                memory_mib: wait.largest_free.memory_mib.max(free.memory_mib),
+                accelerators: wait.largest_free.accelerators.max(free.accelerators),
+            };
+        }
+        wait
+    }
+}
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -13,4 +13,5 @@
 mod suspicion;
 mod table;
 mod takeover;
+mod waits;
 mod zones;
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/waits.rs
@@ -0,0 +1,66 @@
+//! Tests of the reports on long-running tasks that find no worker.
+
+use std::time::Duration;
+
+use agate_core::Resources;
+use agate_jobs::StepSpec;
+use agate_jobs::plan::LongWait;
+
+use crate::fleet::Fleet;
+use crate::support::{report, step, submitted, task};
+
+fn long_running(tasks: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        demand: Resources::new(3_000, 100, 0),
+        ..step(tasks)
+    }
+}
+
+fn wait_after(fleet: &mut Fleet, time: Duration) -> Option<LongWait> {
+    fleet.place();
+    fleet.now = fleet.now + time;
+    fleet.place();
+    fleet.scheduler.take_long_wait(&fleet.table, fleet.now)
+}
+
+#[test]
+fn the_longest_wait_is_reported_with_what_the_workers_offer() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(3)]));
+    let wait = wait_after(&mut fleet, Duration::from_millis(1_500));
+    let expected = LongWait {
+        task: task(1, 0, 1),
+        waited: Duration::from_millis(1_500),
+        waiting: 2,
+        demand: Resources::new(3_000, 100, 0),
+        workers: 1,
+        allowed: 1,
+        largest_free: Resources::new(1_000, 900, 0),
+        reserved_on: String::new(),
+    };
+    assert_eq!(wait, Some(expected));
+}
+
+#[test]
+fn waits_are_reported_once_a_second() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(2)]));
+    assert!(wait_after(&mut fleet, Duration::from_millis(900)).is_none());
+    assert!(wait_after(&mut fleet, Duration::from_millis(200)).is_some());
+    assert!(wait_after(&mut fleet, Duration::from_millis(900)).is_none());
+    assert!(wait_after(&mut fleet, Duration::from_millis(200)).is_some());
+}
+
+#[test]
+fn a_task_that_is_bound_no_longer_waits() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(2)]));
+    fleet.place();
+    assert_eq!(fleet.scheduler.waiting_tasks(), 1);
+    fleet.fold(agate_jobs::Record::new(agate_jobs::record::Body::Worker(
+        report("b", 1),
+    )));
+    assert_eq!(fleet.place().len(), 1);
+    assert_eq!(fleet.scheduler.waiting_tasks(), 0);
+}
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -7,6 +7,7 @@
 mod resign;
 mod schedule;
 mod takeover;
+mod waits;
 mod zones;
 
 use std::sync::Arc;
@@ -167,6 +168,7 @@
     entry.context.metrics.backlog.clear();
     entry.view().is_leader = false;
     entry.context.metrics.clear_zone_runs();
+    entry.context.metrics.set_waiting_tasks(0);
     if deposed {
         entry.context.metrics.count(Event::LeaderLost);
     }
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, crashes, heartbeat, zones};
+use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, crashes, heartbeat, waits, zones};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -129,6 +129,7 @@
                 offset = *self.entry.folded.borrow(); ""
             );
         }
+        waits::report(&self.entry, &mut self.scheduler, now);
         if let Some(summary) = self.scheduler.take_backlog_summary() {
             backlog::report(&self.entry.context.metrics, &summary);
         }
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -100,6 +100,7 @@
     events: Family<EventLabel, Counter>,
     zone_withdrawn: Family<ZoneLabel, Gauge>,
     zone_runs: Family<ZoneLabel, Gauge>,
+    waiting_tasks: Gauge,
     /// Time until a caller was answered, in seconds.
     pub answer_seconds: Histogram,
     /// Time until an append was answered, in seconds.
@@ -118,6 +119,7 @@
             events: Family::default(),
             zone_withdrawn: Family::default(),
             zone_runs: Family::default(),
+            waiting_tasks: Gauge::default(),
             answer_seconds: histogram(),
             append_seconds: histogram(),
             start_seconds: histogram(),
@@ -168,6 +170,12 @@
         self.zone_runs.clear();
     }
 
+    /// Sets the number of long-running tasks that find no worker.
+    pub fn set_waiting_tasks(&self, tasks: usize) {
+        let tasks = i64::try_from(tasks).unwrap_or(i64::MAX);
+        self.waiting_tasks.set(tasks);
+    }
+
     /// Returns the registry, from which the metrics are exported as text.
     pub const fn registry(&self) -> &Registry {
         &self.registry
@@ -187,6 +195,11 @@
             "Runs left in a withdrawn zone",
             self.zone_runs.clone(),
         );
+        registry.register(
+            "waiting_tasks",
+            "Long-running tasks that find no worker; set by the leader",
+            self.waiting_tasks.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time until a caller was answered",
