Show that a planned stop of an agent delays its runs

A stopped agent only renews its lease and exits. Orders go to it until its silence is noticed, and its runs wait for that besides the lease. The tests stop an agent alone, beside a worker that has left, while an order is on its way, and restart it.

--- /dev/null
+++ b/crates/agate_node/tests/it/stops.rs
@@ -0,0 +1,181 @@
+//! Planned stops of agents, alone and beside workers that leave.
+
+use std::time::Duration;
+
+use agate_jobs::lease;
+use agate_node::agent::WorkerRegistry;
+use agate_node::store::{KeyedLog as _, order_stream};
+use tokio::time::{Instant, sleep};
+
+use crate::support::{
+    Behavior, Caller as _, Cluster, FakeWorker, MAX_LEASE, one_task_job, wait_until,
+};
+
+/// Time that a stopped agent's last report and the next placement may take besides the last lease.
+const STOP_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// Stops an agent as its process does after SIGTERM.
+async fn stop(agent: WorkerRegistry) {
+    agent.renew_leases().await;
+    agent.detach_all();
+}
+
+fn drain(agent: &WorkerRegistry, name: &str) {
+    let mut heartbeat = FakeWorker::heartbeat(name, name, 1);
+    heartbeat.sequence = 2;
+    heartbeat.draining = true;
+    agent.apply_heartbeat(heartbeat);
+}
+
+/// Returns the number of tasks that have been bound to a worker.
+fn bound(cluster: &Cluster, worker: &str) -> usize {
+    let keys = cluster
+        .log
+        .keys(order_stream(worker, cluster.log.order_streams()));
+    let prefix = format!("r/{worker}/");
+    keys.iter().filter(|key| key.starts_with(&prefix)).count()
+}
+
+/// Orders went to an agent that had stopped until its silence was noticed, and their runs waited for
+/// a whole lease (LOST on thistle-orders-grown).
+#[tokio::test(start_paused = true)]
+async fn no_order_goes_to_an_agent_that_has_stopped() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (_worker, agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(1)).await;
+    stop(agent).await;
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(bound(&cluster, "w1"), 0);
+}
+
+/// Runs of an agent that was stopped for good waited for its suspicion besides the lease.
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_removed_agent_continue_elsewhere_after_their_last_lease() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    let began = Instant::now();
+    stop(agent).await;
+    wait_until("it runs elsewhere", || {
+        let running = left.running() + other.running();
+        assert!(running <= 1, "two runs at the same time");
+        other.running() == 1
+    })
+    .await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
+/// The worker had left a second before its agent was stopped, and nobody told the leader.
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_worker_that_left_before_its_agent_stopped_continue_elsewhere() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    drain(&agent, "w1");
+    sleep(Duration::from_secs(1)).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    left.crash();
+    let began = Instant::now();
+    sleep(Duration::from_secs(1)).await;
+    stop(agent).await;
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
+    let limit = limit + Duration::from_secs(1);
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
+/// A restart must not cost the runs, however soon the next agent starts.
+#[rstest::rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::soon(Duration::from_millis(300))]
+#[case::late(Duration::from_secs(3))]
+#[tokio::test(start_paused = true)]
+async fn a_restarted_agent_keeps_its_runs_and_gets_orders_again(#[case] pause: Duration) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    stop(agent).await;
+    sleep(pause).await;
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(2)).await;
+    entry.submit_job(2, one_task_job()).await;
+    wait_until("the next job runs", || worker.running() == 2).await;
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(worker.running(), 2);
+    assert_eq!(worker.started_runs().len(), 2, "nothing was started again");
+}
+
+/// An order that arrives while the agent stops must not wait for a lease.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_crosses_the_stop_of_its_agent_is_carried_out_elsewhere_at_once() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (_worker, agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(1)).await;
+    let stopping = tokio::spawn(stop(agent));
+    entry.submit_job(1, one_task_job()).await;
+    let (other, _agent) = cluster.worker("w2");
+    let began = Instant::now();
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    assert!(began.elapsed() < STOP_MARGIN, "{:?}", began.elapsed());
+    stopping.await.expect("the agent stops");
+}
+
+/// The runs of an agent that stops while nobody leads are settled by the next leader.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_takes_over_knows_which_agents_have_stopped() {
+    let cluster = Cluster::new();
+    let stop_entry = tokio_util::sync::CancellationToken::new();
+    let first = cluster.stoppable_entry("e1", &stop_entry).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    first.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    stop_entry.cancel();
+    sleep(Duration::from_millis(500)).await;
+    let began = Instant::now();
+    stop(agent).await;
+    let _next = cluster.entry("e2", cluster.log.client()).await;
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
+    let limit = limit + Duration::from_secs(1);
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+    assert_eq!(left.running(), 0);
+}
+
+/// A worker that refuses connections can't be told to stop anything; the stop of its agent ends all
+/// the same.
+#[tokio::test(start_paused = true)]
+async fn the_stop_of_an_agent_beside_an_unreachable_worker_ends_in_time() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    worker.set_behavior(Behavior::Unreachable);
+    let began = Instant::now();
+    stop(agent).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+}
