Report planned stops of agents to the leader

Cause: an agent that got SIGTERM renewed its worker's lease and exited without a word. The leader went on binding tasks to that worker for 1.9 s, and the runs there, also those bound meanwhile that never started, waited for that silence and then for a whole lease. With agents stopped one after the other a task could be bound to two of them in a row. Whatever the agent knew of its worker went with it.

Change: the agent announces that it stops and for a second returns the orders that still arrive. Then it reads its orders, renews the lease up to the limit and reports that it has stopped, before it exits. The leader binds nothing to such a worker and suspects it at once. Another agent on the machine acknowledges the suspicion and keeps the runs; otherwise they are settled when the last lease has surely lapsed.

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -6,8 +6,8 @@
 use agate_jobs::pace::{Headroom, Interference};
 use agate_jobs::plan::Scheduler;
 use agate_jobs::{
-    BatchOrder, Body, JobSpec, JobTable, QueuePolicy, Record, StepSpec, WorkerIncarnation,
-    WorkerReport, WorkerState,
+    AgentState, BatchOrder, Body, JobSpec, JobTable, QueuePolicy, Record, StepSpec,
+    WorkerIncarnation, WorkerReport, WorkerState,
 };
 
 /// Number of workers.
@@ -76,6 +76,7 @@
         acked_suspicion: 0,
         cold_ms: 0,
         unreachable: false,
+        agent: AgentState::Serving,
         heartbeat: 0,
         headroom: serving
             .iter()
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -7,7 +7,7 @@
 use agate_jobs::pace::{
     BestEffortTask, FULL_SPEED_PERCENT, GiveBack, Interference, Pacer, ServingTask, StopCost,
 };
-use agate_jobs::{EndCause, TaskKey, WorkerIncarnation, WorkerReport, WorkerState};
+use agate_jobs::{AgentState, EndCause, TaskKey, WorkerIncarnation, WorkerReport, WorkerState};
 
 use super::scenario::{Knowledge, SERVICE, TARGET_MS};
 use super::stats::Stats;
@@ -135,6 +135,7 @@
             interference,
             cold_ms: 0,
             unreachable: false,
+            agent: AgentState::Serving,
             heartbeat: 0,
         }
     }
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -26,4 +26,4 @@
 pub use spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
 pub use table::{JobState, JobTable};
 pub use task::{TaskKey, TaskKeyError};
-pub use worker::{WorkerIncarnation, WorkerReport, WorkerState};
+pub use worker::{AgentState, WorkerIncarnation, WorkerReport, WorkerState};
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -9,6 +9,7 @@
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
 use crate::record::{Record, Suspect, SuspicionRecord};
+use crate::worker::AgentState;
 
 /// Silence after which a worker is suspected. Agents report every 800 ms.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_900);
@@ -111,9 +112,10 @@
             }
             return;
         }
-        let silent = now.since(worker.last_contact.max(reading_since)) > SUSPECT_AFTER;
-        let forgotten = now.since(worker.last_contact) > FORGET_AFTER;
         let current = worker.report.incarnation == suspicion.incarnation;
+        let stopped = current && worker.report.agent == AgentState::Stopped;
+        let silent = stopped || now.since(worker.last_contact.max(reading_since)) > SUSPECT_AFTER;
+        let forgotten = now.since(worker.last_contact) > FORGET_AFTER;
         if silent && (has_runs || (current && !forgotten)) {
             suspicion.number += 1;
             suspicion.suspected = true;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -119,9 +119,11 @@
         !self.step_tasks.is_empty()
     }
 
-    /// Returns whether the worker answers and is neither about to leave nor suspected.
+    /// Returns whether the worker answers and is neither about to leave nor suspected, and its agent
+    /// executes orders.
     pub fn is_in_service(&self) -> bool {
         self.report.state == WorkerState::Ready
+            && self.report.agent.is_serving()
             && !self.report.unreachable
             && self.report.incarnation == self.suspicion.incarnation
             && !self.suspicion.suspected
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -39,6 +39,27 @@
     Lapsed,
 }
 
+/// What an agent says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum AgentState {
+    /// The agent executes orders.
+    #[default]
+    Serving,
+    /// The agent is about to exit. It renews the lease and records ends, but starts nothing.
+    Stopping,
+    /// The agent has renewed the lease for the last time and exits.
+    Stopped,
+}
+
+impl AgentState {
+    /// Returns whether the agent executes orders.
+    pub const fn is_serving(&self) -> bool {
+        matches!(self, Self::Serving)
+    }
+}
+
 /// A report of an agent on its worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
@@ -72,6 +93,9 @@
     /// Whether the worker doesn't answer its agent, so that nothing can be started on it.
     #[serde(default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
+    /// What the agent says of itself.
+    #[serde(default, skip_serializing_if = "AgentState::is_serving")]
+    pub agent: AgentState,
     /// Sequence number of the worker's heartbeat that the report is based on; zero if unknown. It
     /// increases within an incarnation, whichever agent reports.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -3,8 +3,8 @@
 use agate_core::{JobId, Resources};
 use agate_jobs::record::Body;
 use agate_jobs::{
-    EndCause, JobSpec, QueuePolicy, Record, RunEnd, StepSpec, TaskKey, WorkerIncarnation,
-    WorkerReport, WorkerState,
+    AgentState, EndCause, JobSpec, QueuePolicy, Record, RunEnd, StepSpec, TaskKey,
+    WorkerIncarnation, WorkerReport, WorkerState,
 };
 
 pub(crate) const SERVICE: &str = "seatbook";
@@ -84,6 +84,7 @@
         interference: Vec::new(),
         cold_ms: 0,
         unreachable: false,
+        agent: AgentState::Serving,
         heartbeat: 0,
     }
 }
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -4,7 +4,9 @@
 
 use agate_jobs::plan::{LastContact, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState};
+use agate_jobs::{
+    AgentState, EndCause, Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState,
+};
 
 use crate::fleet::{Fleet, LEASE};
 use crate::support::{ended, report, step, submitted, task};
@@ -378,3 +380,46 @@
     let newest = fleet.newest_orders();
     assert!(newest.iter().all(|order| order.incarnation.term == 1));
 }
+
+/// The runs of a stopped agent waited for its silence besides the lease (LOST on
+/// thistle-orders-grown).
+#[test]
+fn a_worker_whose_agent_has_stopped_is_suspected_at_once() {
+    let mut fleet = fleet_with_one_run();
+    let stopped = WorkerReport {
+        agent: AgentState::Stopped,
+        ..report("a", 1)
+    };
+    fleet.fold(Record::new(Body::Worker(stopped)));
+    fleet.advance(Duration::from_millis(1));
+    assert!(fleet.suspicions()[0].suspected);
+    assert_eq!(fleet.scheduler.bound_runs(), 1, "its lease has not lapsed");
+}
+
+#[rstest::rstest]
+#[case::stopping(AgentState::Stopping)]
+#[case::stopped(AgentState::Stopped)]
+fn nothing_is_bound_to_a_worker_whose_agent_stops(#[case] agent: AgentState) {
+    let mut fleet = Fleet::new(&[WorkerReport {
+        agent,
+        ..report("a", 1)
+    }]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert!(fleet.place().is_empty());
+    let mut next = report("a", 1);
+    next.acked_suspicion = 1;
+    fleet.fold(Record::new(Body::Worker(next)));
+    assert_eq!(fleet.place().len(), 1, "the next agent serves");
+}
+
+#[test]
+fn a_stopping_agent_keeps_its_runs() {
+    let mut fleet = fleet_with_one_run();
+    let stopping = WorkerReport {
+        agent: AgentState::Stopping,
+        ..report("a", 1)
+    };
+    fleet.fold(Record::new(Body::Worker(stopping)));
+    fleet.advance(Duration::from_secs(1));
+    assert!(fleet.suspicions().is_empty());
+}
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -119,7 +119,7 @@
     if known.is_some_and(|run| run.number >= order.run) {
         return Ok(());
     }
-    if state.status != WorkerState::Ready {
+    if state.status != WorkerState::Ready || !state.agent.is_serving() {
         refuse(worker, state, &order, EndCause::Refused);
         return Ok(());
     }
--- a/crates/agate_node/src/agent/follow.rs
+++ b/crates/agate_node/src/agent/follow.rs
@@ -37,6 +37,7 @@
                 let mut state = worker.state();
                 state.orders.clear();
                 apply(&mut state, newest.records);
+                state.next_order = newest.end;
                 log::info!(
                     event = "orders_loaded", worker:% = state.incarnation, lane:? = stream,
                     offset = newest.end, orders = state.orders.len(); ""
@@ -62,6 +63,7 @@
                 next += page.records.len() as u64;
                 let mut state = worker.state();
                 let has_changed = apply(&mut state, page.records);
+                state.next_order = next;
                 if next >= page.end {
                     state.synced_at = state.synced_at.max(Some(began));
                 }
@@ -81,6 +83,29 @@
     }
 }
 
+/// Reads whether there are new orders, without waiting for any. If there are none, the lease may be
+/// renewed as of now; if there are, the task that follows the stream is about to apply them.
+pub(super) async fn refresh(worker: &ManagedWorker) {
+    let streams = worker.context.log.order_streams();
+    let (name, next) = {
+        let state = worker.state();
+        (state.incarnation.name.clone(), state.next_order)
+    };
+    let began = clock::boottime();
+    let read = worker
+        .context
+        .log
+        .read(order_stream(&name, streams), next, Duration::ZERO);
+    let Ok(page) = read.await else {
+        return;
+    };
+    let mut state = worker.state();
+    let is_current = page.records.is_empty() && next >= page.end && state.next_order == next;
+    if is_current && state.synced_at.is_some() {
+        state.synced_at = state.synced_at.max(Some(began));
+    }
+}
+
 /// Applies records of the stream. Returns whether one of them concerns this worker.
 fn apply(state: &mut State, records: Vec<StoredRecord>) -> bool {
     let mut has_changed = false;
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -7,7 +7,8 @@
 use agate_core::Resources;
 use agate_jobs::lease::{self, ClockReading};
 use agate_jobs::{
-    Order, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport, WorkerState,
+    AgentState, Order, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport,
+    WorkerState,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -85,7 +86,10 @@
     /// Whether reports say how long the worker stays slow.
     pub reports_cold: bool,
     pub status: WorkerState,
+    pub agent: AgentState,
     pub orders: HashMap<TaskKey, Order>,
+    /// Offset up to which the orders have been read.
+    pub next_order: u64,
     pub waiting: WaitingOrders,
     pub suspicion: Option<SuspicionRecord>,
     /// Boot time at the start of the newest read that reached the end of the orders.
@@ -146,7 +150,9 @@
             cold_until: clock::boottime() + Duration::from_millis(heartbeat.cold_ms),
             reports_cold: zones.is_some(),
             heartbeat,
+            agent: AgentState::Serving,
             orders: HashMap::new(),
+            next_order: 0,
             waiting: WaitingOrders::default(),
             suspicion: None,
             synced_at: None,
@@ -329,6 +335,7 @@
             interference: self.pacing.interference(),
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
+            agent: self.agent,
             heartbeat: self.heartbeat.sequence,
         }
     }
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod renewal;
 mod report;
+mod shutdown;
 mod stall;
 mod waiting;
 mod zones;
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -5,13 +5,15 @@
 
 use agate_jobs::{LossReason, RunEnd, WorkerState};
 use agate_super::{Policy, Restart, Supervisor};
+use futures::future::join_all;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::client::Heartbeat;
 use super::crash::UnstableMachines;
 use super::managed::ManagedWorker;
 use super::zones::{self, ZoneWatch};
-use super::{AgentContext, crash, execute, follow, renewal, report};
+use super::{AgentContext, crash, execute, follow, renewal, report, shutdown};
 
 /// A worker and the token that stops its tasks.
 #[derive(Debug)]
@@ -30,6 +32,8 @@
     stop: CancellationToken,
     workers: Mutex<HashMap<String, RegisteredWorker>>,
     unstable: Mutex<UnstableMachines>,
+    /// Cancelled when the agent is told to stop.
+    stopping: CancellationToken,
 }
 
 impl WorkerRegistry {
@@ -46,6 +50,7 @@
             stop,
             workers: Mutex::default(),
             unstable: Mutex::default(),
+            stopping: CancellationToken::new(),
         }
     }
 
@@ -107,15 +112,23 @@
         }
     }
 
-    /// Renews every worker's lease for as long as allowed, before the agent exits.
-    pub async fn renew_leases(&self) {
-        let managed: Vec<Arc<ManagedWorker>> = {
-            let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-            workers.values().map(|w| Arc::clone(&w.worker)).collect()
-        };
-        for worker in managed {
-            renewal::renew_last(&worker).await;
+    /// Stops the agent, which takes up to three seconds. The leader learns that it stops before the last
+    /// orders are handled, and that it has stopped before this returns. The runs keep their leases for as
+    /// long as allowed, so that the next agent can adopt them.
+    pub async fn shut_down(&self) {
+        self.stopping.cancel();
+        for worker in self.managed_workers() {
+            shutdown::announce(&worker);
         }
+        sleep(shutdown::ANNOUNCE_TIME).await;
+        let workers = self.managed_workers();
+        join_all(workers.iter().map(|worker| shutdown::finish(worker))).await;
+        self.detach_all();
+    }
+
+    fn managed_workers(&self) -> Vec<Arc<ManagedWorker>> {
+        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
+        workers.values().map(|w| Arc::clone(&w.worker)).collect()
     }
 
     /// Stops all tasks of the agent without notifying them, as the end of the process does.
@@ -134,6 +147,9 @@
             heartbeat,
         ));
         worker.state().crash_ends = crash_ends;
+        if self.stopping.is_cancelled() {
+            shutdown::announce(&worker);
+        }
         log_found(&worker);
         let stop = CancellationToken::new();
         let mut tree = Supervisor::new("worker", Policy::default());
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -9,7 +9,7 @@
 
 use super::client::{CallError, LeaseReply};
 use super::managed::{ManagedWorker, Phase, Run, State};
-use super::{lists, pacing};
+use super::{follow, lists, pacing};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -72,6 +72,7 @@
 /// Renews the lease for as long as allowed, without waiting for the end of a run.
 pub(super) async fn renew_last(worker: &ManagedWorker) {
     let began = clock::boottime();
+    follow::refresh(worker).await;
     if let Err(cause) = send_renewal(worker, Duration::ZERO).await {
         log::warn!(event = "last_hold_failed", cause:% = cause; "");
     }
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::managed::{ManagedWorker, State};
+use crate::appender::AppenderError;
 
 /// Time between reports. A worker is suspected after 1.9 s of silence.
 const REPORT_PERIOD: Duration = Duration::from_millis(800);
@@ -22,22 +23,8 @@
 pub(super) async fn run(worker: Arc<ManagedWorker>) {
     loop {
         wait_until_due(&worker).await;
-        let (report, ends) = {
-            let state = worker.state();
-            (state.report(), state.crash_ends.clone())
-        };
-        let state = report.state;
-        // The ends come first: the report makes the leader end whatever is still bound.
-        let bodies = ends.iter().cloned().map(Body::Ended);
-        let bodies = bodies.chain([Body::Worker(report)]);
-        let records: Vec<Record> = bodies.map(Record::new).collect();
-        let recorded = worker.context.appender.record(&records, APPEND_TIMEOUT);
-        let recorded = recorded.await;
-        if recorded.is_ok() {
-            worker.state().crash_ends.retain(|end| !ends.contains(end));
-        }
-        match recorded {
-            Ok(_) if state == WorkerState::Gone => {
+        match record(&worker, APPEND_TIMEOUT).await {
+            Ok(WorkerState::Gone) => {
                 worker.departed.cancel();
                 return;
             }
@@ -51,6 +38,25 @@
     }
 }
 
+/// Records a report. Returns the state of the worker that it names.
+pub(super) async fn record(
+    worker: &ManagedWorker,
+    limit: Duration,
+) -> Result<WorkerState, AppenderError> {
+    let (report, ends) = {
+        let state = worker.state();
+        (state.report(), state.crash_ends.clone())
+    };
+    let state = report.state;
+    // The ends come first: the report makes the leader end whatever is still bound.
+    let bodies = ends.iter().cloned().map(Body::Ended);
+    let bodies = bodies.chain([Body::Worker(report)]);
+    let records: Vec<Record> = bodies.map(Record::new).collect();
+    worker.context.appender.record(&records, limit).await?;
+    worker.state().crash_ends.retain(|end| !ends.contains(end));
+    Ok(state)
+}
+
 async fn wait_until_due(worker: &ManagedWorker) {
     loop {
         let changed = worker.changed.notified();
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -76,8 +76,7 @@
     agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
     entry.submit_job(1, one_task_job()).await;
     wait_until("it runs", || worker.running() == 1).await;
-    agent.renew_leases().await;
-    agent.detach_all();
+    agent.shut_down().await;
     sleep(Duration::from_secs(3)).await;
     let successor = Cluster::agent(cluster.log.client());
     successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -16,8 +16,7 @@
 
 /// Stops an agent as its process does after SIGTERM.
 async fn stop(agent: WorkerRegistry) {
-    agent.renew_leases().await;
-    agent.detach_all();
+    agent.shut_down().await;
 }
 
 fn drain(agent: &WorkerRegistry, name: &str) {
