Don't suspect a settled worker again while its ends are recorded

When the last lease of a suspected worker has lapsed, the leader raises its term and records its runs as lost.

Only runs of the current incarnation and term count. The test failed before with one effect instead of none.

--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -91,7 +91,6 @@
             self.drop_records(slot, now);
             return;
         }
-        let has_runs = worker.has_runs();
         let suspicion = &mut worker.suspicion;
         let acknowledged = worker.report.incarnation == suspicion.incarnation
             && worker.report.acked_suspicion >= suspicion.number;
@@ -116,11 +115,23 @@
         let stopped = current && worker.report.agent == AgentState::Stopped;
         let silent = stopped || now.since(worker.last_contact.max(reading_since)) > SUSPECT_AFTER;
         let forgotten = now.since(worker.last_contact) > FORGET_AFTER;
-        if silent && (has_runs || (current && !forgotten)) {
-            suspicion.number += 1;
-            suspicion.suspected = true;
+        if silent && ((current && !forgotten) || self.has_runs_of_term(slot)) {
+            let worker = &mut self.workers[slot];
+            worker.suspicion.number += 1;
+            worker.suspicion.suspected = true;
             worker.suspected_at = None;
-            self.effects.push(Effect::suspicion(suspicion.clone()));
+            self.effects
+                .push(Effect::suspicion(worker.suspicion.clone()));
         }
     }
+
+    /// Returns whether any run of a worker's current incarnation and term is bound. The ends of
+    /// earlier ones are being recorded.
+    fn has_runs_of_term(&self, slot: usize) -> bool {
+        let worker = &self.workers[slot];
+        let current = &worker.suspicion.incarnation;
+        let is_current = |term| term == (current.started_ms, current.term);
+        let mut runs = self.bindings.values();
+        worker.has_runs() && runs.any(|run| run.worker == slot && is_current(run.term))
+    }
 }
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agate_core::Moment;
 use agate_jobs::plan::{LastContact, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
 use agate_jobs::{
@@ -423,3 +424,18 @@
     fleet.advance(Duration::from_secs(1));
     assert!(fleet.suspicions().is_empty());
 }
+
+/// Workers were suspected a second time before the ends of their runs were folded, which wrote
+/// more records and raised their term again.
+#[test]
+fn a_settled_worker_is_not_suspected_again_while_its_ends_are_recorded() {
+    let mut fleet = fleet_with_one_run();
+    fleet.advance(Duration::from_secs(2));
+    let now = fleet.now + LEASE + Duration::from_secs(1);
+    let mut effects_at = |now| {
+        fleet.scheduler.update_suspicions(now, Moment::ZERO, LEASE);
+        fleet.scheduler.take_effects().len()
+    };
+    assert_eq!(effects_at(now), 2, "a suspicion and an end");
+    assert_eq!(effects_at(now + Duration::from_millis(100)), 0);
+}
