Order reports by the state of the agent within a heartbeat

A report that the log recorded late could replace the one that says that the agent has stopped, since both are based on the same heartbeat of the worker. Found in a review; the append of a background writer may take effect seconds later.

Within a heartbeat the report from later in the stop is valid. Another agent learns of the worker by a later heartbeat, so its reports always count.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -309,7 +309,8 @@
 /// Returns whether a report is older than the newest one. An append may take effect after later ones.
 /// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease. Of
 /// two reports that agree in both, the one with the later heartbeat is valid: the worker's capacity may
-/// have changed. The report that the worker has left is final, and an agent may send it before it knows
+/// have changed. Of two with the same heartbeat, the one from later in the stop of the agent is valid:
+/// another agent starts with a later heartbeat. The report that the worker has left is final, and an agent may send it before it knows
 /// the term.
 fn is_outdated(report: &WorkerReport, known: &WorkerReport) -> bool {
     let start = report.incarnation.started_ms;
@@ -318,10 +319,11 @@
         return start < known_start;
     }
     let progress = |report: &WorkerReport| (report.incarnation.term, report.acked_suspicion);
-    let has_older_heartbeat = report.heartbeat > 0 && report.heartbeat < known.heartbeat;
+    let position = |report: &WorkerReport| (report.heartbeat, report.agent);
+    let is_earlier = report.heartbeat > 0 && position(report) < position(known);
     let is_older = match progress(report).cmp(&progress(known)) {
         Ordering::Less => true,
-        Ordering::Equal => has_older_heartbeat,
+        Ordering::Equal => is_earlier,
         Ordering::Greater => false,
     };
     known.state == WorkerState::Gone || (report.state != WorkerState::Gone && is_older)
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -40,7 +40,19 @@
 }
 
 /// What an agent says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, strum::Display)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Default,
+    Serialize,
+    Deserialize,
+    strum::Display,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum AgentState {
