Don't let a stopped agent acknowledge its suspicion

An agent that exits may still read the suspicion that its last report raised and acknowledge it in a further report. The leader then cleared the suspicion, raised it again and counted the lease from the start.

Test: an_agent_that_has_stopped_acknowledges_no_suspicion; it finds two suspicion records instead of one without the change.

--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -92,7 +92,9 @@
             return;
         }
         let suspicion = &mut worker.suspicion;
+        // An agent that has stopped renews no lease, although it may still read the suspicion.
         let acknowledged = worker.report.incarnation == suspicion.incarnation
+            && worker.report.agent != AgentState::Stopped
             && worker.report.acked_suspicion >= suspicion.number;
         if suspicion.suspected && acknowledged {
             suspicion.suspected = false;
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -439,3 +439,44 @@
     assert_eq!(effects_at(now), 2, "a suspicion and an end");
     assert_eq!(effects_at(now + Duration::from_millis(100)), 0);
 }
+
+/// A report of the agent that was appended late made the leader bind tasks to it after its stop.
+#[rstest::rstest]
+#[case::same_heartbeat(4, 0)]
+#[case::later_heartbeat(5, 1)]
+fn a_report_recorded_late_does_not_replace_that_the_agent_has_stopped(
+    #[case] heartbeat: u64,
+    #[case] placed: usize,
+) {
+    let reported = |agent, heartbeat| {
+        Record::new(Body::Worker(WorkerReport {
+            agent,
+            heartbeat,
+            ..report("a", 1)
+        }))
+    };
+    let mut fleet = Fleet::default();
+    fleet.fold(reported(AgentState::Stopped, 4));
+    fleet.fold(reported(AgentState::Serving, heartbeat));
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert_eq!(fleet.place().len(), placed);
+}
+
+/// An agent that still read the suspicion while it exited made the leader count the lease again.
+#[test]
+fn an_agent_that_has_stopped_acknowledges_no_suspicion() {
+    let mut fleet = fleet_with_one_run();
+    let stopped = |acked_suspicion| {
+        Record::new(Body::Worker(WorkerReport {
+            agent: AgentState::Stopped,
+            acked_suspicion,
+            ..report("a", 1)
+        }))
+    };
+    fleet.fold(stopped(0));
+    fleet.advance(Duration::from_millis(1));
+    fleet.fold(stopped(1));
+    fleet.advance(Duration::from_millis(100));
+    assert_eq!(fleet.suspicions().len(), 1);
+    assert!(fleet.suspicions()[0].suspected);
+}
