Return an order at a stop only if its run can't start any more

An agent that stops returned an order although the worker had not answered the request to reject its run. Its successor finds the order, knows nothing of the return and starts the run, while the leader starts the task elsewhere (TWICE). The same holds for an agent that is stopped right after its start: a start of its predecessor may still be carried out while the stop of that run is under way. Found in a review.

Such orders are left to the successor, or to the leader, which ends them with the last lease.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -127,7 +127,7 @@
 /// Returns a run in phase [`Phase::Stopping`] that is not running to the scheduler, without waiting.
 /// The worker is told to stop it first: it then rejects the start that a restarted agent would send,
 /// which still finds the order, while the task already runs elsewhere. A worker that doesn't answer is
-/// not waited for.
+/// not waited for, unless the agent stops: then the run is left to its successor or to the scheduler.
 pub(super) fn return_in_background(
     worker: &Arc<ManagedWorker>,
     task: TaskKey,
@@ -136,9 +136,12 @@
 ) {
     let worker = Arc::clone(worker);
     tokio::spawn(async move {
-        prevent_start(&worker, task, run).await;
+        let is_prevented = prevent_start(&worker, task, run).await;
         let end = {
             let mut state = worker.state();
+            if !is_prevented && !state.agent.is_serving() {
+                return;
+            }
             let known = state.runs.get_mut(&task);
             let Some(known) = known.filter(|r| r.number == run && r.phase == Phase::Stopping)
             else {
@@ -151,18 +154,19 @@
     });
 }
 
-/// Tells the worker to reject any start of a run that is not running.
-async fn prevent_start(worker: &ManagedWorker, task: TaskKey, run: u32) {
+/// Tells the worker to reject any start of a run that is not running. Returns whether it has answered.
+async fn prevent_start(worker: &ManagedWorker, task: TaskKey, run: u32) -> bool {
     for _ in 0..MAX_PREVENT_ATTEMPTS {
         let incarnation = worker.state().incarnation.clone();
         match worker.client.stop(&incarnation, task, run).await {
-            Ok(()) => return,
+            Ok(()) => return true,
             Err(error) => {
                 log::warn!(event = "stop_failed", task:% = task, run = run, cause:% = error; "");
                 sleep(RETRY_DELAY).await;
             }
         }
     }
+    false
 }
 
 /// Stops a run in phase [`Phase::Stopping`], retrying until the worker answers.
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -69,6 +69,8 @@
     pub client: Arc<dyn WorkerClient>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub zones: Option<Arc<ZoneWatch>>,
+    /// Boot time at which the agent learned of this incarnation.
+    pub created_at: Duration,
     /// Notified when orders, suspicion or state have changed.
     pub changed: Notify,
     /// Cancelled once it is recorded that the worker has left.
@@ -173,6 +175,7 @@
             context,
             client,
             zones,
+            created_at: clock::boottime(),
             changed: Notify::new(),
             departed: CancellationToken::new(),
             state: Mutex::new(state),
--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -31,6 +31,8 @@
     NoLease,
     /// The lease ends too soon for a start.
     ShortLease,
+    /// The agent stops before it can be sure that no start of its predecessor is carried out any more.
+    AgentStops,
     /// The withdrawn zones have not been read since this agent started or since their history was
     /// dropped.
     ZonesNotLoaded,
--- a/crates/agate_node/src/agent/zones.rs
+++ b/crates/agate_node/src/agent/zones.rs
@@ -22,7 +22,7 @@
 /// Time after the start of the agent for which orders in withdrawn zones are not returned. Within it,
 /// the worker may carry out a start that the agent sent before it was restarted (1.5 s, and 2 % for
 /// the worker's clock), and then has to list it (0.5 s).
-const EARLIER_START_WAIT: Duration = Duration::from_millis(2_500);
+pub(super) const EARLIER_START_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Settings of the check against withdrawn zones.
 #[derive(Debug, Clone, Copy)]
