Report at a stop that a silent worker's lease has lapsed

An agent whose worker doesn't answer waits for that lease, if it lapses within the grace period, and reports it.

--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use agate_jobs::{LossReason, RunEnd, WorkerState};
 use agate_super::{Policy, Restart, Supervisor};
 use futures::future::join_all;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::client::Heartbeat;
@@ -14,6 +15,7 @@
 use super::managed::ManagedWorker;
 use super::zones::{self, ZoneWatch};
 use super::{AgentContext, crash, execute, follow, renewal, report, shutdown};
+use crate::clock;
 
 /// A worker and the token that stops its tasks.
 #[derive(Debug)]
@@ -112,17 +114,21 @@
         }
     }
 
-    /// Stops the agent, which takes up to three seconds. The leader learns that it stops before the last
-    /// orders are handled, and that it has stopped before this returns. The runs keep their leases for as
-    /// long as allowed, so that the next agent can adopt them.
-    pub async fn shut_down(&self) {
+    /// Stops the agent within `limit`. The leader learns that it stops before the last orders are
+    /// handled, and that it has stopped before this returns. The runs keep their leases for as long as
+    /// allowed, so that the next agent can adopt them.
+    pub async fn shut_down(&self, limit: Duration) {
+        let until = Instant::now() + limit;
         self.stopping.cancel();
         for worker in self.managed_workers() {
             shutdown::announce(&worker);
         }
-        sleep(shutdown::ANNOUNCE_TIME).await;
+        sleep(shutdown::announce_time()).await;
         let workers = self.managed_workers();
-        join_all(workers.iter().map(|worker| shutdown::finish(worker))).await;
+        let finishing = workers.iter().map(|worker| shutdown::finish(worker, until));
+        if timeout_at(until, join_all(finishing)).await.is_err() {
+            log::warn!(event = "stop_cut", limit_ms = clock::millis(limit); "the time is over");
+        }
         self.detach_all();
     }
 
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -34,7 +34,7 @@
 
 /// Time after the expiry of the last lease from which on the runs of a silent worker count as
 /// lapsed.
-const LAPSE_MARGIN: Duration = Duration::from_millis(200);
+pub(super) const LAPSE_MARGIN: Duration = Duration::from_millis(200);
 
 /// Calls the worker for as long as it is managed.
 pub(super) async fn run(worker: Arc<ManagedWorker>) {
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -8,14 +8,21 @@
 use std::time::Duration;
 
 use agate_jobs::{AgentState, WorkerState};
-use tokio::time::timeout;
+use rand::Rng as _;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::managed::{ManagedWorker, Phase, State};
 use super::{renewal, report};
+use crate::clock;
 
-/// Time for which the agent goes on after the announcement. By then the leader has read it, and the
-/// orders that crossed it have arrived.
-pub(super) const ANNOUNCE_TIME: Duration = Duration::from_secs(1);
+/// Time for which the agent goes on after the announcement. By then the leader, which decides every
+/// 0.1 s, has read it, and the orders that crossed it have arrived. A lease that is renewed after it
+/// outlasts a grace period of 6 s, so that a worker doesn't stand idle before its machine is removed.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(1);
+
+/// Largest addition to [`ANNOUNCE_TIME`]. It spreads the last reports of agents that are told to stop
+/// at the same moment.
+const MAX_JITTER: Duration = Duration::from_millis(200);
 
 /// Time limit for the starts and stops in progress.
 const CALLS_TIMEOUT: Duration = Duration::from_millis(300);
@@ -26,31 +33,62 @@
 /// Time limit for the last report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between checks for something that has to end before the agent exits.
+const CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// Announces that the agent stops. Nothing is started from now on.
 pub(super) fn announce(worker: &ManagedWorker) {
     set_agent_state(worker, AgentState::Stopping);
     worker.changed.notify_waiters();
 }
 
-/// Renews the lease for the last time, and reports that the agent has stopped.
-pub(super) async fn finish(worker: &ManagedWorker) {
+/// Returns the time to wait after the announcement.
+pub(super) fn announce_time() -> Duration {
+    ANNOUNCE_TIME + rand::rng().random_range(Duration::ZERO..MAX_JITTER)
+}
+
+/// Renews the lease for the last time, and reports that the agent has stopped. If the worker doesn't
+/// answer, its lease may lapse before `until`; then the agent waits and reports that, since the leader
+/// would otherwise count a whole lease from the last report.
+pub(super) async fn finish(worker: &ManagedWorker, until: Instant) {
     if timeout(CALLS_TIMEOUT, wait_for_calls(worker))
         .await
         .is_err()
     {
-        log::warn!(event = "stop_unfinished", worker:% = worker.state().incarnation; "calls are in progress");
+        log::warn!(
+            event = "stop_unfinished", worker:% = worker.state().incarnation;
+            "starts or stops are in progress"
+        );
+    }
+    if lapses_before(&worker.state(), until - REPORT_TIMEOUT) {
+        // The limit covers a worker that answers again and renews its lease.
+        let _ = timeout_at(until - REPORT_TIMEOUT, wait_for_lapse(worker)).await;
     }
     let renewal = renewal::renew_last(worker);
     if timeout(RENEWAL_TIMEOUT, renewal).await.is_err() {
-        log::warn!(event = "last_hold_late"; "the worker keeps its current lease");
+        log::warn!(
+            event = "last_hold_late", worker:% = worker.state().incarnation;
+            "the worker keeps its current lease"
+        );
     }
     set_agent_state(worker, AgentState::Stopped);
-    if !is_known(&worker.state()) {
+    report_stopped(worker).await;
+}
+
+async fn report_stopped(worker: &ManagedWorker) {
+    if !is_known(&worker.state()) || worker.departed.is_cancelled() {
         return;
     }
-    if let Err(cause) = report::record(worker, REPORT_TIMEOUT).await {
-        log::warn!(event = "last_report_failed", cause:% = cause; "the leader learns of the stop from silence");
-    }
+    let report = report::record(worker, REPORT_TIMEOUT);
+    let cause = match timeout(REPORT_TIMEOUT, report).await {
+        Ok(Ok(_)) => return,
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "the log did not answer in time".to_owned(),
+    };
+    log::warn!(
+        event = "last_report_failed", worker:% = worker.state().incarnation, cause:% = cause;
+        "the leader learns of the stop from silence"
+    );
 }
 
 fn set_agent_state(worker: &ManagedWorker, agent: AgentState) {
@@ -59,25 +97,43 @@
     state.reported_at = None;
 }
 
-/// Returns whether the leader knows the worker.
+/// Returns whether the leader knows the worker or has to learn that it has left.
 fn is_known(state: &State) -> bool {
-    state.introduction.is_done() && state.status != WorkerState::Gone
+    state.introduction.is_done() || state.status == WorkerState::Gone
+}
+
+/// Returns whether the worker doesn't answer and its lease lapses before `limit`.
+fn lapses_before(state: &State, limit: Instant) -> bool {
+    let left = (state.lapses_at + renewal::LAPSE_MARGIN).saturating_sub(clock::boottime());
+    is_unreachable(state) && Instant::now() + left < limit
+}
+
+fn is_unreachable(state: &State) -> bool {
+    let in_service = matches!(state.status, WorkerState::Ready | WorkerState::Draining);
+    in_service && state.contact.is_unreachable() && !state.unreachable
 }
 
 /// Waits until no start or stop is in progress.
 async fn wait_for_calls(worker: &ManagedWorker) {
+    let is_calling = |phase| matches!(phase, Phase::Starting | Phase::Stopping);
+    wait_while(worker, |state| {
+        state.runs.values().any(|run| is_calling(run.phase))
+    })
+    .await;
+}
+
+/// Waits until a worker that doesn't answer counts as lapsed, or answers again.
+async fn wait_for_lapse(worker: &ManagedWorker) {
+    wait_while(worker, is_unreachable).await;
+}
+
+async fn wait_while(worker: &ManagedWorker, holds: impl Fn(&State) -> bool) {
     loop {
         let changed = worker.changed.notified();
-        let is_calling = |phase| matches!(phase, Phase::Starting | Phase::Stopping);
-        if !worker
-            .state()
-            .runs
-            .values()
-            .any(|run| is_calling(run.phase))
-        {
+        if !holds(&worker.state()) {
             return;
         }
-        // The end of a call is noticed by the next list at the latest.
-        let _ = timeout(Duration::from_millis(20), changed).await;
+        // Whether notified or timed out, the state is checked again.
+        let _ = timeout(CHECK_PERIOD, changed).await;
     }
 }
--- a/crates/agate_node/tests/it/agents.rs
+++ b/crates/agate_node/tests/it/agents.rs
@@ -9,7 +9,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeWorker, Fault, MAX_REPLACE_TIME, one_task_job, wait_until,
+    Behavior, Caller as _, Cluster, FakeWorker, Fault, MAX_REPLACE_TIME, STOP_LIMIT, one_task_job,
+    wait_until,
 };
 
 /// A renewal whose connection was refused counted as granted, so that an unreachable worker never
@@ -76,7 +77,7 @@
     agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
     entry.submit_job(1, one_task_job()).await;
     wait_until("it runs", || worker.running() == 1).await;
-    agent.shut_down().await;
+    agent.shut_down(STOP_LIMIT).await;
     sleep(Duration::from_secs(3)).await;
     let successor = Cluster::agent(cluster.log.client());
     successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -4,19 +4,21 @@
 
 use agate_jobs::lease;
 use agate_node::agent::WorkerRegistry;
-use agate_node::store::{KeyedLog as _, order_stream};
+use agate_node::store::{KeyedLog as _, Stream, order_stream};
 use tokio::time::{Instant, sleep};
 
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeWorker, MAX_LEASE, one_task_job, wait_until,
+    Behavior, Caller as _, Cluster, FakeWorker, Fault, MAX_LEASE, STOP_LIMIT, one_task_job,
+    wait_until,
 };
 
-/// Time that a stopped agent's last report and the next placement may take besides the last lease.
+/// Time that the announcement of a stop (up to 1.2 s), its last report and the next placement may take
+/// besides the last lease.
 const STOP_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// Stops an agent as its process does after SIGTERM.
 async fn stop(agent: WorkerRegistry) {
-    agent.shut_down().await;
+    agent.shut_down(STOP_LIMIT).await;
 }
 
 fn drain(agent: &WorkerRegistry, name: &str) {
@@ -72,9 +74,16 @@
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
-/// The worker had left a second before its agent was stopped, and nobody told the leader.
+/// The worker had left before its agent was stopped, and nobody told the leader: it counted a whole
+/// lease from the agent's last report.
+#[rstest::rstest]
+#[case::one_second(Duration::from_secs(1))]
+#[case::two_seconds(Duration::from_secs(2))]
+#[case::four_seconds(Duration::from_secs(4))]
 #[tokio::test(start_paused = true)]
-async fn runs_of_a_worker_that_left_before_its_agent_stopped_continue_elsewhere() {
+async fn runs_of_a_worker_that_left_before_its_agent_stopped_continue_elsewhere(
+    #[case] before: Duration,
+) {
     let cluster = Cluster::new();
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (left, agent) = cluster.worker("w1");
@@ -87,11 +96,10 @@
     other.keep_tasks_running();
     left.crash();
     let began = Instant::now();
-    sleep(Duration::from_secs(1)).await;
+    sleep(before).await;
     stop(agent).await;
     wait_until("it runs elsewhere", || other.running() == 1).await;
     let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
-    let limit = limit + Duration::from_secs(1);
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
@@ -126,7 +134,8 @@
     let cluster = Cluster::new();
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (_worker, agent) = cluster.worker("w1");
-    sleep(Duration::from_secs(1)).await;
+    // Until then a start of an earlier agent might still be carried out.
+    sleep(Duration::from_secs(3)).await;
     let stopping = tokio::spawn(stop(agent));
     entry.submit_job(1, one_task_job()).await;
     let (other, _agent) = cluster.worker("w2");
@@ -178,3 +187,91 @@
         began.elapsed()
     );
 }
+
+/// Without a fresh read of its orders the agent could only renew a shorter lease, and a restart that
+/// took a little longer would cost the runs.
+#[tokio::test(start_paused = true)]
+async fn the_last_lease_is_renewed_up_to_the_limit() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    stop(agent).await;
+    sleep(lease::duration(MAX_LEASE).mul_f64(0.97)).await;
+    assert_eq!(worker.running(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_departure_of_a_worker_is_recorded_before_its_agent_exits() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    worker.keep_tasks_running();
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::RefusesAppends);
+    worker.crash();
+    agent.mark_gone("w1");
+    let stopping = tokio::spawn(stop(agent));
+    sleep(Duration::from_millis(1_300)).await;
+    log.set_fault(Fault::None);
+    stopping.await.expect("the agent stops");
+    let began = Instant::now();
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    assert!(began.elapsed() < STOP_MARGIN, "{:?}", began.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_agent_stops_in_time_although_the_log_is_silent() {
+    let cluster = Cluster::new();
+    let _entry = cluster.entry("e1", cluster.log.client()).await;
+    let _worker = FakeWorker::open("w1");
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::Silent);
+    sleep(Duration::from_secs(10)).await;
+    let began = Instant::now();
+    stop(agent).await;
+    assert!(began.elapsed() <= STOP_LIMIT, "{:?}", began.elapsed());
+}
+
+/// A return is recorded only if the worker rejects the run from then on. A successor, which still finds
+/// the order, would otherwise start the run while it also runs elsewhere.
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_stops_returns_no_run_that_its_successor_may_start() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    sleep(Duration::from_secs(4)).await;
+    let stopping = tokio::spawn(stop(agent));
+    worker.set_behavior(Behavior::Unreachable);
+    entry.submit_job(1, one_task_job()).await;
+    stopping.await.expect("the agent stops");
+    assert_eq!(bound(&cluster, "w1"), 1, "the order crossed the stop");
+    let keys = cluster.log.keys(Stream::Main);
+    assert!(!keys.iter().any(|key| key.starts_with("n/")), "{keys:?}");
+    worker.set_behavior(Behavior::Healthy);
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    wait_until("it runs", || {
+        let running = worker.running() + other.running();
+        assert!(running <= 1, "two runs at the same time");
+        running == 1
+    })
+    .await;
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(worker.running() + other.running(), 1);
+}
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -22,6 +22,9 @@
 /// Longest lease of the workers.
 pub(crate) const MAX_LEASE: Duration = Duration::from_secs(6);
 
+/// Time within which an agent has to stop, less than the grace period of 6 s.
+pub(crate) const STOP_LIMIT: Duration = Duration::from_millis(5_700);
+
 /// Time from a withdrawal until nothing may start in the zone.
 pub(crate) const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
 
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -79,6 +79,8 @@
     crashing_job: Option<JobId>,
     /// Number of crashes.
     crashes: u32,
+    /// Number of heartbeats that were sent.
+    heartbeats: u64,
 }
 
 /// A worker. Clones share its state.
@@ -106,6 +108,7 @@
             finished_tasks: HashSet::new(),
             crashing_job: None,
             crashes: 0,
+            heartbeats: 0,
         })));
         let workers = WORKERS.get_or_init(Mutex::default);
         let mut workers = workers.lock().expect("the lock is not poisoned");
@@ -124,6 +127,7 @@
     /// `started_ms` from then on.
     pub(crate) fn heartbeat(name: &str, address: &str, started_ms: u64) -> Heartbeat {
         let workers = WORKERS.get_or_init(Mutex::default);
+        let mut sequence = 1;
         if let Some(worker) = workers
             .lock()
             .expect("the lock is not poisoned")
@@ -131,11 +135,13 @@
         {
             let mut state = worker.state();
             state.incarnation = state.incarnation.max(started_ms);
+            state.heartbeats += 1;
+            sequence = state.heartbeats;
         }
         Heartbeat {
             name: name.to_owned(),
             started_ms,
-            sequence: 1,
+            sequence,
             draining: false,
             service: "seatbook".to_owned(),
             zone: "north".to_owned(),
--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -13,8 +13,8 @@
 use crate::diagnosis::{capture_logs, lines_with};
 use crate::orders::{put, start_order};
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeLog, FakeWorker, Fault, WITHDRAWAL_BOUND, one_task_job,
-    wait_until,
+    Behavior, Caller as _, Cluster, FakeLog, FakeWorker, Fault, STOP_LIMIT, WITHDRAWAL_BOUND,
+    one_task_job, wait_until,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -100,7 +100,7 @@
     put(&cluster.log, "w1", &start_order("w1", 0, 1));
     wait_until("it runs", || worker.running() == 1).await;
     withdraw(&cluster, "north");
-    agent.shut_down().await;
+    agent.shut_down(STOP_LIMIT).await;
     let log = cluster.log.client();
     log.set_fault(Fault::RefusesConfig);
     let successor = Cluster::zone_agent(log.clone());
@@ -130,7 +130,7 @@
     put(&cluster.log, "w1", &start_order("w1", 0, 1));
     sleep(SECOND / 10).await;
     withdraw(&cluster, "north");
-    agent.shut_down().await;
+    agent.shut_down(STOP_LIMIT).await;
     let successor = Cluster::zone_agent(cluster.log.client());
     successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
     sleep(4 * SECOND).await;
@@ -148,7 +148,7 @@
     sleep(4 * SECOND).await;
     put(&cluster.log, "w1", &start_order("w1", 0, 1));
     wait_until("the order is returned", || returned(&cluster) == 1).await;
-    agent.shut_down().await;
+    agent.shut_down(STOP_LIMIT).await;
     return_zone(&cluster, "north");
     let successor = Cluster::zone_agent(cluster.log.client());
     successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
