List suspicions with their age in the leader's heartbeat

An entry counts the expiry of an open suspicion from the first heartbeat that lists it. One that has just started reads its first heartbeat later, and when it leads next, it starts the wait again.

A heartbeat lists each suspicion with the time since it was stored. What passes until the heartbeat is read is added by the reader's clock, so the time that it counts from is never too early. Test: an_entry_that_ started_after_a_suspicion_counts_its_age; it fails with the age ignored.

--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns the open suspicions whose record is stored, the oldest first, for the heartbeat.
-    pub fn stored_suspicions(&self) -> Vec<Suspect> {
+    pub fn stored_suspicions(&self, now: Moment) -> Vec<Suspect> {
         let suspected = self
             .workers
             .iter()
@@ -56,9 +56,10 @@
         stored.sort_by_key(|(at, _)| *at);
         let listed = stored.into_iter().take(MAX_LISTED_SUSPICIONS);
         listed
-            .map(|(_, suspicion)| Suspect {
+            .map(|(at, suspicion)| Suspect {
                 incarnation: suspicion.incarnation.clone(),
                 number: suspicion.number,
+                age_ms: u64::try_from(now.since(at).as_millis()).unwrap_or(0),
             })
             .collect()
     }
--- a/crates/agate_jobs/src/plan/suspicion_times.rs
+++ b/crates/agate_jobs/src/plan/suspicion_times.rs
@@ -1,22 +1,24 @@
 //! Time since which each open suspicion is known to be stored.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use agate_core::Moment;
 
 use crate::record::{Suspect, SuspicionRecord};
 use crate::table::{JobTable, Leader};
 
-/// When an entry first read each open suspicion in a heartbeat of a leader. Every entry keeps it,
-/// so that a new leader doesn't restart the expiry of a suspected worker's lease. A suspicion is
-/// stored before the heartbeat that lists it is written, so its lease is not renewed after that time.
+/// Since when each open suspicion is known to be stored, by the heartbeats of leaders that list it with
+/// its age. Every entry keeps it, so that a new leader doesn't restart the expiry of a suspected worker's
+/// lease. A suspicion is stored before the heartbeat that lists it is written, and its age passes until
+/// the heartbeat is read, so its lease is not renewed after that time.
 #[derive(Debug, Clone, Default)]
 pub struct SuspicionTimes(HashMap<String, Listed>);
 
 #[derive(Debug, Clone)]
 struct Listed {
     suspect: Suspect,
-    first_read: Moment,
+    stored_by: Moment,
     /// Epoch of the newest heartbeat that listed the suspicion.
     epoch: u64,
 }
@@ -29,7 +31,8 @@
             self.record_listed(suspect, leader.epoch, now);
         }
         self.0.retain(|_, known| {
-            known.epoch != leader.epoch || leader.suspects.contains(&known.suspect)
+            let mut suspects = leader.suspects.iter();
+            known.epoch != leader.epoch || suspects.any(|listed| listed.is_same(&known.suspect))
         });
     }
 
@@ -42,7 +45,7 @@
                 known.suspect.incarnation == suspicion.incarnation
                     && known.suspect.number == suspicion.number
             })
-            .map_or(default, |known| known.first_read)
+            .map_or(default, |known| known.stored_by)
     }
 
     /// Removes workers that are not in `table`.
@@ -52,10 +55,11 @@
 
     fn record_listed(&mut self, suspect: &Suspect, epoch: u64, now: Moment) {
         let known = self.0.get(&suspect.incarnation.name);
-        let known = known.filter(|known| known.suspect == *suspect);
+        let known = known.filter(|known| known.suspect.is_same(suspect));
+        let stored_by = now - Duration::from_millis(suspect.age_ms);
         let listed = Listed {
             suspect: suspect.clone(),
-            first_read: known.map_or(now, |known| known.first_read),
+            stored_by: known.map_or(stored_by, |known| known.stored_by.min(stored_by)),
             epoch,
         };
         self.0.insert(suspect.incarnation.name.clone(), listed);
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -101,6 +101,16 @@
     /// Number of the suspicion.
     #[serde(rename = "suspicion")]
     pub number: u64,
+    /// Time since it is known to be stored when the heartbeat was written, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+impl Suspect {
+    /// Returns whether both are the same suspicion, whatever their age.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.number == other.number
+    }
 }
 
 /// An instruction to a worker's agent concerning a run.
--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -71,7 +71,7 @@
 
     /// Folds a heartbeat of the leader of `epoch` that lists its suspicions.
     pub(crate) fn send_heartbeat(&mut self, epoch: u64) {
-        let suspects = self.scheduler.stored_suspicions();
+        let suspects = self.scheduler.stored_suspicions(self.now);
         self.fold_heartbeat(epoch, suspects);
     }
 
--- a/crates/agate_jobs/tests/jobs/takeover.rs
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agate_jobs::plan::SuspicionTimes;
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation};
 
@@ -46,6 +47,29 @@
     assert_eq!(fleet.scheduler.bound_runs(), 0);
 }
 
+/// Where entries are restarted in turn, the next leader may have started after the suspicion was first
+/// listed. It counted from the first heartbeat that it read itself (soak, series of planned stops, seed
+/// 4306).
+#[test]
+fn an_entry_that_started_after_a_suspicion_counts_its_age() {
+    let mut fleet = suspected_fleet();
+    let stored_at = fleet.now;
+    fleet.send_heartbeat(1);
+    fleet.advance(Duration::from_secs(4));
+    fleet.suspicion_times = SuspicionTimes::default();
+    fleet.send_heartbeat(1);
+    fleet.take_over();
+    let margin = Duration::from_millis(300);
+    fleet.advance(EXPIRY.saturating_sub(fleet.now.since(stored_at) + margin));
+    assert_eq!(
+        fleet.scheduler.bound_runs(),
+        1,
+        "the lease may not have lapsed yet"
+    );
+    fleet.advance(margin);
+    assert_eq!(fleet.scheduler.bound_runs(), 0);
+}
+
 /// Without a heartbeat that lists it, the time at which a suspicion was stored is unknown. Counting
 /// from an earlier time could start a task in two places.
 #[rstest::rstest]
@@ -60,6 +84,7 @@
             ..report("a", 1).incarnation
         },
         number,
+        age_ms: 0,
     });
     fleet.fold_heartbeat(1, suspects.into_iter().collect());
     fleet.advance(Duration::from_secs(3));
@@ -75,20 +100,20 @@
 #[test]
 fn a_heartbeat_lists_only_stored_and_open_suspicions() {
     let mut fleet = suspected_fleet();
-    assert_eq!(fleet.scheduler.stored_suspicions().len(), 1);
+    assert_eq!(fleet.scheduler.stored_suspicions(fleet.now).len(), 1);
     let mut answer = report("a", 1);
     answer.acked_suspicion = 1;
     fleet.fold(Record::new(Body::Worker(answer)));
     fleet.advance(Duration::from_millis(1));
     assert!(
-        fleet.scheduler.stored_suspicions().is_empty(),
+        fleet.scheduler.stored_suspicions(fleet.now).is_empty(),
         "it is cleared"
     );
     fleet.now = fleet.now + Duration::from_secs(2);
     let since = agate_core::Moment::ZERO;
     fleet.scheduler.update_suspicions(fleet.now, since, LEASE);
     assert!(
-        fleet.scheduler.stored_suspicions().is_empty(),
+        fleet.scheduler.stored_suspicions(fleet.now).is_empty(),
         "it is not stored"
     );
     let stored = SuspicionRecord {
@@ -97,7 +122,7 @@
         suspected: true,
     };
     assert!(fleet.scheduler.suspicion_recorded(&stored, fleet.now));
-    assert_eq!(fleet.scheduler.stored_suspicions()[0].number, 2);
+    assert_eq!(fleet.scheduler.stored_suspicions(fleet.now)[0].number, 2);
 }
 
 /// Numbers start again with each incarnation. The record of an earlier incarnation may be stored late,
@@ -120,9 +145,9 @@
         suspected: true,
     });
     assert!(!fleet.scheduler.suspicion_recorded(&earlier, fleet.now));
-    assert!(fleet.scheduler.stored_suspicions().is_empty());
+    assert!(fleet.scheduler.stored_suspicions(fleet.now).is_empty());
     assert!(fleet.scheduler.suspicion_recorded(&current, fleet.now));
-    assert_eq!(fleet.scheduler.stored_suspicions().len(), 1);
+    assert_eq!(fleet.scheduler.stored_suspicions(fleet.now).len(), 1);
 }
 
 /// A suspicion that its leader no longer lists is settled, so its time must not accumulate.
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -167,7 +167,7 @@
     fn heartbeat(&mut self) -> LeaderHeartbeat {
         LeaderHeartbeat {
             started_jobs: self.scheduler.take_started_jobs(),
-            suspects: self.scheduler.stored_suspicions(),
+            suspects: self.scheduler.stored_suspicions(clock::now()),
             ..heartbeat(&self.entry, self.epoch)
         }
     }
