Reserve memory for long-running tasks that wait

Callers saw a long-running task wait beside best-effort tasks: room was reserved only on workers on which its memory was free already, so best-effort tasks, which compete with it for memory alone, took each freed part again. Such a task had no bound on its wait.

Cause: `missing_millicores` returned nothing where the memory didn't fit beside short tasks, and it left accelerators out. The demand of long-running tasks is now kept for every resource. A worker qualifies if the task fits beside those and the reservations. The one that lacks the smallest part of its capacity gets the reservation. Reservations that exceed the free room count in full, so that a second one goes to another worker that lacks as much.

Evidence: without the fix the new test fails at "the memory is reserved".

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -130,14 +130,14 @@
 }
 
 /// Returns the worker on which to reserve resources for a long-running task: the one that lacks the
-/// least processor time.
+/// smallest part of its capacity.
 pub(super) fn reservation_worker(
     workers: &[Worker],
     task: Candidate<'_>,
     now: Moment,
 ) -> Option<usize> {
     let lacking = allowed(workers, task, now)
-        .filter_map(|slot| Some((workers[slot].missing_millicores(task.step.demand)?, slot)));
+        .filter_map(|slot| Some((workers[slot].missing_permille(task.step.demand)?, slot)));
     lacking.min().map(|(_, slot)| slot)
 }
 
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -149,7 +149,7 @@
             let crashed_there = suspect.crashes.has_address(&worker.report.address);
             (
                 !worker.is_idle(),
-                worker.long_running_millicores,
+                worker.long_running.millicores,
                 crashed_there,
                 worker.used.millicores + worker.best_effort_millicores,
             )
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -53,8 +53,8 @@
     pub used: Resources,
     /// Processor demand of best-effort tasks.
     pub best_effort_millicores: u32,
-    /// Processor demand of long-running tasks.
-    pub long_running_millicores: u32,
+    /// Demand of long-running tasks.
+    pub long_running: Resources,
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
@@ -86,7 +86,7 @@
             last_contact: now,
             used: Resources::ZERO,
             best_effort_millicores: 0,
-            long_running_millicores: 0,
+            long_running: Resources::ZERO,
             reserved: Resources::ZERO,
             held: Resources::ZERO,
             records_dropped: false,
@@ -154,7 +154,7 @@
             return demand.fits_in(room.saturating_sub(self.reserved));
         }
         let room = room.saturating_sub(without_cpu(self.reserved + self.held));
-        let idle = self.long_running_millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
+        let idle = self.long_running.millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         // More may be in use than the worker has, if it has shrunk.
         let used = self.used.millicores + self.best_effort_millicores;
         let spare = (self.report.capacity.millicores + idle).saturating_sub(used);
@@ -164,15 +164,13 @@
         })
     }
 
-    /// Returns the processor demand that a long-running task still lacks, or `None` if the task
-    /// won't fit even after all short tasks have ended.
-    pub fn missing_millicores(&self, demand: Resources) -> Option<u32> {
-        let committed = self.long_running_millicores + self.reserved.millicores;
-        let most = self.report.capacity.millicores.saturating_sub(committed);
-        let room = self.report.capacity.saturating_sub(self.used);
-        let room = room.saturating_sub(self.reserved);
-        let fits = demand.millicores <= most && demand.memory_mib <= room.memory_mib;
-        fits.then(|| demand.millicores.saturating_sub(room.millicores))
+    /// Returns what a long-running task still lacks, beside the reservations, as a sum of permilles of
+    /// the capacity, or `None` if the task won't fit even after all short tasks have ended.
+    pub fn missing_permille(&self, demand: Resources) -> Option<u64> {
+        let capacity = self.report.capacity;
+        let wanted = self.reserved + demand;
+        let fits = (self.long_running + wanted).fits_in(capacity);
+        fits.then(|| excess_permille(self.used + wanted, capacity))
     }
 
     pub fn bind(&mut self, task: TaskKey, binding: &Binding) {
@@ -188,7 +186,7 @@
             self.used += demand;
         }
         if binding.long_running {
-            self.long_running_millicores += demand.millicores;
+            self.long_running += demand;
         }
         if !binding.best_effort_image.is_empty() {
             *self
@@ -219,9 +217,7 @@
             self.used = self.used.saturating_sub(demand);
         }
         if binding.long_running {
-            self.long_running_millicores = self
-                .long_running_millicores
-                .saturating_sub(demand.millicores);
+            self.long_running = self.long_running.saturating_sub(demand);
         }
     }
 
@@ -282,6 +278,15 @@
     (task.job, task.occurrence, task.step)
 }
 
+/// Returns by how much an amount exceeds a capacity, as a sum of permilles of the capacity.
+fn excess_permille(amount: Resources, capacity: Resources) -> u64 {
+    let excess = amount.saturating_sub(capacity);
+    let part = |excess: u32, capacity: u32| u64::from(excess) * 1_000 / u64::from(capacity.max(1));
+    part(excess.millicores, capacity.millicores)
+        + part(excess.memory_mib, capacity.memory_mib)
+        + part(excess.accelerators, capacity.accelerators)
+}
+
 const fn without_cpu(demand: Resources) -> Resources {
     Resources {
         millicores: 0,
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -286,6 +286,33 @@
     assert_eq!(placed.len(), 1);
 }
 
+/// Without a reservation, best-effort tasks would take each freed part of the memory, on which alone
+/// they compete with long-running ones.
+#[test]
+fn best_effort_tasks_leave_memory_for_a_waiting_long_running_task() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let filler = StepSpec {
+        tasks: 20,
+        demand: agate_core::Resources::new(100, 250, 0),
+        ..best_effort_step()
+    };
+    fleet.fold(submitted(1, vec![filler]));
+    assert_eq!(fleet.place().len(), 4);
+    let long_running = StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(1_000, 500, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![long_running]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    assert!(fleet.place().is_empty(), "the memory is reserved");
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Done, "a"));
+    let placed = fleet.place();
+    assert_eq!(placed[0].task, task(2, 0, 0));
+    assert_eq!(placed.len(), 1);
+}
+
 #[test]
 fn room_is_reserved_only_where_a_long_running_task_can_run() {
     let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
