Drop the reservation of a worker that leaves

A waiting batch job with a reserved worker was bound to that worker even after it had announced that it leaves: the drain evicts its runs, so the capacity that the job waits for becomes free there. The agent refuses the start, and the job waits on for the same worker, until that is forgotten, while others have room.

Cause: `mark_leaving` closes the worker for new work, but a job with a reservation bypasses that check. Its reservation is now dropped, so the job is placed or reserved elsewhere.

Evidence: without the fix the new test fails with "placed on a leaving worker". Jobs without a reservation aren't affected: leaving workers aren't in the index that they are sampled from.

--- a/crates/agate_place/src/scheduler/members.rs
+++ b/crates/agate_place/src/scheduler/members.rs
@@ -18,7 +18,8 @@
         self.unblock_fitting(key);
     }
 
-    /// Stops placing tasks on a worker that is leaving.
+    /// Stops placing tasks on a worker that is leaving, and drops its reservation, so that the job may be
+    /// placed elsewhere.
     pub fn mark_leaving(&mut self, worker: Incarnation) {
         let Some(key) = self.workers.key(worker) else {
             return;
@@ -26,6 +27,7 @@
         if let Some(monitor) = self.monitors.get_mut(key) {
             monitor.leaving = true;
         }
+        self.reservations.retain(|r| r.worker != key);
         self.refresh_admission(key);
     }
 
--- a/crates/agate_place/tests/place/order.rs
+++ b/crates/agate_place/tests/place/order.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use agate_core::{Moment, Resources};
+use agate_core::{JobId, Moment, Resources};
 use agate_place::{Placement, Policy, RunOutcome, Scheduler};
 use agate_preset::TeamQuota;
 
@@ -123,6 +123,33 @@
     assert!(waited <= Duration::from_mins(5 + 1), "waited {waited:?}");
 }
 
+/// The reservation bypasses the admission of other work, and eviction frees the capacity that the job
+/// waits for.
+#[test]
+fn a_waiting_job_loses_its_reservation_when_the_worker_leaves() {
+    let mut s = scheduler(Policy::default(), 1);
+    s.push(at(0), &job(1, 100));
+    let running = place_all(&mut s, at(1));
+    let mut large = job(2, 1);
+    large.declared = Resources::new(14_000, 40_000, 0);
+    s.push(at(1), &large);
+    for secs in 2..400 {
+        assert!(place_all(&mut s, at(secs)).is_empty());
+    }
+    s.mark_leaving(running[0].worker);
+    for run in running {
+        s.ended(at(400), run.task, RunOutcome::Evicted, Resources::ZERO);
+    }
+    assert!(
+        place_all(&mut s, at(401)).is_empty(),
+        "placed on a leaving worker"
+    );
+    s.cancel(JobId(1));
+    join(&mut s, 100, Resources::new(16_000, 61_440, 0));
+    let placed = place_all(&mut s, at(403));
+    assert_eq!(count_by_job(&placed), BTreeMap::from([(2, 1)]));
+}
+
 #[test]
 fn a_task_without_accelerators_leaves_accelerator_workers_free() {
     let mut s = scheduler(Policy::default(), 3);
