Announce an entry that leaves to the other entries

Callers' batch jobs waited after a planned stop of an entry. It places nothing from SIGTERM on, but the others went on counting it among those that share the jobs: for its whole drain, and until it had been silent for `membership.forget_ms`, 60 s in the default preset. Tasks of its jobs weren't placed, and starts and stops of its runs not repeated, for that time.

Cause: entries told nobody that they stop. An announcement now says so; it is sent at once on SIGTERM and repeated during the drain. Peers no longer list the entry, and their check of the set of entries takes its jobs over within a second. Leaving is final for an incarnation, so an answer of the leaving entry doesn't list it again. The leaving entry counts itself out as well, unless it knows no other; then it goes on delivering starts and stops. Earlier versions neither send the field nor read it, so in a mixed fleet the old wait remains.

Ruled out: placing during the drain, since bindings that are in flight at the exit would have no one to start them until then either.

--- a/crates/agate_agent/src/entries/link.rs
+++ b/crates/agate_agent/src/entries/link.rs
@@ -79,6 +79,7 @@
     let hello = Hello {
         member: Some(core.member()),
         entry: None,
+        leaving: false,
     };
     let welcome = client.hello(hello).await?;
     if let Some(config) = welcome.config {
--- a/crates/agate_agent/src/entries/seeds.rs
+++ b/crates/agate_agent/src/entries/seeds.rs
@@ -51,6 +51,7 @@
     let hello = Hello {
         member: Some(core.member()),
         entry: None,
+        leaving: false,
     };
     let welcome = client.hello(hello).await.map_err(|e| e.to_string())?;
     if let Some(config) = welcome.config {
--- a/crates/agate_entry/src/batch/ownership.rs
+++ b/crates/agate_entry/src/batch/ownership.rs
@@ -26,9 +26,13 @@
 }
 
 impl Ownership {
-    /// Returns the assignment among the entries known now.
+    /// Returns the assignment among the entries known now. An entry that leaves places nothing, so it is
+    /// left out if there are others.
     pub(crate) fn of(entry: &Entry) -> Self {
         let mut entries: Vec<Incarnation> = entry.entries().iter().map(|e| e.incarnation).collect();
+        if entry.drain.leaving.is_cancelled() && entries.len() > 1 {
+            entries.retain(|known| *known != entry.me.incarnation);
+        }
         entries.sort_unstable();
         Self {
             me: entry.me.incarnation,
--- a/crates/agate_entry/src/members/peers.rs
+++ b/crates/agate_entry/src/members/peers.rs
@@ -25,6 +25,9 @@
     last_contact: Instant,
     /// Whether the peer itself has made contact; until then, it only receives announcements.
     is_confirmed: bool,
+    /// Whether the peer has announced that it is leaving, which is final. It is kept, so that others
+    /// that still mention it don't make it a peer again.
+    is_leaving: bool,
 }
 
 impl Peers {
@@ -41,6 +44,11 @@
         self.upsert(info, Source::Direct);
     }
 
+    /// Records that a peer is leaving. It is no longer listed.
+    pub(crate) fn record_leaving(&self, info: EntryInfo) {
+        self.upsert(info, Source::Leave);
+    }
+
     /// Records peers that others have mentioned. They receive announcements and are listed once
     /// they have answered, so a dead peer that others still mention is never listed.
     pub(crate) fn record_mentions(&self, infos: Vec<EntryInfo>) {
@@ -54,11 +62,13 @@
         self.lock().keys().copied().collect()
     }
 
-    /// Returns the confirmed peers.
+    /// Returns the confirmed peers that are not leaving.
     pub(crate) fn list(&self) -> Vec<EntryInfo> {
         let peers = self.lock();
-        let is_confirmed = peers.values().filter(|peer| peer.is_confirmed);
-        let mut infos: Vec<EntryInfo> = is_confirmed.map(|peer| peer.info.clone()).collect();
+        let listed = peers
+            .values()
+            .filter(|peer| peer.is_confirmed && !peer.is_leaving);
+        let mut infos: Vec<EntryInfo> = listed.map(|peer| peer.info.clone()).collect();
         infos.sort_by_key(|info| info.address);
         infos
     }
@@ -75,14 +85,17 @@
         }
         let mut peers = self.lock();
         let full = peers.len() >= MAX_PEERS;
-        let is_confirmed = source == Source::Direct;
+        let is_confirmed = source != Source::Gossip;
+        let mut is_leaving = source == Source::Leave;
         match peers.get_mut(&info.address) {
             Some(peer) if is_confirmed => {
                 let last_contact = Instant::now();
+                is_leaving |= peer.is_leaving && peer.info.incarnation == info.incarnation;
                 *peer = Peer {
                     info,
                     last_contact,
                     is_confirmed,
+                    is_leaving,
                 };
             }
             Some(_) => {}
@@ -96,6 +109,7 @@
                         info,
                         last_contact,
                         is_confirmed,
+                        is_leaving,
                     },
                 );
             }
@@ -111,5 +125,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
     Direct,
+    Leave,
     Gossip,
 }
--- a/crates/agate_entry/src/rpc/hello.rs
+++ b/crates/agate_entry/src/rpc/hello.rs
@@ -28,7 +28,7 @@
 /// Maximum number of concurrent announcements.
 const MAX_CONCURRENT: usize = 16;
 
-/// Announces this entry until `stop` is cancelled.
+/// Announces this entry until `stop` is cancelled, and at once when it starts to leave.
 ///
 /// A seed may be a load balancer, so each announcement opens a new connection and may reach a
 /// different entry.
@@ -38,6 +38,7 @@
     stop: CancellationToken,
 ) -> Result<(), ChildError> {
     loop {
+        let is_leaving = entry.drain.leaving.is_cancelled();
         let mut addresses: BTreeSet<SocketAddr> = seeds.iter().copied().collect();
         addresses.extend(entry.peers.addresses());
         addresses.remove(&entry.me.address);
@@ -50,8 +51,10 @@
         }
         let factor = rand::rng().random_range(1.0 - JITTER..=1.0 + JITTER);
         let pause = tokio::time::sleep(INTERVAL.mul_f64(factor));
-        if stop.run_until_cancelled(pause).await.is_none() {
-            return Ok(());
+        tokio::select! {
+            () = stop.cancelled() => return Ok(()),
+            () = pause => {}
+            () = entry.drain.leaving.cancelled(), if !is_leaving => {}
         }
     }
 }
@@ -79,6 +82,7 @@
     let hello = Hello {
         member: None,
         entry: Some(entry.me.clone()),
+        leaving: entry.drain.leaving.is_cancelled(),
     };
     client.hello(hello).await.map_err(|error| error.to_string())
 }
--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -90,7 +90,11 @@
             self.record_announcement(member);
         }
         if let Some(peer) = hello.entry {
-            self.0.peers.record_contact(peer);
+            if hello.leaving {
+                self.0.peers.record_leaving(peer);
+            } else {
+                self.0.peers.record_contact(peer);
+            }
         }
         Ok(Welcome {
             entry: self.0.me.clone(),
--- a/crates/agate_entry/tests/it/peers.rs
+++ b/crates/agate_entry/tests/it/peers.rs
@@ -89,3 +89,25 @@
     }
     drop(right);
 }
+
+/// Its jobs would wait until it is forgotten, after a minute of silence.
+#[tokio::test]
+async fn entry_that_leaves_is_delisted_while_it_drains() {
+    let log = start_log().await;
+    let left = start_entry_on(&log, Vec::new()).await;
+    let right = start_entry_on(&log, vec![left.rpc_address()]).await;
+    let operator = operator_client(&left);
+    eventually("the entries know each other", async || {
+        listed_entries(&operator).await == EXPECTED_ENTRIES
+    })
+    .await;
+    right.shutdown().leave();
+    let ended = tokio::spawn(right.wait());
+    eventually("the leaving entry is delisted", async || {
+        listed_entries(&operator).await == 1
+    })
+    .await;
+    ended.await.unwrap().unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(listed_entries(&operator).await, 1);
+}
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -167,6 +167,7 @@
         let hello = Hello {
             member: Some(member),
             entry: None,
+            leaving: false,
         };
         client.hello(hello).await.unwrap();
         let (incarnation, state) = (self.incarnation, Arc::clone(&self.state));
--- a/crates/agate_wire/src/message/member.rs
+++ b/crates/agate_wire/src/message/member.rs
@@ -53,6 +53,10 @@
     pub member: Option<MemberInfo>,
     /// The sender, if it is an entry.
     pub entry: Option<EntryInfo>,
+    /// Whether the sender, an entry, is leaving, so that others place its jobs. Earlier versions don't
+    /// send it.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// Reply to [`Hello`].
