Place the earlier of two long-running jobs first

Callers saw tasks of long-running jobs wait after the loss of their worker while tasks of jobs that they had submitted much later were started (LOST). Jobs that can't finish within their objective give way to those that can. A long-running job never finishes, so some seconds after its submission each one counted as missed, and its lost runs waited behind every new long-running job.

Timeliness no longer applies to jobs with long-running steps; the one that was submitted first comes first.

Evidence: without the fix the new test places the later job.

The order within a priority only; finite jobs are ordered as before.

--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -191,8 +191,12 @@
 }
 
 /// Returns the timeliness of a job and the wall-clock time by which it should finish. Jobs that
-/// can't finish in time give way to those that can.
+/// can't finish in time give way to those that can. A long-running job has no such time; the earlier
+/// one comes first, so that a lost run doesn't wait behind jobs that were submitted since.
 fn timeliness(job: &Job, wall_ms: u64) -> (Timeliness, u64) {
+    if !is_finite(job) {
+        return (Timeliness::InTime, job.at_ms);
+    }
     let allowed_ms = job.allowed_ms();
     let objective_ms = job.at_ms + allowed_ms;
     let finish_ms = wall_ms + job.remaining_ms();
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -368,3 +368,25 @@
     }
     assert_eq!(failed, 4, "tasks were placed after the quarantine");
 }
+
+/// A job without an end has no time by which it finishes, so it never gives way because it is late.
+/// Otherwise a lost run would wait behind all jobs that were submitted since.
+#[test]
+fn long_running_tasks_of_earlier_jobs_are_placed_before_those_of_later_ones() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let long_running = StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(4_000, 100, 0),
+        ..step(1)
+    };
+    let wall_ms = 100_000;
+    let mut later = submitted(2, vec![long_running.clone()]);
+    if let Some(Body::Submitted { at_ms, .. }) = &mut later.body {
+        *at_ms = wall_ms;
+    }
+    fleet.fold(submitted(1, vec![long_running]));
+    fleet.fold(later);
+    let placed = fleet.scheduler.place(&fleet.table, fleet.now, wall_ms);
+    let tasks: Vec<_> = placed.into_iter().map(|placed| placed.task).collect();
+    assert_eq!(tasks, [task(1, 0, 0)]);
+}
