Test that a leaving agent refuses a start ordered late

An entry that hasn't heard of the planned stop yet may still order a start. The refusal lets the entry bind the task elsewhere at once. No fault was found here. With the check of the phase disabled, the new test fails; the other tests were not run with that change.

--- a/crates/agate_agent/tests/agent/drain.rs
+++ b/crates/agate_agent/tests/agent/drain.rs
@@ -98,6 +98,25 @@
     assert!(matches!(result, RunResult::Evicted { .. }), "{result:?}");
 }
 
+/// An entry that has not heard of the stop yet may still order a start.
+#[tokio::test]
+async fn start_ordered_during_a_planned_stop_is_refused() {
+    let fixture = WorkerFixture::set_up().await;
+    let slow = r#"{"duration_ms": 600000, "checkpoint_ms": 600000}"#;
+    let run = fixture.start_request(0, 1, slow);
+    fixture.client.start(run).await.expect("a reply");
+    let late = fixture.start_request(1, 1, slow);
+    let (_, reply) = tokio::join!(fixture.agent.drain(), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let reply = fixture.client.start(late.clone()).await.expect("a reply");
+        fixture.agent.cut_off();
+        reply
+    });
+    assert!(matches!(reply, StartReply::Refused { .. }), "{reply:?}");
+    let result = fixture.wait_for_report(late.run).await.result;
+    assert!(matches!(result, RunResult::NotStarted { .. }), "{result:?}");
+}
+
 #[tokio::test]
 async fn aborted_stop_stops_and_reports_runs() {
     let fixture = WorkerFixture::set_up().await;
