Count a job as started only once a run has started

Cause: the leader listed a job as started when it bound a task. All tasks were bound to a worker whose agent had been stopped, so nobody carried out the orders for 7 s.

An order now says whether its job was queued when the run was bound. The agent reports the start once the worker has confirmed it or lists the run; the fold takes that as evidence, also from reports that take effect late, and the leader repeats it in its heartbeat. Agents list such jobs again every 10 s for entries that have loaded the table since. A new leader learns the same from orders of jobs that had started before. Reports list at most 50 jobs at a time, and only those that were queued; no record is added. Older records are still read. A rejection as an old run is no evidence: the worker may have been told to reject it.

Four of the new tests fail with the listing at the binding restored; the others of tests/jobs/starts.rs and tests/it/starts.rs guard the new path and passed with it.

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -77,6 +77,7 @@
         cold_ms: 0,
         unreachable: false,
         heartbeat: 0,
+        started_jobs: Vec::new(),
         headroom: serving
             .iter()
             .map(|image| Headroom {
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -136,6 +136,7 @@
             cold_ms: 0,
             unreachable: false,
             heartbeat: 0,
+            started_jobs: Vec::new(),
         }
     }
 
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -263,9 +263,6 @@
         } else {
             Vec::new()
         };
-        if !job.started && !self.started_jobs.contains(&task.job) {
-            self.started_jobs.push(task.job);
-        }
         let placed = Placement {
             task,
             run: binding.run,
@@ -286,6 +283,7 @@
                 target_ms: step.target_ms,
                 estimate_ms: binding.estimate_ms,
                 interference,
+                first: !job.started,
             },
         }));
         self.bindings.insert(task, binding);
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -86,6 +86,10 @@
             self.effects.push(Effect::drop_order(&name, key));
             return;
         };
+        // The job had started before the run was bound, which this entry may not have read.
+        if matches!(order.kind, OrderKind::Start { first: false, .. }) {
+            self.list_started(&[order.task.job]);
+        }
         let (demand, best_effort, estimate_ms, stopping) = match &order.kind {
             OrderKind::Start {
                 demand,
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -56,11 +56,21 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Returns the jobs whose first task has been bound since the last call.
+    /// Returns the jobs whose first start an agent has reported since the last call.
     pub fn take_started_jobs(&mut self) -> Vec<JobId> {
         std::mem::take(&mut self.started_jobs)
     }
 
+    /// Leaves jobs that have started to the next heartbeat. The next report on a worker replaces the
+    /// one that listed them.
+    pub(super) fn list_started(&mut self, jobs: &[JobId]) {
+        for job in jobs {
+            if !self.started_jobs.contains(job) {
+                self.started_jobs.push(*job);
+            }
+        }
+    }
+
     /// Returns whether any run of a job is bound.
     pub fn is_bound(&self, job: JobId) -> bool {
         self.bindings_of(job).next().is_some()
@@ -166,6 +176,7 @@
     /// Applies a report on a worker.
     pub(super) fn apply_report(&mut self, report: &WorkerReport, now: Moment) {
         let slot = self.register(report, now);
+        self.list_started(&report.started_jobs);
         self.interference.learn(&report.interference);
         let worker = &mut self.workers[slot];
         worker.last_contact = now;
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -10,7 +10,7 @@
 use crate::pace::Interference;
 use crate::spec::{JobSpec, QueuePolicy};
 use crate::task::TaskKey;
-use crate::worker::{WorkerIncarnation, WorkerReport};
+use crate::worker::{WorkerIncarnation, WorkerReport, is_false};
 
 /// Why a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, EnumString)]
@@ -84,7 +84,7 @@
     /// Whether the entry resigns as leader.
     #[serde(default)]
     pub resigns: bool,
-    /// Jobs whose first task has been started since the last heartbeat.
+    /// Jobs whose first start the leader has learned of since the last heartbeat.
     #[serde(rename = "begun", default, skip_serializing_if = "Vec::is_empty")]
     pub started_jobs: Vec<JobId>,
     /// Open suspicions whose record was stored before this heartbeat was written.
@@ -146,6 +146,9 @@
         /// Known interference with the serving tasks on the worker.
         #[serde(rename = "pressures", default, skip_serializing_if = "Vec::is_empty")]
         interference: Vec<Interference>,
+        /// Whether the job counted as queued when the run was bound. The agent then reports the start.
+        #[serde(default, skip_serializing_if = "is_false")]
+        first: bool,
     },
     /// Stop the run, or prevent it from starting.
     Stop {
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -66,6 +66,7 @@
 #[derive(Debug, Default)]
 struct OutOfOrder {
     cancelled: bool,
+    started: bool,
     ends: Vec<(RunEnd, String)>,
 }
 
@@ -189,6 +190,9 @@
         }
         self.jobs.insert(id, job);
         let out_of_order = self.out_of_order.remove(&id).unwrap_or_default();
+        if out_of_order.started {
+            self.start_jobs(&[id]);
+        }
         for (end, key) in out_of_order.ends {
             self.end_run(end, key);
         }
@@ -248,6 +252,8 @@
     }
 
     fn update_worker(&mut self, report: WorkerReport) -> Change {
+        // A start stays evidence, also in a report that takes effect late.
+        self.start_jobs(&report.started_jobs);
         let name = report.incarnation.name.clone();
         let known = self.workers.get(&name);
         if known.is_some_and(|known| is_outdated(&report, known)) {
@@ -258,11 +264,7 @@
     }
 
     fn update_leader(&mut self, heartbeat: LeaderHeartbeat) -> Change {
-        for id in &heartbeat.started_jobs {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.started = true;
-            }
-        }
+        self.start_jobs(&heartbeat.started_jobs);
         if heartbeat.epoch < self.leader.epoch {
             return Change::None;
         }
@@ -278,6 +280,16 @@
         Change::Leader
     }
 
+    fn start_jobs(&mut self, started: &[JobId]) {
+        for id in started {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.started = true;
+            } else if !self.closed.contains_key(id) {
+                self.out_of_order.entry(*id).or_default().started = true;
+            }
+        }
+    }
+
     fn remove_key(&mut self, key: &str) {
         let Some((kind, rest)) = key.split_once('/') else {
             return;
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::pace::{Headroom, Interference};
-use agate_core::Resources;
+use agate_core::{JobId, Resources};
 use serde::{Deserialize, Serialize};
 
 /// An incarnation of a worker.
@@ -76,6 +76,10 @@
     /// increases within an incarnation, whichever agent reports.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub heartbeat: u64,
+    /// Jobs that were queued when a run was bound to this worker, and whose run has started since the
+    /// last recorded report.
+    #[serde(rename = "begun", default, skip_serializing_if = "Vec::is_empty")]
+    pub started_jobs: Vec<JobId>,
 }
 
 #[expect(
@@ -90,6 +94,6 @@
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
 )]
-const fn is_false(value: &bool) -> bool {
+pub(crate) const fn is_false(value: &bool) -> bool {
     !*value
 }
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod place;
 mod records;
+mod starts;
 mod support;
 mod suspicion;
 mod table;
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -85,5 +85,6 @@
         cold_ms: 0,
         unreachable: false,
         heartbeat: 0,
+        started_jobs: Vec::new(),
     }
 }
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -240,6 +240,7 @@
         Ok(StartReply::Started) => {
             metrics.count(Event::TaskStarted);
             ends::set_phase(worker, task, run, Phase::Started(clock::boottime()));
+            worker.state().confirm_start(task, run);
         }
         Ok(StartReply::Rejected(Rejection::Old)) => {
             ends::set_phase(worker, task, run, Phase::Started(clock::boottime()));
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -109,6 +109,7 @@
             run.phase = Phase::Started(clock::boottime());
         }
     }
+    state.confirm_start(row.task, row.run);
     stop_stalled(worker, state, row);
 }
 
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -1,13 +1,14 @@
 //! A worker that the agent manages.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use agate_core::Resources;
+use agate_core::{JobId, Resources};
 use agate_jobs::lease::{self, ClockReading};
 use agate_jobs::{
-    Order, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport, WorkerState,
+    Order, OrderKind, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport,
+    WorkerState,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -26,6 +27,9 @@
 /// Factor from time on a clock that runs two percent slow, the slowest allowed, to real time.
 const SLOW_CLOCK_FACTOR: f64 = 1.021;
 
+/// Number of started jobs that a report lists, about 1 kB. The others are left to the next reports.
+const MAX_STARTED_JOBS: usize = 50;
+
 /// Phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -59,6 +63,8 @@
     pub missing_lists: u32,
     /// Whether the start got no answer and no list has contained the run since.
     pub unanswered: bool,
+    /// Whether the worker has confirmed the start or has listed the run.
+    pub confirmed: bool,
 }
 
 /// A worker and what its agent knows about it.
@@ -105,6 +111,8 @@
     /// Ends of runs that went down with a crash of this incarnation or the one before. They are recorded
     /// with the next report.
     pub crash_ends: Vec<RunEnd>,
+    /// Jobs that were queued when a run was bound, and whose start is not yet recorded with a report.
+    pub started_jobs: BTreeSet<JobId>,
     /// Whether the worker has listed its runs since this agent started.
     pub has_listed: bool,
     /// Whether the worker has not answered since its lease lapsed.
@@ -128,6 +136,7 @@
             stalled: false,
             missing_lists: 0,
             unanswered: false,
+            confirmed: false,
         }
     }
 }
@@ -160,6 +169,7 @@
             introduction: Introduction::default(),
             reported_at: None,
             crash_ends: Vec::new(),
+            started_jobs: BTreeSet::new(),
             has_listed: false,
             unreachable: false,
         };
@@ -310,6 +320,31 @@
         self.is_ordered(task, run) || (earlier && !self.introduction.is_done())
     }
 
+    /// Records that a run has certainly started. The next report lists its job if that was queued when
+    /// the run was bound.
+    pub fn confirm_start(&mut self, task: TaskKey, number: u32) {
+        let run = self.runs.get_mut(&task);
+        let Some(run) = run.filter(|run| run.number == number && !run.confirmed) else {
+            return;
+        };
+        run.confirmed = true;
+        let order = self.orders.get(&task).filter(|order| order.run == number);
+        if order.is_some_and(is_first_start) {
+            self.started_jobs.insert(task.job);
+        }
+    }
+
+    /// Lists the jobs of all runs in progress again that [`Self::confirm_start`] has listed.
+    pub fn relist_started(&mut self) {
+        let is_confirmed = |order: &&Order| {
+            let run = self.runs.get(&order.task);
+            run.is_some_and(|run| run.number == order.run && run.confirmed)
+        };
+        let orders = self.orders.values().filter(|order| is_first_start(order));
+        let jobs = orders.filter(is_confirmed).map(|order| order.task.job);
+        self.started_jobs.extend(jobs);
+    }
+
     /// Returns the report to the leader.
     pub fn report(&self) -> WorkerReport {
         let mut capacity = self.heartbeat.capacity;
@@ -330,6 +365,12 @@
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
             heartbeat: self.heartbeat.sequence,
+            started_jobs: self
+                .started_jobs
+                .iter()
+                .take(MAX_STARTED_JOBS)
+                .copied()
+                .collect(),
         }
     }
 
@@ -341,6 +382,10 @@
     }
 }
 
+const fn is_first_start(order: &Order) -> bool {
+    matches!(order.kind, OrderKind::Start { first: true, .. })
+}
+
 const fn status_of(heartbeat: &Heartbeat) -> WorkerState {
     if heartbeat.draining {
         WorkerState::Draining
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -18,15 +18,25 @@
 /// Pause after a failed report.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Time after which reports list started jobs again, for entries that have loaded the table since. It
+/// holds only the newest report.
+const RELIST_PERIOD: Duration = Duration::from_secs(10);
+
 /// Reports the worker until it is gone and that is recorded.
 pub(super) async fn run(worker: Arc<ManagedWorker>) {
+    let mut listed_at = Instant::now();
     loop {
         wait_until_due(&worker).await;
         let (report, ends) = {
-            let state = worker.state();
+            let mut state = worker.state();
+            if listed_at.elapsed() >= RELIST_PERIOD {
+                listed_at = Instant::now();
+                state.relist_started();
+            }
             (state.report(), state.crash_ends.clone())
         };
         let state = report.state;
+        let started = report.started_jobs.clone();
         // The ends come first: the report makes the leader end whatever is still bound.
         let bodies = ends.iter().cloned().map(Body::Ended);
         let bodies = bodies.chain([Body::Worker(report)]);
@@ -34,7 +44,9 @@
         let recorded = worker.context.appender.record(&records, APPEND_TIMEOUT);
         let recorded = recorded.await;
         if recorded.is_ok() {
-            worker.state().crash_ends.retain(|end| !ends.contains(end));
+            let mut state = worker.state();
+            state.crash_ends.retain(|end| !ends.contains(end));
+            state.started_jobs.retain(|job| !started.contains(job));
         }
         match recorded {
             Ok(_) if state == WorkerState::Gone => {
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod relay_clusters;
 mod relay_protocol;
 mod relay_state;
+mod starts;
 mod support;
 mod takeovers;
 mod zones;
--- a/crates/agate_node/tests/it/orders.rs
+++ b/crates/agate_node/tests/it/orders.rs
@@ -37,6 +37,7 @@
             target_ms: 0,
             estimate_ms: step.estimate_ms,
             interference: Vec::new(),
+            first: false,
         },
     }))
 }
