--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -78,6 +78,7 @@
         unreachable: false,
         agent: AgentState::Serving,
         heartbeat: 0,
+        started_jobs: Vec::new(),
         headroom: serving
             .iter()
             .map(|image| Headroom {
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -137,6 +137,7 @@
             unreachable: false,
             agent: AgentState::Serving,
             heartbeat: 0,
+            started_jobs: Vec::new(),
         }
     }
 
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -86,5 +86,6 @@
         unreachable: false,
         agent: AgentState::Serving,
         heartbeat: 0,
+        started_jobs: Vec::new(),
     }
 }
