--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -63,11 +63,9 @@
     let bodies = bodies.chain([Body::Worker(report)]);
     let records: Vec<Record> = bodies.map(Record::new).collect();
     worker.context.appender.record(&records, limit).await?;
-    {
-        let mut state = worker.state();
-        state.crash_ends.retain(|end| !ends.contains(end));
-        state.started_jobs.retain(|job| !started.contains(job));
-    }
+    let mut known = worker.state();
+    known.crash_ends.retain(|end| !ends.contains(end));
+    known.started_jobs.retain(|job| !started.contains(job));
     Ok(state)
 }
 
