Don't count unanswered calls as renewals when a worker or its agent leaves

The lease of a worker that was gone lapsed up to 2 s later by the agent's count, later than it could wait, and a lapse was checked only after each call.

A worker that has announced that it leaves, or whose agent stops, has to answer before its lease is renewed again. While it stops, the agent checks for the lapse all the time, and sends no last renewal to a worker that has not answered.

--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -50,6 +50,11 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Returns whether the last call has failed.
+    pub const fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns whether the worker doesn't answer, so that nothing should be started on it.
     pub const fn is_unreachable(&self) -> bool {
         self.failures >= UNREACHABLE_FAILURES
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -104,8 +104,7 @@
         let state = worker.state();
         let now = clock::boottime();
         let until = worker.lease_limit(&state).filter(|until| *until > now);
-        let answers = state.silent_for(now) < MAX_SILENCE;
-        let deadline = until.filter(|_| answers);
+        let deadline = until.filter(|_| may_renew(&state, now));
         let deadline = deadline.and_then(|until| Some(state.clock?.deadline(until)));
         (state.incarnation.clone(), deadline, state.recorded_up_to)
     };
@@ -139,6 +138,15 @@
     Ok(reply)
 }
 
+/// Returns whether a call may renew the lease. A worker that is about to leave, or whose agent is, has to
+/// answer first if the last call failed: each call without an answer may have extended the lease, and
+/// would delay its lapse.
+fn may_renew(state: &State, now: Duration) -> bool {
+    let is_ending = state.is_leaving() || !state.agent.is_serving();
+    let has_answered = !(is_ending && state.contact.has_failed());
+    has_answered && state.silent_for(now) < MAX_SILENCE
+}
+
 fn is_mixed(state: &State) -> bool {
     let started = |order: &Order| {
         let run = state.runs.get(&order.task);
@@ -161,7 +169,7 @@
 }
 
 /// Marks a silent worker as lapsed once all of its leases have expired.
-fn check_lapse(worker: &ManagedWorker) {
+pub(super) fn check_lapse(worker: &ManagedWorker) {
     let mut state = worker.state();
     let now = clock::boottime();
     let silent_for = state.silent_for(now);
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -9,7 +9,7 @@
 
 use agate_jobs::{AgentState, WorkerState};
 use rand::Rng as _;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::managed::{ManagedWorker, Phase, State};
 use super::{renewal, report};
@@ -64,6 +64,14 @@
         // The limit covers a worker that answers again and renews its lease.
         let _ = timeout_at(until - REPORT_TIMEOUT, wait_for_lapse(worker)).await;
     }
+    if !worker.state().contact.has_failed() {
+        renew_last(worker).await;
+    }
+    set_agent_state(worker, AgentState::Stopped);
+    report_stopped(worker).await;
+}
+
+async fn renew_last(worker: &ManagedWorker) {
     let renewal = renewal::renew_last(worker);
     if timeout(RENEWAL_TIMEOUT, renewal).await.is_err() {
         log::warn!(
@@ -71,8 +79,6 @@
             "the worker keeps its current lease"
         );
     }
-    set_agent_state(worker, AgentState::Stopped);
-    report_stopped(worker).await;
 }
 
 async fn report_stopped(worker: &ManagedWorker) {
@@ -105,12 +111,13 @@
 /// Returns whether the worker doesn't answer and its lease lapses before `limit`.
 fn lapses_before(state: &State, limit: Instant) -> bool {
     let left = (state.lapses_at + renewal::LAPSE_MARGIN).saturating_sub(clock::boottime());
-    is_unreachable(state) && Instant::now() + left < limit
+    is_silent(state) && Instant::now() + left < limit
 }
 
-fn is_unreachable(state: &State) -> bool {
+/// Returns whether the worker didn't answer the last call and doesn't count as lapsed yet.
+fn is_silent(state: &State) -> bool {
     let in_service = matches!(state.status, WorkerState::Ready | WorkerState::Draining);
-    in_service && state.contact.is_unreachable() && !state.unreachable
+    in_service && state.contact.has_failed() && !state.unreachable
 }
 
 /// Waits until no start or stop is in progress.
@@ -122,9 +129,16 @@
     .await;
 }
 
-/// Waits until a worker that doesn't answer counts as lapsed, or answers again.
+/// Waits until a worker that doesn't answer counts as lapsed, or answers again. The task that renews the
+/// lease checks that only after each call, which may take over a second.
 async fn wait_for_lapse(worker: &ManagedWorker) {
-    wait_while(worker, is_unreachable).await;
+    loop {
+        renewal::check_lapse(worker);
+        if !is_silent(&worker.state()) {
+            return;
+        }
+        sleep(CHECK_PERIOD).await;
+    }
 }
 
 async fn wait_while(worker: &ManagedWorker, holds: impl Fn(&State) -> bool) {
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -103,6 +103,30 @@
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
+/// A worker that is silent, rather than refusing connections, answers no call for as long as the call
+/// waits. Each such call counted as a renewal (soak, series of planned stops, seed 4203).
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_silent_worker_that_had_announced_its_departure_continue_elsewhere() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    drain(&agent, "w1");
+    sleep(Duration::from_secs(1)).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    left.crash();
+    left.set_behavior(Behavior::Silent);
+    let began = Instant::now();
+    sleep(Duration::from_millis(1_500)).await;
+    stop(agent).await;
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
 /// A restart must not cost the runs, however soon the next agent starts.
 #[rstest::rstest]
 #[case::at_once(Duration::ZERO)]
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -28,6 +28,9 @@
 /// Delay of a slow start, shorter than its deadline allows.
 const SLOW_START_TIME: Duration = Duration::from_millis(1_300);
 
+/// Time after which a call that gets no answer fails.
+const SILENT_CALL_TIME: Duration = Duration::from_millis(1_200);
+
 /// How the worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Behavior {
@@ -36,6 +39,8 @@
     Healthy,
     /// Refuses connections.
     Unreachable,
+    /// Answers no call.
+    Silent,
     /// Neither executes nor answers starts; answers all other calls.
     IgnoresStarts,
     /// Executes starts, but doesn't answer them.
@@ -229,10 +234,15 @@
 
     async fn ensure_reachable(&self) -> Result<(), CallError> {
         sleep(CALL_TIME).await;
-        if self.state().behavior == Behavior::Unreachable {
-            return Err(CallError::NotSent("refused".to_owned()));
+        let behavior = self.state().behavior;
+        match behavior {
+            Behavior::Unreachable => Err(CallError::NotSent("refused".to_owned())),
+            Behavior::Silent => {
+                sleep(SILENT_CALL_TIME).await;
+                Err(CallError::Unknown("timed out".to_owned()))
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 }
 
