--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -322,8 +322,8 @@
 /// Within an incarnation, the term and then the number of the acknowledged suspicion never decrease. Of
 /// two reports that agree in both, the one with the later heartbeat is valid: the worker's capacity may
 /// have changed. Of two with the same heartbeat, the one from later in the stop of the agent is valid:
-/// another agent starts with a later heartbeat. The report that the worker has left is final, and an agent may send it before it knows
-/// the term.
+/// another agent starts with a later heartbeat. The report that the worker has left is final, and an
+/// agent may send it before it knows the term.
 fn is_outdated(report: &WorkerReport, known: &WorkerReport) -> bool {
     let start = report.incarnation.started_ms;
     let known_start = known.incarnation.started_ms;
