Log when a writer backs off from a slow log

The log could not tell whether the report was sent and got no answer, or waited in the appender's backoff, which follows appends of over 80 ms. Now a backoff of over half a second is logged.

--- a/crates/agate_node/src/appender.rs
+++ b/crates/agate_node/src/appender.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::admission::{Admission, AppendResult};
+use crate::clock;
 use crate::metrics::Metrics;
 use crate::outage::OutageMonitor;
 use crate::store::{AppendError, KeyedLog, Stream};
@@ -41,6 +42,9 @@
 /// Longest backoff of a background writer.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
+/// Backoff from which on it is logged: longer than reports may be late.
+const LOGGED_BACKOFF: Duration = Duration::from_millis(500);
+
 /// Whether a writer backs off while the log is slow. The log processes the appends to a stream one
 /// by one, so the appends of many agents would delay callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -277,6 +281,12 @@
         let failed = result.is_err();
         let consecutive_slow = self.count_slow(failed || took > SLOW_APPEND);
         let pause = self.urgency.pause(consecutive_slow, failed);
+        if pause > LOGGED_BACKOFF {
+            log::info!(
+                event = "append_backoff", took_ms = clock::millis(took), slow = consecutive_slow,
+                pause_ms = clock::millis(pause); "the log is slow"
+            );
+        }
         if !pause.is_zero() {
             sleep(pause).await;
         }
