Retry the report of a lapse until the grace period ends

An agent that stops beside a silent worker gave the log 0.8 s to take the report that the lease has lapsed, and then exited although seconds of its grace period were left. The leader then counted silence and a whole lease. For a worker that runs nothing more, an early exit gains nothing, so the report is now retried as long as the grace period allows; for one that runs on, the 0.8 s stay, since a restart should take no longer than it must.

--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -30,7 +30,7 @@
 /// Time limit for the last lease renewal.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time limit for the last report.
+/// Time limit for the last report of a worker that goes on, so that a restart takes no longer than it must.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time between checks for something that has to end before the agent exits.
@@ -68,7 +68,17 @@
         renew_last(worker).await;
     }
     set_agent_state(worker, AgentState::Stopped);
-    report_stopped(worker).await;
+    let limit = report_limit(&worker.state(), until);
+    report_stopped(worker, limit).await;
+}
+
+/// Returns the time limit for the last report. Where the worker runs nothing any more, nothing is gained
+/// by an early exit, but the leader would count a whole lease without the report.
+fn report_limit(state: &State, until: Instant) -> Duration {
+    match state.status {
+        WorkerState::Lapsed | WorkerState::Gone => until - Instant::now(),
+        WorkerState::Ready | WorkerState::Draining => REPORT_TIMEOUT,
+    }
 }
 
 async fn renew_last(worker: &ManagedWorker) {
@@ -81,12 +91,12 @@
     }
 }
 
-async fn report_stopped(worker: &ManagedWorker) {
+async fn report_stopped(worker: &ManagedWorker, limit: Duration) {
     if !is_known(&worker.state()) || worker.departed.is_cancelled() {
         return;
     }
-    let report = report::record(worker, REPORT_TIMEOUT);
-    let cause = match timeout(REPORT_TIMEOUT, report).await {
+    let report = report::record(worker, limit);
+    let cause = match timeout(limit, report).await {
         Ok(Ok(_)) => return,
         Ok(Err(error)) => error.to_string(),
         Err(_) => "the log did not answer in time".to_owned(),
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -159,6 +159,40 @@
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
+/// The agent gave the log 0.8 s to take the report of a lapse, and exited with seconds of its grace
+/// period left.
+#[tokio::test(start_paused = true)]
+async fn the_report_of_a_lapse_is_retried_until_the_grace_period_ends() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let left = FakeWorker::open("w1");
+    left.keep_tasks_running();
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    drain(&agent, "w1");
+    sleep(Duration::from_secs(1)).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    left.crash();
+    let began = Instant::now();
+    sleep(Duration::from_secs(3)).await;
+    let stopping = tokio::spawn(stop(agent));
+    sleep(Duration::from_millis(1_500)).await;
+    log.set_fault(Fault::RefusesAppends);
+    sleep(Duration::from_millis(2_500)).await;
+    log.set_fault(Fault::None);
+    stopping.await.expect("the agent stops");
+    log.set_fault(Fault::RefusesAll);
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    // The report is recorded a second after the lapse at the latest.
+    let limit =
+        lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN + Duration::from_secs(1);
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
 /// A restart must not cost the runs, however soon the next agent starts.
 #[rstest::rstest]
 #[case::at_once(Duration::ZERO)]
