Reserve for a waiting task beside the room held for a move

What callers saw: while tasks were moved out of a zone, a long-running task that found no worker could wait on although one had room for it once its short tasks had ended.

Cause: a reservation counted what runs on a worker and what is reserved there, but not the room held for moves. The worker that a move is about to fill lacked the least, so it was chosen, and short tasks took each core that became free where the task could have run.

Evidence: the test a_waiting_task_reserves_beside_the_room_held_for_a_move places a short task on the other worker's last core before the change.

Change: the held room counts as wanted when the worker for a reservation is chosen.

Ruled out: dropping the move. The task that is moved is at work, and the waiting one would only take its place.

--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -166,11 +166,12 @@
         })
     }
 
-    /// Returns what a long-running task still lacks, beside the reservations, as a sum of permilles of
-    /// the capacity, or `None` if the task won't fit even after all short tasks have ended.
+    /// Returns what a long-running task still lacks, beside the reservations and the room held for
+    /// moves, as a sum of permilles of the capacity, or `None` if the task won't fit even after all
+    /// short tasks have ended.
     pub fn missing_permille(&self, demand: Resources) -> Option<u64> {
         let capacity = self.report.capacity;
-        let wanted = self.reserved + demand;
+        let wanted = self.reserved + self.held + demand;
         let fits = (self.long_running + wanted).fits_in(capacity);
         fits.then(|| excess_permille(self.used + wanted, capacity))
     }
--- a/crates/agate_jobs/tests/jobs/moves.rs
+++ b/crates/agate_jobs/tests/jobs/moves.rs
@@ -362,3 +362,38 @@
     fleet.place();
     assert_eq!(fleet.issued_orders().len(), 1);
 }
+
+/// Returns a short step of one-core tasks that run on one worker only.
+fn short_on(worker: &str, tasks: u32) -> StepSpec {
+    StepSpec {
+        label: format!("r-{worker}"),
+        ..step(tasks)
+    }
+}
+
+/// A task that waits was given the room that a move held, and short tasks took each core that became
+/// free where it could have run.
+#[test]
+fn a_waiting_task_reserves_beside_the_room_held_for_a_move() {
+    let three_cores = StepSpec {
+        demand: Resources::new(3_000, 100, 0),
+        ..serving(1, 1)
+    };
+    let mut moving = Moving::withdrawn(vec![three_cores], &["a"], &["b", "c"]);
+    moving.fleet.fold(submitted(2, vec![short_on("b", 1)]));
+    moving.fleet.fold(submitted(3, vec![short_on("c", 3)]));
+    assert_eq!(moving.round(), [(1, 0)], "b has room for it");
+    let two_cores = StepSpec {
+        demand: Resources::new(2_000, 100, 0),
+        ..serving(1, 0)
+    };
+    moving.fleet.fold(submitted(4, vec![two_cores]));
+    moving.fleet.fold(submitted(5, vec![short_on("c", 1)]));
+    assert!(moving.fleet.place().is_empty(), "the core of c is reserved");
+    moving
+        .fleet
+        .fold(ended(task(3, 0, 0), 1, EndCause::Done, "c"));
+    let placed = moving.fleet.place();
+    assert_eq!(placed[0].task, task(4, 0, 0));
+    assert_eq!(placed.len(), 1);
+}
