Count reservations against the limit for each worker

What callers saw: of two tasks of a step with a limit for each worker, the second could wait on although another worker had room for it once short tasks had ended.

Cause: the worker for a reservation was chosen by what is bound there. Both tasks reserved on the worker that lacked least, where only one of them may run, and short tasks took each core that became free elsewhere.

Evidence: the test tasks_with_a_limit_for_each_worker_reserve_on_different_workers places a short task on the other worker's core without the check.

Change: a worker knows the tasks that room is reserved for in a round, and those of the same step count against the limit.

Ruled out: counting them when a task is placed, too. A task that fits somewhere needs no reservation.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -137,10 +137,17 @@
     now: Moment,
 ) -> Option<usize> {
     let lacking = allowed(workers, task, now)
+        .filter(|slot| may_reserve(&workers[*slot], task))
         .filter_map(|slot| Some((workers[slot].missing_permille(task.step.demand)?, slot)));
     lacking.min().map(|(_, slot)| slot)
 }
 
+/// Returns whether the limit for each worker allows the task beside those that room is reserved for.
+fn may_reserve(worker: &Worker, task: Candidate<'_>) -> bool {
+    let siblings = worker.siblings(task.task) + worker.reserved_siblings(task.task);
+    task.step.per_worker == 0 || siblings < task.step.per_worker
+}
+
 /// Returns the workers that a task may run on, regardless of the room left.
 pub(super) fn allowed<'a>(
     workers: &'a [Worker],
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -1,6 +1,6 @@
 //! Placement of tasks that are ready to run.
 
-use agate_core::{JobId, Moment, Resources};
+use agate_core::{JobId, Moment};
 
 use crate::backlog::Part;
 use crate::plan::choose::{self, Candidate, Preference};
@@ -71,7 +71,7 @@
             waiting: Vec::new(),
         };
         for worker in &mut self.workers {
-            worker.reserved = Resources::ZERO;
+            worker.clear_reservations();
         }
         self.hold_room_for_moves();
         self.place_suspects(table, &mut round, wall_ms);
@@ -132,7 +132,7 @@
         };
         let demand = candidate.step.demand;
         if let Some(slot) = choose::reservation_worker(&self.workers, candidate, now) {
-            self.workers[slot].reserved += demand;
+            self.workers[slot].reserve(task, demand);
         }
     }
 
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -58,6 +58,8 @@
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
+    /// The tasks that they are reserved for.
+    pub reservations: Vec<TaskKey>,
     /// Resources held for tasks that are being moved here and still run elsewhere.
     pub held: Resources,
     /// Whether the worker's records have been dropped because it left.
@@ -88,6 +90,7 @@
             best_effort_millicores: 0,
             long_running: Resources::ZERO,
             reserved: Resources::ZERO,
+            reservations: Vec::new(),
             held: Resources::ZERO,
             records_dropped: false,
             withdrawn: false,
@@ -176,6 +179,16 @@
         fits.then(|| excess_permille(self.used + wanted, capacity))
     }
 
+    pub fn reserve(&mut self, task: TaskKey, demand: Resources) {
+        self.reserved += demand;
+        self.reservations.push(task);
+    }
+
+    pub fn clear_reservations(&mut self) {
+        self.reserved = Resources::ZERO;
+        self.reservations.clear();
+    }
+
     pub fn bind(&mut self, task: TaskKey, binding: &Binding) {
         *self.step_tasks.entry(step_of(task)).or_default() += 1;
         if let Some(until) = binding.probe_until {
@@ -266,6 +279,13 @@
     pub fn siblings(&self, task: TaskKey) -> u32 {
         self.step_tasks.get(&step_of(task)).copied().unwrap_or(0)
     }
+
+    /// Returns the number of tasks of the same step for which room is reserved.
+    pub fn reserved_siblings(&self, task: TaskKey) -> u32 {
+        let reservations = self.reservations.iter();
+        let siblings = reservations.filter(|other| step_of(**other) == step_of(task));
+        u32::try_from(siblings.count()).unwrap_or(u32::MAX)
+    }
 }
 
 fn decrement<K: Ord>(counts: &mut BTreeMap<K, u32>, key: &K) {
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -313,6 +313,38 @@
     assert_eq!(placed.len(), 1);
 }
 
+/// Both tasks reserved on the worker that lacked less, where only one of them may run, and short tasks
+/// took each core that became free on the other worker.
+#[test]
+fn tasks_with_a_limit_for_each_worker_reserve_on_different_workers() {
+    let large = WorkerReport {
+        capacity: agate_core::Resources::new(16_000, 2_000, 0),
+        ..report("a", 1)
+    };
+    let mut fleet = Fleet::new(&[large, report("b", 1)]);
+    let short_on = |worker: &str, tasks: u32| StepSpec {
+        label: format!("r-{worker}"),
+        ..step(tasks)
+    };
+    fleet.fold(submitted(1, vec![short_on("a", 15), short_on("b", 4)]));
+    assert_eq!(fleet.place().len(), 19);
+    let spread = StepSpec {
+        long_running: true,
+        per_worker: 1,
+        demand: agate_core::Resources::new(2_000, 1, 0),
+        ..step(2)
+    };
+    fleet.fold(submitted(2, vec![spread]));
+    fleet.fold(submitted(3, vec![short_on("b", 1)]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(ended(task(1, 1, 0), 1, EndCause::Done, "b"));
+    assert!(fleet.place().is_empty(), "the core of b is reserved");
+    fleet.fold(ended(task(1, 1, 1), 1, EndCause::Done, "b"));
+    let placed = fleet.place();
+    assert_eq!(placed.len(), 1);
+    assert_eq!((placed[0].task.job.0, placed[0].worker.as_str()), (2, "b"));
+}
+
 #[test]
 fn room_is_reserved_only_where_a_long_running_task_can_run() {
     let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
