Report on which worker a waiting task has reserved room

What callers saw: task_waits named no worker although room was reserved for the task, so that an operator took a wait for short tasks to end for a lack of room.

Cause: the worker was chosen anew after the round, with the room that was reserved for the task itself counted as taken.

Evidence: the test a_wait_is_reported_with_the_worker_that_room_is_reserved_on gets an empty name before the change.

Change: the report names the worker that has the reservation. It also gives what would be free without short tasks and the sum of what is free, which tell what a lack of room is due to: short tasks, other long-running tasks, or scattered room.

Ruled out: a report of each worker, which grows with their number.

--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -35,6 +35,10 @@
     pub allowed: usize,
     /// Largest amount of each resource that is free on one of these.
     pub largest_free: Resources,
+    /// The same, after all short tasks have ended.
+    pub largest_drained: Resources,
+    /// Sum of what is free on these workers.
+    pub total_free: Resources,
     /// Worker on which room is reserved for it; empty if there is none.
     pub reserved_on: String,
 }
@@ -81,8 +85,9 @@
         let (task, waited) = self.waits.due(now)?;
         let turn = order::whole(task.job, table.job(task.job)?);
         let candidate = self.candidate(&turn, task)?;
-        let reserved = choose::reservation_worker(&self.workers, candidate, now);
-        let reserved_on = reserved.map(|slot| self.workers[slot].report.incarnation.name.clone());
+        let mut workers = self.workers.iter();
+        let reserved = workers.find(|worker| worker.reservations.contains(&task));
+        let reserved_on = reserved.map(|worker| worker.report.incarnation.name.clone());
         Some(LongWait {
             waited,
             reserved_on: reserved_on.unwrap_or_default(),
@@ -109,19 +114,29 @@
             workers: self.workers.iter().filter(of_service).count(),
             allowed: 0,
             largest_free: Resources::ZERO,
+            largest_drained: Resources::ZERO,
+            total_free: Resources::ZERO,
             reserved_on: String::new(),
         };
         for slot in choose::allowed(&self.workers, candidate, now) {
             let worker = &self.workers[slot];
-            let free = worker.report.capacity.saturating_sub(worker.used);
-            let free = free.saturating_sub(worker.held);
+            let room = worker.report.capacity.saturating_sub(worker.held);
+            let free = room.saturating_sub(worker.used);
+            let drained = room.saturating_sub(worker.long_running);
             wait.allowed += 1;
-            wait.largest_free = Resources {
-                millicores: wait.largest_free.millicores.max(free.millicores),
-                memory_mib: wait.largest_free.memory_mib.max(free.memory_mib),
-                accelerators: wait.largest_free.accelerators.max(free.accelerators),
-            };
+            wait.largest_free = largest(wait.largest_free, free);
+            wait.largest_drained = largest(wait.largest_drained, drained);
+            wait.total_free += free;
         }
         wait
     }
 }
+
+/// Returns the larger amount of each resource.
+fn largest(a: Resources, b: Resources) -> Resources {
+    Resources {
+        millicores: a.millicores.max(b.millicores),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
--- a/crates/agate_jobs/tests/jobs/waits.rs
+++ b/crates/agate_jobs/tests/jobs/waits.rs
@@ -37,11 +37,36 @@
         workers: 1,
         allowed: 1,
         largest_free: Resources::new(1_000, 900, 0),
+        largest_drained: Resources::new(1_000, 900, 0),
+        total_free: Resources::new(1_000, 900, 0),
         reserved_on: String::new(),
     };
     assert_eq!(wait, Some(expected));
 }
 
+/// The room reserved for the task itself was counted as taken, so that the report named no worker.
+#[test]
+fn a_wait_is_reported_with_the_worker_that_room_is_reserved_on() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(4)]));
+    fleet.place();
+    fleet.fold(submitted(2, vec![long_running(1)]));
+    let wait = wait_after(&mut fleet, Duration::from_millis(1_500));
+    let expected = LongWait {
+        task: task(2, 0, 0),
+        waited: Duration::from_millis(1_500),
+        waiting: 1,
+        demand: Resources::new(3_000, 100, 0),
+        workers: 1,
+        allowed: 1,
+        largest_free: Resources::new(0, 600, 0),
+        largest_drained: Resources::new(4_000, 1_000, 0),
+        total_free: Resources::new(0, 600, 0),
+        reserved_on: "a".to_owned(),
+    };
+    assert_eq!(wait, Some(expected));
+}
+
 #[test]
 fn waits_are_reported_once_a_second() {
     let mut fleet = Fleet::new(&[report("a", 1)]);
