Leave reserved room to a larger long-running task for a time

What callers saw: a large long-running task that had to wait for short tasks to end could wait for good, while long-running tasks of later jobs that need less started on the worker reserved for it.

Cause: a reservation kept only short tasks away.

Evidence: the test later_long_running_tasks_leave_room_to_a_larger_one_for_a_time places two later tasks in the reserved room before the change.

Change: for the first 2.5 s of a wait, other long-running tasks and moves leave the reserved room, too. It is reserved only where the task fits once short tasks have ended, and most of these last no longer; after that the others don't wait beside room.

Ruled out: keeping the others away without a limit. A task whose room never comes would hold them up beside room for as long as it waits.

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -124,15 +124,16 @@
         }
     }
 
-    /// Reserves resources for a long-running task that fits nowhere. Otherwise short tasks would
-    /// take each freed part of them.
+    /// Reserves resources for a long-running task that fits nowhere. Otherwise short tasks, and smaller
+    /// long-running ones, would take each freed part of them.
     fn reserve(&mut self, turn: &Turn<'_>, task: TaskKey, now: Moment) {
         let Some(candidate) = self.candidate(turn, task) else {
             return;
         };
         let demand = candidate.step.demand;
         if let Some(slot) = choose::reservation_worker(&self.workers, candidate, now) {
-            self.workers[slot].reserve(task, demand);
+            let waited = self.waits.waited(task, now);
+            self.workers[slot].reserve(task, demand, waited);
         }
     }
 
--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -58,6 +58,12 @@
         self.since = waiting.iter().map(|task| (*task, since(task))).collect();
     }
 
+    /// Returns the time for which a task has waited.
+    pub(super) fn waited(&self, task: TaskKey, now: Moment) -> Duration {
+        let since = self.since.get(&task);
+        since.map_or(Duration::ZERO, |since| now.since(*since))
+    }
+
     /// Returns the task that has waited longest if it is due for a report.
     fn due(&mut self, now: Moment) -> Option<(TaskKey, Duration)> {
         let recent = |at: Moment| now.since(at) < REPORT_PERIOD;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -15,6 +15,10 @@
 /// Share of their processor demand that long-running tasks leave idle on average, in percent.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
 
+/// Time for which later long-running tasks leave room to one that waits for short tasks to end. Most
+/// of these have ended by then; the later tasks would otherwise wait beside room for as long as it does.
+const FIRST_TIME: Duration = Duration::from_millis(2_500);
+
 /// Headroom assumed for serving tasks until their worker reports one.
 const DEFAULT_HEADROOM: f64 = 0.3;
 
@@ -58,6 +62,8 @@
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
+    /// Part of them that later long-running tasks don't take, either.
+    pub reserved_first: Resources,
     /// The tasks that they are reserved for.
     pub reservations: Vec<TaskKey>,
     /// Resources held for tasks that are being moved here and still run elsewhere.
@@ -90,6 +96,7 @@
             best_effort_millicores: 0,
             long_running: Resources::ZERO,
             reserved: Resources::ZERO,
+            reserved_first: Resources::ZERO,
             reservations: Vec::new(),
             held: Resources::ZERO,
             records_dropped: false,
@@ -152,7 +159,7 @@
         let demand = step.demand;
         let room = self.report.capacity.saturating_sub(self.used);
         if step.long_running {
-            return demand.fits_in(room.saturating_sub(self.held));
+            return demand.fits_in(room.saturating_sub(self.held + self.reserved_first));
         }
         if !step.best_effort {
             let room = room.saturating_sub(self.held);
@@ -179,13 +186,18 @@
         fits.then(|| excess_permille(self.used + wanted, capacity))
     }
 
-    pub fn reserve(&mut self, task: TaskKey, demand: Resources) {
+    /// Reserves resources for a long-running task that has waited for `waited`.
+    pub fn reserve(&mut self, task: TaskKey, demand: Resources, waited: Duration) {
         self.reserved += demand;
+        if waited < FIRST_TIME {
+            self.reserved_first += demand;
+        }
         self.reservations.push(task);
     }
 
     pub fn clear_reservations(&mut self) {
         self.reserved = Resources::ZERO;
+        self.reserved_first = Resources::ZERO;
         self.reservations.clear();
     }
 
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -313,6 +313,35 @@
     assert_eq!(placed.len(), 1);
 }
 
+/// A large task that waits for short ones to end never started when the long-running tasks of later
+/// jobs, which need less, took the room that became free.
+#[rstest]
+#[case::while_short_tasks_end(2_400, &[])]
+#[case::once_it_has_waited_for_longer(2_500, &[(3, 0), (3, 1)])]
+fn later_long_running_tasks_leave_room_to_a_larger_one_for_a_time(
+    #[case] waited_ms: u64,
+    #[case] expected: &[(u64, u32)],
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    assert_eq!(fleet.place().len(), 2);
+    let long_running = |millicores, tasks| StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(millicores, 1, 0),
+        ..step(tasks)
+    };
+    fleet.fold(submitted(2, vec![long_running(3_000, 1)]));
+    fleet.fold(submitted(3, vec![long_running(1_000, 2)]));
+    assert!(fleet.place().is_empty(), "the cores are reserved");
+    fleet.now = fleet.now + std::time::Duration::from_millis(waited_ms);
+    let placed = fleet.place().into_iter();
+    let placed: Vec<_> = placed.map(|p| (p.task.job.0, p.task.index)).collect();
+    assert_eq!(placed, expected);
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    let large = fleet.place().iter().any(|placed| placed.task.job.0 == 2);
+    assert_eq!(large, expected.is_empty());
+}
+
 /// Both tasks reserved on the worker that lacked less, where only one of them may run, and short tasks
 /// took each core that became free on the other worker.
 #[test]
