Report the room of single workers for a task that waits

What callers saw: task_waits gave a largest_free in which the task fits, although no worker had room for it.

Evidence: the test a_wait_is_reported_with_the_room_of_a_single_worker gets 4,000 millicores and 1,000 MiB in place of 4,000 and 50 when the largest amounts are taken.

Change: closest_free and closest_drained replace largest_free and largest_drained. They are those of the worker that lacks the smallest part of its capacity, now and without its short tasks.

Ruled out: a report of each worker, which grows with their number.

Measured result: the test fails before and passes after.

--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -33,10 +33,10 @@
     pub workers: usize,
     /// Number of those that it may run on, regardless of the room left.
     pub allowed: usize,
-    /// Largest amount of each resource that is free on one of these.
-    pub largest_free: Resources,
+    /// What is free on the one of these that lacks the smallest part of its capacity.
+    pub closest_free: Resources,
     /// The same, after all short tasks have ended.
-    pub largest_drained: Resources,
+    pub closest_drained: Resources,
     /// Sum of what is free on these workers.
     pub total_free: Resources,
     /// Worker on which room is reserved for it; empty if there is none.
@@ -119,30 +119,28 @@
             demand: candidate.step.demand,
             workers: self.workers.iter().filter(of_service).count(),
             allowed: 0,
-            largest_free: Resources::ZERO,
-            largest_drained: Resources::ZERO,
+            closest_free: Resources::ZERO,
+            closest_drained: Resources::ZERO,
             total_free: Resources::ZERO,
             reserved_on: String::new(),
         };
+        let (mut least, mut least_drained) = (u64::MAX, u64::MAX);
         for slot in choose::allowed(&self.workers, candidate, now) {
             let worker = &self.workers[slot];
             let room = worker.report.capacity.saturating_sub(worker.held);
             let free = room.saturating_sub(worker.used);
             let drained = room.saturating_sub(worker.long_running);
             wait.allowed += 1;
-            wait.largest_free = largest(wait.largest_free, free);
-            wait.largest_drained = largest(wait.largest_drained, drained);
             wait.total_free += free;
+            let missing = worker.lack_permille(free, wait.demand);
+            if missing < least {
+                (least, wait.closest_free) = (missing, free);
+            }
+            let missing = worker.lack_permille(drained, wait.demand);
+            if missing < least_drained {
+                (least_drained, wait.closest_drained) = (missing, drained);
+            }
         }
         wait
     }
 }
-
-/// Returns the larger amount of each resource.
-fn largest(a: Resources, b: Resources) -> Resources {
-    Resources {
-        millicores: a.millicores.max(b.millicores),
-        memory_mib: a.memory_mib.max(b.memory_mib),
-        accelerators: a.accelerators.max(b.accelerators),
-    }
-}
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -183,7 +183,12 @@
         let capacity = self.report.capacity;
         let wanted = self.reserved + self.held + demand;
         let fits = (self.long_running + wanted).fits_in(capacity);
-        fits.then(|| excess_permille(self.used + wanted, capacity))
+        fits.then(|| excess_permille(self.used + wanted, capacity, capacity))
+    }
+
+    /// Returns by how much a demand exceeds a room, as a sum of permilles of the capacity.
+    pub fn lack_permille(&self, room: Resources, demand: Resources) -> u64 {
+        excess_permille(demand, room, self.report.capacity)
     }
 
     /// Reserves resources for a long-running task that has waited for `waited`.
@@ -313,9 +318,9 @@
     (task.job, task.occurrence, task.step)
 }
 
-/// Returns by how much an amount exceeds a capacity, as a sum of permilles of the capacity.
-fn excess_permille(amount: Resources, capacity: Resources) -> u64 {
-    let excess = amount.saturating_sub(capacity);
+/// Returns by how much an amount exceeds a room, as a sum of permilles of the capacity.
+fn excess_permille(amount: Resources, room: Resources, capacity: Resources) -> u64 {
+    let excess = amount.saturating_sub(room);
     let part = |excess: u32, capacity: u32| u64::from(excess) * 1_000 / u64::from(capacity.max(1));
     part(excess.millicores, capacity.millicores)
         + part(excess.memory_mib, capacity.memory_mib)
--- a/crates/agate_jobs/tests/jobs/waits.rs
+++ b/crates/agate_jobs/tests/jobs/waits.rs
@@ -36,8 +36,8 @@
         demand: Resources::new(3_000, 100, 0),
         workers: 1,
         allowed: 1,
-        largest_free: Resources::new(1_000, 900, 0),
-        largest_drained: Resources::new(1_000, 900, 0),
+        closest_free: Resources::new(1_000, 900, 0),
+        closest_drained: Resources::new(1_000, 900, 0),
         total_free: Resources::new(1_000, 900, 0),
         reserved_on: String::new(),
     };
@@ -59,14 +59,35 @@
         demand: Resources::new(3_000, 100, 0),
         workers: 1,
         allowed: 1,
-        largest_free: Resources::new(0, 600, 0),
-        largest_drained: Resources::new(4_000, 1_000, 0),
+        closest_free: Resources::new(0, 600, 0),
+        closest_drained: Resources::new(4_000, 1_000, 0),
         total_free: Resources::new(0, 600, 0),
         reserved_on: "a".to_owned(),
     };
     assert_eq!(wait, Some(expected));
 }
 
+/// The largest amounts of different workers were reported as if one of them had both.
+#[test]
+fn a_wait_is_reported_with_the_room_of_a_single_worker() {
+    let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
+    let on = |worker: &str, demand| StepSpec {
+        label: format!("r-{worker}"),
+        demand,
+        ..long_running(1)
+    };
+    let processors = on("a", Resources::new(2_000, 0, 0));
+    let memory = on("b", Resources::new(0, 950, 0));
+    fleet.fold(submitted(1, vec![processors, memory]));
+    fleet.place();
+    fleet.fold(submitted(2, vec![long_running(1)]));
+    let wait = wait_after(&mut fleet, Duration::from_millis(1_500));
+    let wait = wait.expect("the task waits");
+    assert_eq!(wait.closest_free, Resources::new(4_000, 50, 0));
+    assert_eq!(wait.closest_drained, Resources::new(4_000, 50, 0));
+    assert_eq!(wait.total_free, Resources::new(6_000, 1_050, 0));
+}
+
 #[test]
 fn waits_are_reported_once_a_second() {
     let mut fleet = Fleet::new(&[report("a", 1)]);
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -18,8 +18,8 @@
     log::warn!(
         event = "task_waits", task:% = wait.task, waited_ms = clock::millis(wait.waited),
         waiting = wait.waiting, demand:% = wait.demand, workers = wait.workers,
-        allowed = wait.allowed, largest_free:% = wait.largest_free,
-        largest_drained:% = wait.largest_drained, total_free:% = wait.total_free,
+        allowed = wait.allowed, closest_free:% = wait.closest_free,
+        closest_drained:% = wait.closest_drained, total_free:% = wait.total_free,
         reserved_on = wait.reserved_on.as_str(); "no worker has room for it"
     );
 }
