Bound for each task how long it leaves room to larger ones

What callers saw: a long-running task waited 4 s beside a worker with room for it, which was reserved in turn for several larger tasks of earlier jobs. Moves out of a withdrawn zone yielded to such tasks, too.

Cause: the time for which others leave reserved room was bounded for the task that it is reserved for, not for those that yield, so that larger tasks that came to wait one after the other added up.

The tests a_long_running_task_leaves_room_to_larger_ones_only_for_a_time and a_move_does_not_leave_room_to_a_waiting_task fail without the change.

Change: a task yields only until it has waited 2.5 s itself. A task that is being moved doesn't yield.

Ruled out: a shorter time for the reservation, which short tasks often outlast.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -73,6 +73,8 @@
     /// than half of the service's processors are in use.
     pub min_speed: f64,
     pub preference: Preference,
+    /// Whether a long-running task leaves room to an earlier one that waits for it.
+    pub yields: bool,
 }
 
 /// Returns the worker with the lowest cost among those that the task fits on.
@@ -160,7 +162,7 @@
 }
 
 fn fits(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
-    is_allowed(worker, task, now) && worker.has_room(task.step)
+    is_allowed(worker, task, now) && worker.has_room(task.step, task.yields)
 }
 
 /// Returns whether a task may run on a worker, regardless of the room left.
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -9,7 +9,7 @@
 use crate::plan::order::Turn;
 use crate::plan::scheduler::{Placement, Scheduler};
 use crate::plan::suspects;
-use crate::plan::worker::Binding;
+use crate::plan::worker::{Binding, FIRST_TIME};
 use crate::record::{Order, OrderKind};
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
@@ -187,7 +187,12 @@
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
-        let candidate = self.candidate(turn, task)?;
+        // A task that is being moved is bound, and its zone has to be left.
+        let moves = self.bindings.contains_key(&task);
+        let candidate = Candidate {
+            yields: !moves && self.waits.waited(task, now) < FIRST_TIME,
+            ..self.candidate(turn, task)?
+        };
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
@@ -211,6 +216,7 @@
                 Part::Stragglers => Preference::Fastest,
                 Part::Others | Part::All => Preference::Balanced,
             },
+            yields: false,
         })
     }
 
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -15,9 +15,10 @@
 /// Share of their processor demand that long-running tasks leave idle on average, in percent.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
 
-/// Time for which later long-running tasks leave room to one that waits for short tasks to end. Most
-/// of these have ended by then; the later tasks would otherwise wait beside room for as long as it does.
-const FIRST_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which later long-running tasks leave room to one that waits for short tasks to end, and for
+/// which each of them does so. Most short tasks have ended by then; the later tasks would otherwise wait
+/// beside room for as long as it does.
+pub(super) const FIRST_TIME: Duration = Duration::from_millis(2_500);
 
 /// Headroom assumed for serving tasks until their worker reports one.
 const DEFAULT_HEADROOM: f64 = 0.3;
@@ -154,12 +155,18 @@
         self.is_in_service() && self.health.accepts_tasks(now)
     }
 
-    /// Returns whether a task of a step fits beside the bound tasks and the reservations.
-    pub fn has_room(&self, step: &StepSpec) -> bool {
+    /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
+    /// to.
+    pub fn has_room(&self, step: &StepSpec, yields: bool) -> bool {
         let demand = step.demand;
         let room = self.report.capacity.saturating_sub(self.used);
         if step.long_running {
-            return demand.fits_in(room.saturating_sub(self.held + self.reserved_first));
+            let room = room.saturating_sub(self.held);
+            return demand.fits_in(if yields {
+                room.saturating_sub(self.reserved_first)
+            } else {
+                room
+            });
         }
         if !step.best_effort {
             let room = room.saturating_sub(self.held);
--- a/crates/agate_jobs/tests/jobs/moves.rs
+++ b/crates/agate_jobs/tests/jobs/moves.rs
@@ -397,3 +397,23 @@
     assert_eq!(placed[0].task, task(4, 0, 0));
     assert_eq!(placed.len(), 1);
 }
+
+/// A move out of a withdrawn zone waited for a task that waits for short ones to end.
+#[test]
+fn a_move_does_not_leave_room_to_a_waiting_task() {
+    let two_cores = StepSpec {
+        demand: Resources::new(2_000, 100, 0),
+        ..serving(1, 1)
+    };
+    let mut moving = Moving::new(vec![two_cores], &["a"], &["b"]);
+    moving.fleet.fold(submitted(2, vec![short_on("b", 1)]));
+    moving.round();
+    let whole_worker = StepSpec {
+        demand: Resources::new(4_000, 100, 0),
+        ..serving(1, 0)
+    };
+    moving.fleet.fold(submitted(3, vec![whole_worker]));
+    assert!(moving.fleet.place().is_empty());
+    moving.zones.apply_page(vec![withdraws(1, "north")], 2);
+    assert_eq!(moving.round(), [(1, 0)]);
+}
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -15,6 +15,10 @@
     names
 }
 
+fn placed_jobs(fleet: &mut Fleet) -> Vec<u64> {
+    fleet.place().into_iter().map(|p| p.task.job.0).collect()
+}
+
 fn placed_count(step: StepSpec, workers: &[WorkerReport]) -> usize {
     let mut fleet = Fleet::new(workers);
     fleet.fold(submitted(1, vec![step]));
@@ -342,6 +346,28 @@
     assert_eq!(large, expected.is_empty());
 }
 
+/// Several large tasks that come to wait one after the other kept a later one from room for longer than
+/// any one of them may.
+#[test]
+fn a_long_running_task_leaves_room_to_larger_ones_only_for_a_time() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(4, vec![step(2)]));
+    assert_eq!(fleet.place().len(), 2);
+    let long_running = |millicores| StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(millicores, 1, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![long_running(3_000)]));
+    fleet.fold(submitted(3, vec![long_running(2_000)]));
+    assert!(fleet.place().is_empty(), "the cores are reserved");
+    fleet.now = fleet.now + std::time::Duration::from_secs(2);
+    fleet.fold(submitted(1, vec![long_running(3_000)]));
+    assert!(fleet.place().is_empty(), "the cores are reserved");
+    fleet.now = fleet.now + std::time::Duration::from_millis(500);
+    assert_eq!(placed_jobs(&mut fleet), [3]);
+}
+
 /// Both tasks reserved on the worker that lacked less, where only one of them may run, and short tasks
 /// took each core that became free on the other worker.
 #[test]
