Report a lapse that comes shortly before the end of the grace period

Cause: the agent waits for the lapse of the last lease only if 0.8 s are left for the last report. Right after a start the lease is at its longest and lapses up to 0.7 s too late for that, so the agent reported its stop and the leader counted a whole lease from there.

Change: if the worker has announced that it leaves, the agent reports its stop and then, as a second report, the lapse. If the second report fails, the leader settles the runs as before. An agent waits 0.2 s for an answer before it gives up the last renewal, since a connection may have been reset. The stand-in worker no longer answers a call that is in progress when it becomes silent.

Ruled out: waiting beside a worker that has not announced its departure. It may be back soon, and the wait would delay the next agent.

--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -108,14 +108,16 @@
         let deadline = deadline.and_then(|until| Some(state.clock?.deadline(until)));
         (state.incarnation.clone(), deadline, state.recorded_up_to)
     };
+    let mut grant = PendingGrant { worker, deadline };
     let reply = worker
         .client
         .renew_lease(&incarnation, deadline, acknowledged, wait)
         .await;
-    let mut state = worker.state();
-    if let (Some(deadline), false) = (deadline, matches!(reply, Err(CallError::NotSent(_)))) {
-        state.record_grant(deadline);
+    if matches!(reply, Err(CallError::NotSent(_))) {
+        grant.deadline = None;
     }
+    drop(grant);
+    let mut state = worker.state();
     let reply = match reply {
         Ok(reply) => reply,
         Err(error) => {
@@ -138,6 +140,31 @@
     Ok(reply)
 }
 
+/// A lease deadline that a call may have set. It is recorded when this is dropped, also if the call is
+/// abandoned: the worker may still execute it.
+struct PendingGrant<'a> {
+    worker: &'a ManagedWorker,
+    deadline: Option<u64>,
+}
+
+impl Drop for PendingGrant<'_> {
+    fn drop(&mut self) {
+        if let Some(deadline) = self.deadline {
+            self.worker.state().record_grant(deadline);
+        }
+    }
+}
+
+/// Returns whether the last call was answered, and no answer is overdue: a call waits for half a second at
+/// most.
+pub(super) fn is_answering(state: &State) -> bool {
+    !state.contact.has_failed() && !is_overdue(state, clock::boottime())
+}
+
+fn is_overdue(state: &State, now: Duration) -> bool {
+    state.silent_for(now) > LAPSE_MARGIN + RENEWAL_WAIT
+}
+
 /// Returns whether a call may renew the lease. A worker that is about to leave, or whose agent is, has to
 /// answer first if the last call failed: each call without an answer may have extended the lease, and
 /// would delay its lapse.
@@ -173,7 +200,7 @@
     let mut state = worker.state();
     let now = clock::boottime();
     let silent_for = state.silent_for(now);
-    let silent = silent_for > LAPSE_MARGIN + RENEWAL_WAIT;
+    let silent = is_overdue(&state, now);
     let lapsed = now > state.lapses_at + LAPSE_MARGIN;
     let in_service = matches!(state.status, WorkerState::Ready | WorkerState::Draining);
     if !(silent && lapsed && in_service) || state.unreachable {
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -30,6 +30,10 @@
 /// Time limit for the last lease renewal.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest wait for an answer of a worker whose last call failed, such as one whose connection was reset.
+/// The next call follows after 0.15 s.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time limit for the last report of a worker that goes on, so that a restart takes no longer than it must.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -48,8 +52,8 @@
 }
 
 /// Renews the lease for the last time, and reports that the agent has stopped. If the worker doesn't
-/// answer, its lease may lapse before `until`; then the agent waits and reports that, since the leader
-/// would otherwise count a whole lease from the last report.
+/// answer and its lease lapses before `until`, the agent waits and reports that as well, since the leader
+/// would otherwise count a whole lease from the report of the stop.
 pub(super) async fn finish(worker: &ManagedWorker, until: Instant) {
     if timeout(CALLS_TIMEOUT, wait_for_calls(worker))
         .await
@@ -60,16 +64,21 @@
             "starts or stops are in progress"
         );
     }
-    if lapses_before(&worker.state(), until - REPORT_TIMEOUT) {
-        // The limit covers a worker that answers again and renews its lease.
-        let _ = timeout_at(until - REPORT_TIMEOUT, wait_for_lapse(worker)).await;
-    }
-    if !worker.state().contact.has_failed() {
+    let lapses_early = lapses_before(&worker.state(), until - REPORT_TIMEOUT);
+    let limit = if lapses_early {
+        until - REPORT_TIMEOUT
+    } else {
+        Instant::now() + ANSWER_TIMEOUT
+    };
+    // The limit covers a worker that answers again and renews its lease.
+    let _ = timeout_at(limit, wait_for_lapse(worker)).await;
+    if renewal::is_answering(&worker.state()) {
         renew_last(worker).await;
     }
     set_agent_state(worker, AgentState::Stopped);
     let limit = report_limit(&worker.state(), until);
     report_stopped(worker, limit).await;
+    report_late_lapse(worker, until).await;
 }
 
 /// Returns the time limit for the last report. Where the worker runs nothing any more, nothing is gained
@@ -81,6 +90,23 @@
     }
 }
 
+/// Waits for a lapse that is too late for the report of the stop, and reports it. If that fails, the
+/// leader goes on counting from the report of the stop. Only a worker that has announced its departure is
+/// waited for: another one may be back soon, and then needs the next agent.
+async fn report_late_lapse(worker: &ManagedWorker, until: Instant) {
+    let lapses = {
+        let state = worker.state();
+        state.is_leaving() && lapses_before(&state, until)
+    };
+    if !lapses {
+        return;
+    }
+    let _ = timeout_at(until, wait_for_lapse(worker)).await;
+    if worker.state().status == WorkerState::Lapsed {
+        report_stopped(worker, until - Instant::now()).await;
+    }
+}
+
 async fn renew_last(worker: &ManagedWorker) {
     let renewal = renewal::renew_last(worker);
     if timeout(RENEWAL_TIMEOUT, renewal).await.is_err() {
@@ -124,10 +150,10 @@
     is_silent(state) && Instant::now() + left < limit
 }
 
-/// Returns whether the worker didn't answer the last call and doesn't count as lapsed yet.
+/// Returns whether the worker doesn't answer and doesn't count as lapsed yet.
 fn is_silent(state: &State) -> bool {
     let in_service = matches!(state.status, WorkerState::Ready | WorkerState::Draining);
-    in_service && state.contact.has_failed() && !state.unreachable
+    in_service && !renewal::is_answering(state) && !state.unreachable
 }
 
 /// Waits until no start or stop is in progress.
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -16,6 +16,9 @@
 /// besides the last lease.
 const STOP_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Time that the detection and report of a lapse and the next placement may take besides the last lease.
+const LAPSE_LIMIT: Duration = Duration::from_millis(600);
+
 /// Stops an agent as its process does after SIGTERM.
 async fn stop(agent: WorkerRegistry) {
     agent.shut_down(STOP_LIMIT).await;
@@ -103,6 +106,84 @@
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
+/// The lease of a worker that left less than a second before the SIGTERM lapses too late to be reported in
+/// the time kept for the last report, so that its runs waited for a suspicion and a whole lease besides.
+#[rstest::rstest]
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_worker_that_left_right_before_its_agent_stopped_continue_elsewhere(
+    #[values(20, 200, 400, 600)] ran_ms: u64,
+    #[values(150, 300, 500, 900)] before_ms: u64,
+    #[values(Behavior::Unreachable, Behavior::Silent)] behavior: Behavior,
+) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    sleep(Duration::from_secs(1)).await;
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    drain(&agent, "w1");
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    sleep(Duration::from_millis(ran_ms)).await;
+    left.crash();
+    left.set_behavior(behavior);
+    let began = Instant::now();
+    sleep(Duration::from_millis(before_ms)).await;
+    stop(agent).await;
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + LAPSE_LIMIT;
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
+/// The lapse that a stopping agent reports must be that of every lease it may have granted, also by a call
+/// that it has given up: runs that last until then would run twice.
+#[rstest::rstest]
+#[tokio::test(start_paused = true)]
+async fn no_run_lasts_beyond_the_lapse_that_a_stopping_agent_reports(
+    #[values(100, 700, 1_950, 2_100, 2_200)] silent_from_ms: u64,
+    #[values(3_000, 5_500, 12_000)] silent_until_ms: u64,
+    #[values(Behavior::Unreachable, Behavior::LosesReplies)] behavior: Behavior,
+    #[values(STOP_LIMIT, Duration::from_secs(9))] stop_limit: Duration,
+) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    sleep(Duration::from_secs(1)).await;
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    drain(&agent, "w1");
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    let began = Instant::now();
+    let silence = Duration::from_millis(silent_from_ms)..Duration::from_millis(silent_until_ms);
+    let stopping = async {
+        sleep(Duration::from_secs(1)).await;
+        agent.shut_down(stop_limit).await;
+        let next = Cluster::agent(cluster.log.client());
+        let mut heartbeat = FakeWorker::heartbeat("w1", "w1", 1);
+        heartbeat.sequence = 3;
+        heartbeat.draining = true;
+        next.apply_heartbeat(heartbeat);
+        sleep(Duration::from_secs(20)).await;
+    };
+    let checks = async {
+        while began.elapsed() < Duration::from_secs(20) {
+            left.set_behavior(if silence.contains(&began.elapsed()) {
+                behavior
+            } else {
+                Behavior::Healthy
+            });
+            let running = left.running() + other.running();
+            assert!(running <= 1, "two runs after {:?}", began.elapsed());
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::join!(stopping, checks);
+    assert_eq!(left.running() + other.running(), 1);
+}
+
 /// A worker that is silent, rather than refusing connections, answers no call for as long as the call
 /// waits. Each such call counted as a renewal (soak, series of planned stops, seed 4203).
 #[tokio::test(start_paused = true)]
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -41,6 +41,8 @@
     Unreachable,
     /// Answers no call.
     Silent,
+    /// Executes every call, but answers none.
+    LosesReplies,
     /// Neither executes nor answers starts; answers all other calls.
     IgnoresStarts,
     /// Executes starts, but doesn't answer them.
@@ -398,6 +400,13 @@
         }
         let answer_by = Instant::now() + wait;
         loop {
+            if matches!(
+                self.state().behavior,
+                Behavior::Silent | Behavior::LosesReplies
+            ) {
+                sleep(SILENT_CALL_TIME).await;
+                return Err(CallError::Unknown("timed out".to_owned()));
+            }
             {
                 let mut state = self.state();
                 if state.behavior == Behavior::Unreachable {
