Place a run elsewhere that was bound while its agent exited

What callers saw: on the product's own path a task whose binding was recorded after its agent had exited waited until the agent was forgotten (membership.forget_ms, a minute), until it counted as missing for as long again, and until its lease had lapsed.

Cause: the agent announces that it leaves and starts nothing from then on, but the entry used that for placement only. A start that failed was left to the agent's next heartbeat, which never came.

Change: an entry keeps the runs that an agent lists while it leaves. If the start of any other run of that agent fails, the entry records that it was not started, and repeats such orders while the agent is silent.

Ruled out: recording it as soon as the binding is read. An agent that still runs refuses the start itself, and remembers that. A run that the agent has listed is still settled by the loss of the agent (run_that_an_agent_held_when_it_left_is_not_started_elsewhere).

Limits: an entry that started after the announcement waits as before.

--- a/crates/agate_agent/src/state/runs.rs
+++ b/crates/agate_agent/src/state/runs.rs
@@ -59,19 +59,19 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the runs that the worker may be executing, with the step in force for each.
+    /// Returns the runs whose end isn't recorded yet, with the step in force for each. Of an agent that
+    /// leaves, an entry takes any other run for one that never starts.
     pub(crate) fn statuses(&self) -> Vec<RunStatus> {
         let inner = self.lock();
-        let active = inner.table.active().into_iter();
-        active
-            .filter_map(|run| {
-                let state = inner.table.state(run)?;
-                Some(RunStatus {
-                    run,
-                    step: status::active_step(state),
-                })
+        let open = inner.table.open().into_iter();
+        open.filter_map(|run| {
+            let state = inner.table.state(run)?;
+            Some(RunStatus {
+                run,
+                step: status::active_step(state),
             })
-            .collect()
+        })
+        .collect()
     }
 
     /// Renews the lease for `length` from the moment at which the heartbeat was sent.
--- a/crates/agate_agent/tests/agent/runs.rs
+++ b/crates/agate_agent/tests/agent/runs.rs
@@ -257,3 +257,29 @@
     assert_eq!(fixture.task_status(&run), Some(TaskStatus::Running));
     assert!(fixture.entry.state().reports.is_empty());
 }
+
+/// Entries take a run that an agent that leaves doesn't list for one that never starts. Without this, the
+/// task of a run that has finished would be started again.
+#[tokio::test]
+async fn ended_run_is_listed_until_its_end_is_recorded() {
+    let fixture = WorkerFixture::set_up_with(|state| state.report_ack = ReportAck::Again).await;
+    let run = fixture.start_request(0, 1, SHORT_TASK);
+    assert_eq!(fixture.start(run.clone()).await, StartReply::Started);
+    fixture.wait_for_report(run.run).await;
+    let count = fixture.entry.state().heartbeats.len();
+    let entry = &fixture.entry;
+    entry
+        .wait_until("later heartbeats", |state| {
+            state.heartbeats.len() >= count + 2
+        })
+        .await;
+    let lists = |state: &crate::support::EntryState| {
+        let last = state.heartbeats.last().expect("heartbeats were seen");
+        last.runs.iter().any(|status| status.run == run.run)
+    };
+    assert!(lists(&entry.state()));
+    entry.state().report_ack = ReportAck::Recorded;
+    entry
+        .wait_until("the run is no longer listed", |state| !lists(state))
+        .await;
+}
--- a/crates/agate_bind/src/run/state.rs
+++ b/crates/agate_bind/src/run/state.rs
@@ -122,6 +122,11 @@
         matches!(self, Self::Starting | Self::Running(_) | Self::Stopping(_))
     }
 
+    /// Whether the end of the run is not known to be recorded.
+    pub const fn is_open(self) -> bool {
+        self.is_active() || matches!(self, Self::Ended(_))
+    }
+
     /// Whether the run holds resources. An evicted run holds them until its checkpoint is recorded.
     pub const fn holds_resources(self) -> bool {
         self.is_active() || matches!(self, Self::Ended(RunEnd::Evicted))
--- a/crates/agate_bind/src/run/table.rs
+++ b/crates/agate_bind/src/run/table.rs
@@ -211,6 +211,15 @@
             .collect()
     }
 
+    /// Returns the runs whose end is not known to be recorded.
+    pub fn open(&self) -> Vec<RunId> {
+        let entries = self.entries.iter();
+        entries
+            .filter(|(_, entry)| entry.state.is_open())
+            .map(|(run, _)| *run)
+            .collect()
+    }
+
     /// Returns the number of ended runs whose end is not recorded yet.
     pub fn unreported(&self) -> usize {
         let entries = self.entries.values();
--- a/crates/agate_entry/src/batch/dispatch.rs
+++ b/crates/agate_entry/src/batch/dispatch.rs
@@ -116,6 +116,13 @@
         Err(reason) => {
             log::warn!(event = "run_start_lost", run:%, incarnation:%, reason; "");
             span.fail(reason);
+            let is_unstartable = entry
+                .batch
+                .without_wake(|inner| inner.is_unstartable(run, incarnation));
+            if is_unstartable {
+                let reason = "the agent has left".to_owned();
+                record_refusal(entry, run, incarnation, reason).await;
+            }
         }
     }
 }
--- a/crates/agate_entry/src/batch/reap.rs
+++ b/crates/agate_entry/src/batch/reap.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
+use super::dispatch::Order;
 use super::ownership::Ownership;
 use crate::entry::Entry;
 
@@ -57,6 +58,10 @@
         });
         self.missing.retain(|holder, _| holders.contains(holder));
         self.lost.retain(|holder, _| lost.contains(holder));
+        forget_left(entry, &holders);
+        for holder in &holders {
+            repeat_starts(entry, *holder);
+        }
         for holder in holders.iter().filter(|holder| !lost.contains(holder)) {
             self.check_holder(entry, *holder).await;
         }
@@ -111,6 +116,31 @@
     }
 }
 
+/// Orders the runs again that were bound to an agent while it left, which may have exited: its heartbeats
+/// then no longer do. The failure of such an order ends the run.
+fn repeat_starts(entry: &Entry, holder: Incarnation) {
+    let ownership = Ownership::of(entry);
+    entry.folded.with(|state| {
+        entry.batch.without_wake(|inner| {
+            let runs = state.runs_held_by(holder).into_iter();
+            for run in runs.filter(|run| inner.is_unstartable(*run, holder)) {
+                if ownership.owns_job(run.task.job) {
+                    entry.batch.enqueue_order(Order::Start(run));
+                }
+            }
+        });
+    });
+}
+
+/// Forgets agents that have left once they are unknown and hold no run.
+fn forget_left(entry: &Entry, holders: &[Incarnation]) {
+    entry.batch.without_wake(|inner| {
+        inner
+            .leaving
+            .retain(|agent, _| holders.contains(agent) || entry.members.target(*agent).is_some());
+    });
+}
+
 /// Returns how long a holder must be missing. The entry responsible for it acts first; the others
 /// act as a fallback.
 fn forget_timeout(entry: &Entry, holder: Incarnation) -> Duration {
--- a/crates/agate_entry/src/batch/reconcile.rs
+++ b/crates/agate_entry/src/batch/reconcile.rs
@@ -90,6 +90,8 @@
         let scheduler = &mut inner.scheduler;
         if heartbeat.leaving {
             scheduler.mark_leaving(worker);
+            let listed = inner.leaving.entry(worker).or_default();
+            listed.extend(heartbeat.runs.iter().map(|status| status.run));
         }
         scheduler.report_held(worker, heartbeat.load.held);
         for sample in &heartbeat.usage {
--- a/crates/agate_entry/src/batch/shared.rs
+++ b/crates/agate_entry/src/batch/shared.rs
@@ -1,9 +1,9 @@
 //! The scheduler and its state, shared by all tasks of this entry.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use agate_core::{Incarnation, JobId};
+use agate_core::{Incarnation, JobId, RunId};
 use agate_place::{Policy, Scheduler};
 use agate_preset::Preset;
 use tokio::sync::{Notify, mpsc};
@@ -35,6 +35,17 @@
     pub(crate) leases: Option<LeaseBound>,
     /// Incarnations known to have been replaced.
     pub(crate) replaced: HashSet<Incarnation>,
+    /// Agents that leave, and the runs that they have listed since. Such an agent starts no other run, and
+    /// the end of any other run that it had started is recorded.
+    pub(crate) leaving: HashMap<Incarnation, HashSet<RunId>>,
+}
+
+impl Inner {
+    /// Returns whether a run that is bound to an agent is certain not to be started by it.
+    pub(super) fn is_unstartable(&self, run: RunId, agent: Incarnation) -> bool {
+        let listed = self.leaving.get(&agent);
+        listed.is_some_and(|listed| !listed.contains(&run))
+    }
 }
 
 impl Batch {
@@ -46,6 +57,7 @@
             queued: HashSet::new(),
             leases: None,
             replaced: HashSet::new(),
+            leaving: HashMap::new(),
         };
         Self {
             inner: Mutex::new(inner),
--- a/crates/agate_entry/tests/it/jobs.rs
+++ b/crates/agate_entry/tests/it/jobs.rs
@@ -267,3 +267,38 @@
     let ended = agent.report(entry.rpc_address(), run, RunResult::Stopped);
     assert_eq!(ended.await, ReportAck::Recorded);
 }
+
+/// The entry knew that the agent starts nothing more, but waited until it was forgotten, a minute later,
+/// and until its lease had lapsed.
+#[tokio::test]
+async fn run_bound_while_its_agent_exits_is_placed_elsewhere_at_once() {
+    let log = start_log().await;
+    let entry = start_entry_on(&log, vec![]).await;
+    let (leaver, heartbeats) = start_worker(&entry, 1).await;
+    log.set_faults(standin_log::Faults {
+        slow_ms: 900,
+        ..standin_log::Faults::default()
+    });
+    assert_eq!(submit(&entry, 1).await.status(), StatusCode::CREATED);
+    leaver.leave(heartbeats).await;
+    log.set_faults(standin_log::Faults::default());
+    let (other, _heartbeats) = start_worker(&entry, 2).await;
+    let run = runs(&other, 1).await[0];
+    assert_eq!(run.epoch, 2, "it was bound to the agent that has exited");
+    assert_eq!(started(&leaver), []);
+}
+
+/// A run that has started before its agent leaves may still be running, so its task is started again only
+/// once the agent is lost.
+#[tokio::test]
+async fn run_that_an_agent_held_when_it_left_is_not_started_elsewhere() {
+    let log = start_log().await;
+    let entry = start_entry_on(&log, vec![]).await;
+    let (leaver, heartbeats) = start_worker(&entry, 1).await;
+    submit(&entry, 1).await;
+    runs(&leaver, 1).await;
+    leaver.leave(heartbeats).await;
+    let (other, _heartbeats) = start_worker(&entry, 2).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    assert_eq!(started(&other), []);
+}
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinHandle;
 
 use super::agent_rpc::Methods;
-use super::site;
+use super::{eventually, site};
 
 /// How the agent handles requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,8 +64,7 @@
     pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub state: Arc<Mutex<State>>,
-    /// Keeps the server running.
-    _server: ServerHandle,
+    server: ServerHandle,
 }
 
 impl FakeAgent {
@@ -107,7 +106,7 @@
             incarnation,
             address,
             state,
-            _server: server,
+            server,
         }
     }
 
@@ -115,6 +114,21 @@
         self.state.lock().unwrap()
     }
 
+    /// Announces to the entry of `heartbeats` that the agent leaves, and exits once that is acknowledged.
+    pub async fn leave(&self, heartbeats: Heartbeats) {
+        self.lock().leaving = true;
+        // The second acknowledgement from now on belongs to a heartbeat sent after the change.
+        for _ in 0..2 {
+            self.lock().ack = None;
+            eventually("a heartbeat is answered", async || {
+                self.lock().ack.is_some()
+            })
+            .await;
+        }
+        drop(heartbeats);
+        self.server.stop().expect("the server runs");
+    }
+
     /// Reports the end of a run and returns the acknowledgement.
     pub async fn report(&self, entry: SocketAddr, run: RunId, result: RunResult) -> ReportAck {
         let client = WsClientBuilder::new()
--- a/crates/agate_wire/src/message/member.rs
+++ b/crates/agate_wire/src/message/member.rs
@@ -131,7 +131,8 @@
     pub load: Load,
     /// Version of the agent's configuration.
     pub config: Version,
-    /// Runs that the agent holds.
+    /// Runs that the agent holds: all that it has started, up to the record of their end. The list is made
+    /// after `leaving` is determined, so an agent that leaves starts no other run.
     pub runs: Vec<RunStatus>,
     /// New usage samples.
     pub usage: Vec<UsageSample>,
