Renew a lease as soon as a suspicion is cleared

What callers saw: runs of an agent that was restarted after 4.9 s were lost, although their lease lasted 5.4 s.

Cause: while the worker is suspected, its agent sends calls that renew nothing and wait half a second for the end of a run. A suspicion that was cleared meanwhile had to wait for the next call.

Evidence: a_restart_of_the_longest_allowed_downtime_keeps_the_runs (5 s) failed before.

Ruled out: a longer last lease.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -215,8 +215,7 @@
 
     /// Returns the boot time up to which the lease may be renewed; `None` if it may not.
     pub fn lease_limit(&self, state: &State) -> Option<Duration> {
-        let suspected = state.suspicion.as_ref().is_some_and(|s| s.suspected);
-        if suspected || state.status == WorkerState::Lapsed {
+        if state.is_suspected() || state.status == WorkerState::Lapsed {
             return None;
         }
         let synced_at = state.synced_at?;
@@ -247,6 +246,11 @@
         )
     }
 
+    /// Returns whether the newest suspicion that has been read is open.
+    pub fn is_suspected(&self) -> bool {
+        self.suspicion.as_ref().is_some_and(|s| s.suspected)
+    }
+
     /// Returns whether the worker has left or announced that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.heartbeat.draining || self.status == WorkerState::Gone
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -23,6 +23,10 @@
 /// Longest wait while a start without an answer is settled, which takes two lists.
 const SETTLING_RENEWAL_WAIT: Duration = Duration::from_millis(50);
 
+/// Longest wait while the worker is suspected. Once the suspicion is cleared, its lease is renewed with the
+/// next call, which may be just before the lease lapses if the agent was restarted.
+const SUSPECTED_RENEWAL_WAIT: Duration = Duration::from_millis(50);
+
 /// Pause before the next call while listed ends are not yet recorded.
 const RECORDING_DELAY: Duration = Duration::from_millis(150);
 
@@ -90,6 +94,8 @@
             Duration::ZERO
         } else if settling {
             SETTLING_RENEWAL_WAIT
+        } else if state.is_suspected() {
+            SUSPECTED_RENEWAL_WAIT
         } else if is_mixed(&state) {
             MIXED_RENEWAL_WAIT
         } else {
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -19,6 +19,9 @@
 /// Time that the detection and report of a lapse and the next placement may take besides the last lease.
 const LAPSE_LIMIT: Duration = Duration::from_millis(600);
 
+/// Longest time from the exit of an agent to the first heartbeat that the next one receives.
+const LONGEST_DOWNTIME: Duration = Duration::from_secs(5);
+
 /// Stops an agent as its process does after SIGTERM.
 async fn stop(agent: WorkerRegistry) {
     agent.shut_down(STOP_LIMIT).await;
@@ -446,3 +449,30 @@
     sleep(Duration::from_secs(10)).await;
     assert_eq!(worker.running() + other.running(), 1);
 }
+
+/// Stops the agent beside `worker`, starts another one after `pause`, and checks that the runs last.
+async fn restart_agent(cluster: &Cluster, agent: WorkerRegistry, name: &str, pause: Duration) {
+    stop(agent).await;
+    sleep(pause).await;
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat(name, name, 1));
+    sleep(Duration::from_secs(15)).await;
+    drop(next);
+}
+
+/// The runs of an agent that is restarted must last as long as docs/operate/stop.md says.
+#[tokio::test(start_paused = true)]
+async fn a_restart_of_the_longest_allowed_downtime_keeps_the_runs() {
+    for lease_limit in [6, 10].map(Duration::from_secs) {
+        assert_eq!(lease::duration(lease_limit), lease::MAX_LEASE);
+    }
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    restart_agent(&cluster, agent, "w1", LONGEST_DOWNTIME).await;
+    assert_eq!(worker.running(), 1);
+    assert_eq!(worker.started_runs().len(), 1, "nothing was started again");
+}
