--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -476,3 +476,74 @@
     assert_eq!(worker.running(), 1);
     assert_eq!(worker.started_runs().len(), 1, "nothing was started again");
 }
+
+/// The agent that is removed is suspected while the other one is restarted; only its runs may be lost.
+#[tokio::test(start_paused = true)]
+async fn a_restart_keeps_the_runs_while_another_agent_is_removed() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (kept, restarted) = cluster.worker("w1");
+    kept.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || kept.running() == 1).await;
+    let (left, removed) = cluster.worker("w2");
+    left.keep_tasks_running();
+    sleep(Duration::from_millis(500)).await;
+    let restart = restart_agent(&cluster, restarted, "w1", Duration::from_secs(3));
+    tokio::join!(restart, stop(removed));
+    assert_eq!(kept.running(), 1);
+    assert_eq!(kept.started_runs().len(), 1, "nothing was started again");
+}
+
+/// The leader and an agent of one zone are told to stop together: the announcement may be read by neither
+/// leader, and the next one reads that the agent has stopped.
+#[rstest::rstest]
+#[tokio::test(start_paused = true)]
+async fn the_runs_of_an_agent_that_stops_together_with_the_leader_continue_elsewhere(
+    #[values(0, 200, 900, 1_200, 1_400)] leader_delay_ms: u64,
+) {
+    let cluster = Cluster::new();
+    let stop_entry = tokio_util::sync::CancellationToken::new();
+    let first = cluster.stoppable_entry("e1", &stop_entry).await;
+    let _second = cluster.entry("e2", cluster.log.client()).await;
+    let (left, agent) = cluster.worker("w1");
+    left.keep_tasks_running();
+    first.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || left.running() == 1).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    let began = Instant::now();
+    let resigning = async {
+        sleep(Duration::from_millis(leader_delay_ms)).await;
+        stop_entry.cancel();
+    };
+    tokio::join!(stop(agent), resigning);
+    wait_until("it runs elsewhere", || {
+        let running = left.running() + other.running();
+        assert!(running <= 1, "two runs at the same time");
+        other.running() == 1
+    })
+    .await;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + STOP_MARGIN;
+    let limit = limit + Duration::from_secs(1);
+    assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
+}
+
+/// The log answers nothing while the agent stops, so that its stop is never reported.
+#[tokio::test(start_paused = true)]
+async fn a_restart_keeps_the_runs_although_the_log_is_silent_during_the_stop() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    worker.keep_tasks_running();
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::AnswersNothing);
+    restart_agent(&cluster, agent, "w1", Duration::from_millis(500)).await;
+    assert_eq!(worker.running(), 1);
+    assert_eq!(worker.started_runs().len(), 1, "nothing was started again");
+}
