Index workers by address and runs by worker

What callers saw: nothing directly. A new leader applies a report for each worker, and each report compared the worker's address with those of all others; the loss of runs and the check for open runs scanned all bindings of the scheduler for each worker.

Change: the scheduler keeps the slots of each address, in the order of the slots, and each worker keeps the keys of its bound tasks. Started jobs are a set, since each restored order looked its job up in a list.

Ruled out: decisions don't change; ends of lost runs keep their order. The tests of agate_jobs pass unchanged.

Measured: no instruction count has been taken, so the linear growth is by construction only.

--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -1,6 +1,6 @@
 //! State of the scheduler and its reaction to folded records.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use agate_core::{JobId, Moment};
 
@@ -38,8 +38,10 @@
     pub(super) workers: Vec<Worker>,
     /// Index into `workers` by name.
     pub(super) slots: HashMap<String, usize>,
+    /// Indices into `workers` by address.
+    addresses: HashMap<String, Vec<usize>>,
     pub(super) bindings: BTreeMap<TaskKey, Binding>,
-    pub(super) started_jobs: Vec<JobId>,
+    started_jobs: BTreeSet<JobId>,
     pub(super) interference: InterferenceTable,
     pub(super) effects: Vec<Effect>,
     pub(super) withdrawal: Withdrawal,
@@ -58,17 +60,13 @@
 
     /// Returns the jobs whose first start an agent has reported since the last call.
     pub fn take_started_jobs(&mut self) -> Vec<JobId> {
-        std::mem::take(&mut self.started_jobs)
+        std::mem::take(&mut self.started_jobs).into_iter().collect()
     }
 
     /// Leaves jobs that have started to the next heartbeat. The next report on a worker replaces the
     /// one that listed them.
     pub(super) fn list_started(&mut self, jobs: &[JobId]) {
-        for job in jobs {
-            if !self.started_jobs.contains(job) {
-                self.started_jobs.push(*job);
-            }
-        }
+        self.started_jobs.extend(jobs);
     }
 
     /// Returns whether any run of a job is bound.
@@ -183,6 +181,7 @@
         let tracked = &worker.suspicion.incarnation;
         let restarted = report.incarnation.started_ms > tracked.started_ms;
         let lapsed = report.state == WorkerState::Lapsed && report.incarnation == *tracked;
+        let address = worker.report.address.clone();
         worker.set_report(report, now);
         worker.withdrawn = self.withdrawal.contains(&report.zone);
         if restarted {
@@ -190,6 +189,9 @@
             worker.suspected_at = None;
         }
         let gone = worker.is_gone();
+        if address != report.address {
+            self.move_address(slot, &address);
+        }
         if lapsed {
             self.raise_term(slot);
         }
@@ -209,21 +211,37 @@
 
     /// Marks all workers at an address as gone except for the one that started last.
     fn retire_predecessors(&mut self, address: &str) {
-        let at_address = |worker: &Worker| worker.report.address == address;
-        let workers = self.workers.iter().filter(|worker| at_address(worker));
-        let newest = workers
-            .map(|worker| worker.report.incarnation.started_ms)
+        let slots = self.addresses.get(address).cloned().unwrap_or_default();
+        let started_ms = |worker: &Worker| worker.report.incarnation.started_ms;
+        let newest = slots
+            .iter()
+            .map(|slot| started_ms(&self.workers[*slot]))
             .max();
-        for slot in 0..self.workers.len() {
+        for slot in slots {
             let worker = &mut self.workers[slot];
-            let older = Some(worker.report.incarnation.started_ms) < newest;
-            if at_address(worker) && older && worker.report.state != WorkerState::Gone {
+            let older = Some(started_ms(worker)) < newest;
+            if older && worker.report.state != WorkerState::Gone {
                 worker.report.state = WorkerState::Gone;
                 self.record_lost_runs(slot, LossReason::Replaced);
             }
         }
     }
 
+    /// Lists a worker under the address of its report instead of `old`.
+    fn move_address(&mut self, slot: usize, old: &str) {
+        if let Some(slots) = self.addresses.get_mut(old) {
+            slots.retain(|other| *other != slot);
+            if slots.is_empty() {
+                self.addresses.remove(old);
+            }
+        }
+        let address = self.workers[slot].report.address.clone();
+        let slots = self.addresses.entry(address).or_default();
+        // Ends of lost runs are recorded in the order of the slots.
+        let at = slots.partition_point(|other| *other < slot);
+        slots.insert(at, slot);
+    }
+
     /// Adopts the incarnation and term of a record if they are newer than the tracked ones. Only a
     /// leader raises terms, so a newer one was raised by an earlier leader. Returns whether it was
     /// newer.
@@ -257,6 +275,10 @@
         self.workers
             .push(Worker::new(report.clone(), suspicion, now));
         self.slots.insert(name.clone(), slot);
+        self.addresses
+            .entry(report.address.clone())
+            .or_default()
+            .push(slot);
         slot
     }
 
@@ -279,11 +301,10 @@
             worker.suspicion.incarnation.started_ms,
             worker.suspicion.incarnation.term,
         );
-        let lost = self
-            .bindings
-            .iter()
-            .filter(|(_, binding)| binding.worker == slot && (gone || binding.term != current));
-        let peers = self.bindings.values().filter(|b| b.worker == slot).count();
+        let bound = worker.tasks.iter();
+        let bound = bound.filter_map(|task| Some((task, self.bindings.get(task)?)));
+        let lost = bound.filter(|(_, binding)| gone || binding.term != current);
+        let peers = worker.runs();
         let ends: Vec<Effect> = lost
             .map(|(task, binding)| {
                 Effect::Main(Record::new(Body::Ended(RunEnd {
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -134,7 +134,10 @@
         let worker = &self.workers[slot];
         let current = &worker.suspicion.incarnation;
         let is_current = |term| term == (current.started_ms, current.term);
-        let mut runs = self.bindings.values();
-        worker.has_runs() && runs.any(|run| run.worker == slot && is_current(run.term))
+        let mut runs = worker
+            .tasks
+            .iter()
+            .filter_map(|task| self.bindings.get(task));
+        runs.any(|run| is_current(run.term))
     }
 }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -1,6 +1,6 @@
 //! The scheduler's view of a worker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use agate_core::{JobId, Moment, Resources};
@@ -82,6 +82,8 @@
     pub best_effort_images: BTreeMap<String, u32>,
     /// Runs whose tasks may have crashed a worker, and until when nothing is started beside them.
     pub probes: BTreeMap<TaskKey, Moment>,
+    /// The bound tasks.
+    pub tasks: BTreeSet<TaskKey>,
     /// Number of bound tasks, by job, occurrence and step.
     pub step_tasks: BTreeMap<(JobId, u32, u32), u32>,
 }
@@ -107,6 +109,7 @@
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
             probes: BTreeMap::new(),
+            tasks: BTreeSet::new(),
             step_tasks: BTreeMap::new(),
         }
     }
@@ -127,7 +130,7 @@
 
     /// Returns whether any run is bound to the worker.
     pub fn has_runs(&self) -> bool {
-        !self.step_tasks.is_empty()
+        !self.tasks.is_empty()
     }
 
     /// Returns whether the worker answers and is neither about to leave nor suspected, and its agent
@@ -214,6 +217,7 @@
     }
 
     pub fn bind(&mut self, task: TaskKey, binding: &Binding) {
+        self.tasks.insert(task);
         *self.step_tasks.entry(step_of(task)).or_default() += 1;
         if let Some(until) = binding.probe_until {
             self.probes.insert(task, until);
@@ -243,6 +247,7 @@
     }
 
     pub fn release(&mut self, task: TaskKey, binding: &Binding) {
+        self.tasks.remove(&task);
         decrement(&mut self.step_tasks, &step_of(task));
         self.probes.remove(&task);
         decrement(&mut self.serving_images, &binding.serving_image);
@@ -283,7 +288,7 @@
 
     /// Returns the number of runs that are bound to the worker.
     pub fn runs(&self) -> usize {
-        self.step_tasks.values().map(|tasks| *tasks as usize).sum()
+        self.tasks.len()
     }
 
     /// Returns how many tasks of a step the idle worker would have room for.
