Restore a new leader's state in steps that yield to heartbeats

Cause: the restore ran in one piece, so a heartbeat that was due waited for its end, and the changes of the main stream were not read meanwhile. It grows with workers, orders and jobs.

Changes that are read from the start of the restore on are applied after it. The order stays: fence, read, restore, heartbeat recorded, place. `orders_restored` logs how long each part took.

Evidence: `other_tasks_run_while_a_new_leader_restores_its_state` fails on the code before (no other task had a turn after the last read of an order stream). A table test folds each of ten kinds of records before each step of a restore; the result is always that of the record before or after the takeover.

Ruled out: that the restore is what takes a takeover more than a second.

--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -20,6 +20,7 @@
 
 pub use effect::Effect;
 pub use last_contact::LastContact;
+pub use restore::{Known, Restore};
 pub use scheduler::{Placement, Scheduler};
 pub use suspicion::SUSPECT_AFTER;
 pub use suspicion_times::SuspicionTimes;
--- a/crates/agate_jobs/src/plan/moves.rs
+++ b/crates/agate_jobs/src/plan/moves.rs
@@ -84,17 +84,19 @@
         });
     }
 
-    /// Counts the tasks that an earlier leader may have stopped as moves in progress.
-    pub(super) fn adopt_moves(&mut self, table: &JobTable, now: Moment) {
+    /// Counts the tasks of a job that an earlier leader may have stopped as moves in progress.
+    pub(super) fn adopt_moves(&mut self, id: JobId, job: &Job) {
+        let tasks = movable_tasks(id, job).filter(|(task, ran)| {
+            let binding = self.bindings.get(task);
+            binding.map_or(*ran, |binding| binding.stopping)
+        });
+        let tasks = tasks.map(|(task, _)| (task, None));
+        self.moves.open.extend(tasks);
+    }
+
+    /// Starts the time for which adopted moves count as being in progress.
+    pub(super) fn start_adoption(&mut self, now: Moment) {
         self.moves.adopted_until = now + READY_AFTER;
-        for (id, job) in table.jobs() {
-            let tasks = movable_tasks(id, job).filter(|(task, ran)| {
-                let binding = self.bindings.get(task);
-                binding.map_or(*ran, |binding| binding.stopping)
-            });
-            let tasks = tasks.map(|(task, _)| (task, None));
-            self.moves.open.extend(tasks);
-        }
     }
 
     fn steps_in_withdrawn_zones(&self) -> BTreeSet<StepKey> {
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -4,7 +4,7 @@
 //! of agents may take effect late, so each of the three may be older than the others. The newest
 //! incarnation and term that any of them names is the current one.
 
-use agate_core::Moment;
+use agate_core::{JobId, Moment};
 
 use crate::loss::LossReason;
 use crate::plan::effect::Effect;
@@ -17,47 +17,160 @@
 use crate::spec::StepSpec;
 use crate::table::JobTable;
 
-impl Scheduler {
-    /// Restores the scheduler from the recorded jobs and workers and from the open orders. An
-    /// agent's silence is counted from its last contact, and the expiry of an open suspicion from the
-    /// time at which a heartbeat first listed it.
-    pub fn restore(
-        table: &JobTable,
-        orders: Vec<Record>,
-        last_contact: &LastContact,
-        suspicion_times: &SuspicionTimes,
-        now: Moment,
-    ) -> Self {
-        let mut scheduler = Self::default();
-        for report in table.workers() {
-            let contact = last_contact.get_or(&report.incarnation.name, now);
-            scheduler.register(report, contact);
-        }
-        let mut open_orders = Vec::new();
-        for record in orders {
+/// What an entry has read so far.
+#[derive(Debug, Clone, Copy)]
+pub struct Known<'a> {
+    /// The recorded jobs and workers.
+    pub table: &'a JobTable,
+    /// An agent's silence is counted from its last contact.
+    pub last_contact: &'a LastContact,
+    /// The expiry of an open suspicion is counted from the time at which a heartbeat first listed it.
+    pub suspicion_times: &'a SuspicionTimes,
+}
+
+/// What a step restores. Each part relies on all earlier ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Workers,
+    Suspicions,
+    Incarnations,
+    Reports,
+    Orders,
+    LostRuns,
+    Jobs,
+    Done,
+}
+
+/// A restore of the scheduler's state, in steps of bounded work.
+///
+/// The table may change between two steps. All changes since the start of the restore are to be
+/// applied to the scheduler after it, in their order: some steps have seen them, others have not, and
+/// applying a change twice has no further effect.
+#[derive(Debug)]
+pub struct Restore {
+    scheduler: Scheduler,
+    /// Names of the workers that were known at the start.
+    workers: Vec<String>,
+    /// Jobs that were known at the start. Later ones have no run.
+    jobs: Vec<JobId>,
+    suspicions: Vec<SuspicionRecord>,
+    orders: Vec<Order>,
+    part: Part,
+    /// Number of items of `part` that have been restored.
+    restored: usize,
+}
+
+impl Restore {
+    /// Starts a restore from the recorded jobs and workers and from the open orders.
+    pub fn new(table: &JobTable, records: Vec<Record>) -> Self {
+        let workers = table.workers();
+        let mut restore = Self {
+            scheduler: Scheduler::default(),
+            workers: workers
+                .map(|report| report.incarnation.name.clone())
+                .collect(),
+            jobs: table.jobs().map(|(id, _)| id).collect(),
+            suspicions: Vec::new(),
+            orders: Vec::new(),
+            part: Part::Workers,
+            restored: 0,
+        };
+        for record in records {
             match record.body {
-                Some(Body::Suspicion(suspicion)) => {
-                    let stored_at = suspicion_times.get_or(&suspicion, now);
-                    scheduler.restore_suspicion(suspicion, stored_at);
-                }
-                Some(Body::Order(order)) => open_orders.push(order),
+                Some(Body::Suspicion(suspicion)) => restore.suspicions.push(suspicion),
+                Some(Body::Order(order)) => restore.orders.push(order),
                 _ => {}
             }
         }
-        for order in &open_orders {
-            scheduler.adopt_incarnation(&order.incarnation);
+        restore
+    }
+
+    /// Restores up to `limit` workers, orders or jobs. Returns whether everything is restored.
+    pub fn step(&mut self, limit: usize, known: Known<'_>, now: Moment) -> bool {
+        for _ in 0..limit {
+            while self.restored == self.items() {
+                let Some(next) = self.part.next() else {
+                    return true;
+                };
+                self.part = next;
+                self.restored = 0;
+            }
+            self.restore_item(self.restored, known, now);
+            self.restored += 1;
+        }
+        false
+    }
+
+    /// Returns the scheduler.
+    ///
+    /// # Panics
+    ///
+    /// If the last step has not restored everything: a scheduler that lacks orders would start their
+    /// tasks again.
+    pub fn finish(mut self, now: Moment) -> Scheduler {
+        assert_eq!(self.part, Part::Done, "the restore is complete");
+        self.scheduler.start_adoption(now);
+        self.scheduler
+    }
+
+    fn items(&self) -> usize {
+        match self.part {
+            Part::Workers | Part::Reports => self.workers.len(),
+            Part::Suspicions => self.suspicions.len(),
+            Part::Incarnations | Part::Orders => self.orders.len(),
+            Part::LostRuns => self.scheduler.workers.len(),
+            Part::Jobs => self.jobs.len(),
+            Part::Done => 0,
         }
-        for report in table.workers() {
-            scheduler.apply_report(report, last_contact.get_or(&report.incarnation.name, now));
+    }
+
+    fn restore_item(&mut self, at: usize, known: Known<'_>, now: Moment) {
+        let scheduler = &mut self.scheduler;
+        match self.part {
+            Part::Workers => {
+                if let Some(report) = known.table.worker(&self.workers[at]) {
+                    let contact = known.last_contact.get_or(&self.workers[at], now);
+                    scheduler.register(report, contact);
+                }
+            }
+            Part::Suspicions => {
+                let suspicion = self.suspicions[at].clone();
+                let stored_at = known.suspicion_times.get_or(&suspicion, now);
+                scheduler.restore_suspicion(suspicion, stored_at);
+            }
+            Part::Incarnations => {
+                scheduler.adopt_incarnation(&self.orders[at].incarnation);
+            }
+            Part::Reports => {
+                if let Some(report) = known.table.worker(&self.workers[at]) {
+                    let contact = known.last_contact.get_or(&self.workers[at], now);
+                    scheduler.apply_report(report, contact);
+                }
+            }
+            Part::Orders => scheduler.restore_order(known.table, &self.orders[at], now),
+            Part::LostRuns => scheduler.record_lost_runs(at, LossReason::Superseded),
+            Part::Jobs => scheduler.restore_job(known.table, self.jobs[at]),
+            Part::Done => {}
         }
-        for order in open_orders {
-            scheduler.restore_order(table, &order, now);
+    }
+}
+
+impl Part {
+    const fn next(self) -> Option<Self> {
+        match self {
+            Self::Workers => Some(Self::Suspicions),
+            Self::Suspicions => Some(Self::Incarnations),
+            Self::Incarnations => Some(Self::Reports),
+            Self::Reports => Some(Self::Orders),
+            Self::Orders => Some(Self::LostRuns),
+            Self::LostRuns => Some(Self::Jobs),
+            Self::Jobs => Some(Self::Done),
+            Self::Done => None,
         }
-        scheduler.settle_restored(table);
-        scheduler.adopt_moves(table, now);
-        scheduler
     }
+}
 
+impl Scheduler {
     fn restore_suspicion(&mut self, suspicion: SuspicionRecord, stored_at: Moment) {
         let Some(slot) = self.slots.get(&suspicion.incarnation.name).copied() else {
             let name = suspicion.incarnation.name;
@@ -125,17 +238,13 @@
         self.workers[slot].bind(order.task, &binding);
     }
 
-    fn settle_restored(&mut self, table: &JobTable) {
-        for slot in 0..self.workers.len() {
-            self.record_lost_runs(slot, LossReason::Superseded);
-        }
-        let done: Vec<_> = table
-            .jobs()
-            .filter(|(_, job)| job.state().is_final())
-            .map(|(id, _)| id)
-            .collect();
-        for job in done {
-            self.stop_job(job);
+    fn restore_job(&mut self, table: &JobTable, id: JobId) {
+        let Some(job) = table.job(id) else {
+            return;
+        };
+        if job.state().is_final() {
+            self.stop_job(id);
         }
+        self.adopt_moves(id, job);
     }
 }
--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::plan::{Effect, LastContact, Placement, Scheduler, SuspicionTimes};
+use agate_jobs::plan::{Effect, Known, LastContact, Placement, Restore, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
 use agate_jobs::{
     JobTable, LeaderHeartbeat, Order, Record, Suspect, SuspicionRecord, WorkerReport,
@@ -59,16 +59,47 @@
     /// Replaces the scheduler by that of a new leader.
     pub(crate) fn take_over(&mut self) {
         let orders = self.newest_records();
-        self.scheduler = Scheduler::restore(
-            &self.table,
-            orders,
-            &LastContact::default(),
-            &self.suspicion_times,
-            self.now,
-        );
+        self.scheduler = self.restore(orders);
         self.apply_effects();
     }
 
+    /// Restores a scheduler from `orders`, one item at a time.
+    pub(crate) fn restore(&self, orders: Vec<Record>) -> Scheduler {
+        let mut restore = Restore::new(&self.table, orders);
+        while !self.restore_step(&mut restore) {}
+        restore.finish(self.now)
+    }
+
+    /// Replaces the scheduler by that of a new leader, and folds a record before the step of this
+    /// number of its restore. Returns whether there was such a step.
+    pub(crate) fn take_over_during(&mut self, step: usize, record: &Record) -> bool {
+        let mut restore = Restore::new(&self.table, self.newest_records());
+        let mut changes = Vec::new();
+        for number in 0.. {
+            if number == step {
+                changes.push(self.table.fold(record.clone()));
+            }
+            if self.restore_step(&mut restore) {
+                break;
+            }
+        }
+        self.scheduler = restore.finish(self.now);
+        for change in &changes {
+            self.scheduler.apply(&self.table, change, self.now);
+        }
+        self.apply_effects();
+        !changes.is_empty()
+    }
+
+    fn restore_step(&self, restore: &mut Restore) -> bool {
+        let known = Known {
+            table: &self.table,
+            last_contact: &LastContact::default(),
+            suspicion_times: &self.suspicion_times,
+        };
+        restore.step(1, known, self.now)
+    }
+
     /// Folds a heartbeat of the leader of `epoch` that lists its suspicions.
     pub(crate) fn send_heartbeat(&mut self, epoch: u64) {
         let suspects = self.scheduler.stored_suspicions(self.now);
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::plan::{LastContact, Scheduler, SuspicionTimes};
 use agate_jobs::record::Body;
 use agate_jobs::{
     AgentState, EndCause, Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState,
@@ -174,13 +173,7 @@
     fleet.place();
     let orders = std::mem::take(&mut fleet.orders);
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
-    let mut successor = Scheduler::restore(
-        &fleet.table,
-        orders,
-        &LastContact::default(),
-        &SuspicionTimes::default(),
-        fleet.now,
-    );
+    let mut successor = fleet.restore(orders);
     assert_eq!(successor.bound_runs(), 1);
     assert!(successor.place(&fleet.table, fleet.now, 1_000).is_empty());
     assert_eq!(successor.take_effects().len(), 1, "one order is dropped");
--- a/crates/agate_jobs/tests/jobs/takeover.rs
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -4,10 +4,13 @@
 
 use agate_jobs::plan::SuspicionTimes;
 use agate_jobs::record::Body;
-use agate_jobs::{LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation};
+use agate_jobs::{
+    EndCause, LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation, WorkerReport,
+    WorkerState,
+};
 
 use crate::fleet::{Fleet, LEASE};
-use crate::support::{report, step, submitted};
+use crate::support::{ended, report, step, submitted, task};
 
 /// Time from the storage of a suspicion to the loss of the worker's runs.
 const EXPIRY: Duration = LEASE.saturating_add(Duration::from_millis(400));
@@ -184,3 +187,97 @@
     );
     assert_eq!(parsed.value().expect("it is writable"), older);
 }
+
+/// Returns a fleet with bound runs, one of which has ended, a worker that has left with its runs, and
+/// one under suspicion.
+fn fleet_to_restore() -> Fleet {
+    let mut fleet = Fleet::new(&[report("a", 1), report("b", 1), report("c", 1)]);
+    fleet.fold(submitted(1, vec![step(3)]));
+    fleet.fold(submitted(2, vec![step(9)]));
+    assert_eq!(fleet.place().len(), 12);
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    fleet.advance(Duration::from_secs(2));
+    for name in ["a", "b"] {
+        fleet.fold(Record::new(Body::Worker(WorkerReport {
+            acked_suspicion: 1,
+            ..report(name, 1)
+        })));
+    }
+    fleet.update_suspicions(agate_core::Moment::ZERO);
+    fleet
+}
+
+/// A new leader goes on reading while it restores its state. A change that some steps have seen and
+/// others have not must not leave a run bound that has ended, nor bind a task again whose run may be
+/// active.
+#[rstest::rstest]
+#[case::end_of_a_run(ended(task(2, 0, 1), 1, EndCause::Done, "a"))]
+#[case::loss_of_a_run(ended(task(2, 0, 1), 1, EndCause::Lapsed, "a"))]
+#[case::cancellation(Record::new(Body::Cancelled { job: agate_core::JobId(2) }))]
+#[case::restart(Record::new(Body::Worker(report("a", 9))))]
+#[case::departure(Record::new(Body::Worker(in_state("a", WorkerState::Gone))))]
+#[case::lapse(Record::new(Body::Worker(in_state("a", WorkerState::Lapsed))))]
+#[case::acknowledgement(Record::new(Body::Worker(acknowledging("c"))))]
+#[case::new_worker(Record::new(Body::Worker(report("d", 1))))]
+#[case::worker_at_the_same_address(Record::new(Body::Worker(successor_of("a"))))]
+#[case::submission(submitted(3, vec![step(2)]))]
+fn a_change_during_a_restore_counts_as_one_before_or_after_it(#[case] change: Record) {
+    let mut after = fleet_to_restore();
+    after.take_over();
+    after.fold(change.clone());
+    let mut before = fleet_to_restore();
+    before.table.fold(change.clone());
+    before.take_over();
+    let expected = [outcome(&mut before), outcome(&mut after)];
+    let mut steps = 0;
+    loop {
+        let mut fleet = fleet_to_restore();
+        if !fleet.take_over_during(steps, &change) {
+            break;
+        }
+        let outcome = outcome(&mut fleet);
+        assert!(
+            expected.contains(&outcome),
+            "before step {steps}: {outcome:#?}"
+        );
+        steps += 1;
+    }
+    assert!(steps > 30, "{steps} steps");
+}
+
+/// Returns what a fleet has bound after another round, by task, and the suspicions of its workers.
+fn outcome(fleet: &mut Fleet) -> (usize, Vec<String>, Vec<String>) {
+    fleet.update_suspicions(agate_core::Moment::ZERO);
+    fleet.place();
+    let mut orders: Vec<String> = fleet
+        .newest_orders()
+        .iter()
+        .map(|order| format!("{} {order:?}", order.task))
+        .collect();
+    orders.sort_unstable();
+    let mut suspicions = std::collections::BTreeMap::new();
+    for suspicion in fleet.suspicions() {
+        suspicions.insert(suspicion.incarnation.name.clone(), format!("{suspicion:?}"));
+    }
+    let suspicions = suspicions.into_values().collect();
+    (fleet.scheduler.bound_runs(), orders, suspicions)
+}
+
+fn in_state(name: &str, state: WorkerState) -> WorkerReport {
+    WorkerReport {
+        state,
+        acked_suspicion: 1,
+        ..report(name, 1)
+    }
+}
+
+fn acknowledging(name: &str) -> WorkerReport {
+    in_state(name, WorkerState::Ready)
+}
+
+fn successor_of(name: &str) -> WorkerReport {
+    WorkerReport {
+        address: report(name, 1).address,
+        ..report("z", 9)
+    }
+}
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -5,6 +5,7 @@
 mod delay;
 mod election;
 mod resign;
+mod restore;
 mod schedule;
 mod takeover;
 mod waits;
@@ -13,7 +14,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record};
 use tokio::time::Instant;
@@ -121,32 +121,19 @@
     };
     entry.view().takes_over = false;
     let Some(taken) = taken else {
+        entry.view().is_leader = false;
         resign::resign_takeover(entry, epoch, writers, outcomes).await;
         return;
     };
-    let orders = match taken {
-        Ok(orders) => orders,
+    let mut scheduler = match taken {
+        Ok(scheduler) => scheduler,
         Err(error) => {
+            entry.view().is_leader = false;
             log::warn!(event = "takeover_failed", epoch = epoch, cause:% = error; "");
             return;
         }
     };
     let now = clock::now();
-    let mut scheduler = {
-        let mut view = entry.view();
-        let view = &mut *view;
-        view.is_leader = true;
-        view.pending_changes.clear();
-        view.last_contact.prune(&view.job_table);
-        view.suspicion_times.prune(&view.job_table);
-        Scheduler::restore(
-            &view.job_table,
-            orders,
-            &view.last_contact,
-            &view.suspicion_times,
-            now,
-        )
-    };
     scheduler.set_batch_order(entry.context.batch_order);
     entry.context.metrics.count(Event::LeaderTaken);
     log::info!(
--- a/crates/agate_node/src/entry/lead/takeover.rs
+++ b/crates/agate_node/src/entry/lead/takeover.rs
@@ -1,15 +1,17 @@
-//! Fencing out earlier leaders and reading the current orders.
+//! Fencing out earlier leaders, reading the current orders and restoring the state.
 
 use std::collections::BTreeSet;
 
 use agate_jobs::Record;
+use agate_jobs::plan::Scheduler;
 use futures::stream::{self, StreamExt as _, TryStreamExt as _};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{
     HEARTBEAT_PERIOD, LEADER_TIMEOUT, MAX_TAKEOVER_ATTEMPTS, TAKEOVER_RETRY_DELAY, follow,
-    heartbeat_record,
+    heartbeat_record, restore,
 };
+use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::StreamWriters;
 use crate::store::{AppendError, Fence, Stream, order_stream};
@@ -19,14 +21,23 @@
 
 /// Reads up to the record of this entry's claim, then fences and reads the order streams of the
 /// workers that are known there. An earlier leader knows no other worker, since it stops when it
-/// reads the claim.
-pub(super) async fn take_over(entry: &Entry, epoch: u64) -> Result<Vec<Record>, AppendError> {
-    if wait_for_own_claim(entry, epoch).await {
-        let streams = order_streams(entry);
-        return fence_streams(entry, epoch, streams).await;
+/// reads the claim. Restores the scheduler's state from them.
+pub(super) async fn take_over(entry: &Entry, epoch: u64) -> Result<Scheduler, AppendError> {
+    let began = Instant::now();
+    if !wait_for_own_claim(entry, epoch).await {
+        let cause = "the claim was not read in time, or another entry has taken over";
+        return Err(AppendError::NotDone(cause.to_owned()));
     }
-    let cause = "the claim was not read in time, or another entry has taken over";
-    Err(AppendError::NotDone(cause.to_owned()))
+    let read_at = Instant::now();
+    let orders = fence_streams(entry, epoch, order_streams(entry)).await?;
+    let (records, fenced_at) = (orders.len(), Instant::now());
+    let scheduler = restore::restore(entry, epoch, orders).await?;
+    log::info!(
+        event = "orders_restored", epoch = epoch, records = records,
+        claim_ms = clock::millis(read_at - began), fence_ms = clock::millis(fenced_at - read_at),
+        restore_ms = clock::millis(fenced_at.elapsed()); ""
+    );
+    Ok(scheduler)
 }
 
 /// Returns the order streams of the known workers.
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -74,6 +74,7 @@
     fault: Arc<Mutex<Fault>>,
     attempts: Arc<AtomicUsize>,
     config_reads: Arc<AtomicUsize>,
+    order_reads: Arc<AtomicUsize>,
 }
 
 impl FakeLog {
@@ -85,6 +86,7 @@
             fault: Arc::default(),
             attempts: Arc::default(),
             config_reads: Arc::default(),
+            order_reads: Arc::default(),
         }
     }
 
@@ -133,6 +135,11 @@
         self.config_reads.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of answers that this client has had about the newest records of order streams.
+    pub(crate) fn order_reads(&self) -> usize {
+        self.order_reads.load(Ordering::Relaxed)
+    }
+
     /// Returns the values of a stream's records, oldest first.
     pub(crate) fn values(&self, stream: Stream) -> Vec<Vec<u8>> {
         let shared = self.shared.lock().expect("the lock is not poisoned");
@@ -304,6 +311,9 @@
         records.retain(|entry| !entry.value.is_empty());
         records.sort_by_key(|entry| entry.offset);
         let end = shared.streams.get(&stream).map_or(0, Vec::len) as u64;
+        let is_order = matches!(stream, Stream::Orders(_));
+        self.order_reads
+            .fetch_add(usize::from(is_order), Ordering::Relaxed);
         Ok(NewestRecords { records, end })
     }
 }
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -3,11 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_core::Resources;
 use agate_jobs::record::Body;
-use agate_jobs::{JobState, Record};
+use agate_jobs::{
+    AgentState, JobSpec, JobState, Order, OrderKind, QueuePolicy, Record, StepSpec, TaskKey,
+    WorkerIncarnation, WorkerReport, WorkerState,
+};
 use agate_node::entry::{Answer, Entry};
 use agate_node::metrics::Event;
-use agate_node::store::{KeyedLog as _, Stream};
+use agate_node::store::{KeyedLog as _, Stream, order_stream};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -471,3 +476,104 @@
     })
     .await;
 }
+
+/// Stores the records of a job of `tasks` long-running tasks that run on `workers` workers.
+fn store_runs(log: &FakeLog, workers: u32, tasks: u32) {
+    let put = |stream: Stream, record: &Record| {
+        let value = record.value().expect("it is writable");
+        log.put(stream, &record.key, &value);
+    };
+    let worker = |number: u32| WorkerIncarnation {
+        name: format!("w{number}"),
+        started_ms: 1,
+        term: 0,
+    };
+    let demand = Resources::new(1, 1, 0);
+    let step = StepSpec {
+        tasks,
+        demand,
+        long_running: true,
+        ..StepSpec::default()
+    };
+    let submitted = Record::new(Body::Submitted {
+        job: job_id(1),
+        spec: JobSpec {
+            payload: String::new(),
+            steps: vec![step],
+            repeat: None,
+        },
+        policy: QueuePolicy {
+            queue: "q0".to_owned(),
+            service: "other".to_owned(),
+            priority: 0,
+            max_attempts: 3,
+            stretch_milli: 1_500,
+            slack_ms: 0,
+        },
+        at_ms: 1,
+    });
+    put(Stream::Main, &submitted);
+    for number in 0..workers {
+        let report = WorkerReport {
+            incarnation: worker(number),
+            state: WorkerState::Ready,
+            service: "other".to_owned(),
+            capacity: Resources::new(64_000, 64_000, 0),
+            labels: Vec::new(),
+            address: format!("w{number}:1"),
+            zone: String::new(),
+            acked_suspicion: 0,
+            headroom: Vec::new(),
+            interference: Vec::new(),
+            cold_ms: 0,
+            unreachable: false,
+            agent: AgentState::Serving,
+            heartbeat: 0,
+            started_jobs: Vec::new(),
+        };
+        put(Stream::Main, &Record::new(Body::Worker(report)));
+    }
+    let streams = log.order_streams();
+    for index in 0..tasks {
+        let incarnation = worker(index % workers);
+        let stream = order_stream(&incarnation.name, streams);
+        let order = Order {
+            incarnation,
+            task: TaskKey {
+                job: job_id(1),
+                occurrence: 0,
+                step: 0,
+                index,
+            },
+            run: 1,
+            kind: OrderKind::Stop {
+                demand,
+                best_effort: false,
+            },
+        };
+        put(stream, &Record::new(Body::Order(order)));
+    }
+}
+
+/// A restore ran without a break, so that the new leader sent no heartbeat meanwhile and was deposed
+/// (incident 7). The clock runs here, as a paused one doesn't advance while a task yields.
+#[tokio::test]
+async fn other_tasks_run_while_a_new_leader_restores_its_state() {
+    let cluster = Cluster::new();
+    store_runs(&cluster.log, 100, 1_000);
+    let log = cluster.log.client();
+    let entry = cluster.start_entry("e1", log.clone());
+    wait_until("it reads orders", || log.order_reads() > 0).await;
+    let (mut reads, mut turns) = (0, 0);
+    while !leads(&entry) {
+        if reads == log.order_reads() {
+            turns += 1;
+        } else {
+            (reads, turns) = (log.order_reads(), 0);
+        }
+        yield_now().await;
+    }
+    assert_eq!(reads, log.order_reads(), "no turn since the last read");
+    // The state consists of 100 workers and 1,000 orders.
+    assert!(turns > 20, "{turns} turns since the last read");
+}
