Record a return only once the worker rejects the run

What callers saw: nothing yet. While nobody leads, the order stays in the log. If the agent is stopped or killed then, its successor starts the run, and the next leader starts the next one elsewhere.

Cause: retry_later recorded the end itself. The path that tells the worker first recorded the end too if the worker did not answer three attempts, unless the agent was already stopping.

Change: every return goes through ends::return_in_background, which records it only once the worker has answered. If it does not answer, the run is forgotten and its order is executed anew, so that it is started, returned or settled with the lapse of the lease.

Ruled out: that the agent is still serving when the attempts are over is no evidence, since it may be killed before a leader has removed the order.

Not measured: what it costs after a crash. An order that reaches the agent of a worker that doesn't answer is now settled with the lapse of the lease, and was returned within a second before.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -125,9 +125,10 @@
 }
 
 /// Returns a run in phase [`Phase::Stopping`] that is not running to the scheduler, without waiting.
-/// The worker is told to stop it first: it then rejects the start that a restarted agent would send,
-/// which still finds the order, while the task already runs elsewhere. A worker that doesn't answer is
-/// not waited for, unless the agent stops: then the run is left to its successor or to the scheduler.
+/// That is recorded only once the worker rejects the run: a restarted agent still finds the order until a
+/// leader has removed it, and would start the run while the task already runs elsewhere. If the worker
+/// doesn't answer, the order is executed anew; an agent that stops leaves it to its successor or to the
+/// scheduler.
 pub(super) fn return_in_background(
     worker: &Arc<ManagedWorker>,
     task: TaskKey,
@@ -139,14 +140,18 @@
         let is_prevented = prevent_start(&worker, task, run).await;
         let end = {
             let mut state = worker.state();
-            if !is_prevented && !state.agent.is_serving() {
-                return;
-            }
+            let is_serving = state.agent.is_serving();
             let known = state.runs.get_mut(&task);
             let Some(known) = known.filter(|r| r.number == run && r.phase == Phase::Stopping)
             else {
                 return;
             };
+            if !is_prevented {
+                if is_serving {
+                    state.forget_run(task, run);
+                }
+                return;
+            }
             known.phase = Phase::Ended;
             end_of(&state, task, run, cause, "")
         };
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -273,26 +273,12 @@
     worker.changed.notify_waiters();
 }
 
-/// Returns a run that a worker has rejected, or that was not sent to a worker that answers.
+/// Returns a run that a worker has rejected, or whose start was not sent.
 fn return_stopped(worker: &Arc<ManagedWorker>, task: TaskKey, run: u32, cause: EndCause) {
     ends::set_phase(worker, task, run, Phase::Stopping);
     ends::return_in_background(worker, task, run, cause);
 }
 
-/// Returns a run whose start can't be sent.
-fn return_run(worker: &Arc<ManagedWorker>, task: TaskKey, run: u32, cause: EndCause) {
-    let end = {
-        let mut state = worker.state();
-        let known = state.runs.get_mut(&task);
-        let Some(known) = known.filter(|r| r.number == run && r.phase != Phase::Ended) else {
-            return;
-        };
-        known.phase = Phase::Ended;
-        ends::end_of(&state, task, run, cause, "")
-    };
-    ends::record(worker, vec![end]);
-}
-
 /// Leaves the start to the next check of the orders, or returns it to the scheduler if the worker
 /// stays unreachable. The orders are not checked at once: a worker that refuses connections answers
 /// within a fraction of a millisecond.
@@ -302,15 +288,8 @@
         state.contact.is_unreachable() || state.silent_for(clock::boottime()) > UNREACHABLE_TIMEOUT
     };
     if is_lost {
-        return_run(worker, task, run, EndCause::Refused);
+        return_stopped(worker, task, run, EndCause::Refused);
         return;
     }
-    let mut state = worker.state();
-    if state
-        .runs
-        .get(&task)
-        .is_some_and(|known| known.number == run)
-    {
-        state.runs.remove(&task);
-    }
+    worker.state().forget_run(task, run);
 }
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -317,6 +317,14 @@
         (used + order.occupies()).fits_in(self.heartbeat.capacity)
     }
 
+    /// Forgets a run, so that its order is executed anew.
+    pub fn forget_run(&mut self, task: TaskKey, number: u32) {
+        let known = self.runs.get(&task);
+        if known.is_some_and(|run| run.number == number) {
+            self.runs.remove(&task);
+        }
+    }
+
     /// Returns the runs that were ordered for earlier incarnations of the worker.
     pub fn earlier_runs(&self) -> HashSet<(TaskKey, u32)> {
         let earlier = self.orders.values();
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -7,6 +7,7 @@
 use agate_node::store::{KeyedLog as _, Stream, order_stream};
 use tokio::time::{Instant, sleep};
 
+use crate::orders::{put, start_order};
 use crate::support::{
     Behavior, Caller as _, Cluster, FakeWorker, Fault, MAX_LEASE, STOP_LIMIT, one_task_job,
     wait_until,
@@ -547,3 +548,66 @@
     assert_eq!(worker.running(), 1);
     assert_eq!(worker.started_runs().len(), 1, "nothing was started again");
 }
+
+/// A start that doesn't reach its worker is returned without telling the worker to reject the run. While
+/// nobody leads, the order stays, and the agent's successor would start a run that the next leader starts
+/// elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_was_returned_right_before_a_stop_is_not_started_by_the_successor() {
+    let cluster = Cluster::new();
+    let stop_entry = tokio_util::sync::CancellationToken::new();
+    let entry = cluster.stoppable_entry("e1", &stop_entry).await;
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(1)).await;
+    let (worker, agent) = cluster.worker("w1");
+    stop_entry.cancel();
+    worker.keep_tasks_running();
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(worker.start_attempts(), 0, "nobody leads");
+    worker.set_behavior(Behavior::Unreachable);
+    sleep(Duration::from_millis(800)).await;
+    put(&cluster.log, "w1", &start_order("w1", 0, 1));
+    sleep(Duration::from_millis(20)).await;
+    stop(agent).await;
+    worker.set_behavior(Behavior::Healthy);
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(3)).await;
+    let keys = cluster.log.keys(Stream::Main);
+    let is_returned = keys.iter().any(|key| key.starts_with("n/"));
+    let is_started = !worker.started_runs().is_empty();
+    assert!(!(is_returned && is_started), "a returned run was started");
+}
+
+/// The same for an agent that is killed, also after it has tried to tell the worker.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_was_returned_right_before_a_crash_is_not_started_by_the_successor() {
+    let cluster = Cluster::new();
+    let stop_entry = tokio_util::sync::CancellationToken::new();
+    let entry = cluster.stoppable_entry("e1", &stop_entry).await;
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(1)).await;
+    let worker = FakeWorker::open("w1");
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    stop_entry.cancel();
+    worker.keep_tasks_running();
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(worker.start_attempts(), 0, "nobody leads");
+    worker.set_behavior(Behavior::Unreachable);
+    sleep(Duration::from_millis(800)).await;
+    put(&cluster.log, "w1", &start_order("w1", 0, 1));
+    sleep(Duration::from_millis(700)).await;
+    agent.detach_all();
+    // Calls in progress go on in the test; what a killed agent would record must not count.
+    log.set_fault(Fault::RefusesAppends);
+    worker.set_behavior(Behavior::Healthy);
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(3)).await;
+    let keys = cluster.log.keys(Stream::Main);
+    let is_returned = keys.iter().any(|key| key.starts_with("n/"));
+    let is_started = !worker.started_runs().is_empty();
+    assert!(!(is_returned && is_started), "a returned run was started");
+}
