Report a stop for no worker before all of the agent have settled

Cause: each worker was reported as stopped as soon as its lease was renewed. The suspicion of the others counted while the agent waited for the lapse of the silent one, for up to the grace period.

Change: the agent first waits for the calls in progress and the lapses of all workers, and then renews and reports. An agent with one worker does the same as before. A trial that ended the wait 0.4 s earlier, to leave time for the renewals of the others, is not kept: it delays the settlement of runs beside an agent with one worker, the usual case.

Test: a_restarted_agent_keeps_the_runs_beside_a_silent_worker; before, the run was started twice one after the other.

--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -125,8 +125,11 @@
         }
         sleep(shutdown::announce_time()).await;
         let workers = self.managed_workers();
-        let finishing = workers.iter().map(|worker| shutdown::finish(worker, until));
-        if timeout_at(until, join_all(finishing)).await.is_err() {
+        let finish = async {
+            join_all(workers.iter().map(|w| shutdown::settle(w, until))).await;
+            join_all(workers.iter().map(|w| shutdown::finish(w, until))).await;
+        };
+        if timeout_at(until, finish).await.is_err() {
             log::warn!(event = "stop_cut", limit_ms = clock::millis(limit); "the time is over");
         }
         self.detach_all();
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -51,10 +51,10 @@
     ANNOUNCE_TIME + rand::rng().random_range(Duration::ZERO..MAX_JITTER)
 }
 
-/// Renews the lease for the last time, and reports that the agent has stopped. If the worker doesn't
-/// answer and its lease lapses before `until`, the agent waits and reports that as well, since the leader
-/// would otherwise count a whole lease from the report of the stop.
-pub(super) async fn finish(worker: &ManagedWorker, until: Instant) {
+/// Waits for the calls in progress. If the worker doesn't answer and its lease lapses in time for the last
+/// report before `until`, the agent waits for that as well, since the leader would otherwise count a whole
+/// lease from the report of the stop.
+pub(super) async fn settle(worker: &ManagedWorker, until: Instant) {
     if timeout(CALLS_TIMEOUT, wait_for_calls(worker))
         .await
         .is_err()
@@ -72,6 +72,11 @@
     };
     // The limit covers a worker that answers again and renews its lease.
     let _ = timeout_at(limit, wait_for_lapse(worker)).await;
+}
+
+/// Renews the lease for the last time, and reports that the agent has stopped. The suspicion of the worker
+/// counts from then on, so this comes after [`settle`] for all workers of the agent.
+pub(super) async fn finish(worker: &ManagedWorker, until: Instant) {
     if renewal::is_answering(&worker.state()) {
         renew_last(worker).await;
     }
--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -616,3 +616,27 @@
     let is_started = !worker.started_runs().is_empty();
     assert!(!(is_returned && is_started), "a returned run was started");
 }
+
+/// The agent waits for the lapse of a silent worker after it has reported for the others that it has
+/// stopped. Their suspicion counts meanwhile, so that a successor has less time than after other stops.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_agent_keeps_the_runs_beside_a_silent_worker() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    let silent = FakeWorker::open("w2");
+    agent.apply_heartbeat(FakeWorker::heartbeat("w2", "w2", 1));
+    sleep(Duration::from_secs(2)).await;
+    silent.set_behavior(Behavior::Silent);
+    sleep(Duration::from_millis(1_500)).await;
+    stop(agent).await;
+    sleep(Duration::from_secs(3)).await;
+    let next = Cluster::agent(cluster.log.client());
+    next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(worker.running(), 1);
+    assert_eq!(worker.started_runs().len(), 1, "nothing was started again");
+}
