Test that a call in progress doesn't hide a silent worker at a stop

Its worker had left 1 s before the SIGTERM of its agent, which renewed the lease in vain because the call in progress had not failed yet.

--- a/crates/agate_node/tests/it/stops.rs
+++ b/crates/agate_node/tests/it/stops.rs
@@ -193,9 +193,18 @@
 }
 
 /// A worker that is silent, rather than refusing connections, answers no call for as long as the call
-/// waits. Each such call counted as a renewal (soak, series of planned stops, seed 4203).
+/// waits. Each such call counted as a renewal (soak, series of planned stops, seed 4203), and a call in
+/// progress hid that the worker was silent (seed 5224).
+#[rstest::rstest]
+#[case::at_the_stop(Duration::ZERO, STOP_MARGIN)]
+#[case::right_before(Duration::from_millis(300), STOP_MARGIN)]
+// Only the first call without an answer counts as a renewal; the agent reports the lapse before it exits.
+#[case::before(Duration::from_millis(1_500), LAPSE_MARGIN)]
 #[tokio::test(start_paused = true)]
-async fn runs_of_a_silent_worker_that_had_announced_its_departure_continue_elsewhere() {
+async fn runs_of_a_silent_worker_that_had_announced_its_departure_continue_elsewhere(
+    #[case] before: Duration,
+    #[case] margin: Duration,
+) {
     let cluster = Cluster::new();
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (left, agent) = cluster.worker("w1");
@@ -209,11 +218,10 @@
     left.crash();
     left.set_behavior(Behavior::Silent);
     let began = Instant::now();
-    sleep(Duration::from_millis(1_500)).await;
+    sleep(before).await;
     stop(agent).await;
     wait_until("it runs elsewhere", || other.running() == 1).await;
-    // Only the first call without an answer counts as a renewal; the agent reports the lapse before it exits.
-    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + LAPSE_MARGIN;
+    let limit = lease::expiry_delay(lease::duration(MAX_LEASE)) + margin;
     assert!(began.elapsed() <= limit, "{:?}", began.elapsed());
 }
 
