--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -9,7 +9,7 @@
 use super::client::{CallError, Rejection, StartOrder, StartReply};
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::waiting::WaitReason;
-use super::zones::{self, EARLIER_START_WAIT, Verdict};
+use super::zones::{self, PREDECESSOR_START_WAIT, Verdict};
 use super::{ends, pacing};
 use crate::clock;
 use crate::metrics::Event;
@@ -119,8 +119,8 @@
     if known.is_some_and(|run| run.number >= order.run) {
         return Ok(());
     }
-    let may_start_earlier = clock::boottime() < worker.created_at + EARLIER_START_WAIT;
-    if !state.agent.is_serving() && may_start_earlier {
+    let predecessor_may_start = clock::boottime() < worker.created_at + PREDECESSOR_START_WAIT;
+    if !state.agent.is_serving() && predecessor_may_start {
         return Err(WaitReason::AgentStops);
     }
     if state.status != WorkerState::Ready || !state.agent.is_serving() {
--- a/crates/agate_node/src/agent/zones.rs
+++ b/crates/agate_node/src/agent/zones.rs
@@ -19,10 +19,10 @@
 /// Pause after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Time after the start of the agent for which orders in withdrawn zones are not returned. Within it,
-/// the worker may carry out a start that the agent sent before it was restarted (1.5 s, and 2 % for
-/// the worker's clock), and then has to list it (0.5 s).
-pub(super) const EARLIER_START_WAIT: Duration = Duration::from_millis(2_500);
+/// Time after the start of an agent for which orders are not returned. Within it, the worker may carry
+/// out a start that the agent's predecessor sent (1.5 s, and 2 % for the worker's clock), and then has to
+/// list it (0.5 s).
+pub(super) const PREDECESSOR_START_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Settings of the check against withdrawn zones.
 #[derive(Debug, Clone, Copy)]
@@ -84,7 +84,7 @@
         StartCheck::Allowed => Ok(Verdict::Start),
         StartCheck::NotLoaded => Err(WaitReason::ZonesNotLoaded),
         StartCheck::Stale => Err(WaitReason::ZonesStale),
-        StartCheck::Withdrawn if now < zones.created_at + EARLIER_START_WAIT => {
+        StartCheck::Withdrawn if now < zones.created_at + PREDECESSOR_START_WAIT => {
             Err(WaitReason::EarlierStart)
         }
         StartCheck::Withdrawn => {
