--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -1,8 +1,10 @@
 //! Counters and latency histograms of a process.
 
 mod backlog;
+mod read_bytes;
 
 pub use backlog::BacklogMetrics;
+pub use read_bytes::{ReadBytes, StreamKind};
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -101,6 +103,7 @@
     zone_withdrawn: Family<ZoneLabel, Gauge>,
     zone_runs: Family<ZoneLabel, Gauge>,
     waiting_tasks: Gauge,
+    read_bytes: ReadBytes,
     /// Time until a caller was answered, in seconds.
     pub answer_seconds: Histogram,
     /// Time until an append was answered, in seconds.
@@ -120,6 +123,7 @@
             zone_withdrawn: Family::default(),
             zone_runs: Family::default(),
             waiting_tasks: Gauge::default(),
+            read_bytes: ReadBytes::default(),
             answer_seconds: histogram(),
             append_seconds: histogram(),
             start_seconds: histogram(),
@@ -176,6 +180,16 @@
         self.waiting_tasks.set(tasks);
     }
 
+    /// Counts bytes that were read from a stream of the log.
+    pub fn count_read(&self, stream: StreamKind, bytes: usize) {
+        self.read_bytes.count(stream, bytes);
+    }
+
+    /// Returns the number of bytes that were read from streams of a kind.
+    pub fn read_bytes(&self, stream: StreamKind) -> u64 {
+        self.read_bytes.total(stream)
+    }
+
     /// Returns the registry, from which the metrics are exported as text.
     pub const fn registry(&self) -> &Registry {
         &self.registry
@@ -184,6 +198,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.backlog.register(registry);
+        self.read_bytes.register(registry);
         registry.register("events", "Events by kind", self.events.clone());
         registry.register(
             "zone_withdrawn",
--- a/crates/agate_node/src/store/mod.rs
+++ b/crates/agate_node/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's log as seen by the processes: streams of keyed records.
 
+mod metered;
 mod stream;
 
 use std::fmt::Debug;
@@ -8,6 +9,7 @@
 use async_trait::async_trait;
 use displaydoc::Display;
 
+pub use metered::MeteredLog;
 pub use stream::{ORDER_STREAMS, Stream, order_stream};
 
 /// A stored record.
