--- /dev/null
+++ b/crates/agate_node/tests/it/configuration.rs
@@ -0,0 +1,62 @@
+//! What the processes read of the operator's configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agate_node::entry::Answer;
+use agate_node::metrics::{Metrics, StreamKind};
+use agate_node::store::{KeyedLog, MeteredLog, Stream};
+use tokio::time::sleep;
+
+use crate::support::{Cluster, FakeWorker, UNKNOWN_PATH, large_configuration};
+
+/// Bytes per second that a node may spend on control.
+const CONTROL_BYTES_PER_S: u64 = 5_000;
+
+fn metered(cluster: &Cluster) -> (Arc<dyn KeyedLog>, Arc<Metrics>) {
+    let metrics = Arc::new(Metrics::default());
+    let log = MeteredLog::new(cluster.log.client().into(), Arc::clone(&metrics));
+    (Arc::new(log), metrics)
+}
+
+/// Agents that read all routes saturated the link between two regions.
+#[tokio::test(start_paused = true)]
+async fn an_agent_does_not_read_the_routes() {
+    let cluster = Cluster::new();
+    cluster
+        .log
+        .put(Stream::Config, "config", &large_configuration(2));
+    let (log, metrics) = metered(&cluster);
+    let agent = Cluster::zone_agent(log);
+    let _worker = FakeWorker::open("w1");
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    for version in 3..6 {
+        sleep(Duration::from_secs(5)).await;
+        let config = large_configuration(version);
+        cluster.log.put(Stream::Config, "config", &config);
+    }
+    sleep(Duration::from_secs(5)).await;
+    let read = metrics.read_bytes(StreamKind::Config);
+    assert!(read <= 20 * CONTROL_BYTES_PER_S, "{read} bytes in 20 s");
+}
+
+/// Each request for an unknown queue loaded the whole configuration.
+#[tokio::test(start_paused = true)]
+async fn requests_for_unknown_queues_do_not_read_the_configuration_again() {
+    let cluster = Cluster::new();
+    cluster
+        .log
+        .put(Stream::Config, "config", &large_configuration(2));
+    let (log, metrics) = metered(&cluster);
+    let entry = cluster.entry("e1", log).await;
+    let before = metrics.read_bytes(StreamKind::Config);
+    for _ in 0..20 {
+        let found = entry.find_route("host", UNKNOWN_PATH).await;
+        assert_eq!(found.err(), Some(Answer::NoQueue));
+    }
+    let read = metrics.read_bytes(StreamKind::Config) - before;
+    assert!(
+        read <= CONTROL_BYTES_PER_S,
+        "{read} bytes for an unchanged configuration"
+    );
+}
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod callers;
 mod capacity;
+mod configuration;
 mod crashes;
 mod diagnosis;
 mod lapses;
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -31,6 +31,9 @@
 /// Time within which a run continues elsewhere after the loss of its worker.
 pub(crate) const MAX_REPLACE_TIME: Duration = Duration::from_secs(9);
 
+/// A path that no queue serves.
+pub(crate) const UNKNOWN_PATH: &str = "/unknown/";
+
 /// Timeout of waiting for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -137,7 +140,7 @@
     }
 
     /// Starts an agent that checks starts against withdrawn zones.
-    pub(crate) fn zone_agent(log: FakeLog) -> WorkerRegistry {
+    pub(crate) fn zone_agent(log: impl Into<Arc<dyn KeyedLog>>) -> WorkerRegistry {
         let settings = WithdrawalSettings {
             bound: WITHDRAWAL_BOUND,
             parse_zone,
@@ -192,14 +195,17 @@
     }))
 }
 
-/// Parses a configuration, which is just a version number. There is one queue, and a second one
-/// from version 2 on.
+/// Parses a configuration, which is just a version number, padded with spaces. There is one queue, and
+/// a second one from version 2 on.
 fn parse_routes(stored: &StoredRecord) -> Result<Option<RouteTable>, String> {
     if stored.key != "config" {
         return Ok(None);
     }
     let text = std::str::from_utf8(&stored.value).map_err(|error| error.to_string())?;
-    let version: u64 = text.parse().map_err(|_error| "not a version".to_owned())?;
+    let version: u64 = text
+        .trim()
+        .parse()
+        .map_err(|_error| "not a version".to_owned())?;
     let queues = if version > 1 { 2 } else { 1 };
     Ok(Some(RouteTable {
         version,
@@ -223,6 +229,13 @@
     }
 }
 
+/// Returns a configuration of about the size of 1,400 routes.
+pub(crate) fn large_configuration(version: u64) -> Vec<u8> {
+    let mut text = version.to_string().into_bytes();
+    text.resize(300_000, b' ');
+    text
+}
+
 /// Returns a job of one task that takes a second.
 pub(crate) fn one_task_job() -> JobSpec {
     JobSpec {
--- a/crates/agate_node/tests/it/support/mod.rs
+++ b/crates/agate_node/tests/it/support/mod.rs
@@ -6,8 +6,8 @@
 mod worker;
 
 pub(crate) use cluster::{
-    Caller, Cluster, MAX_LEASE, MAX_REPLACE_TIME, STOP_LIMIT, WITHDRAWAL_BOUND, job_id,
-    one_task_job, wait_until,
+    Caller, Cluster, MAX_LEASE, MAX_REPLACE_TIME, STOP_LIMIT, UNKNOWN_PATH, WITHDRAWAL_BOUND,
+    job_id, large_configuration, one_task_job, wait_until,
 };
 pub(crate) use log::{FakeLog, Fault};
 pub(crate) use network::{Link, Network, address};
