Read only what is new for a request to an unknown queue

Callers saw: nothing by itself; it loads a link that is already short. Cause: the entry has to read up to the end of the stream before it answers 404, and did so by a load of the newest records. Change: it reads from where the last read ended, one request at a time, and loads only if the records in between were deleted.

--- a/crates/agate_node/src/entry/callers.rs
+++ b/crates/agate_node/src/entry/callers.rs
@@ -13,7 +13,6 @@
 use super::config;
 use crate::appender::AppenderError;
 use crate::metrics::Event;
-use crate::store::Stream;
 
 /// Seconds after which a refused caller may retry. By then the log has recovered or another entry has
 /// taken over. Spread, so that callers refused together don't return together.
@@ -63,8 +62,8 @@
 }
 
 impl Entry {
-    /// Returns the route of a request. If the current configuration has none, the newest one is
-    /// read before the request is rejected.
+    /// Returns the route of a request. If the current configuration has none, what was recorded since
+    /// is read before the request is rejected.
     ///
     /// # Errors
     ///
@@ -75,12 +74,10 @@
         if let Some(route) = table.find(host, path) {
             return Ok(route.clone());
         }
-        let read = self.context.log.newest(Stream::Config);
-        let newest = tokio::time::timeout(CATCH_UP_TIMEOUT, read).await;
-        let Ok(Ok(newest)) = newest else {
+        let caught_up = tokio::time::timeout(CATCH_UP_TIMEOUT, config::catch_up(self)).await;
+        if !matches!(caught_up, Ok(Ok(()))) {
             return Err(Answer::Refused);
-        };
-        config::apply_load(self, &newest);
+        }
         let table = self.routes();
         if table.version == 0 {
             return Err(Answer::Refused);
--- a/crates/agate_node/src/entry/config.rs
+++ b/crates/agate_node/src/entry/config.rs
@@ -1,13 +1,14 @@
 //! Follows the operator's configuration.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
 use super::{Entry, zones};
 use crate::outage::OutageMonitor;
-use crate::store::{NewestRecords, ReadError, StoredRecord, Stream};
+use crate::store::{NewestRecords, Page, ReadError, StoredRecord, Stream};
 
 /// Longest wait of a read for new records. Together with the timeout of the call it stays well
 /// below 2.5 s, the shortest time in which a configuration has to be in force.
@@ -56,8 +57,7 @@
                     return;
                 }
                 next += page.records.len() as u64;
-                apply_routes(entry, &page.records);
-                zones::apply_page(entry, &page.records, next);
+                apply_page(entry, &page.records, next);
             }
             Err(ReadError::Deleted) => return,
             Err(error) => {
@@ -68,10 +68,54 @@
     }
 }
 
+/// Applies what was recorded up to the time of the call.
+///
+/// # Errors
+///
+/// Returns [`ReadError`] if the log returns no page.
+pub(super) async fn catch_up(entry: &Entry) -> Result<(), ReadError> {
+    let _turn = entry.config_turn.lock().await;
+    loop {
+        let from = entry.config_end.load(Ordering::Relaxed);
+        let Some(page) = read_new(entry, from).await? else {
+            let newest = entry.context.log.newest(Stream::Config).await?;
+            apply_load(entry, &newest);
+            return Ok(());
+        };
+        let next = from + page.records.len() as u64;
+        apply_page(entry, &page.records, next);
+        if next >= page.end {
+            return Ok(());
+        }
+    }
+}
+
+/// Reads what was recorded from the offset `from` on; returns `None` if that has been deleted or nothing has
+/// been loaded yet.
+async fn read_new(entry: &Entry, from: u64) -> Result<Option<Page>, ReadError> {
+    if from == 0 {
+        return Ok(None);
+    }
+    let log = &entry.context.log;
+    match log.read(Stream::Config, from, Duration::ZERO).await {
+        Ok(page) => Ok(Some(page)),
+        Err(ReadError::Deleted) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 /// Applies the newest records. Loads and reads may be applied in any order.
-pub(super) fn apply_load(entry: &Entry, newest: &NewestRecords) {
+fn apply_load(entry: &Entry, newest: &NewestRecords) {
     apply_routes(entry, &newest.records);
     zones::apply_load(entry, newest);
+    entry.config_end.fetch_max(newest.end, Ordering::Relaxed);
+}
+
+/// Applies consecutive records that were read up to the offset `next`.
+fn apply_page(entry: &Entry, records: &[StoredRecord], next: u64) {
+    apply_routes(entry, records);
+    zones::apply_page(entry, records, next);
+    entry.config_end.fetch_max(next, Ordering::Relaxed);
 }
 
 /// Activates the newest route table. An older one never replaces it.
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of an entry.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -21,6 +21,11 @@
     pub(super) context: EntryContext,
     pub(super) appender: Appender,
     pub(super) routes: watch::Sender<Arc<RouteTable>>,
+    /// Offset up to which the configuration stream has been read; zero before the first load.
+    pub(super) config_end: AtomicU64,
+    /// Held while the configuration stream is read for callers, so that requests which arrive together don't
+    /// each read the same records.
+    pub(super) config_turn: tokio::sync::Mutex<()>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub(super) zones: Option<EntryZones>,
     /// Offset up to which the main stream is folded.
@@ -58,6 +63,8 @@
             context,
             appender,
             routes: watch::Sender::new(Arc::default()),
+            config_end: AtomicU64::new(0),
+            config_turn: tokio::sync::Mutex::default(),
             folded: watch::Sender::new(0),
             changed: Notify::new(),
             was_ready: AtomicBool::new(false),
