Renew the view of withdrawn zones only by a load that is not outdated

Found in a review: a load that ends before the known offset was not applied, but made the view count as new, so starts would have been allowed on it. It needs a store that answers from before what it has answered already. Change: such a load changes nothing.

--- a/crates/agate_jobs/src/zones/gate.rs
+++ b/crates/agate_jobs/src/zones/gate.rs
@@ -59,8 +59,12 @@
     }
 
     /// Applies a load that began at `began`: the newest record of each zone before the offset `end`, as
-    /// of one moment after `began`.
+    /// of one moment after `began`. One that ends before the known offset is out of date, whenever it
+    /// began.
     pub fn apply_load(&mut self, records: Vec<ZoneRecord>, end: u64, began: Duration) {
+        if self.table.is_known(end) {
+            return;
+        }
         self.table.apply_load(records, end);
         self.loaded_at = self.loaded_at.max(Some(began));
     }
--- a/crates/agate_jobs/tests/jobs/zones.rs
+++ b/crates/agate_jobs/tests/jobs/zones.rs
@@ -114,6 +114,8 @@
     gate.apply_load(Vec::new(), 9, ms(500));
     assert_eq!(gate.check("a", ms(1_000)), StartCheck::Withdrawn);
     assert_eq!(gate.check("b", ms(4_000)), StartCheck::Allowed);
+    gate.apply_load(Vec::new(), 9, ms(1_500));
+    assert_eq!(gate.check("b", ms(4_001)), StartCheck::Stale);
     gate.apply_load(vec![withdraws(9, "a")], 10, ms(2_000));
     assert_eq!(gate.check("b", ms(5_000)), StartCheck::Allowed);
     assert_eq!(gate.check("b", ms(5_001)), StartCheck::Stale);
