--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -187,12 +187,15 @@
     }
 
     /// Starts a read at the log that does not wait for records, if one is due. It goes on when the
-    /// call that started it has ended.
+    /// call that started it has ended. Records of the configuration are too large to be read twice.
     fn start_probe(
         &self,
         stream: Stream,
         from: u64,
     ) -> Option<JoinHandle<Result<Page, ReadError>>> {
+        if stream == Stream::Config {
+            return None;
+        }
         let is_due = self.direct.state().failover.takes_probe(clock::now());
         let direct = Arc::clone(&self.direct);
         is_due.then(|| tokio::spawn(async move { direct.read(stream, from, Duration::ZERO).await }))
