Share a read of the configuration among requests that arrive together

Cause, found in a review: requests for unknown queues read the configuration stream one after the other, so that above about 60 a second for each entry the last ones waited for 0.9 s and were refused, those for a route that had just been added among them. Change: a request that has waited returns if the last read that reached the end began after its arrival. Ruled out: reads side by side; each would transfer a new configuration. Result: configuration::requests_for_unknown_queues_that_arrive_together_share_a_read failed before (some of 400 were refused).

--- a/crates/agate_node/src/entry/config.rs
+++ b/crates/agate_node/src/entry/config.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{Entry, zones};
 use crate::outage::OutageMonitor;
@@ -64,13 +64,25 @@
     }
 }
 
-/// Applies what was recorded up to the time of the call.
+/// Applies what was recorded up to the time of the call. A read that another caller began after that
+/// serves for this one, too.
 ///
 /// # Errors
 ///
 /// Returns [`ReadError`] if the log returns no page.
 pub(super) async fn catch_up(entry: &Entry) -> Result<(), ReadError> {
-    let _turn = entry.config_turn.lock().await;
+    let arrived = Instant::now();
+    let mut read_at = entry.config_read_at.lock().await;
+    if read_at.is_some_and(|at| at >= arrived) {
+        return Ok(());
+    }
+    let began = Instant::now();
+    read_to_end(entry).await?;
+    *read_at = Some(began);
+    Ok(())
+}
+
+async fn read_to_end(entry: &Entry) -> Result<(), ReadError> {
     loop {
         let from = entry.config_end.load(Ordering::Relaxed);
         let Some(page) = read_new(entry, from).await? else {
@@ -83,6 +95,10 @@
         if next >= page.end {
             return Ok(());
         }
+        if page.records.is_empty() {
+            let cause = "the log returned no record before its end";
+            return Err(ReadError::Unavailable(cause.to_owned()));
+        }
     }
 }
 
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -23,9 +23,9 @@
     pub(super) routes: watch::Sender<Arc<RouteTable>>,
     /// Offset up to which the configuration stream has been read; zero before the first load.
     pub(super) config_end: AtomicU64,
-    /// Held while the configuration stream is read for callers, so that requests which arrive together don't
-    /// each read the same records.
-    pub(super) config_turn: tokio::sync::Mutex<()>,
+    /// When the newest read of the configuration stream for callers began that reached its end. Locked
+    /// during such a read, so that callers who arrive together share one.
+    pub(super) config_read_at: tokio::sync::Mutex<Option<tokio::time::Instant>>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub(super) zones: Option<EntryZones>,
     /// Offset up to which the main stream is folded.
@@ -64,7 +64,7 @@
             appender,
             routes: watch::Sender::new(Arc::default()),
             config_end: AtomicU64::new(0),
-            config_turn: tokio::sync::Mutex::default(),
+            config_read_at: tokio::sync::Mutex::default(),
             folded: watch::Sender::new(0),
             changed: Notify::new(),
             was_ready: AtomicBool::new(false),
--- a/crates/agate_node/tests/it/configuration.rs
+++ b/crates/agate_node/tests/it/configuration.rs
@@ -81,3 +81,18 @@
     let read = metrics.read_bytes(StreamKind::Config);
     assert!(read < config.len() as u64 * 3 / 2, "{read} bytes");
 }
+
+/// Each of the requests held the next one up for a read of its own, and the last ones were refused.
+#[tokio::test(start_paused = true)]
+async fn requests_for_unknown_queues_that_arrive_together_share_a_read() {
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let entry = cluster.entry("e1", log.clone()).await;
+    let before = log.config_reads();
+    let requests = (0..400).map(|_| entry.find_route("host", UNKNOWN_PATH));
+    for found in futures::future::join_all(requests).await {
+        assert_eq!(found.err(), Some(Answer::NoQueue));
+    }
+    let reads = log.config_reads() - before;
+    assert!(reads <= 3, "{reads} reads");
+}
