--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -33,10 +33,9 @@
     ShortLease,
     /// The agent stops before it can be sure that no start of its predecessor is carried out any more.
     AgentStops,
-    /// The withdrawn zones have not been read since this agent started or since their history was
-    /// dropped.
+    /// The withdrawn zones have not been loaded since this agent started.
     ZonesNotLoaded,
-    /// The withdrawn zones have not been read to their end recently enough.
+    /// The withdrawn zones have not been loaded recently enough.
     ZonesStale,
     /// The zone is withdrawn, but a start that was sent before this agent started may still be
     /// carried out.
--- a/crates/agate_node/src/entry/zones.rs
+++ b/crates/agate_node/src/entry/zones.rs
@@ -28,8 +28,7 @@
     }
 }
 
-/// Applies a load of the configuration stream. One that tells nothing new must not wake the leader,
-/// since each request for an unknown route loads the stream.
+/// Applies a load of the configuration stream. One that tells nothing new must not wake the leader.
 pub(super) fn apply_load(entry: &Entry, newest: &NewestRecords) {
     let Some(zones) = &entry.zones else {
         return;
