Check the amounts of a job at the border and in its record

Cause: the fold trusted a submitted record's numbers of tasks and occurrences, and neither the decoder of callers' jobs nor the parser of records bounded times. A record with 2^32-1 tasks or occurrences ends the process (allocation of 412 or 103 GB) at each start, and an estimate of 2^64-1, which any caller can send, overflows the sum that orders jobs.

A job without tasks that repeats 2^32-1 times, and one with as many empty phases over all occurrences, is rejected too. Sums and products of the order of turns saturate, since a job of 100,000 steps at the bounds exceeds 64 bits when it is multiplied by the stretch factor.

--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod spec;
 pub mod table;
 mod task;
+pub mod validity;
 mod worker;
 pub mod zones;
 
@@ -26,4 +27,5 @@
 pub use spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
 pub use table::{JobState, JobTable};
 pub use task::{TaskKey, TaskKeyError};
+pub use validity::Invalid;
 pub use worker::{AgentState, WorkerIncarnation, WorkerReport, WorkerState};
--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -198,11 +198,12 @@
         return (Timeliness::InTime, job.at_ms);
     }
     let allowed_ms = job.allowed_ms();
-    let objective_ms = job.at_ms + allowed_ms;
-    let finish_ms = wall_ms + job.remaining_ms();
+    let objective_ms = job.at_ms.saturating_add(allowed_ms);
+    let late_ms = LATE_FACTOR.saturating_mul(allowed_ms);
+    let finish_ms = wall_ms.saturating_add(job.remaining_ms());
     let timeliness = if job.spec.repeat.is_some() || finish_ms <= objective_ms {
         Timeliness::InTime
-    } else if finish_ms <= job.at_ms + LATE_FACTOR * allowed_ms {
+    } else if finish_ms <= job.at_ms.saturating_add(late_ms) {
         Timeliness::Late
     } else {
         Timeliness::Missed
--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -279,21 +279,34 @@
 
 impl std::error::Error for RecordError {}
 
+impl Body {
+    /// Returns the key of a record with these contents.
+    fn key(&self) -> String {
+        match self {
+            Self::Submitted { job, .. } => format!("j/{job}"),
+            Self::Cancelled { job } => format!("c/{job}"),
+            Self::Closed { job, .. } => format!("d/{job}"),
+            Self::Ended(end) => format!("{}/{}/{}", end_kind(end), end.task, end.run),
+            Self::Worker(report) => format!("w/{}", report.incarnation.name),
+            Self::Leader(_) => "l".to_owned(),
+            Self::Order(order) => format!("r/{}/{}", order.incarnation.name, order.task),
+            Self::Suspicion(suspicion) => format!("s/{}", suspicion.incarnation.name),
+        }
+    }
+}
+
+/// Parses and checks the contents of a record.
+fn parse_body(value: &[u8]) -> Result<Body, String> {
+    let body: Body = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    body.validate().map_err(|error| error.to_string())?;
+    Ok(body)
+}
+
 impl Record {
     /// Creates a record; its key is derived from the contents.
     pub fn new(body: Body) -> Self {
-        let key = match &body {
-            Body::Submitted { job, .. } => format!("j/{job}"),
-            Body::Cancelled { job } => format!("c/{job}"),
-            Body::Closed { job, .. } => format!("d/{job}"),
-            Body::Ended(end) => format!("{}/{}/{}", end_kind(end), end.task, end.run),
-            Body::Worker(report) => format!("w/{}", report.incarnation.name),
-            Body::Leader(_) => "l".to_owned(),
-            Body::Order(order) => format!("r/{}/{}", order.incarnation.name, order.task),
-            Body::Suspicion(suspicion) => format!("s/{}", suspicion.incarnation.name),
-        };
         Self {
-            key,
+            key: body.key(),
             body: Some(body),
         }
     }
@@ -319,17 +332,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`RecordError`] if the contents are malformed or unknown to this version.
+    /// Returns [`RecordError`] if the contents are malformed, unknown to this version or out of
+    /// bounds.
     pub fn parse(key: String, value: &[u8]) -> Result<Self, RecordError> {
         if value.is_empty() {
             return Ok(Self::tombstone(key));
         }
-        match serde_json::from_slice(value) {
+        match parse_body(value) {
             Ok(body) => Ok(Self {
                 key,
                 body: Some(body),
             }),
-            Err(error) => Err(Self::tombstone(key).error(&error)),
+            Err(cause) => Err(RecordError { key, cause }),
         }
     }
 
--- a/crates/agate_jobs/src/table/job.rs
+++ b/crates/agate_jobs/src/table/job.rs
@@ -101,8 +101,9 @@
 
     /// Returns the time within which the job should finish, in milliseconds.
     pub fn allowed_ms(&self) -> u64 {
-        let stretched_ms = self.spec.critical_path_ms() * self.policy.stretch_milli / 1_000;
-        self.policy.slack_ms + stretched_ms
+        let path_ms = self.spec.critical_path_ms();
+        let stretched_ms = path_ms.saturating_mul(self.policy.stretch_milli) / 1_000;
+        self.policy.slack_ms.saturating_add(stretched_ms)
     }
 
     pub(super) fn apply_end(&mut self, end: &RunEnd) {
--- /dev/null
+++ b/crates/agate_jobs/src/validity.rs
@@ -0,0 +1,118 @@
+//! Bounds of values that come from callers, the operator and other writers of the log.
+//!
+//! The decoders at the border and the parser of records apply the same checks, so that the fold and the
+//! scheduler only see values whose sums and products can't exceed their types by far, and whose size in
+//! memory is bounded.
+
+use displaydoc::Display;
+
+use crate::record::Body;
+use crate::spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
+
+/// Most tasks of a job, and most steps, over all occurrences. The records of a larger job would exceed
+/// the log's limits.
+pub const MAX_TASKS: u64 = 100_000;
+
+/// Longest time of a job or queue, ten years, in milliseconds.
+pub const MAX_SPAN_MS: u64 = 10 * 366 * 86_400_000;
+
+/// Latest point in time, the end of the year 9999, in milliseconds since the Unix epoch.
+pub const MAX_WALL_MS: u64 = 253_402_300_799_999;
+
+/// Largest factor of a queue, in thousandths.
+pub const MAX_STRETCH_MILLI: u64 = 1_000_000;
+
+/// {0}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct Invalid(pub String);
+
+impl std::error::Error for Invalid {}
+
+/// Returns an error unless `value` is at most `max`.
+fn check_max(what: &str, value: u64, max: u64) -> Result<(), Invalid> {
+    check(value <= max, || {
+        format!("{what} is {value}, more than {max}")
+    })
+}
+
+fn check(holds: bool, cause: impl FnOnce() -> String) -> Result<(), Invalid> {
+    if holds { Ok(()) } else { Err(Invalid(cause())) }
+}
+
+impl JobSpec {
+    /// Checks that the job is well formed and its amounts are bounded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem.
+    pub fn validate(&self) -> Result<(), Invalid> {
+        check(!self.steps.is_empty(), || "it has no phases".to_owned())?;
+        let occurrences = u64::from(self.occurrences());
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        check(tasks.saturating_mul(occurrences) <= MAX_TASKS, || {
+            format!("it has more than {MAX_TASKS} tasks")
+        })?;
+        let steps = (self.steps.len() as u64).saturating_mul(occurrences);
+        check(steps <= MAX_TASKS, || {
+            format!("it has more than {MAX_TASKS} phases over all occurrences")
+        })?;
+        for (at, step) in self.steps.iter().enumerate() {
+            step.validate(at)?;
+        }
+        self.repeat.as_ref().map_or(Ok(()), Repeat::validate)
+    }
+}
+
+impl StepSpec {
+    fn validate(&self, at: usize) -> Result<(), Invalid> {
+        if let Some(later) = self.after.iter().find(|on| **on as usize >= at) {
+            let cause = format!("phase {at} depends on {later}, which is not earlier");
+            return Err(Invalid(cause));
+        }
+        let what = |field: &str| format!("the {field} of phase {at}");
+        check_max(&what("estimate"), self.estimate_ms, MAX_SPAN_MS)?;
+        check_max(&what("latency target"), self.target_ms, MAX_SPAN_MS)
+    }
+}
+
+impl Repeat {
+    fn validate(&self) -> Result<(), Invalid> {
+        check_max("the due time", self.first_ms, MAX_WALL_MS)?;
+        check_max("the interval", self.every_ms, MAX_SPAN_MS)
+    }
+}
+
+impl QueuePolicy {
+    /// Checks that the times and factors of the queue are bounded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem.
+    pub fn validate(&self) -> Result<(), Invalid> {
+        check_max("the latency objective", self.slack_ms, MAX_SPAN_MS)?;
+        check_max("the stretch factor", self.stretch_milli, MAX_STRETCH_MILLI)
+    }
+}
+
+impl Body {
+    /// Checks that the contents are ones that the system may have written.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem.
+    pub fn validate(&self) -> Result<(), Invalid> {
+        match self {
+            Self::Submitted {
+                spec,
+                policy,
+                at_ms,
+                ..
+            } => {
+                check_max("the time of acceptance", *at_ms, MAX_WALL_MS)?;
+                policy.validate()?;
+                spec.validate()
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod lease;
 mod moves;
+mod odd;
 mod pace;
 mod place;
 mod records;
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -0,0 +1,91 @@
+//! Records of another writer, whose contents no part of the system would write.
+
+use agate_core::{JobId, Moment};
+use agate_jobs::plan::Scheduler;
+use agate_jobs::record::Body;
+use agate_jobs::{JobSpec, JobTable, QueuePolicy, Record, RecordError, Repeat, StepSpec};
+use rstest::rstest;
+
+use crate::support::{policy, report, step};
+
+fn reparse(record: &Record) -> Result<Record, RecordError> {
+    let value = record.value().expect("the record can be encoded");
+    Record::parse(record.key.clone(), &value)
+}
+
+fn job_record(spec: JobSpec, policy: QueuePolicy) -> Record {
+    Record::new(Body::Submitted {
+        job: JobId(7),
+        spec,
+        policy,
+        at_ms: 1_000,
+    })
+}
+
+fn spec(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        steps,
+        ..JobSpec::default()
+    }
+}
+
+fn repeated(steps: Vec<StepSpec>, repeat: Repeat) -> JobSpec {
+    JobSpec {
+        repeat: Some(repeat),
+        ..spec(steps)
+    }
+}
+
+const HOURLY: Repeat = Repeat {
+    first_ms: 0,
+    every_ms: 3_600_000,
+    times: 1,
+};
+
+/// Guards against an allocation of hundreds of gigabytes and against sums that overflow.
+#[rstest]
+#[case::tasks(spec(vec![step(u32::MAX)]))]
+#[case::occurrences(repeated(vec![step(1)], Repeat { times: u32::MAX, ..HOURLY }))]
+#[case::occurrences_without_tasks(repeated(vec![step(0)], Repeat { times: u32::MAX, ..HOURLY }))]
+#[case::no_steps(spec(Vec::new()))]
+#[case::after_itself(spec(vec![StepSpec { after: vec![0], ..step(1) }]))]
+#[case::estimate(spec(vec![StepSpec { estimate_ms: u64::MAX, ..step(1) }]))]
+#[case::target(spec(vec![StepSpec { target_ms: u64::MAX, ..step(1) }]))]
+#[case::due(repeated(vec![step(1)], Repeat { first_ms: u64::MAX, ..HOURLY }))]
+#[case::interval(repeated(vec![step(1)], Repeat { every_ms: u64::MAX, ..HOURLY }))]
+fn a_job_out_of_bounds_is_neither_accepted_nor_read(#[case] spec: JobSpec) {
+    spec.validate().expect_err("the job is out of bounds");
+    reparse(&job_record(spec, policy())).expect_err("its record is invalid");
+}
+
+#[test]
+fn a_job_at_the_bounds_is_placed_without_overflow() {
+    let most = StepSpec {
+        estimate_ms: 10 * 366 * 86_400_000,
+        ..step(2)
+    };
+    let steps = vec![
+        most.clone(),
+        StepSpec {
+            after: vec![0],
+            ..most
+        },
+    ];
+    let policy = QueuePolicy {
+        stretch_milli: 1_000_000,
+        slack_ms: 10 * 366 * 86_400_000,
+        ..policy()
+    };
+    let mut table = JobTable::default();
+    for record in [
+        job_record(spec(steps), policy),
+        Record::new(Body::Worker(report("w1", 5))),
+    ] {
+        table.fold(reparse(&record).expect("the record is valid"));
+    }
+    let mut scheduler = Scheduler::default();
+    let change = agate_jobs::table::Change::Worker("w1".to_owned());
+    scheduler.apply(&table, &change, Moment::ZERO);
+    let placed = scheduler.place(&table, Moment::from_millis(1), u64::MAX);
+    assert_eq!(placed.len(), 2);
+}
