Reject a record whose contents belong to another key

Cause: Record::parse didn't compare the key with the contents, so a record under the key of one job, run or worker replaced that record in the log, and was folded as one of another.

Change: the contents have to be those of the key that they derive. Such a record still replaces the newest one of its key in the log; the fold of a process that has read the replaced record keeps it.

Shown by odd::contents_under_another_key_are_an_error, which failed before: the contents of job 7 were read under the key of job 8.

--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -295,10 +295,14 @@
     }
 }
 
-/// Parses and checks the contents of a record.
-fn parse_body(value: &[u8]) -> Result<Body, String> {
+/// Parses contents that are stored under `key`.
+fn parse_body(key: &str, value: &[u8]) -> Result<Body, String> {
     let body: Body = serde_json::from_slice(value).map_err(|error| error.to_string())?;
     body.validate().map_err(|error| error.to_string())?;
+    let expected = body.key();
+    if key != expected {
+        return Err(format!("its contents are those of {expected:?}"));
+    }
     Ok(body)
 }
 
@@ -332,13 +336,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`RecordError`] if the contents are malformed, unknown to this version or out of
-    /// bounds.
+    /// Returns [`RecordError`] if the contents are malformed, unknown to this version, out of bounds,
+    /// or those of another key.
     pub fn parse(key: String, value: &[u8]) -> Result<Self, RecordError> {
         if value.is_empty() {
             return Ok(Self::tombstone(key));
         }
-        match parse_body(value) {
+        match parse_body(&key, value) {
             Ok(body) => Ok(Self {
                 key,
                 body: Some(body),
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -6,7 +6,7 @@
 use agate_jobs::{JobSpec, JobTable, QueuePolicy, Record, RecordError, Repeat, StepSpec};
 use rstest::rstest;
 
-use crate::support::{policy, report, step};
+use crate::support::{policy, report, step, submitted};
 
 fn reparse(record: &Record) -> Result<Record, RecordError> {
     let value = record.value().expect("the record can be encoded");
@@ -89,3 +89,16 @@
     let placed = scheduler.place(&table, Moment::from_millis(1), u64::MAX);
     assert_eq!(placed.len(), 2);
 }
+
+/// A record under another key would replace what is known of that key in the log.
+#[test]
+fn contents_under_another_key_are_an_error() {
+    let value = submitted(7, vec![step(1)])
+        .value()
+        .expect("it can be encoded");
+    let error = Record::parse("j/0000000000000008".to_owned(), &value);
+    assert_eq!(
+        error.expect_err("the key differs").key,
+        "j/0000000000000008"
+    );
+}
