Believe no epoch that no leader can have reached

Cause: the fold believed the epoch of any heartbeat in the main stream. With 2^64-1 the claim's addition overflows: election panics over and over, and in a release build wraps to 0, so that no entry leads any more. With any other epoch, also a low one, that replaces the leader's heartbeat in the log while every entry is away, the entries that load it claim the epoch after it, are rejected by the log, and claim the same one again for ever.

Change: heartbeats with an epoch above 10^12, with epoch 0 or without a name are invalid. A heartbeat of the current epoch from an entry that doesn't hold it is ignored: the log's fence takes the appends of one entry only in each epoch. After a claim that the log rejected, the distance to the newest epoch that was read doubles; a claim that the log didn't take for another reason changes nothing, since epochs would otherwise exceed the bound in a long outage.

Ruled out: a bound on the step between two epochs. An entry that loads the stream knows no earlier epoch to compare with.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -21,6 +21,15 @@
     pub suspects: Vec<Suspect>,
 }
 
+impl Leader {
+    /// Returns whether a heartbeat comes from this leader or a later one. The log takes the appends of
+    /// a single entry in each epoch, so the first heartbeat of an epoch shows which entry holds it.
+    fn is_continued_by(&self, heartbeat: &LeaderHeartbeat) -> bool {
+        let is_holder = self.entry.is_empty() || self.entry == heartbeat.entry;
+        heartbeat.epoch > self.epoch || (heartbeat.epoch == self.epoch && is_holder)
+    }
+}
+
 /// A job in its final state whose other records have been dropped.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Closed {
@@ -265,7 +274,7 @@
 
     fn update_leader(&mut self, heartbeat: LeaderHeartbeat) -> Change {
         self.start_jobs(&heartbeat.started_jobs);
-        if heartbeat.epoch < self.leader.epoch {
+        if !self.leader.is_continued_by(&heartbeat) {
             return Change::None;
         }
         self.leader = Leader {
--- a/crates/agate_jobs/src/validity.rs
+++ b/crates/agate_jobs/src/validity.rs
@@ -6,7 +6,7 @@
 
 use displaydoc::Display;
 
-use crate::record::Body;
+use crate::record::{Body, LeaderHeartbeat};
 use crate::spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
 
 /// Most tasks of a job, and most steps, over all occurrences. The records of a larger job would exceed
@@ -22,6 +22,10 @@
 /// Largest factor of a queue, in thousandths.
 pub const MAX_STRETCH_MILLI: u64 = 1_000_000;
 
+/// Highest epoch of a leader. Each takeover raises the epoch by a few, so no leader reaches it, while
+/// the largest numbers of usual types and points in time exceed it.
+pub const MAX_EPOCH: u64 = 1_000_000_000_000;
+
 /// {0}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct Invalid(pub String);
@@ -94,6 +98,14 @@
     }
 }
 
+impl LeaderHeartbeat {
+    fn validate(&self) -> Result<(), Invalid> {
+        check(!self.entry.is_empty(), || "it names no entry".to_owned())?;
+        check(self.epoch > 0, || "it has no epoch".to_owned())?;
+        check_max("the epoch", self.epoch, MAX_EPOCH)
+    }
+}
+
 impl Body {
     /// Checks that the contents are ones that the system may have written.
     ///
@@ -112,6 +124,7 @@
                 policy.validate()?;
                 spec.validate()
             }
+            Self::Leader(heartbeat) => heartbeat.validate(),
             _ => Ok(()),
         }
     }
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -3,7 +3,9 @@
 use agate_core::{JobId, Moment};
 use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
-use agate_jobs::{JobSpec, JobTable, QueuePolicy, Record, RecordError, Repeat, StepSpec};
+use agate_jobs::{
+    JobSpec, JobTable, LeaderHeartbeat, QueuePolicy, Record, RecordError, Repeat, StepSpec,
+};
 use rstest::rstest;
 
 use crate::support::{policy, report, step, submitted};
@@ -102,3 +104,34 @@
         "j/0000000000000008"
     );
 }
+
+fn heartbeat(epoch: u64, entry: &str) -> Record {
+    Record::new(Body::Leader(LeaderHeartbeat {
+        epoch,
+        entry: entry.to_owned(),
+        resigns: false,
+        started_jobs: Vec::new(),
+        suspects: Vec::new(),
+    }))
+}
+
+/// No later claim could exceed such an epoch.
+#[rstest]
+#[case(heartbeat(u64::MAX, "e1"))]
+#[case(heartbeat(u64::MAX >> 1, "e1"))]
+#[case(heartbeat(1_700_000_000_000, "e1"))]
+#[case(heartbeat(0, "e1"))]
+#[case(heartbeat(1, ""))]
+fn a_heartbeat_that_no_leader_sends_is_an_error(#[case] record: Record) {
+    reparse(&record).expect_err("no leader sends it");
+}
+
+/// The log takes the appends of one entry only in each epoch.
+#[test]
+fn a_heartbeat_of_another_entry_in_the_same_epoch_is_ignored() {
+    let mut table = JobTable::default();
+    for (epoch, entry, leader) in [(3, "e1", "e1"), (3, "e2", "e1"), (4, "e2", "e2")] {
+        table.fold(heartbeat(epoch, entry));
+        assert_eq!(table.leader().entry, leader, "after {entry} in {epoch}");
+    }
+}
--- a/crates/agate_node/src/entry/lead/election.rs
+++ b/crates/agate_node/src/entry/lead/election.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agate_jobs::validity::MAX_EPOCH;
 use rand::Rng as _;
 use tokio::time::sleep;
 
@@ -52,19 +53,37 @@
     pub sequence: u64,
     /// Whether the claim is or may be recorded.
     pub may_be_recorded: bool,
+    /// Whether the log rejected the claim because it has taken the same or a higher epoch.
+    is_rejected: bool,
 }
 
 impl Claim {
-    /// Chooses the next epoch. Nothing is recorded yet.
-    pub fn new(entry: &Entry) -> Self {
+    /// Chooses the next epoch, given this entry's last claim if that failed. Nothing is recorded yet.
+    pub fn new(entry: &Entry, failed: Option<Self>) -> Self {
+        let known = entry.view().job_table.leader().epoch;
         Self {
-            epoch: entry.view().job_table.leader().epoch + 1,
+            epoch: next_epoch(
+                known,
+                failed
+                    .filter(|claim| claim.is_rejected)
+                    .map(|claim| claim.epoch),
+            ),
             sequence: rand::rng().random_range(1..u64::from(u32::MAX)),
             may_be_recorded: false,
+            is_rejected: false,
         }
     }
 }
 
+/// Returns the epoch to claim after `known`, the newest one that was read. A rejected claim above it means
+/// that the log has taken a higher one, whose heartbeat another writer's record has replaced. The distance
+/// doubles with each such claim, as the log's answer doesn't tell the epoch.
+fn next_epoch(known: u64, rejected: Option<u64>) -> u64 {
+    let distance = rejected.map_or(0, |rejected| rejected.saturating_sub(known));
+    let next = known.saturating_add(distance.saturating_mul(2).max(1));
+    next.min(MAX_EPOCH)
+}
+
 /// Records a claim on the main stream. Returns whether this entry holds the epoch; otherwise another
 /// entry was faster or the log kept failing.
 pub(super) async fn record_claim(entry: &Entry, claim: &mut Claim) -> bool {
@@ -91,6 +110,7 @@
             Err(AppendError::Fenced | AppendError::OutOfSequence(_)) => {
                 log::info!(event = "claim_lost", epoch = epoch; "another entry was faster");
                 claim.may_be_recorded = false;
+                claim.is_rejected = true;
                 sleep(HEARTBEAT_PERIOD).await;
                 return false;
             }
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -61,7 +61,7 @@
             }
             () = election::wait_for_vacancy(&entry, delay) => {}
         }
-        let mut claim = Claim::new(&entry);
+        let mut claim = Claim::new(&entry, failed_claim);
         let claimed = tokio::select! {
             biased;
             () = stop.cancelled() => None,
