Reject counters of workers that none can have reached

Cause: the term of an incarnation, its start, the number of a suspicion and that of a heartbeat only ever rise, and each is believed from a report or record. At the limit of its type the next one overflows (a panic of the scheduler at each start, in a release build a term of 0), or every true record is outdated from then on.

Change: terms above 10^6, starts after the year 9999 and numbers above 2^53-1 are invalid in reports, orders, suspicions and the lists of heartbeats, as is a worker without a name.

Shown by odd::a_counter_that_none_can_reach_is_an_error: all nine failed before.

--- a/crates/agate_jobs/src/validity.rs
+++ b/crates/agate_jobs/src/validity.rs
@@ -6,8 +6,9 @@
 
 use displaydoc::Display;
 
-use crate::record::{Body, LeaderHeartbeat};
+use crate::record::{Body, LeaderHeartbeat, Suspect};
 use crate::spec::{JobSpec, QueuePolicy, Repeat, StepSpec};
+use crate::worker::{WorkerIncarnation, WorkerReport};
 
 /// Most tasks of a job, and most steps, over all occurrences. The records of a larger job would exceed
 /// the log's limits.
@@ -26,6 +27,12 @@
 /// the largest numbers of usual types and points in time exceed it.
 pub const MAX_EPOCH: u64 = 1_000_000_000_000;
 
+/// Highest term of an incarnation, which rises with each lapse of its lease.
+pub const MAX_TERM: u32 = 1_000_000;
+
+/// Highest number of a suspicion and of a heartbeat, up to which each JSON number is exact.
+pub const MAX_NUMBER: u64 = (1 << 53) - 1;
+
 /// {0}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct Invalid(pub String);
@@ -102,7 +109,31 @@
     fn validate(&self) -> Result<(), Invalid> {
         check(!self.entry.is_empty(), || "it names no entry".to_owned())?;
         check(self.epoch > 0, || "it has no epoch".to_owned())?;
-        check_max("the epoch", self.epoch, MAX_EPOCH)
+        check_max("the epoch", self.epoch, MAX_EPOCH)?;
+        self.suspects.iter().try_for_each(Suspect::validate)
+    }
+}
+
+impl Suspect {
+    fn validate(&self) -> Result<(), Invalid> {
+        self.incarnation.validate()?;
+        check_max("the suspicion", self.number, MAX_NUMBER)
+    }
+}
+
+impl WorkerIncarnation {
+    fn validate(&self) -> Result<(), Invalid> {
+        check(!self.name.is_empty(), || "it names no worker".to_owned())?;
+        check_max("the start", self.started_ms, MAX_WALL_MS)?;
+        check_max("the term", self.term.into(), MAX_TERM.into())
+    }
+}
+
+impl WorkerReport {
+    fn validate(&self) -> Result<(), Invalid> {
+        self.incarnation.validate()?;
+        check_max("the heartbeat", self.heartbeat, MAX_NUMBER)?;
+        check_max("the suspicion", self.acked_suspicion, MAX_NUMBER)
     }
 }
 
@@ -125,6 +156,12 @@
                 spec.validate()
             }
             Self::Leader(heartbeat) => heartbeat.validate(),
+            Self::Worker(report) => report.validate(),
+            Self::Order(order) => order.incarnation.validate(),
+            Self::Suspicion(suspicion) => {
+                suspicion.incarnation.validate()?;
+                check_max("the suspicion", suspicion.number, MAX_NUMBER)
+            }
             _ => Ok(()),
         }
     }
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -1,14 +1,15 @@
 //! Records of another writer, whose contents no part of the system would write.
 
-use agate_core::{JobId, Moment};
+use agate_core::{JobId, Moment, Resources};
 use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
 use agate_jobs::{
-    JobSpec, JobTable, LeaderHeartbeat, QueuePolicy, Record, RecordError, Repeat, StepSpec,
+    JobSpec, JobTable, LeaderHeartbeat, Order, OrderKind, QueuePolicy, Record, RecordError, Repeat,
+    StepSpec, SuspicionRecord, WorkerIncarnation, WorkerReport,
 };
 use rstest::rstest;
 
-use crate::support::{policy, report, step, submitted};
+use crate::support::{policy, report, step, submitted, task};
 
 fn reparse(record: &Record) -> Result<Record, RecordError> {
     let value = record.value().expect("the record can be encoded");
@@ -135,3 +136,54 @@
         assert_eq!(table.leader().entry, leader, "after {entry} in {epoch}");
     }
 }
+
+fn incarnation(started_ms: u64, term: u32) -> WorkerIncarnation {
+    WorkerIncarnation {
+        term,
+        ..report("w1", started_ms).incarnation
+    }
+}
+
+fn reported(incarnation: WorkerIncarnation, acked_suspicion: u64, heartbeat: u64) -> Record {
+    Record::new(Body::Worker(WorkerReport {
+        incarnation,
+        acked_suspicion,
+        heartbeat,
+        ..report("w1", 5)
+    }))
+}
+
+fn suspicion(incarnation: WorkerIncarnation, number: u64) -> Record {
+    Record::new(Body::Suspicion(SuspicionRecord {
+        incarnation,
+        number,
+        suspected: true,
+    }))
+}
+
+fn stop_order(incarnation: WorkerIncarnation) -> Record {
+    Record::new(Body::Order(Order {
+        incarnation,
+        task: task(1, 0, 0),
+        run: 1,
+        kind: OrderKind::Stop {
+            demand: Resources::ZERO,
+            best_effort: false,
+        },
+    }))
+}
+
+/// Each of these only ever rises, so the next one of the system would overflow or be outdated.
+#[rstest]
+#[case::term(reported(incarnation(5, u32::MAX), 0, 1))]
+#[case::start(reported(incarnation(u64::MAX, 0), 0, 1))]
+#[case::acknowledged(reported(incarnation(5, 0), u64::MAX, 1))]
+#[case::heartbeat(reported(incarnation(5, 0), 0, u64::MAX))]
+#[case::term_of_a_suspicion(suspicion(incarnation(5, u32::MAX), 1))]
+#[case::start_of_a_suspicion(suspicion(incarnation(u64::MAX, 0), 1))]
+#[case::suspicion(suspicion(incarnation(5, 0), u64::MAX))]
+#[case::term_of_an_order(stop_order(incarnation(5, u32::MAX)))]
+#[case::no_name(Record::new(Body::Worker(report("", 5))))]
+fn a_counter_that_none_can_reach_is_an_error(#[case] record: Record) {
+    reparse(&record).expect_err("no counter gets there");
+}
