Add up the demands on a worker without overflow

Cause: the free processor time for best-effort tasks was computed from sums of 32-bit amounts. A report with the largest capacity, or demands near it, which a caller can send, overflows them: the scheduler panics in each round, in a release build the sum wraps and the worker counts as free.

Change: these sums saturate, in one place.

Shown by odd::the_largest_demands_do_not_overflow_the_sums_of_a_worker, which failed before at plan/worker.rs:182 (attempt to add with overflow).

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -122,7 +122,7 @@
         .iter()
         .filter(|worker| worker.report.service == service && !worker.withdrawn);
     let (used, total) = own.fold((0, 0), |(used, total), worker| {
-        let busy = u64::from(worker.used.millicores + worker.best_effort_millicores);
+        let busy = u64::from(worker.busy_millicores());
         (
             used + busy,
             total + u64::from(worker.report.capacity.millicores),
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -151,7 +151,7 @@
                 !worker.is_idle(),
                 worker.long_running.millicores,
                 crashed_there,
-                worker.used.millicores + worker.best_effort_millicores,
+                worker.busy_millicores(),
             )
         })
     }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -178,14 +178,20 @@
         let room = room.saturating_sub(without_cpu(self.reserved + self.held));
         let idle = self.long_running.millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         // More may be in use than the worker has, if it has shrunk.
-        let used = self.used.millicores + self.best_effort_millicores;
-        let spare = (self.report.capacity.millicores + idle).saturating_sub(used);
+        let capacity = self.report.capacity.millicores.saturating_add(idle);
+        let spare = capacity.saturating_sub(self.busy_millicores());
         demand.fits_in(Resources {
             millicores: spare,
             ..room
         })
     }
 
+    /// Returns the processor demand of all bound tasks.
+    pub const fn busy_millicores(&self) -> u32 {
+        let best_effort = self.best_effort_millicores;
+        self.used.millicores.saturating_add(best_effort)
+    }
+
     /// Returns what a long-running task still lacks, beside the reservations and the room held for
     /// moves, as a sum of permilles of the capacity, or `None` if the task won't fit even after all
     /// short tasks have ended.
@@ -224,7 +230,8 @@
         }
         let demand = binding.demand;
         if binding.best_effort {
-            self.best_effort_millicores += demand.millicores;
+            let millicores = self.best_effort_millicores;
+            self.best_effort_millicores = millicores.saturating_add(demand.millicores);
             self.used += without_cpu(demand);
         } else {
             self.used += demand;
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -9,6 +9,7 @@
 };
 use rstest::rstest;
 
+use crate::fleet::Fleet;
 use crate::support::{policy, report, step, submitted, task};
 
 fn reparse(record: &Record) -> Result<Record, RecordError> {
@@ -187,3 +188,32 @@
 fn a_counter_that_none_can_reach_is_an_error(#[case] record: Record) {
     reparse(&record).expect_err("no counter gets there");
 }
+
+/// The tasks of a worker may ask for more than the type of an amount holds.
+#[test]
+fn the_largest_demands_do_not_overflow_the_sums_of_a_worker() {
+    let half = StepSpec {
+        demand: Resources::new(u32::MAX / 2, 1, 0),
+        ..step(1)
+    };
+    let long_running = StepSpec {
+        long_running: true,
+        ..half.clone()
+    };
+    let best_effort = StepSpec {
+        best_effort: true,
+        ..half.clone()
+    };
+    let mut fleet = Fleet::new(&[WorkerReport {
+        capacity: Resources::new(u32::MAX, 1_000, 0),
+        ..report("w1", 5)
+    }]);
+    for (job, step) in [long_running, best_effort.clone(), half, best_effort]
+        .into_iter()
+        .enumerate()
+    {
+        fleet.fold(submitted(job as u64, vec![step]));
+        let placed = fleet.place().len();
+        assert_eq!(placed, usize::from(job < 3), "of job {job}");
+    }
+}
