Reject ends and orders of runs that none can have bound

Cause: an end released the binding of its task whenever its run was not lower, and the highest run was believed. The end of run 2^32-1 of a running task starts the task a second time, and the number of the next run overflows (a panic in each round of placement, run 0 in a release build). A new leader restored an order for such a run, whose end nobody records. Ends for a step, occurrence or task that the job doesn't have reached the scheduler as well.

Change: the fold checks an end against its job and returns Change::Rejected with the cause. A run may exceed the last ended one of its task, or of its gang, by 1,000: runs are numbered one by one, but ends that are recorded again move behind later ones in a load. Orders are checked in the same way when they are restored.

Ruled out: a distance of one. A table that is loaded may read the end of the third run before that of the first.

Shown by odd::an_end_of_a_run_that_never_was_* (all ten cases failed before) and odd::an_order_that_no_leader_gives_* (two of four failed before; the indices were checked already).

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -141,12 +141,12 @@
     fn place_gang(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
         let job = turn.job;
         let pending_tasks = self.pending_tasks(turn, at);
-        let tasks = &job.progress[at.0][at.1].tasks;
+        let step = &job.progress[at.0][at.1];
         let exceeds = pending_tasks.len() > round.left && !round.placed.is_empty();
-        if pending_tasks.len() != tasks.len() || exceeds || round.left == 0 {
+        if pending_tasks.len() != step.tasks.len() || exceeds || round.left == 0 {
             return;
         }
-        let run = tasks.iter().map(|task| task.last_run).max().unwrap_or(0) + 1;
+        let run = step.last_run() + 1;
         let effects = self.effects.len();
         let mut members: Vec<Placement> = Vec::new();
         for task in pending_tasks {
@@ -199,7 +199,7 @@
     pub(super) fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
         let job = turn.job;
         let step = job.step(task)?;
-        let progress = &job.step_progress(task)?.tasks[task.index as usize];
+        let progress = job.step_progress(task)?.tasks.get(task.index as usize)?;
         let rack = if step.one_rack {
             self.rack_of_step(task)
         } else {
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -15,7 +15,7 @@
 use crate::plan::worker::Binding;
 use crate::record::{Body, Order, OrderKind, Record, SuspicionRecord};
 use crate::spec::StepSpec;
-use crate::table::JobTable;
+use crate::table::{JobTable, StepProgress, follows};
 
 /// What an entry has read so far.
 #[derive(Debug, Clone, Copy)]
@@ -191,7 +191,14 @@
         let job = table.job(order.task.job);
         let progress = job.and_then(|job| job.step_progress(order.task));
         let task = progress.and_then(|step| step.tasks.get(order.task.index as usize));
-        let ended = task.is_none_or(|task| task.last_run >= order.run);
+        let gang = job
+            .and_then(|job| job.step(order.task))
+            .is_some_and(|step| step.gang);
+        let step_run = progress.filter(|_| gang).map_or(0, StepProgress::last_run);
+        let ended = task.is_none_or(|task| {
+            let last_run = task.last_run.max(step_run);
+            task.last_run >= order.run || !follows(order.run, last_run)
+        });
         let newer = self.bindings.get(&order.task);
         let superseded = newer.is_some_and(|binding| binding.run > order.run);
         let slot = self.slots.get(&name).copied();
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -82,7 +82,7 @@
     /// Reacts to the change that a record made to `table`.
     pub fn apply(&mut self, table: &JobTable, change: &Change, now: Moment) {
         match change {
-            Change::None | Change::Submitted(_) | Change::Leader => {}
+            Change::None | Change::Submitted(_) | Change::Leader | Change::Rejected(_) => {}
             Change::Final(job) => self.stop_job(*job),
             Change::Ended(end) => self.apply_end(table, end, now),
             Change::Worker(name) => {
--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -56,6 +56,8 @@
     Worker(String),
     /// The leader sent a heartbeat.
     Leader,
+    /// The record contradicts what is known, so it is from another writer and has no effect. Says why.
+    Rejected(&'static str),
 }
 
 /// All jobs, workers and the leader, as folded from the log.
@@ -248,6 +250,9 @@
                 .push((end, key));
             return Change::None;
         };
+        if let Err(cause) = job.check_end(&end) {
+            return Change::Rejected(cause);
+        }
         let keys = self.ends.entry(id).or_default();
         let is_new = !keys.contains(&key);
         if is_new {
--- a/crates/agate_jobs/src/table/job.rs
+++ b/crates/agate_jobs/src/table/job.rs
@@ -6,6 +6,15 @@
 use crate::table::{JobState, StepProgress, TaskProgress};
 use crate::task::TaskKey;
 
+/// Most numbers by which a run exceeds the last ended one. Runs of a task are numbered one by one, but
+/// ends that are recorded again move behind those of later runs.
+const MAX_RUN_DISTANCE: u32 = 1_000;
+
+/// Returns whether there may be a run of this number after the last ended one.
+pub(crate) const fn follows(run: u32, last_run: u32) -> bool {
+    0 < run && run <= last_run.saturating_add(MAX_RUN_DISTANCE)
+}
+
 /// A job and its progress.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -106,6 +115,25 @@
         self.policy.slack_ms.saturating_add(stretched_ms)
     }
 
+    /// Checks that the run of an end may have been bound.
+    pub(super) fn check_end(&self, end: &RunEnd) -> Result<(), &'static str> {
+        let spec = self.step(end.task).ok_or("its job has no such step")?;
+        let step = self.step_progress(end.task);
+        let step = step.ok_or("its job has no such occurrence")?;
+        let index = end.task.index as usize;
+        let task = step.tasks.get(index).ok_or("its step has no such task")?;
+        let last_run = if spec.gang {
+            step.last_run()
+        } else {
+            task.last_run
+        };
+        if follows(end.run, last_run) {
+            Ok(())
+        } else {
+            Err("no run of its task can have that number")
+        }
+    }
+
     pub(super) fn apply_end(&mut self, end: &RunEnd) {
         let Some(spec) = self.spec.steps.get(end.task.step as usize) else {
             return;
--- a/crates/agate_jobs/src/table/mod.rs
+++ b/crates/agate_jobs/src/table/mod.rs
@@ -7,5 +7,6 @@
 
 pub use fold::{Change, JobTable, Leader};
 pub use job::Job;
+pub(crate) use job::follows;
 pub use progress::{StepProgress, TaskProgress};
 pub use state::JobState;
--- a/crates/agate_jobs/src/table/progress.rs
+++ b/crates/agate_jobs/src/table/progress.rs
@@ -48,6 +48,16 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Returns the highest run of any task whose end has been recorded. The members of a gang are bound
+    /// with the number after it.
+    pub fn last_run(&self) -> u32 {
+        self.tasks
+            .iter()
+            .map(|task| task.last_run)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Applies the end of a run. A gang finishes as soon as one of its members does.
     ///
     /// The first recorded end of a run wins, except that an end reported by the worker overrides
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -3,14 +3,15 @@
 use agate_core::{JobId, Moment, Resources};
 use agate_jobs::plan::Scheduler;
 use agate_jobs::record::Body;
+use agate_jobs::table::Change;
 use agate_jobs::{
-    JobSpec, JobTable, LeaderHeartbeat, Order, OrderKind, QueuePolicy, Record, RecordError, Repeat,
-    StepSpec, SuspicionRecord, WorkerIncarnation, WorkerReport,
+    EndCause, JobSpec, JobState, JobTable, LeaderHeartbeat, Order, OrderKind, QueuePolicy, Record,
+    RecordError, Repeat, StepSpec, SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport,
 };
 use rstest::rstest;
 
 use crate::fleet::Fleet;
-use crate::support::{policy, report, step, submitted, task};
+use crate::support::{ended, policy, report, step, submitted, task};
 
 fn reparse(record: &Record) -> Result<Record, RecordError> {
     let value = record.value().expect("the record can be encoded");
@@ -88,7 +89,7 @@
         table.fold(reparse(&record).expect("the record is valid"));
     }
     let mut scheduler = Scheduler::default();
-    let change = agate_jobs::table::Change::Worker("w1".to_owned());
+    let change = Change::Worker("w1".to_owned());
     scheduler.apply(&table, &change, Moment::ZERO);
     let placed = scheduler.place(&table, Moment::from_millis(1), u64::MAX);
     assert_eq!(placed.len(), 2);
@@ -217,3 +218,46 @@
         assert_eq!(placed, usize::from(job < 3), "of job {job}");
     }
 }
+
+/// An end that no bound run can have had would free its place for a second run, and the next run would
+/// have no number.
+#[rstest]
+#[case::last_run(ended(task(1, 0, 0), u32::MAX, EndCause::Lost, "w1"))]
+#[case::far_run(ended(task(1, 0, 0), 5_000, EndCause::Done, "w1"))]
+#[case::no_run(ended(task(1, 0, 0), 0, EndCause::Done, "w1"))]
+#[case::index(ended(task(1, 0, u32::MAX), 1, EndCause::Done, "w1"))]
+#[case::step(ended(task(1, u32::MAX, 0), 1, EndCause::Done, "w1"))]
+fn an_end_of_a_run_that_never_was_ends_none(
+    #[case] odd: Record,
+    #[values(false, true)] gang: bool,
+) {
+    let mut fleet = Fleet::new(&[report("w1", 5)]);
+    fleet.fold(submitted(1, vec![StepSpec { gang, ..step(1) }]));
+    assert_eq!(fleet.place().len(), 1);
+    if let Ok(odd) = reparse(&odd) {
+        let change = fleet.table.fold(odd);
+        assert!(matches!(change, Change::Rejected(_)), "{change:?}");
+        fleet.scheduler.apply(&fleet.table, &change, fleet.now);
+    }
+    assert_eq!(fleet.place().len(), 0, "the run is still bound");
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "w1"));
+    assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Completed));
+}
+
+/// A new leader that restores such an order waits for the end of a run that nobody runs.
+#[rstest]
+#[case::run(task(1, 0, 0), u32::MAX)]
+#[case::far_run(task(1, 0, 0), 5_000)]
+#[case::index(task(1, 0, 7), 1)]
+#[case::occurrence(TaskKey { occurrence: 3, ..task(1, 0, 0) }, 1)]
+fn an_order_that_no_leader_gives_is_not_restored(#[case] task: TaskKey, #[case] run: u32) {
+    let mut fleet = Fleet::new(&[report("w1", 5)]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    let order = stop_order(incarnation(5, 0));
+    if let Some(Body::Order(order)) = order.body {
+        let order = Order { task, run, ..order };
+        fleet.orders.push(Record::new(Body::Order(order)));
+    }
+    fleet.take_over();
+    assert_eq!(fleet.place().len(), 1, "the task is bound");
+}
