Count a stepped-over record and report it once with its place

Cause: an invalid record was logged without its stream, and again with each load of a stream and each takeover, and it wasn't counted. A record that the parser takes but that contradicts what is known was not reported at all.

The first time, record_unknown names stream, offset, key and cause, and RecordSkipped is counted. A heartbeat of another entry in the epoch of the leader is reported as well.

Shown by odd::an_odd_record_is_reported_once, over two loads and a takeover each. The code before has no counter; with each report counted, the cases of records that a load reads again fail.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -279,9 +279,12 @@
 
     fn update_leader(&mut self, heartbeat: LeaderHeartbeat) -> Change {
         self.start_jobs(&heartbeat.started_jobs);
-        if !self.leader.is_continued_by(&heartbeat) {
+        if heartbeat.epoch < self.leader.epoch {
             return Change::None;
         }
+        if !self.leader.is_continued_by(&heartbeat) {
+            return Change::Rejected("another entry holds its epoch");
+        }
         self.leader = Leader {
             epoch: heartbeat.epoch,
             entry: if heartbeat.resigns {
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -6,11 +6,12 @@
 
 use agate_jobs::plan::LastContact;
 use agate_jobs::table::Change;
-use agate_jobs::{JobTable, Record};
+use agate_jobs::{JobTable, RecordError};
 use tokio::time::{Instant, sleep};
 
 use super::Entry;
 use super::shared::View;
+use super::skipped::Place;
 use crate::clock;
 use crate::outage::OutageMonitor;
 use crate::store::{ReadError, StoredRecord, Stream};
@@ -59,9 +60,7 @@
     let mut job_table = JobTable::default();
     let records = newest.records.len();
     for stored in newest.records {
-        if let Some(record) = parse(stored) {
-            job_table.fold(record);
-        }
+        fold_stored(entry, &mut job_table, stored);
     }
     let jobs = job_table.jobs().count();
     let mut view = entry.view();
@@ -156,9 +155,8 @@
     let now = clock::now();
     let mut view = entry.view();
     for stored in records {
-        if let Some(record) = parse(stored) {
-            fold(&mut view, record, now);
-        }
+        let change = fold_stored(entry, &mut view.job_table, stored);
+        apply_change(&mut view, change, now);
     }
     if reached_end {
         view.synced = true;
@@ -171,8 +169,30 @@
     }
 }
 
-fn fold(view: &mut View, record: Record, now: agate_core::Moment) {
-    let change = view.job_table.fold(record);
+/// Folds a record. One that is invalid or has no effect because it contradicts what is known is
+/// reported.
+fn fold_stored(entry: &Entry, job_table: &mut JobTable, stored: StoredRecord) -> Change {
+    let place = Place {
+        stream: Stream::Main,
+        offset: stored.offset,
+    };
+    let metrics = &entry.context.metrics;
+    let Some(record) = entry.skipped.parse(place.stream, stored, metrics) else {
+        return Change::None;
+    };
+    let key = record.key.clone();
+    let change = job_table.fold(record);
+    if let Change::Rejected(cause) = change {
+        let cause = cause.to_owned();
+        entry
+            .skipped
+            .report(place, &RecordError { key, cause }, metrics);
+        return Change::None;
+    }
+    change
+}
+
+fn apply_change(view: &mut View, change: Change, now: agate_core::Moment) {
     view.last_contact.apply(&change, now);
     if change == Change::Leader {
         view.leader_seen_at = now;
@@ -182,14 +202,3 @@
         view.pending_changes.push(change);
     }
 }
-
-/// Parses a record. One that this version doesn't know is skipped.
-pub(super) fn parse(stored: StoredRecord) -> Option<Record> {
-    match Record::parse(stored.key, &stored.value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            log::warn!(event = "record_unknown", offset = stored.offset, cause:% = error; "");
-            None
-        }
-    }
-}
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -25,7 +25,6 @@
 use self::election::Claim;
 use self::schedule::Leadership;
 use super::Entry;
-use super::follow;
 use super::writers::StreamWriters;
 use crate::clock;
 use crate::metrics::Event;
--- a/crates/agate_node/src/entry/lead/takeover.rs
+++ b/crates/agate_node/src/entry/lead/takeover.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    HEARTBEAT_PERIOD, LEADER_TIMEOUT, MAX_TAKEOVER_ATTEMPTS, TAKEOVER_RETRY_DELAY, follow,
+    HEARTBEAT_PERIOD, LEADER_TIMEOUT, MAX_TAKEOVER_ATTEMPTS, TAKEOVER_RETRY_DELAY,
     heartbeat_record, restore,
 };
 use crate::clock;
@@ -91,11 +91,10 @@
         match log.append(stream, &[], fence).await {
             Ok(_) => match log.newest(stream).await {
                 Ok(newest) => {
-                    return Ok(newest
-                        .records
-                        .into_iter()
-                        .filter_map(follow::parse)
-                        .collect());
+                    let metrics = &entry.context.metrics;
+                    let records = newest.records.into_iter();
+                    let parse = |stored| entry.skipped.parse(stream, stored, metrics);
+                    return Ok(records.filter_map(parse).collect());
                 }
                 Err(error) => last_error = AppendError::NotDone(error.to_string()),
             },
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod lead;
 mod shared;
+mod skipped;
 mod writers;
 mod zones;
 
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -12,6 +12,7 @@
 
 use super::EntryContext;
 use super::continuity::ReadContinuity;
+use super::skipped::SkippedRecords;
 use super::zones::EntryZones;
 use crate::appender::Appender;
 
@@ -23,6 +24,7 @@
     pub(super) routes: watch::Sender<Arc<RouteTable>>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub(super) zones: Option<EntryZones>,
+    pub(super) skipped: SkippedRecords,
     /// Offset up to which the main stream is folded.
     pub(super) folded: watch::Sender<u64>,
     /// Notified when changes are pending for the scheduler.
@@ -58,6 +60,7 @@
             context,
             appender,
             routes: watch::Sender::new(Arc::default()),
+            skipped: SkippedRecords::default(),
             folded: watch::Sender::new(0),
             changed: Notify::new(),
             was_ready: AtomicBool::new(false),
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -65,6 +65,8 @@
     ClaimResigned,
     /// This entry lost the leadership to another.
     LeaderLost,
+    /// A record of another writer was stepped over.
+    RecordSkipped,
     /// A call to the log failed.
     StoreFailed,
     /// A call was made at the log for another process.
--- a/crates/agate_node/tests/it/odd.rs
+++ b/crates/agate_node/tests/it/odd.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use agate_jobs::JobState;
-use agate_node::entry::Answer;
-use agate_node::store::Stream;
+use agate_node::entry::{Answer, Entry};
+use agate_node::metrics::Event;
+use agate_node::store::{ORDER_STREAMS, Stream, order_stream};
 use rstest::rstest;
 use tokio::time::{sleep, timeout};
 
-use crate::support::{Caller as _, Cluster, Fault, one_task_job};
+use crate::support::{Caller as _, Cluster, Fault, one_task_job, wait_until};
 
 const COMPLETED: Answer = Answer::State(JobState::Completed);
 
@@ -69,3 +70,48 @@
     let is_first = |value: &Vec<u8>| value.starts_with(br#"{"leader":{"epoch":1,"#);
     assert!(values.iter().any(is_first), "the first epoch is claimed");
 }
+
+/// A reader that stops at such a record, or reports it with each load, hides the records after it.
+#[rstest]
+#[case::no_json(Stream::Main, 1, "j/0000000000000009", b"{")]
+#[case::unknown_kind(Stream::Main, 1, "x", br#"{"unheard_of":{}}"#)]
+#[case::deep(Stream::Main, 1, "x", &[b'['; 100_000])]
+#[case::other_key(Stream::Main, 1, "c/1", br#"{"cancelled":{"job":"0000000000000009"}}"#)]
+#[case::another_leader(Stream::Main, 0, "l", br#"{"leader":{"epoch":1,"entry":"e9"}}"#)]
+#[case::suspicion(
+    order_stream("w1", ORDER_STREAMS),
+    0,
+    "s/w1",
+    br#"{"standing":{"life":{"name":"w1","born":1,"term":4294967295},"suspicion":1,"suspected":true}}"#
+)]
+#[tokio::test(start_paused = true)]
+async fn an_odd_record_is_reported_once(
+    #[case] stream: Stream,
+    #[case] read_by_follower: u64,
+    #[case] key: &str,
+    #[case] value: &[u8],
+) {
+    let cluster = Cluster::new();
+    let (_worker, _agent) = cluster.worker("w1");
+    let log = cluster.log.client();
+    let entry = cluster.entry("e1", log.clone()).await;
+    entry.submit_job(1, one_task_job()).await;
+    entry.wait_for_answer(1, COMPLETED).await;
+    cluster.log.put(stream, key, value);
+    sleep(Duration::from_millis(200)).await;
+    for job in 2..4 {
+        log.set_fault(Fault::RefusesAll);
+        sleep(Duration::from_secs(3)).await;
+        cluster.log.compact(Stream::Main);
+        log.set_fault(Fault::None);
+        sleep(Duration::from_millis(500)).await;
+        wait_until("it reads again", || entry.is_ready()).await;
+        let submitted = entry.submit_job(job, one_task_job()).await;
+        assert_eq!(submitted, Answer::Accepted);
+        entry.wait_for_answer(job, COMPLETED).await;
+    }
+    let other = cluster.entry("e2", cluster.log.client()).await;
+    other.wait_for_answer(3, COMPLETED).await;
+    let skipped = |entry: &Entry| entry.metrics().event_count(Event::RecordSkipped);
+    assert_eq!((skipped(&entry), skipped(&other)), (1, read_by_follower));
+}
