--- a/crates/agate_node/tests/it/odd.rs
+++ b/crates/agate_node/tests/it/odd.rs
@@ -1,5 +1,6 @@
 //! Records of another writer, beside those of the system.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use agate_jobs::JobState;
@@ -16,6 +17,9 @@
 /// Time within which a job has to be done: a takeover, and the search for an epoch after it.
 const LIMIT: Duration = Duration::from_secs(20);
 
+/// Nested more deeply than a parser may follow.
+static DEEP: LazyLock<String> = LazyLock::new(|| "[".repeat(100_000));
+
 fn leader(epoch: u64) -> String {
     format!(r#"{{"leader":{{"epoch":{epoch},"entry":"e9"}}}}"#)
 }
@@ -75,7 +79,7 @@
 #[rstest]
 #[case::no_json(Stream::Main, 1, "j/0000000000000009", b"{")]
 #[case::unknown_kind(Stream::Main, 1, "x", br#"{"unheard_of":{}}"#)]
-#[case::deep(Stream::Main, 1, "x", &[b'['; 100_000])]
+#[case::deep(Stream::Main, 1, "x", DEEP.as_bytes())]
 #[case::other_key(Stream::Main, 1, "c/1", br#"{"cancelled":{"job":"0000000000000009"}}"#)]
 #[case::another_leader(Stream::Main, 0, "l", br#"{"leader":{"epoch":1,"entry":"e9"}}"#)]
 #[case::suspicion(
