Bound what is kept of jobs that are not known

Cause: ends, cancellations and starts that precede the submission of their job are kept until it is read. The same end counted each time that it was recorded, and a report or heartbeat may list any number of jobs, so one writer that repeats a record fills the memory of every entry that follows the stream.

Change: an end is kept once for its key, and the starts of at most 100,000 unknown jobs are kept. Cancellations and other ends have a key of their own, so the log's size bounds them.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -1,7 +1,7 @@
 //! Folding of records into job and worker state.
 
 use std::cmp::Ordering;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use agate_core::JobId;
 
@@ -79,8 +79,14 @@
     cancelled: bool,
     started: bool,
     ends: Vec<(RunEnd, String)>,
+    /// Keys of the ends. An end that is recorded again replaces the first in the log.
+    keys: HashSet<String>,
 }
 
+/// Most unknown jobs whose start is remembered. A report or heartbeat may name any number of them, while
+/// other events have a record of their own in the log, which bounds them.
+const MAX_STARTED: usize = 100_000;
+
 impl JobTable {
     /// Folds a record into the state. Records must be passed in log order.
     pub fn fold(&mut self, record: Record) -> Change {
@@ -175,6 +181,12 @@
         self.ends.get(&job).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the number of kept events of jobs that are not known.
+    pub fn early_events(&self) -> usize {
+        let events = self.out_of_order.values();
+        events.map(|events| events.ends.len().max(1)).sum()
+    }
+
     /// Returns the jobs that were closed before `before_ms`.
     pub fn closed_before(&self, before_ms: u64) -> Vec<JobId> {
         let closed = self.closed.iter();
@@ -243,11 +255,10 @@
             return Change::Ended(end);
         }
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.out_of_order
-                .entry(id)
-                .or_default()
-                .ends
-                .push((end, key));
+            let events = self.out_of_order.entry(id).or_default();
+            if events.keys.insert(key.clone()) {
+                events.ends.push((end, key));
+            }
             return Change::None;
         };
         if let Err(cause) = job.check_end(&end) {
@@ -301,7 +312,7 @@
         for id in started {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.started = true;
-            } else if !self.closed.contains_key(id) {
+            } else if !self.closed.contains_key(id) && self.out_of_order.len() < MAX_STARTED {
                 self.out_of_order.entry(*id).or_default().started = true;
             }
         }
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -261,3 +261,21 @@
     fleet.take_over();
     assert_eq!(fleet.place().len(), 1, "the task is bound");
 }
+
+/// What another writer repeats under one key would fill the memory of each entry.
+#[rstest]
+#[case::the_same_end(1, |_| ended(task(1, 0, 0), 1, EndCause::Done, "w1"))]
+#[case::started(100_000, |job| Record::new(Body::Worker(WorkerReport {
+    started_jobs: vec![JobId(job)],
+    ..report("w1", 5)
+})))]
+fn repeated_events_of_unknown_jobs_are_bounded(
+    #[case] most: usize,
+    #[case] record: fn(u64) -> Record,
+) {
+    let mut table = JobTable::default();
+    for job in 0..120_000 {
+        table.fold(record(job));
+    }
+    assert_eq!(table.early_events(), most);
+}
