Believe no report on a worker that starts in the future

Cause: the incarnation that started last is the current one, and a report in the main stream is believed from any writer. One with a start far in the future supersedes the true incarnation: its run is lost, each true report is outdated, and nothing runs on the worker again.

Shown by odd::an_odd_record_stops_no_jobs_*::start_in_the_future, which failed before: the job after the record was never done.

--- a/crates/agate_jobs/src/record.rs
+++ b/crates/agate_jobs/src/record.rs
@@ -332,6 +332,24 @@
         serde_json::to_vec(body).map_err(|error| self.error(&error))
     }
 
+    /// Parses a stored record that is read at the time `wall_ms` of the wall clock, in milliseconds since
+    /// the Unix epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`] as [`Self::parse`] does, or if the record could only be written later.
+    pub fn parse_at(key: String, value: &[u8], wall_ms: u64) -> Result<Self, RecordError> {
+        let record = Self::parse(key, value)?;
+        let checked = record.body.as_ref().map(|body| body.validate_at(wall_ms));
+        match checked {
+            Some(Err(error)) => Err(RecordError {
+                key: record.key,
+                cause: error.to_string(),
+            }),
+            _ => Ok(record),
+        }
+    }
+
     /// Parses a stored record.
     ///
     /// # Errors
--- a/crates/agate_jobs/src/validity.rs
+++ b/crates/agate_jobs/src/validity.rs
@@ -33,6 +33,9 @@
 /// Highest number of a suspicion and of a heartbeat, up to which each JSON number is exact.
 pub const MAX_NUMBER: u64 = (1 << 53) - 1;
 
+/// Time by which the clock of a worker may be ahead of the reader's, one day, in milliseconds.
+pub const MAX_CLOCK_LEAD_MS: u64 = 86_400_000;
+
 /// {0}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct Invalid(pub String);
@@ -138,6 +141,20 @@
 }
 
 impl Body {
+    /// Checks that the contents may have been written by the time `wall_ms` of the reader's wall clock. A
+    /// worker that starts in the future would supersede its true incarnation until then.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first problem.
+    pub fn validate_at(&self, wall_ms: u64) -> Result<(), Invalid> {
+        let Self::Worker(report) = self else {
+            return Ok(());
+        };
+        let latest_ms = wall_ms.saturating_add(MAX_CLOCK_LEAD_MS);
+        check_max("the start", report.incarnation.started_ms, latest_ms)
+    }
+
     /// Checks that the contents are ones that the system may have written.
     ///
     /// # Errors
--- a/crates/agate_node/src/entry/skipped.rs
+++ b/crates/agate_node/src/entry/skipped.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 
+use agate_core::clock;
 use agate_jobs::{Record, RecordError};
 
 use crate::metrics::{Event, Metrics};
@@ -28,7 +29,7 @@
     /// time.
     pub fn parse(&self, stream: Stream, stored: StoredRecord, metrics: &Metrics) -> Option<Record> {
         let offset = stored.offset;
-        match Record::parse(stored.key, &stored.value) {
+        match Record::parse_at(stored.key, &stored.value, clock::wall_millis()) {
             Ok(record) => Some(record),
             Err(error) => {
                 self.report(Place { stream, offset }, &error, metrics);
--- a/crates/agate_node/tests/it/odd.rs
+++ b/crates/agate_node/tests/it/odd.rs
@@ -24,12 +24,23 @@
     format!(r#"{{"leader":{{"epoch":{epoch},"entry":"e9"}}}}"#)
 }
 
+/// Returns a report on an incarnation of `w1`.
+fn report(started_ms: u64) -> String {
+    let incarnation = format!(r#"{{"name":"w1","born":{started_ms},"term":0}}"#);
+    let place = r#""service":"seatbook","labels":["a"],"address":"w1","zone":"z","answers":0"#;
+    let capacity = r#"{"millicores":4000,"memory_mib":1000}"#;
+    format!(
+        r#"{{"worker":{{"life":{incarnation},"state":"ready",{place},"capacity":{capacity}}}}}"#
+    )
+}
+
 /// The record stays the newest of its key until a leader writes the next one.
 #[rstest]
 #[case::largest_epoch("l", &leader(u64::MAX))]
 #[case::epoch_that_is_a_time("l", &leader(1_700_000_000_000))]
 #[case::earlier_epoch("l", &leader(1))]
 #[case::later_epoch("l", &leader(40))]
+#[case::start_in_the_future("w/w1", &report(4_102_444_800_000))]
 #[tokio::test(start_paused = true)]
 async fn an_odd_record_stops_no_jobs_before_and_after_a_restart(
     #[case] key: &str,
