Stop the runs of a job that another writer closes

Cause: the leader closes a job after its final state, so the fold of a closing told the scheduler nothing. Closed by another writer, the job is gone from the table while its long-running tasks go on and occupy their workers for ever. A closing in a state that isn't final, or at a time of 2^64-1, was believed too.

Change: closing a job that is not in a final state counts as reaching one, so its runs are stopped. The state has to be final and the time bounded.

Ruled out: ignoring the closing of a job that is not in a final state. A load may lack ends that the leader has already dropped.

Shown by odd::a_closing_that_no_leader_writes_* (three cases) and odd::the_runs_of_a_job_that_another_writer_closes_are_stopped; all four failed before.

--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -242,10 +242,13 @@
     fn close(&mut self, id: JobId, mut closed: Closed) -> Change {
         let known = self.closed.get(&id);
         closed.has_submission |= known.is_some_and(|known| known.has_submission);
-        self.jobs.remove(&id);
+        let job = self.jobs.remove(&id);
         self.ends.remove(&id);
         self.out_of_order.remove(&id);
         self.closed.insert(id, closed);
+        if job.is_some_and(|job| !job.state().is_final()) {
+            return Change::Final(id);
+        }
         Change::None
     }
 
--- a/crates/agate_jobs/src/validity.rs
+++ b/crates/agate_jobs/src/validity.rs
@@ -172,6 +172,10 @@
                 policy.validate()?;
                 spec.validate()
             }
+            Self::Closed { state, at_ms, .. } => {
+                check(state.is_final(), || format!("the job is still {state}"))?;
+                check_max("the time of closing", *at_ms, MAX_WALL_MS)
+            }
             Self::Leader(heartbeat) => heartbeat.validate(),
             Self::Worker(report) => report.validate(),
             Self::Order(order) => order.incarnation.validate(),
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -4,9 +4,12 @@
 mod capacity;
 mod crash;
 mod fleet;
+mod fuzz;
 mod lease;
 mod moves;
 mod odd;
+#[path = "../support/odd.rs"]
+mod odd_messages;
 mod pace;
 mod place;
 mod records;
--- a/crates/agate_jobs/tests/jobs/odd.rs
+++ b/crates/agate_jobs/tests/jobs/odd.rs
@@ -279,3 +279,37 @@
     }
     assert_eq!(table.early_events(), most);
 }
+
+fn closed(state: JobState, at_ms: u64) -> Record {
+    Record::new(Body::Closed {
+        job: JobId(1),
+        queue: "moves".to_owned(),
+        state,
+        at_ms,
+    })
+}
+
+/// A job is closed in a final state, and its record is dropped some time after that.
+#[rstest]
+#[case(closed(JobState::Queued, 1_000))]
+#[case(closed(JobState::Running, 1_000))]
+#[case(closed(JobState::Failed, u64::MAX))]
+fn a_closing_that_no_leader_writes_is_an_error(#[case] record: Record) {
+    reparse(&record).expect_err("no leader writes it");
+}
+
+/// The runs of a job that is no longer known would occupy their workers for ever.
+#[test]
+fn the_runs_of_a_job_that_another_writer_closes_are_stopped() {
+    let mut fleet = Fleet::new(&[report("w1", 5)]);
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    fleet.fold(submitted(1, vec![long_running]));
+    assert_eq!(fleet.place().len(), 1);
+    fleet.fold(closed(JobState::Cancelled, 1_000));
+    let orders = fleet.issued_orders();
+    let last = orders.last().map(|order| &order.kind);
+    assert!(matches!(last, Some(OrderKind::Stop { .. })), "{last:?}");
+}
