--- a/crates/agate_jobs/src/table/fold.rs
+++ b/crates/agate_jobs/src/table/fold.rs
@@ -1,7 +1,7 @@
 //! Folding of records into job and worker state.
 
 use std::cmp::Ordering;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use agate_core::JobId;
 
@@ -21,6 +21,15 @@
     pub suspects: Vec<Suspect>,
 }
 
+impl Leader {
+    /// Returns whether a heartbeat comes from this leader or a later one. The log takes the appends of
+    /// a single entry in each epoch, so the first heartbeat of an epoch shows which entry holds it.
+    fn is_continued_by(&self, heartbeat: &LeaderHeartbeat) -> bool {
+        let is_holder = self.entry.is_empty() || self.entry == heartbeat.entry;
+        heartbeat.epoch > self.epoch || (heartbeat.epoch == self.epoch && is_holder)
+    }
+}
+
 /// A job in its final state whose other records have been dropped.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Closed {
@@ -47,6 +56,8 @@
     Worker(String),
     /// The leader sent a heartbeat.
     Leader,
+    /// The record contradicts what is known, so it is from another writer and has no effect. Says why.
+    Rejected(&'static str),
 }
 
 /// All jobs, workers and the leader, as folded from the log.
@@ -68,8 +79,14 @@
     cancelled: bool,
     started: bool,
     ends: Vec<(RunEnd, String)>,
+    /// Keys of the ends. An end that is recorded again replaces the first in the log.
+    keys: HashSet<String>,
 }
 
+/// Most unknown jobs whose start is remembered. A report or heartbeat may name any number of them, while
+/// other events have a record of their own in the log, which bounds them.
+const MAX_STARTED: usize = 100_000;
+
 impl JobTable {
     /// Folds a record into the state. Records must be passed in log order.
     pub fn fold(&mut self, record: Record) -> Change {
@@ -164,6 +181,12 @@
         self.ends.get(&job).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the number of kept events of jobs that are not known.
+    pub fn early_events(&self) -> usize {
+        let events = self.out_of_order.values();
+        events.map(|events| events.ends.len().max(1)).sum()
+    }
+
     /// Returns the jobs that were closed before `before_ms`.
     pub fn closed_before(&self, before_ms: u64) -> Vec<JobId> {
         let closed = self.closed.iter();
@@ -219,10 +242,13 @@
     fn close(&mut self, id: JobId, mut closed: Closed) -> Change {
         let known = self.closed.get(&id);
         closed.has_submission |= known.is_some_and(|known| known.has_submission);
-        self.jobs.remove(&id);
+        let job = self.jobs.remove(&id);
         self.ends.remove(&id);
         self.out_of_order.remove(&id);
         self.closed.insert(id, closed);
+        if job.is_some_and(|job| !job.state().is_final()) {
+            return Change::Final(id);
+        }
         Change::None
     }
 
@@ -232,13 +258,15 @@
             return Change::Ended(end);
         }
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.out_of_order
-                .entry(id)
-                .or_default()
-                .ends
-                .push((end, key));
+            let events = self.out_of_order.entry(id).or_default();
+            if events.keys.insert(key.clone()) {
+                events.ends.push((end, key));
+            }
             return Change::None;
         };
+        if let Err(cause) = job.check_end(&end) {
+            return Change::Rejected(cause);
+        }
         let keys = self.ends.entry(id).or_default();
         let is_new = !keys.contains(&key);
         if is_new {
@@ -268,6 +296,9 @@
         if heartbeat.epoch < self.leader.epoch {
             return Change::None;
         }
+        if !self.leader.is_continued_by(&heartbeat) {
+            return Change::Rejected("another entry holds its epoch");
+        }
         self.leader = Leader {
             epoch: heartbeat.epoch,
             entry: if heartbeat.resigns {
@@ -284,7 +315,7 @@
         for id in started {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.started = true;
-            } else if !self.closed.contains_key(id) {
+            } else if !self.closed.contains_key(id) && self.out_of_order.len() < MAX_STARTED {
                 self.out_of_order.entry(*id).or_default().started = true;
             }
         }
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -25,7 +25,6 @@
 use self::election::Claim;
 use self::schedule::Leadership;
 use super::Entry;
-use super::follow;
 use super::writers::StreamWriters;
 use crate::clock;
 use crate::metrics::Event;
@@ -61,7 +60,7 @@
             }
             () = election::wait_for_vacancy(&entry, delay) => {}
         }
-        let mut claim = Claim::new(&entry);
+        let mut claim = Claim::new(&entry, failed_claim);
         let claimed = tokio::select! {
             biased;
             () = stop.cancelled() => None,
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -12,6 +12,7 @@
 
 use super::EntryContext;
 use super::continuity::ReadContinuity;
+use super::skipped::SkippedRecords;
 use super::zones::EntryZones;
 use crate::appender::Appender;
 
@@ -28,6 +29,7 @@
     pub(super) config_read_at: tokio::sync::Mutex<Option<tokio::time::Instant>>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub(super) zones: Option<EntryZones>,
+    pub(super) skipped: SkippedRecords,
     /// Offset up to which the main stream is folded.
     pub(super) folded: watch::Sender<u64>,
     /// Notified when changes are pending for the scheduler.
@@ -65,6 +67,7 @@
             routes: watch::Sender::new(Arc::default()),
             config_end: AtomicU64::new(0),
             config_read_at: tokio::sync::Mutex::default(),
+            skipped: SkippedRecords::default(),
             folded: watch::Sender::new(0),
             changed: Notify::new(),
             was_ready: AtomicBool::new(false),
