Count a class that an announcement names twice once

Cause: an agent that announces a class twice was in that class's pool twice, but its indices were found by class, so the second removal took an index past the end and panicked, with the view's lock held and its totals wrong for good. Change: the classes of an announcement are sorted and deduplicated, and the pool of a class that no member serves any more is dropped. Test: a_class_announced_twice_must_not_corrupt_the_pools; without the fix all three cases failed (3 members counted instead of 2). Loads and capacities of 2^32-1 held already; one test is kept.

--- a/crates/agate_members/src/site.rs
+++ b/crates/agate_members/src/site.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Drops the empty pool of `class`, so that classes that no member serves take no memory.
+    pub(crate) fn drop_pool(&mut self, class: Option<&ClassName>) {
+        if let Some(class) = class {
+            self.by_class.remove(class);
+        }
+    }
+
     /// Returns the pools whose members serve `class`.
     pub(crate) fn serving(&self, class: &ClassName) -> impl Iterator<Item = &Pool> {
         std::iter::once(&self.every_class).chain(self.by_class.get(class))
--- a/crates/agate_members/src/view/announce.rs
+++ b/crates/agate_members/src/view/announce.rs
@@ -28,7 +28,10 @@
 
 impl View {
     /// Adds or updates the member of an announcement.
-    pub fn announce(&mut self, info: MemberInfo, now: Moment) -> AnnounceOutcome {
+    pub fn announce(&mut self, mut info: MemberInfo, now: Moment) -> AnnounceOutcome {
+        // A member is in each pool at most once.
+        info.classes.sort_unstable();
+        info.classes.dedup();
         let incarnation = info.incarnation;
         if self.tombstones.contains(incarnation) {
             return AnnounceOutcome::Gone;
--- a/crates/agate_members/src/view/pools.rs
+++ b/crates/agate_members/src/view/pools.rs
@@ -90,7 +90,11 @@
         let host = self.sites[member.site.0].host_mut(member.info.host);
         let (slots, load) = (member.info.capacity.slots, member.load_sample.load);
         let pool = host.pool_mut(class.as_ref());
-        let Some(moved) = pool.remove(index, slots, load) else {
+        let moved = pool.remove(index, slots, load);
+        if pool.keys().is_empty() {
+            host.drop_pool(class.as_ref());
+        }
+        let Some(moved) = moved else {
             return;
         };
         let Some(other) = self.members.get_mut(moved) else {
--- /dev/null
+++ b/crates/agate_members/tests/it/odd.rs
@@ -0,0 +1,62 @@
+//! Announcements and heartbeats that a sound agent never sends.
+
+use agate_core::{ClassName, Host, Moment, Resources};
+use agate_wire::message::{Capacity, Load, MemberInfo};
+use rstest::rstest;
+
+use super::support::{active, class, empty_view, join, member, ms};
+
+fn classes(count: usize) -> Vec<ClassName> {
+    vec![class(); count]
+}
+
+// Guards against pools with two entries of one member, which end the process when it leaves them.
+#[rstest]
+#[case::twice(classes(2))]
+#[case::often(classes(500))]
+#[case::apart(vec![class(), ClassName::new("other").expect("a valid name"), class()])]
+fn a_class_announced_twice_must_not_corrupt_the_pools(#[case] classes: Vec<ClassName>) {
+    let mut view = empty_view();
+    let odd = MemberInfo {
+        classes,
+        ..member(1)
+    };
+    let key = join(&mut view, odd.clone(), Moment::ZERO);
+    let sound = MemberInfo {
+        classes: vec![class()],
+        ..member(2)
+    };
+    join(&mut view, sound, Moment::ZERO);
+    assert_eq!(active(&view), 2);
+    view.announce(odd, ms(1));
+    view.mark_leaving(key);
+    assert_eq!(active(&view), 1);
+    view.mark_lost(member(2).incarnation, ms(2));
+    assert_eq!(active(&view), 0);
+}
+
+// Guards against overflow in the totals of a pool.
+#[test]
+fn loads_and_capacities_at_the_limit_must_not_overflow() {
+    let mut view = empty_view();
+    let load = Load {
+        running: u32::MAX,
+        queued: u32::MAX,
+        service_us: u64::MAX,
+        held: Resources::new(u32::MAX, u32::MAX, u32::MAX),
+    };
+    for id in 1..=3 {
+        let capacity = Capacity {
+            slots: u32::MAX,
+            connections: u32::MAX,
+            resources: load.held,
+        };
+        let info = MemberInfo {
+            capacity,
+            ..member(id)
+        };
+        let key = join(&mut view, info, Moment::ZERO);
+        view.update_load(key, load, ms(1));
+    }
+    assert_eq!(view.active_occupancy(Host::Backend).percent(), 200);
+}
