Drop a heartbeat's sequence number that later heartbeats contradict

Cause: the largest sequence number of a member was kept for good, whoever sent it; after one heartbeat with 2^64-1 every true heartbeat was ignored, so a sound agent was suspected and got no new work until it was forgotten. Change: two heartbeats in order with lower numbers replace the number. One that was delayed is still ignored. Ruled out: a bound on the step, which would still hide as many heartbeats as it allows. Test: an_odd_sequence_must_not_hide_later_heartbeats; without the fix both cases failed (suspect instead of active).

--- a/crates/agate_members/src/member.rs
+++ b/crates/agate_members/src/member.rs
@@ -56,6 +56,32 @@
     }
 }
 
+/// Number of heartbeats in order after which a value that they contradict is dropped. A single one
+/// may have been delayed.
+const MAX_CONTRADICTIONS: u32 = 2;
+
+/// Heartbeats that contradict a value of an earlier one, which another writer may have sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Contradictions {
+    count: u32,
+    sequence: u64,
+}
+
+impl Contradictions {
+    /// Records a heartbeat that contradicts the value. Returns whether the value must be dropped.
+    pub(crate) const fn record(&mut self, sequence: u64) -> bool {
+        let in_order = self.count > 0 && sequence > self.sequence;
+        self.count = if in_order { self.count + 1 } else { 1 };
+        self.sequence = sequence;
+        self.count >= MAX_CONTRADICTIONS
+    }
+
+    /// Forgets the recorded heartbeats.
+    pub(crate) const fn clear(&mut self) {
+        self.count = 0;
+    }
+}
+
 /// One incarnation of one agent.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -68,6 +94,8 @@
     pub(crate) last_heartbeat: Moment,
     /// Sequence number of the latest heartbeat.
     pub(crate) sequence: u64,
+    /// Heartbeats that contradict `sequence`.
+    pub(crate) contradictions: Contradictions,
     /// When the oldest unanswered ping was sent on the connection to the member.
     pub(crate) ping_sent: Option<Moment>,
     pub(crate) statuses: StatusSet,
--- a/crates/agate_members/src/view/announce.rs
+++ b/crates/agate_members/src/view/announce.rs
@@ -5,7 +5,7 @@
 
 use super::{FillState, View};
 use crate::heartbeat_interval::suspicion_timeout;
-use crate::member::{LoadSample, StatusSet};
+use crate::member::{Contradictions, LoadSample, StatusSet};
 use crate::{Member, MemberKey, MemberStatus, Scope};
 
 /// Result of an announcement.
@@ -152,6 +152,7 @@
             joined,
             last_heartbeat: now,
             sequence: 0,
+            contradictions: Contradictions::default(),
             ping_sent: None,
             statuses: StatusSet::default(),
             load_sample: LoadSample {
--- a/crates/agate_members/src/view/heartbeat.rs
+++ b/crates/agate_members/src/view/heartbeat.rs
@@ -9,6 +9,9 @@
 
 impl View {
     /// Records a heartbeat. Out-of-order heartbeats are ignored; sequence numbers start at 1.
+    ///
+    /// A sequence number is dropped once several heartbeats in order contradict it, so that a single
+    /// number that is far too large doesn't hide all later heartbeats.
     pub fn record_heartbeat(&mut self, beat: &Heartbeat, now: Moment) -> Verdict {
         if self.tombstones.contains(beat.incarnation) {
             return Verdict::Lost;
@@ -19,9 +22,10 @@
         let Some(member) = self.members.get_mut(key) else {
             return Verdict::Unknown;
         };
-        if beat.sequence <= member.sequence {
+        if beat.sequence <= member.sequence && !member.contradictions.record(beat.sequence) {
             return Verdict::Known;
         }
+        member.contradictions.clear();
         member.sequence = beat.sequence;
         member.last_heartbeat = now;
         self.update_load(key, beat.load, now);
--- a/crates/agate_members/tests/it/odd.rs
+++ b/crates/agate_members/tests/it/odd.rs
@@ -1,10 +1,11 @@
 //! Announcements and heartbeats that a sound agent never sends.
 
 use agate_core::{ClassName, Host, Moment, Resources};
+use agate_members::{Member, MemberStatus};
 use agate_wire::message::{Capacity, Load, MemberInfo};
 use rstest::rstest;
 
-use super::support::{active, class, empty_view, join, member, ms};
+use super::support::{active, class, empty_view, heartbeat, join, member, ms};
 
 fn classes(count: usize) -> Vec<ClassName> {
     vec![class(); count]
@@ -35,6 +36,26 @@
     assert_eq!(active(&view), 0);
 }
 
+// Guards against a sequence number that hides every later heartbeat of a sound agent.
+#[rstest]
+#[case::ahead(1_000)]
+#[case::last(u64::MAX)]
+fn an_odd_sequence_must_not_hide_later_heartbeats(#[case] sequence: u64) {
+    let mut view = empty_view();
+    let key = join(&mut view, member(1), Moment::ZERO);
+    view.record_heartbeat(&heartbeat(1, 1), ms(1_000));
+    view.record_heartbeat(&heartbeat(1, sequence), ms(1_500));
+    for second in 2..=10 {
+        view.record_heartbeat(&heartbeat(1, second), ms(second * 1_000));
+        view.sweep(ms(second * 1_000));
+        assert_eq!(
+            view.get(key).map(Member::status),
+            Some(MemberStatus::Active)
+        );
+    }
+    assert_eq!(view.get(key).map(Member::last_heartbeat), Some(ms(10_000)));
+}
+
 // Guards against overflow in the totals of a pool.
 #[test]
 fn loads_and_capacities_at_the_limit_must_not_overflow() {
