Ignore an announcement that contradicts a known incarnation

Cause: an announcement with a known incarnation replaced its address, site, capacity and classes, whoever sent it. Change: the information of an incarnation is fixed by its first announcement; one that differs is logged and has no effect. The scheduler learns a worker only from an announcement that the view accepts. Ruled out: accepting it after a call to the address, which proves no capacity.

--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -131,10 +131,7 @@
     fn record_announcement(&self, member: MemberInfo) {
         let (incarnation, address) = (member.incarnation, member.address);
         let host = member.host;
-        if host == Host::Worker {
-            batch::add_worker(&self.0, &member);
-        }
-        match self.0.members.announce(member) {
+        match self.0.members.announce(member.clone()) {
             AnnounceOutcome::Joined(_) => {
                 log::info!(event = "member_joined", incarnation:%, address:%, host:%; "");
             }
@@ -143,10 +140,18 @@
                 log::info!(event = "member_replaced", incarnation:%, address:%, old:%; "");
             }
             AnnounceOutcome::Known(_) => {}
+            AnnounceOutcome::Contradicted(_) => {
+                log::warn!(event = "member_contradicted", incarnation:%, address:%; "the incarnation is known with other information");
+                return;
+            }
             AnnounceOutcome::Gone => {
                 log::warn!(event = "member_refused", incarnation:%, address:%; "the incarnation is recorded as lost");
+                return;
             }
         }
+        if host == Host::Worker {
+            batch::add_worker(&self.0, &member);
+        }
     }
 
     /// Removes an incarnation whose address has been taken over by another.
--- a/crates/agate_members/src/view/announce.rs
+++ b/crates/agate_members/src/view/announce.rs
@@ -13,8 +13,11 @@
 pub enum AnnounceOutcome {
     /// The member is new.
     Joined(MemberKey),
-    /// The member was known and its information was updated.
+    /// The member was known.
     Known(MemberKey),
+    /// The incarnation is known with other information, which can't change during its life. The
+    /// announcement has no effect.
+    Contradicted(MemberKey),
     /// The member is new and replaces the incarnation that had its address.
     Replaced {
         /// The new member.
@@ -37,8 +40,7 @@
             return AnnounceOutcome::Gone;
         }
         if let Some(key) = self.find(incarnation) {
-            self.update_info(key, info, now);
-            return AnnounceOutcome::Known(key);
+            return self.confirm(key, &info, now);
         }
         let old = self.remove_at_address(&info, now);
         let key = self.insert(info, now);
@@ -103,28 +105,17 @@
         member.is_some_and(|member| member.statuses.has(MemberStatus::Ejected))
     }
 
-    /// Updates a known member from a new announcement.
-    fn update_info(&mut self, key: MemberKey, info: MemberInfo, now: Moment) {
-        if self.find_address(info.address) != Some(key) {
-            self.remove_at_address(&info, now);
-        }
-        self.remove_from_pools(key);
-        let site = self.site_key(&info.site);
-        let scope = Scope::between(&self.local_site, &info.site);
+    /// Records that a known member has announced itself again.
+    fn confirm(&mut self, key: MemberKey, info: &MemberInfo, now: Moment) -> AnnounceOutcome {
         let Some(member) = self.members.get_mut(key) else {
-            return;
+            return AnnounceOutcome::Gone;
         };
-        let old = std::mem::replace(&mut member.info, info);
-        let (old_site, new) = (member.site, &member.info);
-        member.site = site;
-        member.scope = scope;
+        if member.info != *info {
+            return AnnounceOutcome::Contradicted(key);
+        }
         member.last_heartbeat = now;
-        member.statuses.clear(MemberStatus::Suspect);
-        self.sites[old_site.0].host_mut(old.host).known -= 1;
-        self.sites[site.0].host_mut(new.host).known += 1;
-        self.addresses.remove(&old.address);
-        self.addresses.insert(new.address, key);
-        self.add_to_pools(key);
+        self.update_statuses(key, |statuses| statuses.clear(MemberStatus::Suspect));
+        AnnounceOutcome::Known(key)
     }
 
     /// Removes the incarnation that previously had the address of `info`.
--- a/crates/agate_members/tests/it/odd.rs
+++ b/crates/agate_members/tests/it/odd.rs
@@ -1,11 +1,11 @@
 //! Announcements and heartbeats that a sound agent never sends.
 
 use agate_core::{ClassName, Host, Moment, Resources};
-use agate_members::{Member, MemberStatus};
+use agate_members::{AnnounceOutcome, Member, MemberStatus};
 use agate_wire::message::{Capacity, Load, MemberInfo};
 use rstest::rstest;
 
-use super::support::{active, class, empty_view, heartbeat, join, member, ms};
+use super::support::{active, class, empty_view, heartbeat, join, member, ms, site};
 
 fn classes(count: usize) -> Vec<ClassName> {
     vec![class(); count]
@@ -36,6 +36,28 @@
     assert_eq!(active(&view), 0);
 }
 
+// Guards against an announcement that moves a sound member or changes its capacity.
+#[rstest]
+#[case::address(MemberInfo { address: member(2).address, ..member(1) })]
+#[case::capacity(MemberInfo { capacity: Capacity::default(), ..member(1) })]
+#[case::host(MemberInfo { host: Host::Worker, ..member(1) })]
+#[case::site(MemberInfo { site: site("khomas", "b"), ..member(1) })]
+#[case::classes(MemberInfo { classes: classes(1), ..member(1) })]
+fn a_contradicting_announcement_must_not_change_a_member(#[case] odd: MemberInfo) {
+    let mut view = empty_view();
+    let key = join(&mut view, member(1), Moment::ZERO);
+    let other = join(&mut view, member(2), Moment::ZERO);
+    assert_eq!(
+        view.announce(odd, ms(1)),
+        AnnounceOutcome::Contradicted(key)
+    );
+    for (key, info) in [(key, member(1)), (other, member(2))] {
+        assert_eq!(view.get(key).map(Member::info), Some(&info));
+        assert_eq!(view.find_address(info.address), Some(key));
+    }
+    assert_eq!((active(&view), view.tombstone_count()), (2, 0));
+}
+
 // Guards against a sequence number that hides every later heartbeat of a sound agent.
 #[rstest]
 #[case::ahead(1_000)]
--- a/crates/agate_members/tests/it/support.rs
+++ b/crates/agate_members/tests/it/support.rs
@@ -69,6 +69,7 @@
         AnnounceOutcome::Joined(key)
         | AnnounceOutcome::Known(key)
         | AnnounceOutcome::Replaced { key, .. } => key,
+        AnnounceOutcome::Contradicted(_) => panic!("the member is known with other information"),
         AnnounceOutcome::Gone => panic!("the member is gone"),
     }
 }
