Replace a known agent only once its address answers as the new one

Change: an announcement of an unknown incarnation at a known address is confirmed by a status query to that address, which an agent answers with Gone for any other incarnation. Without that answer the announcement has no effect; the agent announces itself again with its next heartbeat. An agent that is silent is still forgotten after membership.forget_ms. Ruled out: a bound on the time between two incarnations, which a restart doesn't keep. Test: an_odd_announcement_must_not_displace_an_agent; without the confirmation the case of another incarnation failed (Lost instead of Known). a_restarted_agent_must_replace_its_ predecessor held before and after. replaced_holder_is_lost_at_every_entry_and_its_run_waits_for_the_lease announced a second incarnation at an address that still answered as the first, which no longer replaces it. Its fake now answers as the second one; its assertions are unchanged.

--- a/crates/agate_entry/src/members/view.rs
+++ b/crates/agate_entry/src/members/view.rs
@@ -55,6 +55,12 @@
         self.lock().announce(info, now)
     }
 
+    /// Returns whether an announcement would replace another incarnation at its address.
+    pub(crate) fn would_replace(&self, info: &MemberInfo) -> bool {
+        let view = self.lock();
+        view.find(info.incarnation).is_none() && view.find_address(info.address).is_some()
+    }
+
     /// Records a heartbeat.
     pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat) -> Verdict {
         let now = self.clock.now();
--- a/crates/agate_entry/src/rpc/mod.rs
+++ b/crates/agate_entry/src/rpc/mod.rs
@@ -1,5 +1,6 @@
 //! JSON-RPC between this entry, agents and other entries.
 
+mod confirm;
 pub(crate) mod hello;
 mod link;
 mod links;
--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use super::confirm::answers_as;
 use crate::batch;
 use crate::entry::Entry;
 
@@ -87,7 +88,7 @@
 impl EntryRpcServer for EntryMethods {
     async fn hello(&self, hello: Hello) -> RpcResult<Welcome> {
         if let Some(member) = hello.member {
-            self.record_announcement(member);
+            self.record_announcement(member).await;
         }
         if let Some(peer) = hello.entry {
             if hello.leaving {
@@ -128,9 +129,13 @@
 }
 
 impl EntryMethods {
-    fn record_announcement(&self, member: MemberInfo) {
+    async fn record_announcement(&self, member: MemberInfo) {
         let (incarnation, address) = (member.incarnation, member.address);
         let host = member.host;
+        if self.0.members.would_replace(&member) && !answers_as(address, incarnation).await {
+            log::warn!(event = "member_unconfirmed", incarnation:%, address:%; "another agent is known at this address, which doesn't answer as this one");
+            return;
+        }
         match self.0.members.announce(member.clone()) {
             AnnounceOutcome::Joined(_) => {
                 log::info!(event = "member_joined", incarnation:%, address:%, host:%; "");
--- a/crates/agate_entry/tests/it/jobs.rs
+++ b/crates/agate_entry/tests/it/jobs.rs
@@ -246,6 +246,7 @@
     let host = agate_core::Host::Worker;
     let _distant_heartbeats = agent.join(distant.rpc_address(), host, agent.address).await;
     let other = FakeAgent::start(2, crate::support::Behaviour::Answer).await;
+    agent.lock().successor = Some(other.incarnation);
     let _other_heartbeats = other.join(entry.rpc_address(), host, agent.address).await;
     drop(heartbeats);
     agent.lock().ack = None;
--- a/crates/agate_entry/tests/it/main.rs
+++ b/crates/agate_entry/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod keys;
 mod leases;
+mod odd;
 mod operators;
 mod peers;
 mod rehoming;
--- a/crates/agate_entry/tests/it/support/agent.rs
+++ b/crates/agate_entry/tests/it/support/agent.rs
@@ -55,6 +55,8 @@
     pub held: Vec<RunStatus>,
     /// Whether heartbeats report that the agent is leaving.
     pub leaving: bool,
+    /// The incarnation that has taken over the address and answers there.
+    pub successor: Option<Incarnation>,
     /// The latest heartbeat acknowledgement.
     pub ack: Option<HeartbeatAck>,
 }
@@ -83,6 +85,7 @@
             start_reply: StartReply::Started,
             held: Vec::new(),
             leaving: false,
+            successor: None,
             ack: None,
         };
         let state = Arc::new(Mutex::new(state));
--- a/crates/agate_entry/tests/it/support/agent_rpc.rs
+++ b/crates/agate_entry/tests/it/support/agent_rpc.rs
@@ -112,7 +112,8 @@
     async fn key_status(&self, request: KeyStatusRequest) -> RpcResult<KeyStatusReply> {
         let mut state = self.state.lock().unwrap();
         state.status_queries += 1;
-        let key_status = if request.incarnation != self.incarnation {
+        let current = state.successor.unwrap_or(self.incarnation);
+        let key_status = if request.incarnation != current {
             KeyStatus::Gone
         } else if let Some(answer) = state.answers.get(&request.key) {
             KeyStatus::Done(answer.clone())
