Bound the wait that the log asks for

Change: a response counts for at most an hour, and the appender compares the wait with the time left. Test: a_log_that_is_busy_for_ever_must_not_end_the_appender failed without the change ('overflow when adding duration to instant', Unknown), refused_append_has_no_effect:: busy_for_ever as well.

--- a/crates/agate_log/src/appender/writer.rs
+++ b/crates/agate_log/src/appender/writer.rs
@@ -80,7 +80,7 @@
             }
             // After a group has failed, later groups fail fast for the rest of the outage.
             let fail_fast = self.is_down && presence == Presence::Absent;
-            if fail_fast || Instant::now() + delay >= deadline {
+            if fail_fast || delay >= deadline.saturating_duration_since(Instant::now()) {
                 break;
             }
             sleep(delay).await;
--- a/crates/agate_log/src/store/http.rs
+++ b/crates/agate_log/src/store/http.rs
@@ -20,6 +20,8 @@
 
 /// Wait after a 429 response without a valid `Retry-After` header.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Maximum wait after a 429 response.
+const MAX_RETRY_AFTER: Duration = Duration::from_hours(1);
 /// Maximum size of a response in addition to the data of its entries.
 const ENVELOPE_BYTES: usize = 256 * 1024;
 /// Maximum length of a response body quoted in an error.
@@ -159,5 +161,6 @@
         .get(RETRY_AFTER)
         .and_then(|value| value.to_str().ok());
     let seconds = seconds.and_then(|text| text.parse().ok());
-    seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+    let delay = seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs);
+    delay.min(MAX_RETRY_AFTER)
 }
--- a/crates/agate_log/tests/cases/appending.rs
+++ b/crates/agate_log/tests/cases/appending.rs
@@ -231,3 +231,14 @@
     task.run(&mut rng(2)).await;
     assert_eq!(recorded(second.await.unwrap()).offset, Offset(2));
 }
+
+// Guards against an overflow of the clock, which ends the task that appends.
+#[tokio::test(start_paused = true)]
+async fn a_log_that_is_busy_for_ever_must_not_end_the_appender() {
+    let store = store();
+    let (appender, _task) = start_appender(&store, append_settings(), 1);
+    store.inject([AppendFault::Refuse(StoreError::Busy(Duration::MAX))]);
+    let outcome = appender.append(bodies(1)).await;
+    assert_eq!(outcome, not_recorded(NotRecordedReason::Down));
+    recorded(appender.append(bodies(1)).await);
+}
--- a/crates/agate_log/tests/cases/responses.rs
+++ b/crates/agate_log/tests/cases/responses.rs
@@ -89,6 +89,10 @@
 #[rstest]
 #[case::bad_request("400 Bad Request", StoreError::Refused("status 400 Bad Request: ".to_owned()))]
 #[case::busy("429 Busy\r\nretry-after: 7", StoreError::Busy(Duration::from_secs(7)))]
+#[case::busy_for_ever(
+    "429 Busy\r\nretry-after: 18446744073709551615",
+    StoreError::Busy(Duration::from_hours(1))
+)]
 #[case::busy_without_retry_after("429 Busy", StoreError::Busy(Duration::from_secs(1)))]
 #[tokio::test]
 async fn refused_append_has_no_effect(#[case] status: &str, #[case] error: StoreError) {
