Reject pages of the log that contradict themselves

Cause: a page whose oldest append is past its end moved the reader of keys past every append and dropped what it had read; an end of 2^64-1 can't be reached, so the reader was never up to date; a page without the requested append, although it is before the end, made the reader ask again without a pause. Change: such pages and the offset 2^64-1 are invalid responses, retried with backoff. Test: invalid_page_is_rejected (4 new cases failed without the change, 2 held already) and append_without_a_complete_response_may_have_taken_effect::last_offset (failed).

--- a/crates/agate_log/src/store/response.rs
+++ b/crates/agate_log/src/store/response.rs
@@ -35,8 +35,11 @@
 /// Parses the response to an append.
 pub(crate) fn parse_append_response(body: &[u8]) -> Result<Offset, StoreError> {
     match serde_json::from_slice(body) {
-        Ok(AppendResponse { offset }) if offset > 0 => Ok(Offset(offset)),
-        Ok(AppendResponse { .. }) => Err(invalid_response("offset 0")),
+        Ok(AppendResponse { offset: 0 }) => Err(invalid_response("offset 0")),
+        Ok(AppendResponse { offset: u64::MAX }) => {
+            Err(invalid_response("the offset has no next one"))
+        }
+        Ok(AppendResponse { offset }) => Ok(Offset(offset)),
         Err(error) => Err(invalid_response(&error.to_string())),
     }
 }
@@ -45,6 +48,15 @@
 pub(crate) fn parse_page(body: &[u8], from: Offset) -> Result<Page, StoreError> {
     let page: PageJson =
         serde_json::from_slice(body).map_err(|error| invalid_response(&error.to_string()))?;
+    if page.end == u64::MAX {
+        return Err(invalid_response("the end has no next offset"));
+    }
+    if page.earliest > page.end + 1 {
+        return Err(invalid_response("the oldest append is past the end"));
+    }
+    if page.entries.is_empty() && (page.earliest..=page.end).contains(&from.0) {
+        return Err(invalid_response("the requested append is missing"));
+    }
     let mut next = Offset(page.earliest).max(from);
     let mut entries = Vec::with_capacity(page.entries.len());
     for entry in page.entries {
--- a/crates/agate_log/tests/cases/responses.rs
+++ b/crates/agate_log/tests/cases/responses.rs
@@ -76,6 +76,7 @@
 #[case::truncated_json(ok(r#"{"offset": 1"#))]
 #[case::wrong_shape(ok(r#"{"position": 1}"#))]
 #[case::offset_zero(ok(r#"{"offset": 0}"#))]
+#[case::last_offset(ok(r#"{"offset": 18446744073709551615}"#))]
 #[case::server_error("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n".to_owned())]
 #[case::unavailable("HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n".to_owned())]
 #[tokio::test]
@@ -111,6 +112,14 @@
     r#"{"earliest": 1, "end": 9, "entries": [{"offset": 3, "data": ""}, {"offset": 5, "data": ""}]}"#
 )]
 #[case::offset_past_end(r#"{"earliest": 1, "end": 2, "entries": [{"offset": 3, "data": ""}]}"#)]
+#[case::end_without_a_next_offset(
+    r#"{"earliest": 1, "end": 18446744073709551615, "entries": [{"offset": 3, "data": ""}]}"#
+)]
+#[case::earliest_past_the_end(r#"{"earliest": 11, "end": 9, "entries": []}"#)]
+#[case::last_offset_as_earliest(r#"{"earliest": 18446744073709551615, "end": 9, "entries": []}"#)]
+#[case::no_entry_before_the_end(r#"{"earliest": 1, "end": 9, "entries": []}"#)]
+#[case::negative_offset(r#"{"earliest": 1, "end": -1, "entries": []}"#)]
+#[case::offset_too_large(r#"{"earliest": 1, "end": 18446744073709551616, "entries": []}"#)]
 #[case::not_base64(r#"{"earliest": 1, "end": 9, "entries": [{"offset": 3, "data": "%"}]}"#)]
 #[tokio::test]
 async fn invalid_page_is_rejected(#[case] body: &str) {
