--- a/crates/agate_log/src/recover.rs
+++ b/crates/agate_log/src/recover.rs
@@ -79,7 +79,25 @@
 
 /// Returns the state of the newest complete snapshot, or an empty state.
 async fn load_snapshot(store: Arc<dyn LogStore>, limits: StateLimits, rng: &mut impl Rng) -> State {
-    let mut loader = SnapshotLoader::new(limits);
+    let mut end = read_end(Arc::clone(&store), rng).await;
+    let loader = loop {
+        let mut loader = SnapshotLoader::new(limits).up_to(end);
+        read_parts(Arc::clone(&store), &mut loader, rng).await;
+        let newer = read_end(Arc::clone(&store), rng).await;
+        // A snapshot of later records may have been written since `end` was read.
+        if !loader.failures().iter().any(|f| f.is_within(end, newer)) {
+            break loader;
+        }
+        end = newer;
+    };
+    for failure in loader.failures() {
+        log::error!(event = "snapshot_unusable", cause:% = failure; "");
+    }
+    loader.finish().unwrap_or_else(|| State::new(limits))
+}
+
+/// Reads the whole snapshot stream.
+async fn read_parts(store: Arc<dyn LogStore>, loader: &mut SnapshotLoader, rng: &mut impl Rng) {
     let settings = FollowSettings::builder()
         .poll_timeout(std::time::Duration::ZERO)
         .build();
@@ -89,15 +107,23 @@
             FollowEvent::Batches(batches) if batches.is_empty() => break,
             FollowEvent::Batches(batches) => batches
                 .into_iter()
-                .for_each(|batch| add_parts(&mut loader, batch)),
+                .for_each(|batch| add_parts(loader, batch)),
             FollowEvent::Gap { earliest, .. } => follower.seek(earliest),
             FollowEvent::Rewound { .. } => break,
         }
     }
-    for failure in loader.failures() {
-        log::error!(event = "snapshot_unusable", cause:% = failure; "");
+}
+
+/// Returns the offset of the newest append of the main stream.
+async fn read_end(store: Arc<dyn LogStore>, rng: &mut impl Rng) -> Offset {
+    let settings = FollowSettings::default();
+    let mut follower = Follower::new(store, Stream::Main, Offset(u64::MAX), settings);
+    loop {
+        // A read past every append returns the end of the stream.
+        if let FollowEvent::Rewound { end, .. } = follower.next(rng).await {
+            return end;
+        }
     }
-    loader.finish().unwrap_or_else(|| State::new(limits))
 }
 
 fn add_parts(loader: &mut SnapshotLoader, batch: DecodedBatch) {
--- a/crates/agate_log/tests/cases/recovery.rs
+++ b/crates/agate_log/tests/cases/recovery.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_core::{JobId, Offset, Resources};
+use agate_core::{JobId, Offset, Position, Resources};
 use agate_log::{
     AppendSettings, Appender, FollowSettings, LogStore, RecoverError, SnapshotWriter, Stream,
     recover,
 };
-use agate_records::{Body, JobSubmitted};
+use agate_records::{Batch, BatchId, Body, JobSubmitted, Record, SnapshotId, SnapshotPart};
 use agate_state::{State, StateLimits};
+use rstest::rstest;
 use tokio::time::{sleep, timeout};
 
 use crate::support::{FakeStore, fold_all, recorded, rng, start_appender, withdrawal};
@@ -183,3 +184,46 @@
     let after = fixture.recover().await.map(|state| state.open_jobs());
     assert_eq!(after, Ok(4));
 }
+
+/// Returns the only record of an append to the snapshot stream that no process wrote.
+fn odd_part(id: u128, at: u64, parts: u32) -> Vec<u8> {
+    let part = SnapshotPart {
+        snapshot: SnapshotId(id),
+        at: Position::new(Offset(at), 0),
+        part: 0,
+        parts,
+        items: Vec::new(),
+    };
+    let records = vec![Record {
+        wall_ms: u64::MAX,
+        body: part.into(),
+    }];
+    let id = BatchId(id);
+    Batch { id, records }.encode()
+}
+
+// Guards against a snapshot of another writer from which no entry can ever continue.
+#[rstest]
+#[case::complete(&[(u64::MAX, 1)])]
+#[case::just_past_the_end(&[(1_000, 1)])]
+#[case::incomplete(&[(u64::MAX, 2), (u64::MAX, 3), (u64::MAX - 1, u32::MAX), (u64::MAX, 2), (1_000, 9)])]
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_past_the_end_must_not_stop_recovery(#[case] odd: &[(u64, u32)]) {
+    let mut fixture = fixture();
+    for (id, (at, parts)) in (1..).zip(odd) {
+        fixture.store.put(Stream::Snap, &odd_part(id, *at, *parts));
+    }
+    fixture.store.put(Stream::Snap, &[0xff; 40]);
+    fixture.submit(0..200).await;
+    sleep(RETENTION / 2).await;
+    let state = fixture.recover().await.expect("no record has expired");
+    assert_eq!(state.open_jobs(), 200);
+    for (id, (at, parts)) in (100..).zip(odd) {
+        fixture.store.put(Stream::Snap, &odd_part(id, *at, *parts));
+    }
+    fixture.snapshot(&state).await;
+    fixture.submit(200..205).await;
+    sleep(RETENTION * 3 / 4).await;
+    let recovered = fixture.recover().await.expect("the snapshot is complete");
+    assert_eq!(recovered.open_jobs(), 205);
+}
--- a/crates/agate_state/src/snapshot/load.rs
+++ b/crates/agate_state/src/snapshot/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use agate_core::Position;
+use agate_core::{Offset, Position};
 use agate_records::{SnapshotId, SnapshotPart};
 
 use super::restore::{SnapshotError, restore};
@@ -11,10 +11,15 @@
 /// Maximum number of incomplete snapshots kept.
 const MAX_INCOMPLETE_SNAPSHOTS: usize = 4;
 
+/// Maximum number of different failures kept.
+const MAX_FAILURES: usize = 16;
+
 /// Loads the newest complete snapshot from parts in log order.
 #[derive(Debug)]
 pub struct SnapshotLoader {
     limits: StateLimits,
+    /// Offset of the last append of the log that snapshots cover.
+    end: Offset,
     newest: Option<State>,
     incomplete: BTreeMap<SnapshotKey, IncompleteSnapshot>,
     failures: Vec<SnapshotError>,
@@ -38,18 +43,30 @@
     pub const fn new(limits: StateLimits) -> Self {
         Self {
             limits,
+            end: Offset(u64::MAX),
             newest: None,
             incomplete: BTreeMap::new(),
             failures: Vec::new(),
         }
     }
 
+    /// Refuses parts that claim to cover appends after `end`, the end of the log that is folded.
+    #[must_use]
+    pub const fn up_to(mut self, end: Offset) -> Self {
+        self.end = end;
+        self
+    }
+
     /// Adds one part. Duplicate parts are ignored.
     pub fn add(&mut self, part: SnapshotPart) {
         let key = SnapshotKey {
             position: part.at,
             id: part.snapshot,
         };
+        if key.position.offset > self.end {
+            self.fail(SnapshotError::PastEnd { at: key.position });
+            return;
+        }
         if self
             .newest
             .as_ref()
@@ -63,7 +80,7 @@
         });
         if snapshot.parts != part.parts {
             self.incomplete.remove(&key);
-            self.failures.push(SnapshotError::Contradiction);
+            self.fail(SnapshotError::Contradiction);
             return;
         }
         snapshot.items.insert(part.part, part.items);
@@ -94,7 +111,13 @@
                     .retain(|other, _| other.position > key.position);
                 self.newest = Some(state);
             }
-            Err(error) => self.failures.push(error),
+            Err(error) => self.fail(error),
+        }
+    }
+
+    fn fail(&mut self, error: SnapshotError) {
+        if self.failures.len() < MAX_FAILURES && !self.failures.contains(&error) {
+            self.failures.push(error);
         }
     }
 
--- a/crates/agate_state/src/snapshot/restore.rs
+++ b/crates/agate_state/src/snapshot/restore.rs
@@ -1,6 +1,6 @@
 //! Restores the state from the items of a snapshot.
 
-use agate_core::{Incarnation, JobId, Position, TaskId, Version};
+use agate_core::{Incarnation, JobId, Offset, Position, TaskId, Version};
 use agate_records::generated::snapshot_item::Of;
 use agate_records::generated::{
     EndedJobItem, HoldItem, InForceItem, JobItem, LostItem, PresetItem, SnapshotItem, SwitchItem,
@@ -26,10 +26,22 @@
     Refused(RejectReason),
     /// the snapshot is inconsistent
     Contradiction,
+    /// the snapshot claims to cover the records up to {at}, which is past the end of the log
+    PastEnd {
+        /// Position that the snapshot claims to cover.
+        at: Position,
+    },
 }
 
 impl std::error::Error for SnapshotError {}
 
+impl SnapshotError {
+    /// Returns whether the snapshot is past the end `old` of the log but not past `new`.
+    pub fn is_within(&self, old: Offset, new: Offset) -> bool {
+        matches!(self, Self::PastEnd { at } if at.offset > old && at.offset <= new)
+    }
+}
+
 impl From<RecordError> for SnapshotError {
     fn from(error: RecordError) -> Self {
         Self::Malformed(error)
