--- a/crates/agate_state/src/snapshot/restore.rs
+++ b/crates/agate_state/src/snapshot/restore.rs
@@ -3,8 +3,8 @@
 use agate_core::{Incarnation, JobId, Offset, Position, TaskId, Version};
 use agate_records::generated::snapshot_item::Of;
 use agate_records::generated::{
-    EndedJobItem, HoldItem, InForceItem, JobItem, LostItem, PresetItem, SnapshotItem, SwitchItem,
-    TaskCounts as CountsItem, TaskFailure as FailureItem, TaskItem, WithdrawalItem,
+    EndedJobItem, HoldItem, InForceItem, JobItem, LostItem, Place, PresetItem, SnapshotItem,
+    SwitchItem, TaskCounts as CountsItem, TaskFailure as FailureItem, TaskItem, WithdrawalItem,
 };
 use agate_records::{BatchId, JobSubmitted, PresetPublished, RecordError, Withdrawn};
 use displaydoc::Display;
@@ -72,9 +72,37 @@
         };
         restore_item(&mut state, required(item.of, "of")?)?;
     }
+    check_jobs(&state)?;
     Ok(state)
 }
 
+/// Returns a position of a restored record. It can't be after the position of the snapshot: a
+/// version from there could not be replaced by any record.
+fn restore_position(
+    state: &State,
+    place: Option<Place>,
+    field: &'static str,
+) -> Result<Position, SnapshotError> {
+    let position = required(place, field)?.into();
+    if position > state.last_applied {
+        return Err(RecordError::OutOfRange { field }.into());
+    }
+    Ok(position)
+}
+
+/// Checks that each job can still end: it has open tasks, and those of a cancelled job are bound.
+fn check_jobs(state: &State) -> Result<(), SnapshotError> {
+    let can_end = |job: &Job| {
+        let open = job.submitted.tasks - job.counts.total();
+        open > 0 && (!job.cancelled || open == job.running)
+    };
+    if state.jobs.iter().all(can_end) {
+        Ok(())
+    } else {
+        Err(SnapshotError::Contradiction)
+    }
+}
+
 fn restore_item(state: &mut State, item: Of) -> Result<(), SnapshotError> {
     match item {
         Of::Preset(item) => restore_preset(state, item),
@@ -87,7 +115,8 @@
         Of::Lost(item) => restore_lost_member(state, item),
         Of::Batches(ids) => restore_batch_ids(state, &ids),
         Of::Config(version) => {
-            state.config.rebuild(version.into());
+            let position = restore_position(state, Some(version), "config")?;
+            state.config.rebuild(Version(position));
             Ok(())
         }
     }
@@ -95,23 +124,24 @@
 
 fn restore_preset(state: &mut State, item: PresetItem) -> Result<(), SnapshotError> {
     let record = PresetPublished::try_from(required(item.published, "published")?)?;
-    let version = required(item.version, "version")?.into();
+    let version = Version(restore_position(state, item.version, "version")?);
     state.config.presets.publish(version, &record)?;
     Ok(())
 }
 
 fn restore_switch(state: &mut State, item: SwitchItem) -> Result<(), SnapshotError> {
+    let version = Version(restore_position(state, item.version, "version")?);
     state.config.presets.record_switch(PresetSwitch {
         name: item.name,
         operator: item.operator,
-        version: required(item.version, "version")?.into(),
+        version,
         wall_ms: item.wall_ms,
     });
     Ok(())
 }
 
 fn restore_in_force(state: &mut State, item: InForceItem) -> Result<(), SnapshotError> {
-    let version = required(item.version, "version")?.into();
+    let version = Version(restore_position(state, item.version, "version")?);
     state
         .config
         .presets
@@ -121,7 +151,7 @@
 
 fn restore_withdrawal(state: &mut State, item: WithdrawalItem) -> Result<(), SnapshotError> {
     let record = Withdrawn::try_from(required(item.withdrawn, "withdrawn")?)?;
-    let version: Version = required(item.version, "version")?.into();
+    let version = Version(restore_position(state, item.version, "version")?);
     state.config.withdrawals.withdraw(version, &record)?;
     Ok(())
 }
@@ -132,7 +162,8 @@
     if state.jobs.is_known(submitted.job) {
         return Err(SnapshotError::Contradiction);
     }
-    let mut job = Job::new(submitted, required(item.place, "place")?.into());
+    let position = restore_position(state, item.place, "place")?;
+    let mut job = Job::new(submitted, position);
     job.cancelled = item.cancelled;
     job.counts = restore_counts(item.counts, tasks)?;
     job.failures = item.failures.into_iter().map(Into::into).collect();
@@ -170,7 +201,9 @@
         owner.counts.total() as usize + owner.started.len() >= owner.submitted.tasks as usize;
     // Only bound tasks of a cancelled job are still open.
     let closed = owner.cancelled && item.hold.is_none();
-    if known || full || closed || id.index >= owner.submitted.tasks {
+    // The epoch counts the bindings, so the last one leaves no room for another.
+    let epoch_fits = (1..u32::MAX).contains(&item.epoch);
+    if known || full || closed || !epoch_fits || id.index >= owner.submitted.tasks {
         return Err(SnapshotError::Contradiction);
     }
     let checkpoint = (!item.checkpoint.is_empty()).then(|| item.checkpoint.into());
@@ -183,7 +216,8 @@
         binding: None,
     });
     if let Some(hold) = item.hold {
-        state.jobs.set_binding(key, RunBinding::try_from(hold)?);
+        let binding = restore_binding(state, hold)?;
+        state.jobs.set_binding(key, binding);
     }
     Ok(())
 }
@@ -193,8 +227,12 @@
         field: "name",
         error,
     };
+    let job = JobId(item.job);
+    if state.jobs.is_known(job) {
+        return Err(SnapshotError::Contradiction);
+    }
     state.jobs.ended.insert(EndedJob {
-        job: JobId(item.job),
+        job,
         caller: item.caller.parse().map_err(name)?,
         class: item.class.parse().map_err(name)?,
         tasks: item.tasks,
@@ -206,7 +244,7 @@
 }
 
 fn restore_lost_member(state: &mut State, item: LostItem) -> Result<(), SnapshotError> {
-    let position = required(item.place, "place")?.into();
+    let position = restore_position(state, item.place, "place")?;
     let incarnation = Incarnation::new(item.incarnation);
     state.lost.insert(incarnation, position);
     Ok(())
@@ -238,16 +276,12 @@
     })
 }
 
-impl TryFrom<HoldItem> for RunBinding {
-    type Error = SnapshotError;
-
-    fn try_from(item: HoldItem) -> Result<Self, SnapshotError> {
-        Ok(Self {
-            incarnation: Incarnation::new(item.incarnation),
-            demand: required(item.demand, "demand")?.into(),
-            position: required(item.place, "place")?.into(),
-        })
-    }
+fn restore_binding(state: &State, item: HoldItem) -> Result<RunBinding, SnapshotError> {
+    Ok(RunBinding {
+        incarnation: Incarnation::new(item.incarnation),
+        demand: required(item.demand, "demand")?.into(),
+        position: restore_position(state, item.place, "place")?,
+    })
 }
 
 impl From<FailureItem> for TaskFailure {
--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -5,7 +5,8 @@
 use agate_core::{JobId, Offset, Position};
 use agate_records::generated::snapshot_item::Of;
 use agate_records::generated::{
-    Amount, HoldItem, JobItem, Place, SnapshotItem, TaskCounts as CountsItem, TaskItem,
+    Amount, EndedJobItem, HoldItem, InForceItem, JobItem, LostItem, Place, PresetItem,
+    SnapshotItem, SwitchItem, TaskCounts as CountsItem, TaskItem, TaskRange, WithdrawalItem,
 };
 use agate_records::{Record, SnapshotId, SnapshotPart};
 use agate_state::{SnapshotError, SnapshotLoader, State};
@@ -13,9 +14,10 @@
 use proptest::prelude::{any, prop_assert_eq, proptest};
 use proptest::sample::Index;
 use prost::Message;
+use rstest::rstest;
 
 use crate::support::logs::{batches, body, limits};
-use crate::support::{A, B, TestLog, cancel, job, task};
+use crate::support::{A, B, TestLog, cancel, class, job, publish, task, withdraw};
 
 /// Formats everything that the public API returns for a state.
 fn observable_state(state: &State) -> String {
@@ -178,27 +180,122 @@
     assert!(bytes(&log.state) <= after_many + 64);
 }
 
-#[test]
-fn counts_inconsistent_with_bound_runs_are_rejected() {
-    let submitted = JobItem {
-        submitted: Some(job(1, 2).into()),
+fn job_item(id: u64, tasks: u32) -> JobItem {
+    JobItem {
+        submitted: Some(job(id, tasks).into()),
         place: Some(Place::default()),
-        counts: Some(CountsItem {
-            finished: 2,
-            ..CountsItem::default()
-        }),
         ..JobItem::default()
-    };
-    let bound = TaskItem {
+    }
+}
+
+fn finished(finished: u32) -> CountsItem {
+    CountsItem {
+        finished,
+        ..CountsItem::default()
+    }
+}
+
+fn task_item(epoch: u32) -> TaskItem {
+    TaskItem {
         job: 1,
-        epoch: 1,
+        epoch,
         hold: Some(HoldItem {
             incarnation: A.get(),
             demand: Some(Amount::default()),
             place: Some(Place::default()),
         }),
         ..TaskItem::default()
+    }
+}
+
+const LAST: Option<Place> = Some(Place {
+    offset: u64::MAX,
+    index: u32::MAX,
+});
+
+fn ended_item(id: u64) -> EndedJobItem {
+    EndedJobItem {
+        job: id,
+        caller: "caller".to_owned(),
+        class: "class".to_owned(),
+        tasks: 1,
+        counts: Some(finished(1)),
+        ..EndedJobItem::default()
+    }
+}
+
+fn preset_items(version: Option<Place>, switched: Option<Place>) -> Vec<Of> {
+    let published = publish("day", 3);
+    let in_force = InForceItem {
+        name: published.name.clone(),
+        json: published.json.clone(),
+        version: switched,
+    };
+    let preset = PresetItem {
+        published: Some(published.into()),
+        version,
     };
+    vec![Of::Preset(preset), Of::InForce(in_force)]
+}
+
+// Guards against a snapshot after which a preset can't be replaced, a task not bound, or a job not
+// ended.
+#[rstest]
+#[case::counts_that_overflow(vec![Of::Job(JobItem {
+    counts: Some(CountsItem { finished: u32::MAX, failed: u32::MAX, ..CountsItem::default() }),
+    ..job_item(1, 2)
+})])]
+#[case::open_job_without_open_tasks(vec![Of::Job(JobItem {
+    ended: vec![TaskRange { first: 0, last: 1 }],
+    counts: Some(finished(2)),
+    ..job_item(1, 2)
+})])]
+#[case::cancelled_job_with_unbound_tasks(vec![
+    Of::Job(JobItem { cancelled: true, ..job_item(1, 2) }),
+    Of::Task(task_item(1)),
+])]
+#[case::range_past_the_tasks(vec![Of::Job(JobItem {
+    ended: vec![TaskRange { first: 0, last: u32::MAX }],
+    counts: Some(finished(2)),
+    ..job_item(1, 2)
+})])]
+#[case::last_epoch(vec![Of::Job(job_item(1, 2)), Of::Task(task_item(u32::MAX))])]
+#[case::no_epoch(vec![Of::Job(job_item(1, 2)), Of::Task(task_item(0))])]
+#[case::task_of_another_job(vec![Of::Job(job_item(2, 2)), Of::Task(task_item(1))])]
+#[case::job_twice(vec![Of::Job(job_item(1, 2)), Of::Job(job_item(1, 2))])]
+#[case::ended_job_twice(vec![Of::EndedJob(ended_item(1)), Of::EndedJob(ended_item(1))])]
+#[case::too_many_tasks(vec![Of::Job(JobItem {
+    submitted: Some(job(1, u32::MAX).into()),
+    ..job_item(1, 2)
+})])]
+#[case::job_place(vec![Of::Job(JobItem { place: LAST, ..job_item(1, 2) })])]
+#[case::config(vec![Of::Config(LAST.unwrap_or_default())])]
+#[case::preset(preset_items(LAST, Some(Place::default())))]
+#[case::in_force(preset_items(Some(Place::default()), LAST))]
+#[case::switch(vec![Of::Switch(SwitchItem { version: LAST, ..SwitchItem::default() })])]
+#[case::withdrawal(vec![Of::Withdrawal(WithdrawalItem {
+    withdrawn: Some(withdraw(class("c")).into()),
+    version: LAST,
+})])]
+#[case::lost(vec![Of::Lost(LostItem { incarnation: 1, place: LAST })])]
+fn a_snapshot_with_odd_items_is_refused(#[case] items: Vec<Of>) {
+    let loader = load_items(items);
+    assert_eq!(loader.failures().len(), 1);
+    assert!(loader.finish().is_none());
+}
+
+#[test]
+fn counts_inconsistent_with_bound_runs_are_rejected() {
+    let submitted = JobItem {
+        counts: Some(finished(2)),
+        ..job_item(1, 2)
+    };
+    let loader = load_items(vec![Of::Job(submitted), Of::Task(task_item(1))]);
+    assert_eq!(loader.failures(), [SnapshotError::Contradiction]);
+    assert!(loader.finish().is_none());
+}
+
+fn load_items(items: Vec<Of>) -> SnapshotLoader {
     let encode = |of| SnapshotItem { of: Some(of) }.encode_to_vec();
     let mut loader = SnapshotLoader::new(limits());
     loader.add(SnapshotPart {
@@ -206,8 +303,7 @@
         at: Position::new(Offset(1), 0),
         part: 0,
         parts: 1,
-        items: vec![encode(Of::Job(submitted)), encode(Of::Task(bound))],
+        items: items.into_iter().map(encode).collect(),
     });
-    assert_eq!(loader.failures(), [SnapshotError::Contradiction]);
-    assert!(loader.finish().is_none());
+    loader
 }
