Drop a configuration version that the log doesn't hold

Cause: a configuration from another process was believed if its version was higher, and only a higher one replaced it. One with offset 2^64-1 in an answer to a hello spread to every entry and agent, and no later switch or withdrawal came into force until all of them were restarted. Change: an entry remembers when a version above its own was first named. A read of the log that began later and reached the end proves or refutes it; a refuted one is replaced by the folded one. An agent that has a refuted version is told so in the acknowledgement of its heartbeat, and only then takes a lower one. Ruled out: letting an agent take any lower version from an acknowledgement: an entry that lags would undo a withdrawal (withdrawal_ends_active_runs_by_its_mode::finish failed). Test: an_odd_config_version_must_not_outlast_the_next_read (entry) and ..._must_give_way_ to_the_one_of_the_log (agent).

--- a/crates/agate_agent/src/entries/heartbeat.rs
+++ b/crates/agate_agent/src/entries/heartbeat.rs
@@ -68,7 +68,7 @@
     sent_at: Moment,
 ) -> bool {
     if let Some(config) = ack.config {
-        core.policy.update(config);
+        core.policy.update_refuted(config, ack.refuted);
     }
     core.entries.add_new(ack.entries);
     match ack.verdict {
--- a/crates/agate_agent/src/state/policy.rs
+++ b/crates/agate_agent/src/state/policy.rs
@@ -75,15 +75,27 @@
 
     /// Replaces the current configuration if `config` is newer.
     pub(crate) fn update(&self, config: ConfigState) {
+        self.replace(config, |current, version| version > current);
+    }
+
+    /// Replaces the current configuration if `config` is newer, or if the current version is
+    /// `refuted`: an entry has read that the log doesn't hold it.
+    pub(crate) fn update_refuted(&self, config: ConfigState, refuted: Option<Version>) {
+        self.replace(config, |current, version| {
+            version > current || refuted == Some(current)
+        });
+    }
+
+    fn replace(&self, config: ConfigState, is_wanted: impl Fn(Version, Version) -> bool) {
         let version = config.version;
-        let is_newer = self.0.send_if_modified(|current| {
-            if version <= current.version {
+        let is_replaced = self.0.send_if_modified(|current| {
+            if !is_wanted(current.version, version) {
                 return false;
             }
             *current = Arc::new(ActiveConfig::new(config));
             true
         });
-        if is_newer {
+        if is_replaced {
             log::info!(event = "config_adopted", version:% = version; "");
         }
     }
--- a/crates/agate_agent/tests/agent/entries.rs
+++ b/crates/agate_agent/tests/agent/entries.rs
@@ -162,3 +162,28 @@
         () = watch => {}
     }
 }
+
+// Guards against a configuration version that no later one can replace.
+#[tokio::test]
+async fn an_odd_config_version_must_give_way_to_the_one_of_the_log() {
+    let backend = backend().await;
+    let entry = FakeEntry::start().await;
+    entry.state().config = Some(quick_config(u64::MAX));
+    let _agent = seeded(&backend, &entry).start();
+    let held = |state: &crate::support::EntryState| {
+        let last = state.heartbeats.last();
+        last.map(|heartbeat| heartbeat.config)
+    };
+    entry
+        .wait_until("a heartbeat with the odd version", |state| {
+            held(state) == Some(quick_config(u64::MAX).version)
+        })
+        .await;
+    entry.state().config = Some(quick_config(1));
+    entry.state().refuted = Some(quick_config(u64::MAX).version);
+    entry
+        .wait_until("a heartbeat with the version of the log", |state| {
+            held(state) == Some(quick_config(1).version)
+        })
+        .await;
+}
--- a/crates/agate_agent/tests/agent/support/entry.rs
+++ b/crates/agate_agent/tests/agent/support/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use agate_core::Incarnation;
+use agate_core::{Incarnation, Version};
 use agate_wire::message::{
     ConfigState, EntryInfo, Heartbeat, HeartbeatAck, Hello, ReportAck, RunReport, Verdict, Welcome,
 };
@@ -23,6 +23,8 @@
     pub lease: Duration,
     pub report_ack: ReportAck,
     pub config: Option<ConfigState>,
+    /// The configuration version that the log doesn't hold.
+    pub refuted: Option<Version>,
     /// Other entries that are announced to the agent.
     pub peers: Vec<EntryInfo>,
 }
@@ -78,6 +80,7 @@
             verdict,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
             config: state.config.clone(),
+            refuted: state.refuted,
             entries,
         })
     }
@@ -105,6 +108,7 @@
             lease: Duration::from_mins(1),
             report_ack: ReportAck::Recorded,
             config: None,
+            refuted: None,
             peers: Vec::new(),
         }));
         let info = EntryInfo {
--- a/crates/agate_bench/src/slopes/bytes.rs
+++ b/crates/agate_bench/src/slopes/bytes.rs
@@ -93,6 +93,7 @@
         verdict: Verdict::Known,
         lease_ms: 59_871,
         config: None,
+        refuted: None,
         entries: entries(known),
     }
 }
--- a/crates/agate_entry/src/ledger/follow.rs
+++ b/crates/agate_entry/src/ledger/follow.rs
@@ -78,6 +78,10 @@
             entry.folded.set_suspended(suspended_before);
         }
         suspended_before = suspended;
+        if let Some(read_at) = *tip.borrow() {
+            let folded = entry.folded.with(|state| state.config());
+            entry.config.settle(&folded, read_at);
+        }
         match read {
             FollowEvent::Batches(batches) => {
                 for batch in &batches {
--- a/crates/agate_entry/src/rpc/hello.rs
+++ b/crates/agate_entry/src/rpc/hello.rs
@@ -65,7 +65,7 @@
             entry.peers.record_contact(welcome.entry);
             entry.peers.record_mentions(welcome.peers);
             if let Some(config) = welcome.config {
-                entry.config.offer(config);
+                entry.config.offer_claimed(config);
             }
         }
         Ok(Err(reason)) => log::debug!(event = "hello_failed", address:%, reason; ""),
--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -113,12 +113,17 @@
             batch::reconcile(&self.0, &heartbeat);
         }
         let lease = batch::lease(&self.0, heartbeat.incarnation, verdict);
-        let config = self.0.config.newer_than(heartbeat.config);
+        let refuted = self.0.config.refute(heartbeat.config);
+        let config = match refuted {
+            None => self.0.config.newer_than(heartbeat.config),
+            Some(_) => self.0.config.newer_than(Version::default()),
+        };
         self.0.peers.record_mentions(heartbeat.entries);
         Ok(HeartbeatAck {
             verdict,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
             config,
+            refuted,
             entries: self.0.entries(),
         })
     }
--- a/crates/agate_entry/tests/it/odd.rs
+++ b/crates/agate_entry/tests/it/odd.rs
@@ -1,13 +1,20 @@
 //! Messages of another writer that no sound agent or entry sends.
 
-use agate_core::{Host, Incarnation, Resources};
-use agate_wire::message::{Capacity, Hello, MemberInfo, Verdict};
-use agate_wire::rpc::EntryRpcClient;
+use agate_core::{Host, Incarnation, Offset, Position, Resources, Version};
+use agate_wire::message::{
+    Capacity, ConfigState, EntryInfo, Heartbeat, HeartbeatAck, Hello, Load, MemberInfo, ReportAck,
+    RunReport, Verdict, Welcome,
+};
+use agate_wire::rpc::{EntryRpcClient, EntryRpcServer};
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::Server;
 use jsonrpsee::ws_client::WsClientBuilder;
 use rstest::rstest;
+use serde_json::json;
 
 use crate::support::{
-    Behaviour, FakeAgent, eventually, operator_client, site, start_entry, start_worker, value,
+    Behaviour, FakeAgent, eventually, operator_client, site, start_entry, start_entry_on,
+    start_log, start_worker, value,
 };
 
 fn announcement(incarnation: u64, agent: &FakeAgent) -> MemberInfo {
@@ -54,6 +61,78 @@
     assert_eq!(listed["members"][0]["slots"], 8);
 }
 
+/// An entry that answers each hello with a configuration that no log holds.
+struct OddPeer(EntryInfo);
+
+fn odd_config() -> ConfigState {
+    ConfigState {
+        version: Version(Position::new(Offset(u64::MAX), u32::MAX)),
+        preset: None,
+        withdrawals: Vec::new(),
+    }
+}
+
+#[async_trait]
+impl EntryRpcServer for OddPeer {
+    async fn hello(&self, _hello: Hello) -> RpcResult<Welcome> {
+        Ok(Welcome {
+            entry: self.0.clone(),
+            peers: Vec::new(),
+            config: Some(odd_config()),
+        })
+    }
+
+    async fn heartbeat(&self, _heartbeat: Heartbeat) -> RpcResult<HeartbeatAck> {
+        unimplemented!("no agent knows this entry")
+    }
+
+    async fn report(&self, _report: RunReport) -> RpcResult<ReportAck> {
+        unimplemented!("no agent knows this entry")
+    }
+}
+
+// Guards against a configuration version that no switch can replace, at the entry and its agents.
+#[tokio::test]
+async fn an_odd_config_version_must_not_outlast_the_next_read() {
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let info = EntryInfo {
+        incarnation: Incarnation::new(77),
+        address: server.local_addr().unwrap(),
+        site: site(),
+    };
+    let address = info.address;
+    let _server = server.start(OddPeer(info).into_rpc());
+    let log = start_log().await;
+    let entry = start_entry_on(&log, vec![address]).await;
+    let client = WsClientBuilder::new()
+        .build(format!("ws://{}", entry.rpc_address()))
+        .await
+        .unwrap();
+    let operator = operator_client(&entry);
+    let preset = json!({"name": "day", "preset": {"kind": "ordinary"}});
+    operator.post("/v1/presets", preset.to_string()).await;
+    let switch = json!({"name": "day", "expected": "0+0"});
+    operator
+        .post("/v1/presets/switch", switch.to_string())
+        .await;
+    let heartbeat = Heartbeat {
+        incarnation: Incarnation::new(1),
+        sequence: 1,
+        leaving: false,
+        load: Load::default(),
+        config: odd_config().version,
+        runs: Vec::new(),
+        usage: Vec::new(),
+        urgent: Vec::new(),
+        entries: Vec::new(),
+    };
+    eventually("the answer has the preset of the log", async || {
+        let ack = client.heartbeat(heartbeat.clone()).await.unwrap();
+        ack.config.is_some_and(|config| config.preset.is_some())
+    })
+    .await;
+}
+
 // Guards against a restarted agent that is kept out because its predecessor is still known.
 #[tokio::test]
 async fn a_restarted_agent_must_replace_its_predecessor() {
--- a/crates/agate_wire/src/message/config.rs
+++ b/crates/agate_wire/src/message/config.rs
@@ -66,7 +66,7 @@
 }
 
 /// The preset and withdrawals in force at one version. A process replaces its state only with one
-/// of a higher version.
+/// of a higher version, or if the log doesn't hold its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
     /// Version of the newest record included in this state.
--- a/crates/agate_wire/src/message/member.rs
+++ b/crates/agate_wire/src/message/member.rs
@@ -163,8 +163,12 @@
     /// Lease on all runs of the sender, in milliseconds from the time the heartbeat was sent. Zero
     /// if the entry has not read the log recently.
     pub lease_ms: u64,
-    /// The entry's configuration, if it is newer than the sender's.
+    /// The entry's configuration, if it is newer than the sender's or the sender's is refuted.
     pub config: Option<ConfigState>,
+    /// The sender's configuration version, if a later read of the log shows that the log doesn't
+    /// hold it. Earlier versions don't send it.
+    #[serde(default)]
+    pub refuted: Option<Version>,
     /// Entries known to the replying entry, including itself.
     pub entries: Vec<EntryInfo>,
 }
