Test wire messages and the fold with odd input

The decoders and the fold held already: arbitrary and damaged messages of 13 types, numbers, addresses and nesting out of bounds, and records that no process writes (epochs and indices of 2^32-1, versions and positions of 2^64-1, records of another stream) after any log of valid ones.

--- a/crates/agate_state/tests/cases/mod.rs
+++ b/crates/agate_state/tests/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod batches;
 mod keys;
+mod odd;
 mod presets;
 mod recent;
 mod runs;
