--- a/crates/agate_entry/src/rpc/server.rs
+++ b/crates/agate_entry/src/rpc/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use super::confirm::answers_as;
 use crate::batch;
 use crate::entry::Entry;
 
@@ -87,7 +88,7 @@
 impl EntryRpcServer for EntryMethods {
     async fn hello(&self, hello: Hello) -> RpcResult<Welcome> {
         if let Some(member) = hello.member {
-            self.record_announcement(member);
+            self.record_announcement(member).await;
         }
         if let Some(peer) = hello.entry {
             if hello.leaving {
@@ -112,12 +113,17 @@
             batch::reconcile(&self.0, &heartbeat);
         }
         let lease = batch::lease(&self.0, heartbeat.incarnation, verdict);
-        let config = self.0.config.newer_than(heartbeat.config);
+        let refuted = self.0.config.refute(heartbeat.config);
+        let config = match refuted {
+            None => self.0.config.newer_than(heartbeat.config),
+            Some(_) => self.0.config.newer_than(Version::default()),
+        };
         self.0.peers.record_mentions(heartbeat.entries);
         Ok(HeartbeatAck {
             verdict,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
             config,
+            refuted,
             entries: self.0.entries(),
         })
     }
@@ -128,13 +134,14 @@
 }
 
 impl EntryMethods {
-    fn record_announcement(&self, member: MemberInfo) {
+    async fn record_announcement(&self, member: MemberInfo) {
         let (incarnation, address) = (member.incarnation, member.address);
         let host = member.host;
-        if host == Host::Worker {
-            batch::add_worker(&self.0, &member);
+        if self.0.members.would_replace(&member) && !answers_as(address, incarnation).await {
+            log::warn!(event = "member_unconfirmed", incarnation:%, address:%; "another agent is known at this address, which doesn't answer as this one");
+            return;
         }
-        match self.0.members.announce(member) {
+        match self.0.members.announce(member.clone()) {
             AnnounceOutcome::Joined(_) => {
                 log::info!(event = "member_joined", incarnation:%, address:%, host:%; "");
             }
@@ -143,10 +150,18 @@
                 log::info!(event = "member_replaced", incarnation:%, address:%, old:%; "");
             }
             AnnounceOutcome::Known(_) => {}
+            AnnounceOutcome::Contradicted(_) => {
+                log::warn!(event = "member_contradicted", incarnation:%, address:%; "the incarnation is known with other information");
+                return;
+            }
             AnnounceOutcome::Gone => {
                 log::warn!(event = "member_refused", incarnation:%, address:%; "the incarnation is recorded as lost");
+                return;
             }
         }
+        if host == Host::Worker {
+            batch::add_worker(&self.0, &member);
+        }
     }
 
     /// Removes an incarnation whose address has been taken over by another.
