--- a/crates/agate_node/src/agent/client.rs
+++ b/crates/agate_node/src/agent/client.rs
@@ -1,6 +1,7 @@
 //! The client interface of a worker.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use agate_core::Resources;
@@ -24,7 +25,7 @@
     /// Its availability zone.
     pub zone: String,
     /// Address at which it accepts calls.
-    pub address: String,
+    pub address: SocketAddr,
     /// Resources that it offers.
     pub capacity: Resources,
     /// Its labels: kind and rack.
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -150,7 +150,7 @@
     if state.is_leaving() {
         return Vec::new();
     }
-    let address = state.heartbeat.address.clone();
+    let address = state.heartbeat.address.to_string();
     let runs = crashed_runs(&state);
     let unstable = machines.contains(&address);
     machines.record(&address, &runs);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -150,7 +150,7 @@
 
 impl ManagedWorker {
     pub fn new(context: AgentContext, zones: Option<Arc<ZoneWatch>>, heartbeat: Heartbeat) -> Self {
-        let client = (context.dial)(&heartbeat.address);
+        let client = (context.dial)(heartbeat.address);
         let lease = lease::duration(context.max_lease);
         let state = State {
             incarnation: WorkerIncarnation {
@@ -380,7 +380,7 @@
             service: self.heartbeat.service.clone(),
             capacity,
             labels: self.heartbeat.labels.clone(),
-            address: self.heartbeat.address.clone(),
+            address: self.heartbeat.address.to_string(),
             zone: self.heartbeat.zone.clone(),
             acked_suspicion: self.suspicion.as_ref().map_or(0, |s| s.number),
             headroom: self.pacing.headroom(),
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -17,6 +17,7 @@
 mod waiting;
 mod zones;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,7 +35,7 @@
 use crate::store::KeyedLog;
 
 /// Creates a client of the worker at an address.
-pub type Dial = fn(&str) -> Arc<dyn WorkerClient>;
+pub type Dial = fn(SocketAddr) -> Arc<dyn WorkerClient>;
 
 /// Dependencies and settings of an agent.
 #[derive(Debug, Clone)]
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -87,7 +87,7 @@
         if has_successor(&workers, &heartbeat) {
             log::info!(
                 event = "heartbeat_stale", worker = heartbeat.name.as_str(),
-                born = heartbeat.started_ms, address = heartbeat.address.as_str(); ""
+                born = heartbeat.started_ms, address:% = heartbeat.address; ""
             );
             return;
         }
@@ -208,7 +208,7 @@
 /// Stops the tasks of workers that have left the address of `heartbeat`, once that is recorded.
 fn forget_departed(workers: &mut HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) {
     workers.retain(|_, registered| {
-        let address = registered.worker.state().heartbeat.address.clone();
+        let address = registered.worker.state().heartbeat.address;
         let departed = registered.worker.departed.is_cancelled() && address == heartbeat.address;
         if departed {
             registered.stop.cancel();
@@ -221,7 +221,7 @@
     let state = worker.state();
     log::info!(
         event = "worker_found", worker:% = state.incarnation, state:% = state.status,
-        service = state.heartbeat.service.as_str(), address = state.heartbeat.address.as_str(); ""
+        service = state.heartbeat.service.as_str(), address:% = state.heartbeat.address; ""
     );
 }
 
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -1,6 +1,8 @@
 //! An in-memory worker that honors leases.
 
 use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -95,7 +97,15 @@
 pub(crate) struct FakeWorker(Arc<Mutex<State>>);
 
 /// Workers of this process by address, for the clients of agents.
-static WORKERS: OnceLock<Mutex<HashMap<String, FakeWorker>>> = OnceLock::new();
+static WORKERS: OnceLock<Mutex<HashMap<SocketAddr, FakeWorker>>> = OnceLock::new();
+
+/// Returns the address that stands for a name.
+pub(crate) fn address_of(name: &str) -> SocketAddr {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    let host = (hasher.finish() & 0xff_ffff) as u32;
+    SocketAddr::from((Ipv4Addr::from_bits(10 << 24 | host), 8_080))
+}
 
 impl FakeWorker {
     /// Registers a worker at `address`.
@@ -119,15 +129,15 @@
         })));
         let workers = WORKERS.get_or_init(Mutex::default);
         let mut workers = workers.lock().expect("the lock is not poisoned");
-        workers.insert(address.to_owned(), worker.clone());
+        workers.insert(address_of(address), worker.clone());
         worker
     }
 
     /// Returns a client of the worker at `address`.
-    pub(crate) fn dial(address: &str) -> Arc<dyn WorkerClient> {
+    pub(crate) fn dial(address: SocketAddr) -> Arc<dyn WorkerClient> {
         let workers = WORKERS.get_or_init(Mutex::default);
         let workers = workers.lock().expect("the lock is not poisoned");
-        Arc::new(workers.get(address).expect("the worker is open").clone())
+        Arc::new(workers.get(&address).expect("the worker is open").clone())
     }
 
     /// Returns a heartbeat of the worker at `address`, which is at least in incarnation
@@ -138,7 +148,7 @@
         if let Some(worker) = workers
             .lock()
             .expect("the lock is not poisoned")
-            .get(address)
+            .get(&address_of(address))
         {
             let mut state = worker.state();
             state.incarnation = state.incarnation.max(started_ms);
@@ -152,7 +162,7 @@
             draining: false,
             service: "seatbook".to_owned(),
             zone: "north".to_owned(),
-            address: address.to_owned(),
+            address: address_of(address),
             capacity: Resources::new(4_000, 1_000, 0),
             labels: vec!["a".to_owned()],
             cold_ms: 0,
