Give up a known worker only once its address confirms the successor

Cause: a heartbeat with a later start replaced the known incarnation, and one of another name at its address recorded it as gone, although a heartbeat may come from another writer. The true heartbeats counted as late from then on. Change: a heartbeat that names anything but a known incarnation is a claim. The address is asked by a lease call that renews and acknowledges nothing and names the claimed worker; only if it answers, and its lists carry the claimed start, the worker is registered. Until then the known one stays managed. If lists carry no start, the worker's clock tells incarnations of one name apart, since it starts anew. An answer that arrives after a later one of the known worker doesn't count. A claim is asked for 1.5 s, every 0.1 s, so that a restarted worker needs no further heartbeat; 32 claims at a time, the oldest makes room. Rejected messages are counted (MessageRejected) and logged once per cause in ten seconds. Ruled out: a bound on the time of day, as clocks jump by seconds; registering unknown names without an answer, as each one reads the store. The fakes reject calls that name another worker, as the platform's workers do.

--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -50,6 +50,11 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Returns whether the worker has answered a call after `time`.
+    pub fn answered_since(&self, time: Instant) -> bool {
+        self.answered_at > time
+    }
+
     /// Returns whether the last call has failed.
     pub const fn has_failed(&self) -> bool {
         self.failures > 0
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -1,7 +1,9 @@
 //! An agent runs what the leader orders on the workers of its machine.
 
+mod claims;
 mod client;
 mod crash;
+mod doubts;
 mod ends;
 mod execute;
 mod follow;
@@ -27,6 +29,7 @@
     CallError, Heartbeat, LeaseReply, ListedEnd, ListedRun, Rejection, StartOrder, StartReply,
     WorkerClient,
 };
+pub use doubts::Doubt;
 pub use registry::WorkerRegistry;
 pub use zones::WithdrawalSettings;
 
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -1,7 +1,8 @@
 //! Registry of the workers that send heartbeats to this agent.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::fmt::Display;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use agate_jobs::{LossReason, RunEnd, WorkerState};
@@ -10,13 +11,18 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use super::claims::{Claim, Evidence, PendingClaims, Verdict};
 use super::client::Heartbeat;
 use super::crash::UnstableMachines;
+use super::doubts::{Doubt, Doubts};
 use super::managed::ManagedWorker;
 use super::zones::{self, ZoneWatch};
 use super::{AgentContext, crash, execute, follow, renewal, report, shutdown};
 use crate::clock;
 
+/// Maximum number of workers. Each one costs reads of its orders.
+const MAX_WORKERS: usize = 256;
+
 /// A worker and the token that stops its tasks.
 #[derive(Debug)]
 struct RegisteredWorker {
@@ -26,18 +32,29 @@
 
 /// The workers of this machine by name.
 #[derive(Debug)]
-pub struct WorkerRegistry {
+pub struct WorkerRegistry(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
     context: AgentContext,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     zones: Option<Arc<ZoneWatch>>,
-    /// Stops the follower of the zones.
+    /// Stops the follower of the zones and the checks of claims.
     stop: CancellationToken,
-    workers: Mutex<HashMap<String, RegisteredWorker>>,
-    unstable: Mutex<UnstableMachines>,
+    book: Mutex<Book>,
+    doubts: Arc<Doubts>,
     /// Cancelled when the agent is told to stop.
     stopping: CancellationToken,
 }
 
+/// The workers that have answered, and the claims that are being checked.
+#[derive(Debug, Default)]
+struct Book {
+    workers: HashMap<String, RegisteredWorker>,
+    claims: PendingClaims,
+    unstable: UnstableMachines,
+}
+
 impl WorkerRegistry {
     /// Creates an empty registry, and follows the withdrawn zones if the settings ask for it.
     pub fn new(context: AgentContext) -> Self {
@@ -46,70 +63,52 @@
         if let Some(watch) = &watch {
             follow_zones(&context, watch, &stop);
         }
-        Self {
+        Self(Arc::new(Shared {
             context,
             zones: watch,
             stop,
-            workers: Mutex::default(),
-            unstable: Mutex::default(),
+            book: Mutex::default(),
+            doubts: Arc::default(),
             stopping: CancellationToken::new(),
-        }
+        }))
     }
 
-    /// Applies a heartbeat. One of an earlier incarnation is ignored.
+    /// Applies a heartbeat of a known incarnation. Any other one is a claim: the worker is registered
+    /// once it has confirmed it.
     pub fn apply_heartbeat(&self, heartbeat: Heartbeat) {
-        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut unstable = self.unstable.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut crash_ends = Vec::new();
-        if let Some(registered) = workers.get(&heartbeat.name) {
-            let mut state = registered.worker.state();
-            if heartbeat.started_ms < state.incarnation.started_ms {
-                log::info!(
-                    event = "heartbeat_stale", worker = heartbeat.name.as_str(),
-                    born = heartbeat.started_ms, known = state.incarnation.started_ms; ""
-                );
-                return;
-            }
-            if heartbeat.started_ms == state.incarnation.started_ms {
-                if state.apply_heartbeat(heartbeat) {
-                    state.reported_at = None;
-                    log::info!(
-                        event = "worker_changed", worker:% = state.incarnation,
-                        state:% = state.status; ""
-                    );
-                    registered.worker.changed.notify_waiters();
-                }
-                return;
-            }
-            drop(state);
-            crash_ends = crash::end_runs(&registered.worker, LossReason::Restarted, &mut unstable);
-        }
-        if has_successor(&workers, &heartbeat) {
-            log::info!(
-                event = "heartbeat_stale", worker = heartbeat.name.as_str(),
-                born = heartbeat.started_ms, address:% = heartbeat.address; ""
-            );
+        let mut book = self.0.book();
+        let Some(heartbeat) = self.0.apply_known(&book, heartbeat) else {
             return;
-        }
-        record_predecessors_gone(&workers, &heartbeat, &mut unstable);
-        forget_departed(&mut workers, &heartbeat);
-        let name = heartbeat.name.clone();
-        let registered = self.register(heartbeat, crash_ends);
-        if let Some(old) = workers.insert(name, registered) {
-            old.stop.cancel();
-        }
+        };
+        let claim = Claim::of(&heartbeat);
+        let Some(displaced) = book.claims.add(heartbeat) else {
+            return;
+        };
+        drop(book);
+        let shared = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            let client = (shared.context.dial)(claim.address);
+            let check = displaced.run_until_cancelled(claim.check(&client)).await;
+            if let Some(verdict) = check {
+                shared.settle(&claim, verdict);
+            }
+        });
+    }
+
+    /// Counts a rejected message about the worker called `name`, and logs it unless one of its kind has
+    /// just been logged.
+    pub fn reject(&self, doubt: Doubt, name: &str, detail: &dyn Display) {
+        self.0.reject(doubt, name, detail);
     }
 
     /// Returns the number of known workers.
     pub fn worker_count(&self) -> usize {
-        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        workers.len()
+        self.0.book().workers.len()
     }
 
     /// Marks a worker as gone.
     pub fn mark_gone(&self, name: &str) {
-        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(registered) = workers.get(name) {
+        if let Some(registered) = self.0.book().workers.get(name) {
             record_gone(&registered.worker);
         }
     }
@@ -119,7 +118,7 @@
     /// allowed, so that the next agent can adopt them.
     pub async fn shut_down(&self, limit: Duration) {
         let until = Instant::now() + limit;
-        self.stopping.cancel();
+        self.0.stopping.cancel();
         for worker in self.managed_workers() {
             shutdown::announce(&worker);
         }
@@ -136,18 +135,112 @@
     }
 
     fn managed_workers(&self) -> Vec<Arc<ManagedWorker>> {
-        let workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        workers.values().map(|w| Arc::clone(&w.worker)).collect()
+        let book = self.0.book();
+        let workers = book.workers.values();
+        workers.map(|w| Arc::clone(&w.worker)).collect()
     }
 
     /// Stops all tasks of the agent without notifying them, as the end of the process does.
     pub fn detach_all(&self) {
-        self.stop.cancel();
-        let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
-        for (_, registered) in workers.drain() {
+        self.0.stop.cancel();
+        let mut book = self.0.book();
+        book.claims.clear();
+        for (_, registered) in book.workers.drain() {
             registered.stop.cancel();
         }
     }
+}
+
+impl Shared {
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reject(&self, doubt: Doubt, name: &str, detail: &dyn Display) {
+        self.doubts
+            .record(&self.context.metrics, doubt, name, detail);
+    }
+
+    /// Applies a heartbeat of a known incarnation or of an earlier one, which is ignored. Returns any
+    /// other one.
+    fn apply_known(&self, book: &Book, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        let Some(registered) = book.workers.get(&heartbeat.name) else {
+            return Some(heartbeat);
+        };
+        let mut state = registered.worker.state();
+        let known = state.incarnation.started_ms;
+        if heartbeat.started_ms > known {
+            return Some(heartbeat);
+        }
+        if heartbeat.started_ms < known {
+            self.reject(
+                Doubt::EarlierIncarnation,
+                &heartbeat.name,
+                &state.incarnation,
+            );
+            return None;
+        }
+        if state.apply_heartbeat(heartbeat) {
+            state.reported_at = None;
+            log::info!(
+                event = "worker_changed", worker:% = state.incarnation,
+                state:% = state.status; ""
+            );
+            registered.worker.changed.notify_waiters();
+        }
+        None
+    }
+
+    /// Registers the worker of a claim that is confirmed, and rejects any other claim.
+    fn settle(&self, claim: &Claim, verdict: Verdict) {
+        let mut book = self.book();
+        let Some(heartbeat) = book.claims.take(claim) else {
+            return;
+        };
+        let outcome = match verdict {
+            Verdict::Confirmed(evidence) => self.adopt(&mut book, heartbeat, evidence),
+            Verdict::Refuted => Err(Doubt::Refuted),
+            Verdict::Unanswered => Err(Doubt::Unanswered),
+        };
+        if let Err(doubt) = outcome {
+            self.reject(doubt, &claim.name, &claim.address);
+        }
+    }
+
+    fn adopt(
+        &self,
+        book: &mut Book,
+        heartbeat: Heartbeat,
+        evidence: Evidence,
+    ) -> Result<(), Doubt> {
+        if self.stop.is_cancelled() {
+            return Ok(());
+        }
+        let Some(heartbeat) = self.apply_known(book, heartbeat) else {
+            return Ok(());
+        };
+        if is_contradicted(&book.workers, &heartbeat, evidence) {
+            return Err(Doubt::Refuted);
+        }
+        let Book {
+            workers, unstable, ..
+        } = book;
+        let known = workers.get(&heartbeat.name);
+        let crash_ends = known
+            .map(|known| crash::end_runs(&known.worker, LossReason::Restarted, unstable))
+            .unwrap_or_default();
+        record_predecessors_gone(workers, &heartbeat, unstable);
+        forget_departed(workers, &heartbeat);
+        if workers.len() >= MAX_WORKERS && !workers.contains_key(&heartbeat.name) {
+            return Err(Doubt::TooManyWorkers);
+        }
+        let name = heartbeat.name.clone();
+        let registered = self.register(heartbeat, crash_ends);
+        if let Some(old) = workers.insert(name, registered) {
+            old.stop.cancel();
+        }
+        Ok(())
+    }
 
     fn register(&self, heartbeat: Heartbeat, crash_ends: Vec<RunEnd>) -> RegisteredWorker {
         let worker = Arc::new(ManagedWorker::new(
@@ -171,9 +264,28 @@
     }
 }
 
-/// Marks workers of other names that started earlier at the address of `heartbeat` as gone. Calls
-/// name the worker, so nothing meant for them can run any more. An earlier incarnation of the same
-/// name is settled by its successor.
+/// Returns whether a known worker has answered since the claim of `heartbeat` was checked, so that the
+/// answer to the check came late. An answer without a start can't tell the incarnations of a worker
+/// apart; its clock starts anew with each of them.
+fn is_contradicted(
+    workers: &HashMap<String, RegisteredWorker>,
+    heartbeat: &Heartbeat,
+    evidence: Evidence,
+) -> bool {
+    workers.values().any(|registered| {
+        let state = registered.worker.state();
+        let same_name = state.incarnation.name == heartbeat.name;
+        let same_address = state.heartbeat.address == heartbeat.address;
+        let clock = state.clock.filter(|_| same_name && !evidence.names_start);
+        let is_same_life = clock.is_some_and(|clock| evidence.worker_ms >= clock.worker_ms);
+        let has_answered = state.contact.answered_since(evidence.asked_at);
+        (same_name || same_address) && (has_answered || is_same_life)
+    })
+}
+
+/// Marks workers of other names at the address of `heartbeat` as gone. The worker there rejects calls
+/// that name them, so nothing meant for them can run any more. An earlier incarnation of the same name is
+/// settled by its successor.
 fn record_predecessors_gone(
     workers: &HashMap<String, RegisteredWorker>,
     heartbeat: &Heartbeat,
@@ -184,7 +296,6 @@
             let state = registered.worker.state();
             state.heartbeat.address == heartbeat.address
                 && state.incarnation.name != heartbeat.name
-                && state.incarnation.started_ms < heartbeat.started_ms
                 && state.status != WorkerState::Gone
         };
         if older {
@@ -195,16 +306,6 @@
     }
 }
 
-/// Returns whether a worker that started later is known at the address of `heartbeat`, which has then
-/// been delayed.
-fn has_successor(workers: &HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) -> bool {
-    workers.values().any(|registered| {
-        let state = registered.worker.state();
-        state.heartbeat.address == heartbeat.address
-            && state.incarnation.started_ms > heartbeat.started_ms
-    })
-}
-
 /// Stops the tasks of workers that have left the address of `heartbeat`, once that is recorded.
 fn forget_departed(workers: &mut HashMap<String, RegisteredWorker>, heartbeat: &Heartbeat) {
     workers.retain(|_, registered| {
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -138,6 +138,13 @@
         worker.record_contact(&mut state, false);
         return Err(CallError::OtherLife.to_string());
     }
+    let clock_went_back = state
+        .clock
+        .is_some_and(|clock| reply.worker_ms < clock.worker_ms);
+    if reply.started_ms.is_none() && clock_went_back {
+        worker.record_contact(&mut state, false);
+        return Err(CallError::OtherLife.to_string());
+    }
     worker.record_contact(&mut state, true);
     state.clock = Some(ClockReading {
         worker_ms: reply.worker_ms,
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -49,6 +49,8 @@
     PaceChanged,
     /// A worker came under suspicion.
     WorkerSuspected,
+    /// A message about a worker was not believed.
+    MessageRejected,
     /// A lease lapsed.
     LeaseLapsed,
     /// A worker crashed: it restarted or was replaced without having announced that it leaves.
--- /dev/null
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -0,0 +1,118 @@
+//! Odd heartbeats among those of a worker, as another writer sends them.
+
+use std::time::Duration;
+
+use agate_node::agent::{Heartbeat, WorkerRegistry};
+use rstest::rstest;
+use tokio::time::{Instant, sleep};
+
+use crate::support::{Caller as _, Cluster, FakeWorker, address_of, one_task_job, wait_until};
+
+/// Time for which true heartbeats follow an odd one.
+const FOLLOWED_FOR: Duration = Duration::from_secs(20);
+
+/// Time between heartbeats.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Sends true heartbeats of the worker `w1` for [`FOLLOWED_FOR`].
+async fn follow_up(agent: &WorkerRegistry) {
+    let until = Instant::now() + FOLLOWED_FOR;
+    while Instant::now() < until {
+        sleep(HEARTBEAT_PERIOD).await;
+        agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    }
+}
+
+/// Starts a long run on `w1`, lets `disturb` do its work, and checks that the run goes on and that the
+/// next job is started there too.
+async fn assert_in_service(hides_start: bool, disturb: impl AsyncFnOnce(&WorkerRegistry)) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    if hides_start {
+        worker.hide_start();
+    }
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    disturb(&agent).await;
+    follow_up(&agent).await;
+    assert_eq!(worker.running(), 1, "the run ended");
+    assert_eq!(worker.started_runs().len(), 1, "it was started again");
+    entry.submit_job(2, one_task_job()).await;
+    wait_until("the next job runs", || worker.running() == 2).await;
+    assert_eq!(agent.worker_count(), 1);
+}
+
+/// The worker was given up for an incarnation that nobody had confirmed.
+#[rstest]
+#[case::later_start(|h| Heartbeat { started_ms: u64::MAX, ..h })]
+#[case::other_name(|h| Heartbeat { name: "w9".to_owned(), started_ms: 2, ..h })]
+#[case::other_name_without_start(|h| Heartbeat { name: "w9".to_owned(), started_ms: 0, ..h })]
+#[case::other_service(|h| Heartbeat {
+    name: "w9".to_owned(), started_ms: 2, service: "elsewhere".to_owned(), ..h
+})]
+#[case::nobody_there(|h| Heartbeat { started_ms: 2, address: address_of("nobody"), ..h })]
+#[tokio::test(start_paused = true)]
+async fn an_odd_heartbeat_leaves_the_worker_in_service(
+    #[case] change: fn(Heartbeat) -> Heartbeat,
+    #[values(false, true)] hides_start: bool,
+) {
+    assert_in_service(hides_start, async |agent| {
+        agent.apply_heartbeat(change(FakeWorker::heartbeat("w1", "w1", 1)));
+    })
+    .await;
+}
+
+/// A worker that crashed while an odd claim was open must come back as soon as without it.
+#[rstest]
+#[case::same_name("w1")]
+#[case::other_name("w1-2")]
+#[tokio::test(start_paused = true)]
+async fn a_restart_registers_at_once_beside_an_odd_claim(
+    #[case] name: &str,
+    #[values(false, true)] hides_start: bool,
+) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    if hides_start {
+        worker.hide_start();
+    }
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    sleep(Duration::from_secs(2)).await;
+    worker.crash();
+    agent.apply_heartbeat(Heartbeat {
+        started_ms: 7,
+        ..FakeWorker::heartbeat("w1", "w1", 1)
+    });
+    sleep(Duration::from_millis(300)).await;
+    worker.recover();
+    let began = Instant::now();
+    agent.apply_heartbeat(FakeWorker::heartbeat(name, "w1", 2));
+    wait_until("it runs again", || worker.running() == 1).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+/// Each name costs reads of its orders.
+#[tokio::test(start_paused = true)]
+async fn names_that_nobody_confirms_are_not_managed() {
+    assert_in_service(false, async |agent| {
+        for number in 0..1_000 {
+            agent.apply_heartbeat(Heartbeat {
+                name: format!("odd-{number}"),
+                address: address_of("nobody"),
+                ..FakeWorker::heartbeat("w1", "w1", 1)
+            });
+        }
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(agent.worker_count(), 1);
+    })
+    .await;
+}
--- a/crates/agate_node/tests/it/support/mod.rs
+++ b/crates/agate_node/tests/it/support/mod.rs
@@ -11,4 +11,4 @@
 };
 pub(crate) use log::{FakeLog, Fault};
 pub(crate) use network::{Link, Network, address};
-pub(crate) use worker::{Behavior, FakeWorker};
+pub(crate) use worker::{Behavior, FakeWorker, address_of};
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -70,6 +70,8 @@
 #[derive(Debug)]
 struct State {
     behavior: Behavior,
+    /// Name of its incarnation. Calls that name another one are rejected.
+    name: String,
     /// Number of its incarnation.
     incarnation: u64,
     started_at: Instant,
@@ -90,6 +92,8 @@
     crashes: u32,
     /// Number of heartbeats that were sent.
     heartbeats: u64,
+    /// Whether lists lack the start of the incarnation.
+    hides_start: bool,
 }
 
 /// A worker. Clones share its state.
@@ -110,8 +114,17 @@
 impl FakeWorker {
     /// Registers a worker at `address`.
     pub(crate) fn open(address: &str) -> Self {
-        let worker = Self(Arc::new(Mutex::new(State {
+        let worker = Self::create(address);
+        let workers = WORKERS.get_or_init(Mutex::default);
+        let mut workers = workers.lock().expect("the lock is not poisoned");
+        workers.insert(address_of(address), worker.clone());
+        worker
+    }
+
+    fn create(name: &str) -> Self {
+        Self(Arc::new(Mutex::new(State {
             behavior: Behavior::default(),
+            name: name.to_owned(),
             incarnation: 1,
             started_at: Instant::now(),
             running: HashMap::new(),
@@ -126,22 +139,25 @@
             crashing_job: None,
             crashes: 0,
             heartbeats: 0,
-        })));
-        let workers = WORKERS.get_or_init(Mutex::default);
-        let mut workers = workers.lock().expect("the lock is not poisoned");
-        workers.insert(address_of(address), worker.clone());
-        worker
+            hides_start: false,
+        })))
     }
 
-    /// Returns a client of the worker at `address`.
+    /// Returns a client of the worker at `address`; without one, connections are refused.
     pub(crate) fn dial(address: SocketAddr) -> Arc<dyn WorkerClient> {
         let workers = WORKERS.get_or_init(Mutex::default);
         let workers = workers.lock().expect("the lock is not poisoned");
-        Arc::new(workers.get(&address).expect("the worker is open").clone())
+        let worker = workers.get(&address).cloned();
+        let worker = worker.unwrap_or_else(|| {
+            let nobody = Self::create("");
+            nobody.set_behavior(Behavior::Unreachable);
+            nobody
+        });
+        Arc::new(worker)
     }
 
     /// Returns a heartbeat of the worker at `address`, which is at least in incarnation
-    /// `started_ms` from then on.
+    /// `started_ms` from then on, and called `name` unless it is in a later one.
     pub(crate) fn heartbeat(name: &str, address: &str, started_ms: u64) -> Heartbeat {
         let workers = WORKERS.get_or_init(Mutex::default);
         let mut sequence = 1;
@@ -151,7 +167,10 @@
             .get(&address_of(address))
         {
             let mut state = worker.state();
-            state.incarnation = state.incarnation.max(started_ms);
+            if started_ms >= state.incarnation {
+                state.incarnation = started_ms;
+                name.clone_into(&mut state.name);
+            }
             state.heartbeats += 1;
             sequence = state.heartbeats;
         }
@@ -190,6 +209,11 @@
         self.state().until_stopped = true;
     }
 
+    /// Makes lists lack the start of the incarnation.
+    pub(crate) fn hide_start(&self) {
+        self.state().hides_start = true;
+    }
+
     /// Makes the worker crash as soon as a task of `job` has started.
     pub(crate) fn crash_under(&self, job: JobId) {
         self.state().crashing_job = Some(job);
@@ -244,7 +268,7 @@
         self.0.lock().expect("the lock is not poisoned")
     }
 
-    async fn ensure_reachable(&self) -> Result<(), CallError> {
+    async fn ensure_reachable(&self, incarnation: &WorkerIncarnation) -> Result<(), CallError> {
         sleep(CALL_TIME).await;
         let behavior = self.state().behavior;
         match behavior {
@@ -253,6 +277,7 @@
                 sleep(SILENT_CALL_TIME).await;
                 Err(CallError::Unknown("timed out".to_owned()))
             }
+            _ if self.state().name != incarnation.name => Err(CallError::OtherLife),
             _ => Ok(()),
         }
     }
@@ -340,12 +365,12 @@
 impl WorkerClient for FakeWorker {
     async fn start(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         order: &StartOrder,
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
         self.state().start_attempts += 1;
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         let behavior = self.state().behavior;
         match behavior {
             Behavior::StartsLate => sleep(LATE_START_TIME).await,
@@ -375,11 +400,11 @@
 
     async fn stop(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         task: TaskKey,
         run: u32,
     ) -> Result<(), CallError> {
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         if self.state().behavior == Behavior::SlowStops {
             sleep(STOP_TIME).await;
         }
@@ -398,12 +423,12 @@
 
     async fn renew_lease(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         deadline_ms: Option<u64>,
         acknowledged: u64,
         wait: Duration,
     ) -> Result<LeaseReply, CallError> {
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         if let Some(deadline) = deadline_ms {
             let mut state = self.state();
             state.lease_ms = state.lease_ms.max(deadline);
@@ -434,12 +459,12 @@
 
     async fn set_pace(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         _task: TaskKey,
         _run: u32,
         _percent: u32,
     ) -> Result<(), CallError> {
-        self.ensure_reachable().await
+        self.ensure_reachable(incarnation).await
     }
 }
 
@@ -461,7 +486,7 @@
         gauge: 1_000,
     });
     LeaseReply {
-        started_ms: Some(state.incarnation),
+        started_ms: (!state.hides_start).then_some(state.incarnation),
         worker_ms: state.clock_ms(),
         running: running.collect(),
         ended: state.ended.clone(),
