Keep one odd number from silencing the heartbeats that follow it

Cause: the highest number of a heartbeat was believed for good, so that after 2^64 - 1 each later heartbeat counted as late: a worker said that it drained, and new work was still started on it. Reports carried the number to the leader, which would have ignored all later ones. Late calls go back and arrive together, and stay ignored. The first number of an incarnation is at most 1,000 beyond the milliseconds on the worker's own clock. Reports carry the highest accepted number, so that they never go back.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -17,8 +17,10 @@
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
 use super::crash::Contact;
+use super::doubts::Doubt;
 use super::introduction::Introduction;
 use super::pacing::Pacing;
+use super::sequence::SequenceOrder;
 use super::stall::Progress;
 use super::waiting::WaitingOrders;
 use super::zones::ZoneWatch;
@@ -88,6 +90,8 @@
 pub(super) struct State {
     pub incarnation: WorkerIncarnation,
     pub heartbeat: Heartbeat,
+    /// Order of its heartbeats.
+    pub sequence: SequenceOrder,
     /// Boot time until which the worker is slow after its start.
     pub cold_until: Duration,
     /// Whether reports say how long the worker stays slow.
@@ -161,6 +165,7 @@
             status: status_of(&heartbeat),
             cold_until: clock::boottime() + Duration::from_millis(heartbeat.cold_ms),
             reports_cold: zones.is_some(),
+            sequence: SequenceOrder::new(heartbeat.sequence),
             heartbeat,
             agent: AgentState::Serving,
             orders: HashMap::new(),
@@ -225,9 +230,13 @@
 
 impl State {
     /// Applies a heartbeat of the same incarnation. Returns whether anything has changed.
-    pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat) -> bool {
-        if heartbeat.sequence < self.heartbeat.sequence {
-            return false;
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the heartbeat is not the newest one.
+    pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat) -> Result<bool, Doubt> {
+        if !self.sequence.accept(heartbeat.sequence) {
+            return Err(Doubt::OutOfSequence);
         }
         let was = (
             self.status,
@@ -239,11 +248,12 @@
         }
         self.cold_until = clock::boottime() + Duration::from_millis(heartbeat.cold_ms);
         self.heartbeat = heartbeat;
-        was != (
+        let is = (
             self.status,
             self.heartbeat.capacity,
             self.heartbeat.labels.clone(),
-        )
+        );
+        Ok(was != is)
     }
 
     /// Returns whether the newest suspicion that has been read is open.
@@ -388,7 +398,7 @@
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
             agent: self.agent,
-            heartbeat: self.heartbeat.sequence,
+            heartbeat: self.sequence.highest(),
             started_jobs: self
                 .started_jobs
                 .iter()
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -14,6 +14,7 @@
 mod registry;
 mod renewal;
 mod report;
+mod sequence;
 mod shutdown;
 mod stall;
 mod waiting;
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -23,6 +23,9 @@
 /// Maximum number of workers. Each one costs reads of its orders.
 const MAX_WORKERS: usize = 256;
 
+/// Largest number of a heartbeat that a worker sends as it starts. It sends less than one a millisecond.
+const MAX_FIRST_NUMBER: u64 = 1_000;
+
 /// A worker and the token that stops its tasks.
 #[derive(Debug)]
 struct RegisteredWorker {
@@ -180,13 +183,18 @@
             );
             return None;
         }
-        if state.apply_heartbeat(heartbeat) {
-            state.reported_at = None;
-            log::info!(
-                event = "worker_changed", worker:% = state.incarnation,
-                state:% = state.status; ""
-            );
-            registered.worker.changed.notify_waiters();
+        let number = heartbeat.sequence;
+        match state.apply_heartbeat(heartbeat) {
+            Ok(true) => {
+                state.reported_at = None;
+                log::info!(
+                    event = "worker_changed", worker:% = state.incarnation,
+                    state:% = state.status; ""
+                );
+                registered.worker.changed.notify_waiters();
+            }
+            Ok(false) => {}
+            Err(doubt) => self.reject(doubt, &state.incarnation.name, &number),
         }
         None
     }
@@ -219,6 +227,9 @@
         let Some(heartbeat) = self.apply_known(book, heartbeat) else {
             return Ok(());
         };
+        if heartbeat.sequence > MAX_FIRST_NUMBER.saturating_add(evidence.worker_ms) {
+            return Err(Doubt::OutOfSequence);
+        }
         if is_contradicted(&book.workers, &heartbeat, evidence) {
             return Err(Doubt::Refuted);
         }
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -53,6 +53,8 @@
     name: "w9".to_owned(), started_ms: 2, service: "elsewhere".to_owned(), ..h
 })]
 #[case::nobody_there(|h| Heartbeat { started_ms: 2, address: address_of("nobody"), ..h })]
+#[case::endless_number(|h| Heartbeat { sequence: u64::MAX, ..h })]
+#[case::later_number(|h: Heartbeat| Heartbeat { sequence: h.sequence + 10, ..h })]
 #[tokio::test(start_paused = true)]
 async fn an_odd_heartbeat_leaves_the_worker_in_service(
     #[case] change: fn(Heartbeat) -> Heartbeat,
@@ -116,3 +118,59 @@
     })
     .await;
 }
+
+/// A number that is far ahead silenced the announcement that the worker leaves.
+#[rstest]
+#[case::endless(u64::MAX)]
+#[case::later(12)]
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_drains_after_an_odd_number_starts_nothing(
+    #[case] sequence: u64,
+    #[values(false, true)] first: bool,
+) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let agent = Cluster::agent(cluster.log.client());
+    let mut heartbeats = [1, 2, sequence];
+    if first {
+        heartbeats.rotate_right(1);
+    }
+    for sequence in heartbeats {
+        agent.apply_heartbeat(Heartbeat {
+            sequence,
+            ..FakeWorker::heartbeat("w1", "w1", 1)
+        });
+        sleep(HEARTBEAT_PERIOD).await;
+    }
+    for sequence in 3..5 {
+        agent.apply_heartbeat(Heartbeat {
+            draining: true,
+            sequence,
+            ..FakeWorker::heartbeat("w1", "w1", 1)
+        });
+        sleep(HEARTBEAT_PERIOD).await;
+    }
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(5)).await;
+    assert!(worker.started_runs().is_empty());
+}
+
+/// Calls that were delayed arrive together, after a later one.
+#[tokio::test(start_paused = true)]
+async fn late_heartbeats_do_not_end_a_drain() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    sleep(HEARTBEAT_PERIOD).await;
+    for (sequence, draining) in [(6, true), (3, false), (4, false), (5, false)] {
+        agent.apply_heartbeat(Heartbeat {
+            draining,
+            sequence,
+            ..FakeWorker::heartbeat("w1", "w1", 1)
+        });
+    }
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(5)).await;
+    assert!(worker.started_runs().is_empty());
+}
