Return a worker to service after an odd heartbeat that drains it

Cause: a worker that had once said that it drains kept that state although its later heartbeats said that it is ready; and a heartbeat that named another address replaced the one that the worker had confirmed, so that its successor there didn't end its runs. Change: the newest heartbeat decides whether the worker drains. One that names another address than the confirmed one of its incarnation is rejected.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -233,8 +233,12 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason if the heartbeat is not the newest one.
+    /// Returns the reason if the heartbeat is not the newest one, or names an address that has not
+    /// confirmed it.
     pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat) -> Result<bool, Doubt> {
+        if heartbeat.address != self.heartbeat.address {
+            return Err(Doubt::OtherAddress);
+        }
         if !self.sequence.accept(heartbeat.sequence) {
             return Err(Doubt::OutOfSequence);
         }
@@ -243,7 +247,8 @@
             self.heartbeat.capacity,
             self.heartbeat.labels.clone(),
         );
-        if self.status == WorkerState::Ready && !self.unreachable {
+        let in_service = matches!(self.status, WorkerState::Ready | WorkerState::Draining);
+        if in_service && !self.unreachable {
             self.status = status_of(&heartbeat);
         }
         self.cold_until = clock::boottime() + Duration::from_millis(heartbeat.cold_ms);
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agate_core::Resources;
 use agate_node::agent::{Heartbeat, WorkerRegistry};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
@@ -53,6 +54,8 @@
     name: "w9".to_owned(), started_ms: 2, service: "elsewhere".to_owned(), ..h
 })]
 #[case::nobody_there(|h| Heartbeat { started_ms: 2, address: address_of("nobody"), ..h })]
+#[case::draining(|h| Heartbeat { draining: true, ..h })]
+#[case::no_capacity(|h| Heartbeat { capacity: Resources::ZERO, ..h })]
 #[case::endless_number(|h| Heartbeat { sequence: u64::MAX, ..h })]
 #[case::later_number(|h: Heartbeat| Heartbeat { sequence: h.sequence + 10, ..h })]
 #[tokio::test(start_paused = true)]
@@ -68,11 +71,13 @@
 
 /// A worker that crashed while an odd claim was open must come back as soon as without it.
 #[rstest]
-#[case::same_name("w1")]
-#[case::other_name("w1-2")]
+#[case::same_name("w1", |h| Heartbeat { started_ms: 7, ..h })]
+#[case::other_name("w1-2", |h| Heartbeat { started_ms: 7, ..h })]
+#[case::other_address("w1-2", |h| Heartbeat { address: address_of("nobody"), ..h })]
 #[tokio::test(start_paused = true)]
 async fn a_restart_registers_at_once_beside_an_odd_claim(
     #[case] name: &str,
+    #[case] change: fn(Heartbeat) -> Heartbeat,
     #[values(false, true)] hides_start: bool,
 ) {
     let cluster = Cluster::new();
@@ -86,10 +91,7 @@
     wait_until("it runs", || worker.running() == 1).await;
     sleep(Duration::from_secs(2)).await;
     worker.crash();
-    agent.apply_heartbeat(Heartbeat {
-        started_ms: 7,
-        ..FakeWorker::heartbeat("w1", "w1", 1)
-    });
+    agent.apply_heartbeat(change(FakeWorker::heartbeat("w1", "w1", 1)));
     sleep(Duration::from_millis(300)).await;
     worker.recover();
     let began = Instant::now();
