Record a worker as gone only once its address refuses calls

Cause: DELETE /instances/NAME of another writer ended the runs of a worker that went on answering, and kept it out of service for good. Change: after the message the renewals go on. The worker is recorded as gone once two calls in a row have failed and the last one was refused or answered by another worker, 0.15 to 0.3 s after its process has ended. A call without an answer proves nothing: the runs then end with their lease, as after a crash. The message is dropped if the worker answers 10 s later. Ruled out: treating the worker as draining meanwhile; one that leaves has said so before. Measured: on the code without the change an_odd_departure_leaves_the_worker_in_service fails ("the run ended"); that runs of a worker that has left continue elsewhere within a second passes on both.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -1,6 +1,7 @@
 //! A worker that the agent manages.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::fmt::Display;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
 use super::crash::Contact;
-use super::doubts::Doubt;
+use super::doubts::{Doubt, Doubts};
 use super::introduction::Introduction;
 use super::pacing::Pacing;
 use super::sequence::SequenceOrder;
@@ -73,6 +74,7 @@
 #[derive(Debug)]
 pub(super) struct ManagedWorker {
     pub context: AgentContext,
+    pub doubts: Arc<Doubts>,
     pub client: Arc<dyn WorkerClient>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub zones: Option<Arc<ZoneWatch>>,
@@ -128,6 +130,8 @@
     pub has_listed: bool,
     /// Whether the worker has not answered since its lease lapsed.
     pub unreachable: bool,
+    /// Boot time at which a message said that the worker has left; `None` if it has answered since.
+    pub departure: Option<Duration>,
 }
 
 impl Run {
@@ -153,7 +157,12 @@
 }
 
 impl ManagedWorker {
-    pub fn new(context: AgentContext, zones: Option<Arc<ZoneWatch>>, heartbeat: Heartbeat) -> Self {
+    pub fn new(
+        context: AgentContext,
+        doubts: Arc<Doubts>,
+        zones: Option<Arc<ZoneWatch>>,
+        heartbeat: Heartbeat,
+    ) -> Self {
         let client = (context.dial)(heartbeat.address);
         let lease = lease::duration(context.max_lease);
         let state = State {
@@ -187,9 +196,11 @@
             started_jobs: BTreeSet::new(),
             has_listed: false,
             unreachable: false,
+            departure: None,
         };
         Self {
             context,
+            doubts,
             client,
             zones,
             created_at: clock::boottime(),
@@ -203,6 +214,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a message of the worker that was not believed.
+    pub fn reject(&self, state: &State, doubt: Doubt, detail: &dyn Display) {
+        let name = &state.incarnation.name;
+        self.doubts
+            .record(&self.context.metrics, doubt, name, detail);
+    }
+
     /// Records that a call to the worker was answered, or that it failed. The worker is reported at once
     /// if it has become reachable or unreachable.
     pub fn record_contact(&self, state: &mut State, answered: bool) {
@@ -218,6 +236,14 @@
         }
     }
 
+    /// Records that the worker has left.
+    pub fn record_gone(&self, state: &mut State) {
+        state.status = WorkerState::Gone;
+        state.reported_at = None;
+        log::info!(event = "worker_left", worker:% = state.incarnation; "");
+        self.changed.notify_waiters();
+    }
+
     /// Returns the boot time up to which the lease may be renewed; `None` if it may not.
     pub fn lease_limit(&self, state: &State) -> Option<Duration> {
         if state.is_suspected() || state.status == WorkerState::Lapsed {
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -109,10 +109,11 @@
         self.0.book().workers.len()
     }
 
-    /// Marks a worker as gone.
+    /// Handles the message that a worker has left. It is recorded as gone once its address refuses a
+    /// call.
     pub fn mark_gone(&self, name: &str) {
         if let Some(registered) = self.0.book().workers.get(name) {
-            record_gone(&registered.worker);
+            registered.worker.state().departure = Some(clock::boottime());
         }
     }
 
@@ -256,6 +257,7 @@
     fn register(&self, heartbeat: Heartbeat, crash_ends: Vec<RunEnd>) -> RegisteredWorker {
         let worker = Arc::new(ManagedWorker::new(
             self.context.clone(),
+            Arc::clone(&self.doubts),
             self.zones.clone(),
             heartbeat,
         ));
@@ -312,7 +314,8 @@
         if older {
             let ends = crash::end_runs(&registered.worker, LossReason::Replaced, unstable);
             registered.worker.state().crash_ends.extend(ends);
-            record_gone(&registered.worker);
+            let mut state = registered.worker.state();
+            registered.worker.record_gone(&mut state);
         }
     }
 }
@@ -337,15 +340,6 @@
     );
 }
 
-fn record_gone(worker: &ManagedWorker) {
-    let mut state = worker.state();
-    state.status = WorkerState::Gone;
-    state.reported_at = None;
-    log::info!(event = "worker_left", worker:% = state.incarnation; "");
-    drop(state);
-    worker.changed.notify_waiters();
-}
-
 /// Adds a task that is restarted after a failure.
 fn add<F, Fut>(tree: &mut Supervisor, name: &'static str, worker: &Arc<ManagedWorker>, task: F)
 where
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::client::{CallError, LeaseReply};
+use super::doubts::Doubt;
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::{follow, lists, pacing};
 use crate::clock;
@@ -33,6 +34,9 @@
 /// Pause after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Longest time from the message that a worker has left until it stops answering.
+const DEPARTURE_TIME: Duration = Duration::from_secs(10);
+
 /// Silence of a worker after which its lease is no longer renewed, so that it lapses eventually.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
@@ -128,6 +132,7 @@
         Ok(reply) => reply,
         Err(error) => {
             worker.record_contact(&mut state, false);
+            confirm_departure(worker, &mut state, &error);
             return Err(error.to_string());
         }
     };
@@ -146,6 +151,7 @@
         return Err(CallError::OtherLife.to_string());
     }
     worker.record_contact(&mut state, true);
+    refute_departure(worker, &mut state);
     state.clock = Some(ClockReading {
         worker_ms: reply.worker_ms,
         at: clock::boottime(),
@@ -153,6 +159,29 @@
     Ok(reply)
 }
 
+/// Records that the worker has left, if it was said to and now nothing accepts calls for it any more. A
+/// call without an answer proves nothing, as its runs may still hold their lease, nor does a single
+/// connection that failed.
+fn confirm_departure(worker: &ManagedWorker, state: &mut State, error: &CallError) {
+    let is_refused = matches!(error, CallError::NotSent(_) | CallError::OtherLife);
+    let is_told = state.departure.is_some() && state.status != WorkerState::Gone;
+    if is_told && is_refused && state.contact.is_unreachable() {
+        worker.record_gone(state);
+    }
+}
+
+/// Drops the message that the worker has left once it answers long after that.
+fn refute_departure(worker: &ManagedWorker, state: &mut State) {
+    let now = clock::boottime();
+    let refuted = |at: Duration| now.saturating_sub(at) >= DEPARTURE_TIME;
+    if !state.departure.is_some_and(refuted) {
+        return;
+    }
+    state.departure = None;
+    let address = state.heartbeat.address;
+    worker.reject(state, Doubt::StillAnswers, &address);
+}
+
 /// A lease deadline that a call may have set. It is recorded when this is dropped, also if the call is
 /// abandoned: the worker may still execute it.
 struct PendingGrant<'a> {
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -176,3 +176,36 @@
     sleep(Duration::from_secs(5)).await;
     assert!(worker.started_runs().is_empty());
 }
+
+/// A worker that answers has not left, whoever says so.
+#[tokio::test(start_paused = true)]
+async fn an_odd_departure_leaves_the_worker_in_service() {
+    assert_in_service(false, async |agent| agent.mark_gone("w1")).await;
+}
+
+/// The runs of a worker that has left must not wait for its lease.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::after_answers(Duration::from_secs(2))]
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_worker_that_has_left_continue_elsewhere_at_once(#[case] lingers: Duration) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    sleep(HEARTBEAT_PERIOD).await;
+    agent.mark_gone("w1");
+    sleep(lingers).await;
+    let began = Instant::now();
+    worker.crash();
+    wait_until("it runs elsewhere", || other.running() == 1).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        began.elapsed()
+    );
+}
