Don't believe odd clocks, end numbers and figures of a worker's lists

Cause: one list whose clock was ahead granted a lease for as long, which a worker never shortens; one end with a high number made all later ones count as recorded, so that their jobs never ended, and made the worker forget ends that it had not listed; a clock or gauge of 2^64 - 1 overflowed where it was used. Ends over 10,000 ahead, or in a first list over the milliseconds on the clock, are neither recorded nor acknowledged. Ruled out: a new incarnation by a list of another start (rejected before); percent below zero (already zero). An odd end number within the limit still costs the ends below it their record: their runs count as lost without a trace, and run again.

--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -6,10 +6,14 @@
 use agate_jobs::{EndCause, TaskKey};
 
 use super::client::{LeaseReply, ListedEnd, ListedRun};
+use super::doubts::Doubt;
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::{ends, introduction};
 use crate::clock;
 
+/// Maximum number of ends between two lists.
+const MAX_NEW_ENDS: u64 = 10_000;
+
 /// Consecutive lists that lack a started run before it counts as lost without a trace.
 const MISSING_LISTS: u32 = 2;
 
@@ -42,10 +46,17 @@
 fn record_ends(worker: &Arc<ManagedWorker>, state: &mut State, reply: &LeaseReply) {
     let mut found = Vec::new();
     let mut up_to = state.recording_up_to;
+    let limit = max_end_number(state, reply);
+    state.rejected_end = None;
     for end in &reply.ended {
         if end.number <= state.recording_up_to {
             continue;
         }
+        if end.number > limit {
+            state.rejected_end = Some(end.number);
+            worker.reject(state, Doubt::EndNumbers, &end.number);
+            continue;
+        }
         up_to = up_to.max(end.number);
         if !state.awaits_end(end.task, end.run) {
             log::info!(
@@ -70,6 +81,16 @@
     }
 }
 
+/// Returns the highest number that the next ends may have. Acknowledging a higher one would make the
+/// worker forget ends that it has not listed yet. In its first list to an agent, a worker has listed less
+/// than one end a millisecond.
+fn max_end_number(state: &State, reply: &LeaseReply) -> u64 {
+    if state.recording_up_to == 0 {
+        return reply.worker_ms.saturating_add(MAX_NEW_ENDS);
+    }
+    state.recording_up_to.saturating_add(MAX_NEW_ENDS)
+}
+
 /// Returns why a listed run ended. The stop of a stalled run is attributed to the stall.
 fn cause_of(state: &State, end: &ListedEnd) -> EndCause {
     let run = state.runs.get(&end.task);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -17,6 +17,7 @@
 
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
+use super::clock_check::ClockCheck;
 use super::crash::Contact;
 use super::doubts::{Doubt, Doubts};
 use super::introduction::Introduction;
@@ -108,6 +109,7 @@
     /// Boot time at the start of the newest read that reached the end of the orders.
     pub synced_at: Option<Duration>,
     pub clock: Option<ClockReading>,
+    pub clock_check: ClockCheck,
     pub contact: Contact,
     /// Boot time at which every lease granted so far has certainly lapsed.
     pub lapses_at: Duration,
@@ -116,6 +118,8 @@
     pub recorded_up_to: u64,
     /// Ends up to this number are recorded or being recorded.
     pub recording_up_to: u64,
+    /// Number of an end in the newest list that was not believed. The worker lists it again at once.
+    pub rejected_end: Option<u64>,
     pub pacing: Pacing,
     pub introduction: Introduction,
     pub reported_at: Option<Instant>,
@@ -183,11 +187,13 @@
             suspicion: None,
             synced_at: None,
             clock: None,
+            clock_check: ClockCheck::default(),
             contact: Contact::default(),
             lapses_at: clock::boottime() + lease::expiry_delay(lease),
             runs: HashMap::new(),
             recorded_up_to: 0,
             recording_up_to: 0,
+            rejected_end: None,
             pacing: Pacing::default(),
             introduction: Introduction::default(),
             reported_at: None,
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod client;
+mod clock_check;
 mod crash;
 mod doubts;
 mod ends;
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -150,12 +150,19 @@
         worker.record_contact(&mut state, false);
         return Err(CallError::OtherLife.to_string());
     }
-    worker.record_contact(&mut state, true);
-    refute_departure(worker, &mut state);
-    state.clock = Some(ClockReading {
+    let reading = ClockReading {
         worker_ms: reply.worker_ms,
         at: clock::boottime(),
-    });
+    };
+    let known = state.clock;
+    if !state.clock_check.accept(reading, known) {
+        worker.record_contact(&mut state, false);
+        worker.reject(&state, Doubt::ClockJump, &reading.worker_ms);
+        return Err("its clock has jumped".to_owned());
+    }
+    worker.record_contact(&mut state, true);
+    refute_departure(worker, &mut state);
+    state.clock = Some(reading);
     Ok(reply)
 }
 
@@ -260,13 +267,14 @@
     worker.changed.notify_waiters();
 }
 
-/// Delays the next call while listed ends are being recorded, which the worker would list again at
-/// once, and while the introduction of the worker is pending.
+/// Delays the next call while listed ends are being recorded or were rejected, which the worker would
+/// list again at once, and while the introduction of the worker is pending.
 async fn wait_for_records(worker: &ManagedWorker) {
     let changed = worker.changed.notified();
     let is_pending = {
         let state = worker.state();
-        state.recording_up_to > state.recorded_up_to || !state.introduction.is_done()
+        let is_recording = state.recording_up_to > state.recorded_up_to;
+        is_recording || state.rejected_end.is_some() || !state.introduction.is_done()
     };
     if is_pending {
         // Whether notified or timed out, the worker is called next.
--- a/crates/agate_node/src/agent/stall.rs
+++ b/crates/agate_node/src/agent/stall.rs
@@ -53,7 +53,8 @@
     else {
         return None;
     };
-    let works = row.gauge * WORKING_DIVISOR >= u64::from(demand.millicores) && row.gauge > 0;
+    let works =
+        row.gauge.saturating_mul(WORKING_DIVISOR) >= u64::from(demand.millicores) && row.gauge > 0;
     if !works || *estimate_ms == 0 || row.percent >= 100 {
         return None;
     }
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use agate_core::Resources;
-use agate_node::agent::{Heartbeat, WorkerRegistry};
+use agate_jobs::{EndCause, JobState, TaskKey};
+use agate_node::agent::{Heartbeat, LeaseReply, ListedEnd, ListedRun, WorkerRegistry};
+use agate_node::entry::Answer;
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
-use crate::support::{Caller as _, Cluster, FakeWorker, address_of, one_task_job, wait_until};
+use crate::support::{
+    Caller as _, Cluster, FakeWorker, MAX_LEASE, address_of, job_id, one_task_job, wait_until,
+};
 
 /// Time for which true heartbeats follow an odd one.
 const FOLLOWED_FOR: Duration = Duration::from_secs(20);
@@ -177,6 +181,59 @@
     assert!(worker.started_runs().is_empty());
 }
 
+fn first_task(job: u64) -> TaskKey {
+    TaskKey {
+        job: job_id(job),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn odd_end(number: u64) -> ListedEnd {
+    ListedEnd {
+        number,
+        task: first_task(9),
+        run: 1,
+        cause: EndCause::Done,
+        checkpoint: String::new(),
+    }
+}
+
+/// One odd answer made the renewal of the lease panic, or later ends count as recorded.
+#[rstest]
+#[case::clock_at_its_limit(|r: &mut LeaseReply| r.worker_ms = u64::MAX)]
+#[case::clock_ahead(|r: &mut LeaseReply| r.worker_ms += 3_600_000)]
+#[case::clock_back(|r: &mut LeaseReply| r.worker_ms = 0)]
+#[case::other_start(|r: &mut LeaseReply| r.started_ms = Some(99))]
+#[case::end_number(|r: &mut LeaseReply| r.ended.push(odd_end(u64::MAX)))]
+#[case::end_number_of_a_long_life(|r: &mut LeaseReply| r.ended.push(odd_end(100_000)))]
+#[case::unordered_run(|r: &mut LeaseReply| r.running.push(ListedRun { task: first_task(9), ..r.running[0].clone() }))]
+#[case::gauge(|r: &mut LeaseReply| r.running[0].gauge = u64::MAX)]
+#[case::percent(|r: &mut LeaseReply| r.running[0].percent = u32::MAX)]
+#[tokio::test(start_paused = true)]
+async fn an_odd_answer_leaves_the_worker_in_service(#[case] change: fn(&mut LeaseReply)) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    worker.distort(change);
+    for job in 1..=2 {
+        entry.submit_job(job, one_task_job()).await;
+        entry
+            .wait_for_answer(job, Answer::State(JobState::Completed))
+            .await;
+    }
+    assert_eq!(worker.started_runs().len(), 2);
+    worker.keep_tasks_running();
+    entry.submit_job(3, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    agent.detach_all();
+    sleep(MAX_LEASE).await;
+    assert_eq!(worker.running(), 0, "the lease lasts too long");
+}
+
 /// A worker that answers has not left, whoever says so.
 #[tokio::test(start_paused = true)]
 async fn an_odd_departure_leaves_the_worker_in_service() {
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -94,6 +94,8 @@
     heartbeats: u64,
     /// Whether lists lack the start of the incarnation.
     hides_start: bool,
+    /// Changes the next list.
+    distortion: Option<fn(&mut LeaseReply)>,
 }
 
 /// A worker. Clones share its state.
@@ -140,6 +142,7 @@
             crashes: 0,
             heartbeats: 0,
             hides_start: false,
+            distortion: None,
         })))
     }
 
@@ -214,6 +217,11 @@
         self.state().hides_start = true;
     }
 
+    /// Changes the next list.
+    pub(crate) fn distort(&self, change: fn(&mut LeaseReply)) {
+        self.state().distortion = Some(change);
+    }
+
     /// Makes the worker crash as soon as a task of `job` has started.
     pub(crate) fn crash_under(&self, job: JobId) {
         self.state().crashing_job = Some(job);
@@ -450,7 +458,7 @@
                 state.advance();
                 state.ended.retain(|end| end.number > acknowledged);
                 if !state.ended.is_empty() || Instant::now() >= answer_by {
-                    return Ok(reply(&state));
+                    return Ok(reply(&mut state));
                 }
             }
             sleep(Duration::from_millis(20)).await;
@@ -477,7 +485,7 @@
     u32::try_from(finished_tasks * 100 / TASK_TIME.as_millis()).expect("it is a percentage")
 }
 
-fn reply(state: &State) -> LeaseReply {
+fn reply(state: &mut State) -> LeaseReply {
     let running = state.running.iter().map(|(task, running)| ListedRun {
         task: *task,
         run: running.run,
@@ -485,10 +493,14 @@
         percent: percent(state, running),
         gauge: 1_000,
     });
-    LeaseReply {
+    let mut reply = LeaseReply {
         started_ms: (!state.hides_start).then_some(state.incarnation),
         worker_ms: state.clock_ms(),
         running: running.collect(),
         ended: state.ended.clone(),
+    };
+    if let Some(change) = state.distortion.take() {
+        change(&mut reply);
     }
+    reply
 }
