Shorten rejected names in the log, and count displaced claims

Cause: a rejected name or a decoder's error was logged as it came, up to 64 KB, and a claim that made room for another one was not counted. Measured: names_that_nobody_confirms_are_not_managed, which now sends names of 10 KB and reads the log, failed without the change (a line held more than 128 characters of the name). With it 1,000 such names leave one line of their cause.

--- a/crates/agate_node/src/agent/doubts.rs
+++ b/crates/agate_node/src/agent/doubts.rs
@@ -12,6 +12,9 @@
 /// Time between two log lines of a kind.
 const LOG_PERIOD: Duration = Duration::from_secs(10);
 
+/// Number of characters of a text that are logged.
+const MAX_LOGGED_CHARS: usize = 128;
+
 /// Why a message of a worker was rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -58,9 +61,10 @@
         let Some(unlogged) = self.due(doubt) else {
             return;
         };
+        let (worker, detail) = (shorten(worker), shorten(&detail.to_string()));
         log::warn!(
-            event = "worker_message_rejected", cause:% = doubt, worker = worker, detail:% = detail,
-            unlogged = unlogged; ""
+            event = "worker_message_rejected", cause:% = doubt, worker = worker.as_str(),
+            detail = detail.as_str(), unlogged = unlogged; ""
         );
     }
 
@@ -77,3 +81,8 @@
         Some(before.map_or(0, |before| before.unlogged))
     }
 }
+
+/// Returns the beginning of a text that another writer may have sent.
+fn shorten(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_CHARS).collect()
+}
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -92,8 +92,9 @@
         tokio::spawn(async move {
             let client = (shared.context.dial)(claim.address);
             let check = displaced.run_until_cancelled(claim.check(&client)).await;
-            if let Some(verdict) = check {
-                shared.settle(&claim, verdict);
+            match check {
+                Some(verdict) => shared.settle(&claim, verdict),
+                None => shared.reject(Doubt::Unanswered, &claim.name, &claim.address),
             }
         });
     }
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
+use crate::diagnosis::{capture_logs, lines_with};
 use crate::support::{
     Caller as _, Cluster, FakeWorker, MAX_LEASE, address_of, job_id, one_task_job, wait_until,
 };
@@ -108,13 +109,14 @@
     );
 }
 
-/// Each name costs reads of its orders.
+/// Each name costs reads of its orders, and each line space in the log.
 #[tokio::test(start_paused = true)]
 async fn names_that_nobody_confirms_are_not_managed() {
+    capture_logs();
     assert_in_service(false, async |agent| {
         for number in 0..1_000 {
             agent.apply_heartbeat(Heartbeat {
-                name: format!("odd-{number}"),
+                name: format!("odd-{number}-{}", "x".repeat(10_000)),
                 address: address_of("nobody"),
                 ..FakeWorker::heartbeat("w1", "w1", 1)
             });
@@ -123,6 +125,10 @@
         assert_eq!(agent.worker_count(), 1);
     })
     .await;
+    let rejected = ["event=worker_message_rejected", "cause=unanswered"];
+    assert_eq!(lines_with(&rejected).len(), 1);
+    let long_name = "x".repeat(200);
+    assert!(lines_with(&[rejected[0], &long_name]).is_empty());
 }
 
 /// A number that is far ahead silenced the announcement that the worker leaves.
