Test odd messages of workers with random series and fuzzed decoders

A series of odd heartbeats, departures and pauses among the true heartbeats of two workers leaves both with their runs and takes new ones; and what the decoders of heartbeats, lists and rejections return is within their limits for any bytes, any JSON, changed valid messages and deep nesting.

--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod diagnosis;
 mod lapses;
 mod leaders;
+mod odd_series;
 mod odd_workers;
 mod orders;
 mod relay;
