--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -50,6 +50,11 @@
         self.failures = self.failures.saturating_add(1);
     }
 
+    /// Returns whether the worker has answered a call after `time`.
+    pub fn answered_since(&self, time: Instant) -> bool {
+        self.answered_at > time
+    }
+
     /// Returns whether the last call has failed.
     pub const fn has_failed(&self) -> bool {
         self.failures > 0
@@ -150,7 +155,7 @@
     if state.is_leaving() {
         return Vec::new();
     }
-    let address = state.heartbeat.address.clone();
+    let address = state.heartbeat.address.to_string();
     let runs = crashed_runs(&state);
     let unstable = machines.contains(&address);
     machines.record(&address, &runs);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -1,6 +1,7 @@
 //! A worker that the agent manages.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::fmt::Display;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,9 +17,12 @@
 
 use super::AgentContext;
 use super::client::{Heartbeat, WorkerClient};
+use super::clock_check::ClockCheck;
 use super::crash::Contact;
+use super::doubts::{Doubt, Doubts};
 use super::introduction::Introduction;
 use super::pacing::Pacing;
+use super::sequence::SequenceOrder;
 use super::stall::Progress;
 use super::waiting::WaitingOrders;
 use super::zones::ZoneWatch;
@@ -71,6 +75,7 @@
 #[derive(Debug)]
 pub(super) struct ManagedWorker {
     pub context: AgentContext,
+    pub doubts: Arc<Doubts>,
     pub client: Arc<dyn WorkerClient>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub zones: Option<Arc<ZoneWatch>>,
@@ -88,6 +93,8 @@
 pub(super) struct State {
     pub incarnation: WorkerIncarnation,
     pub heartbeat: Heartbeat,
+    /// Order of its heartbeats.
+    pub sequence: SequenceOrder,
     /// Boot time until which the worker is slow after its start.
     pub cold_until: Duration,
     /// Whether reports say how long the worker stays slow.
@@ -102,6 +109,7 @@
     /// Boot time at the start of the newest read that reached the end of the orders.
     pub synced_at: Option<Duration>,
     pub clock: Option<ClockReading>,
+    pub clock_check: ClockCheck,
     pub contact: Contact,
     /// Boot time at which every lease granted so far has certainly lapsed.
     pub lapses_at: Duration,
@@ -110,6 +118,8 @@
     pub recorded_up_to: u64,
     /// Ends up to this number are recorded or being recorded.
     pub recording_up_to: u64,
+    /// Number of an end in the newest list that was not believed. The worker lists it again at once.
+    pub rejected_end: Option<u64>,
     pub pacing: Pacing,
     pub introduction: Introduction,
     pub reported_at: Option<Instant>,
@@ -124,6 +134,8 @@
     pub has_listed: bool,
     /// Whether the worker has not answered since its lease lapsed.
     pub unreachable: bool,
+    /// Boot time at which a message said that the worker has left; `None` if it has answered since.
+    pub departure: Option<Duration>,
 }
 
 impl Run {
@@ -149,8 +161,13 @@
 }
 
 impl ManagedWorker {
-    pub fn new(context: AgentContext, zones: Option<Arc<ZoneWatch>>, heartbeat: Heartbeat) -> Self {
-        let client = (context.dial)(&heartbeat.address);
+    pub fn new(
+        context: AgentContext,
+        doubts: Arc<Doubts>,
+        zones: Option<Arc<ZoneWatch>>,
+        heartbeat: Heartbeat,
+    ) -> Self {
+        let client = (context.dial)(heartbeat.address);
         let lease = lease::duration(context.max_lease);
         let state = State {
             incarnation: WorkerIncarnation {
@@ -161,6 +178,7 @@
             status: status_of(&heartbeat),
             cold_until: clock::boottime() + Duration::from_millis(heartbeat.cold_ms),
             reports_cold: zones.is_some(),
+            sequence: SequenceOrder::new(heartbeat.sequence),
             heartbeat,
             agent: AgentState::Serving,
             orders: HashMap::new(),
@@ -169,11 +187,13 @@
             suspicion: None,
             synced_at: None,
             clock: None,
+            clock_check: ClockCheck::default(),
             contact: Contact::default(),
             lapses_at: clock::boottime() + lease::expiry_delay(lease),
             runs: HashMap::new(),
             recorded_up_to: 0,
             recording_up_to: 0,
+            rejected_end: None,
             pacing: Pacing::default(),
             introduction: Introduction::default(),
             reported_at: None,
@@ -182,9 +202,11 @@
             started_jobs: BTreeSet::new(),
             has_listed: false,
             unreachable: false,
+            departure: None,
         };
         Self {
             context,
+            doubts,
             client,
             zones,
             created_at: clock::boottime(),
@@ -198,6 +220,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a message of the worker that was not believed.
+    pub fn reject(&self, state: &State, doubt: Doubt, detail: &dyn Display) {
+        let name = &state.incarnation.name;
+        self.doubts
+            .record(&self.context.metrics, doubt, name, detail);
+    }
+
     /// Records that a call to the worker was answered, or that it failed. The worker is reported at once
     /// if it has become reachable or unreachable.
     pub fn record_contact(&self, state: &mut State, answered: bool) {
@@ -213,6 +242,14 @@
         }
     }
 
+    /// Records that the worker has left.
+    pub fn record_gone(&self, state: &mut State) {
+        state.status = WorkerState::Gone;
+        state.reported_at = None;
+        log::info!(event = "worker_left", worker:% = state.incarnation; "");
+        self.changed.notify_waiters();
+    }
+
     /// Returns the boot time up to which the lease may be renewed; `None` if it may not.
     pub fn lease_limit(&self, state: &State) -> Option<Duration> {
         if state.is_suspected() || state.status == WorkerState::Lapsed {
@@ -225,25 +262,35 @@
 
 impl State {
     /// Applies a heartbeat of the same incarnation. Returns whether anything has changed.
-    pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat) -> bool {
-        if heartbeat.sequence < self.heartbeat.sequence {
-            return false;
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the heartbeat is not the newest one, or names an address that has not
+    /// confirmed it.
+    pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat) -> Result<bool, Doubt> {
+        if heartbeat.address != self.heartbeat.address {
+            return Err(Doubt::OtherAddress);
+        }
+        if !self.sequence.accept(heartbeat.sequence) {
+            return Err(Doubt::OutOfSequence);
         }
         let was = (
             self.status,
             self.heartbeat.capacity,
             self.heartbeat.labels.clone(),
         );
-        if self.status == WorkerState::Ready && !self.unreachable {
+        let in_service = matches!(self.status, WorkerState::Ready | WorkerState::Draining);
+        if in_service && !self.unreachable {
             self.status = status_of(&heartbeat);
         }
         self.cold_until = clock::boottime() + Duration::from_millis(heartbeat.cold_ms);
         self.heartbeat = heartbeat;
-        was != (
+        let is = (
             self.status,
             self.heartbeat.capacity,
             self.heartbeat.labels.clone(),
-        )
+        );
+        Ok(was != is)
     }
 
     /// Returns whether the newest suspicion that has been read is open.
@@ -380,7 +427,7 @@
             service: self.heartbeat.service.clone(),
             capacity,
             labels: self.heartbeat.labels.clone(),
-            address: self.heartbeat.address.clone(),
+            address: self.heartbeat.address.to_string(),
             zone: self.heartbeat.zone.clone(),
             acked_suspicion: self.suspicion.as_ref().map_or(0, |s| s.number),
             headroom: self.pacing.headroom(),
@@ -388,7 +435,7 @@
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
             agent: self.agent,
-            heartbeat: self.heartbeat.sequence,
+            heartbeat: self.sequence.highest(),
             started_jobs: self
                 .started_jobs
                 .iter()
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -1,7 +1,10 @@
 //! An agent runs what the leader orders on the workers of its machine.
 
+mod claims;
 mod client;
+mod clock_check;
 mod crash;
+mod doubts;
 mod ends;
 mod execute;
 mod follow;
@@ -12,11 +15,13 @@
 mod registry;
 mod renewal;
 mod report;
+mod sequence;
 mod shutdown;
 mod stall;
 mod waiting;
 mod zones;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +31,7 @@
     CallError, Heartbeat, LeaseReply, ListedEnd, ListedRun, Rejection, StartOrder, StartReply,
     WorkerClient,
 };
+pub use doubts::Doubt;
 pub use registry::WorkerRegistry;
 pub use zones::WithdrawalSettings;
 
@@ -34,7 +40,7 @@
 use crate::store::KeyedLog;
 
 /// Creates a client of the worker at an address.
-pub type Dial = fn(&str) -> Arc<dyn WorkerClient>;
+pub type Dial = fn(SocketAddr) -> Arc<dyn WorkerClient>;
 
 /// Dependencies and settings of an agent.
 #[derive(Debug, Clone)]
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -9,6 +9,8 @@
 mod lapses;
 mod leaders;
 mod odd;
+mod odd_series;
+mod odd_workers;
 mod orders;
 mod relay;
 mod relay_clusters;
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -1,6 +1,8 @@
 //! An in-memory worker that honors leases.
 
 use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -68,6 +70,8 @@
 #[derive(Debug)]
 struct State {
     behavior: Behavior,
+    /// Name of its incarnation. Calls that name another one are rejected.
+    name: String,
     /// Number of its incarnation.
     incarnation: u64,
     started_at: Instant,
@@ -88,6 +92,10 @@
     crashes: u32,
     /// Number of heartbeats that were sent.
     heartbeats: u64,
+    /// Whether lists lack the start of the incarnation.
+    hides_start: bool,
+    /// Changes the next list.
+    distortion: Option<fn(&mut LeaseReply)>,
 }
 
 /// A worker. Clones share its state.
@@ -95,13 +103,30 @@
 pub(crate) struct FakeWorker(Arc<Mutex<State>>);
 
 /// Workers of this process by address, for the clients of agents.
-static WORKERS: OnceLock<Mutex<HashMap<String, FakeWorker>>> = OnceLock::new();
+static WORKERS: OnceLock<Mutex<HashMap<SocketAddr, FakeWorker>>> = OnceLock::new();
+
+/// Returns the address that stands for a name.
+pub(crate) fn address_of(name: &str) -> SocketAddr {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    let host = (hasher.finish() & 0xff_ffff) as u32;
+    SocketAddr::from((Ipv4Addr::from_bits(10 << 24 | host), 8_080))
+}
 
 impl FakeWorker {
     /// Registers a worker at `address`.
     pub(crate) fn open(address: &str) -> Self {
-        let worker = Self(Arc::new(Mutex::new(State {
+        let worker = Self::create(address);
+        let workers = WORKERS.get_or_init(Mutex::default);
+        let mut workers = workers.lock().expect("the lock is not poisoned");
+        workers.insert(address_of(address), worker.clone());
+        worker
+    }
+
+    fn create(name: &str) -> Self {
+        Self(Arc::new(Mutex::new(State {
             behavior: Behavior::default(),
+            name: name.to_owned(),
             incarnation: 1,
             started_at: Instant::now(),
             running: HashMap::new(),
@@ -116,32 +141,39 @@
             crashing_job: None,
             crashes: 0,
             heartbeats: 0,
-        })));
-        let workers = WORKERS.get_or_init(Mutex::default);
-        let mut workers = workers.lock().expect("the lock is not poisoned");
-        workers.insert(address.to_owned(), worker.clone());
-        worker
+            hides_start: false,
+            distortion: None,
+        })))
     }
 
-    /// Returns a client of the worker at `address`.
-    pub(crate) fn dial(address: &str) -> Arc<dyn WorkerClient> {
+    /// Returns a client of the worker at `address`; without one, connections are refused.
+    pub(crate) fn dial(address: SocketAddr) -> Arc<dyn WorkerClient> {
         let workers = WORKERS.get_or_init(Mutex::default);
         let workers = workers.lock().expect("the lock is not poisoned");
-        Arc::new(workers.get(address).expect("the worker is open").clone())
+        let worker = workers.get(&address).cloned();
+        let worker = worker.unwrap_or_else(|| {
+            let nobody = Self::create("");
+            nobody.set_behavior(Behavior::Unreachable);
+            nobody
+        });
+        Arc::new(worker)
     }
 
     /// Returns a heartbeat of the worker at `address`, which is at least in incarnation
-    /// `started_ms` from then on.
+    /// `started_ms` from then on, and called `name` unless it is in a later one.
     pub(crate) fn heartbeat(name: &str, address: &str, started_ms: u64) -> Heartbeat {
         let workers = WORKERS.get_or_init(Mutex::default);
         let mut sequence = 1;
         if let Some(worker) = workers
             .lock()
             .expect("the lock is not poisoned")
-            .get(address)
+            .get(&address_of(address))
         {
             let mut state = worker.state();
-            state.incarnation = state.incarnation.max(started_ms);
+            if started_ms >= state.incarnation {
+                state.incarnation = started_ms;
+                name.clone_into(&mut state.name);
+            }
             state.heartbeats += 1;
             sequence = state.heartbeats;
         }
@@ -152,7 +184,7 @@
             draining: false,
             service: "seatbook".to_owned(),
             zone: "north".to_owned(),
-            address: address.to_owned(),
+            address: address_of(address),
             capacity: Resources::new(4_000, 1_000, 0),
             labels: vec!["a".to_owned()],
             cold_ms: 0,
@@ -180,6 +212,16 @@
         self.state().until_stopped = true;
     }
 
+    /// Makes lists lack the start of the incarnation.
+    pub(crate) fn hide_start(&self) {
+        self.state().hides_start = true;
+    }
+
+    /// Changes the next list.
+    pub(crate) fn distort(&self, change: fn(&mut LeaseReply)) {
+        self.state().distortion = Some(change);
+    }
+
     /// Makes the worker crash as soon as a task of `job` has started.
     pub(crate) fn crash_under(&self, job: JobId) {
         self.state().crashing_job = Some(job);
@@ -234,7 +276,7 @@
         self.0.lock().expect("the lock is not poisoned")
     }
 
-    async fn ensure_reachable(&self) -> Result<(), CallError> {
+    async fn ensure_reachable(&self, incarnation: &WorkerIncarnation) -> Result<(), CallError> {
         sleep(CALL_TIME).await;
         let behavior = self.state().behavior;
         match behavior {
@@ -243,6 +285,7 @@
                 sleep(SILENT_CALL_TIME).await;
                 Err(CallError::Unknown("timed out".to_owned()))
             }
+            _ if self.state().name != incarnation.name => Err(CallError::OtherLife),
             _ => Ok(()),
         }
     }
@@ -330,12 +373,12 @@
 impl WorkerClient for FakeWorker {
     async fn start(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         order: &StartOrder,
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
         self.state().start_attempts += 1;
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         let behavior = self.state().behavior;
         match behavior {
             Behavior::StartsLate => sleep(LATE_START_TIME).await,
@@ -365,11 +408,11 @@
 
     async fn stop(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         task: TaskKey,
         run: u32,
     ) -> Result<(), CallError> {
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         if self.state().behavior == Behavior::SlowStops {
             sleep(STOP_TIME).await;
         }
@@ -388,12 +431,12 @@
 
     async fn renew_lease(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         deadline_ms: Option<u64>,
         acknowledged: u64,
         wait: Duration,
     ) -> Result<LeaseReply, CallError> {
-        self.ensure_reachable().await?;
+        self.ensure_reachable(incarnation).await?;
         if let Some(deadline) = deadline_ms {
             let mut state = self.state();
             state.lease_ms = state.lease_ms.max(deadline);
@@ -415,7 +458,7 @@
                 state.advance();
                 state.ended.retain(|end| end.number > acknowledged);
                 if !state.ended.is_empty() || Instant::now() >= answer_by {
-                    return Ok(reply(&state));
+                    return Ok(reply(&mut state));
                 }
             }
             sleep(Duration::from_millis(20)).await;
@@ -424,12 +467,12 @@
 
     async fn set_pace(
         &self,
-        _incarnation: &WorkerIncarnation,
+        incarnation: &WorkerIncarnation,
         _task: TaskKey,
         _run: u32,
         _percent: u32,
     ) -> Result<(), CallError> {
-        self.ensure_reachable().await
+        self.ensure_reachable(incarnation).await
     }
 }
 
@@ -442,7 +485,7 @@
     u32::try_from(finished_tasks * 100 / TASK_TIME.as_millis()).expect("it is a percentage")
 }
 
-fn reply(state: &State) -> LeaseReply {
+fn reply(state: &mut State) -> LeaseReply {
     let running = state.running.iter().map(|(task, running)| ListedRun {
         task: *task,
         run: running.run,
@@ -450,10 +493,14 @@
         percent: percent(state, running),
         gauge: 1_000,
     });
-    LeaseReply {
-        started_ms: Some(state.incarnation),
+    let mut reply = LeaseReply {
+        started_ms: (!state.hides_start).then_some(state.incarnation),
         worker_ms: state.clock_ms(),
         running: running.collect(),
         ended: state.ended.clone(),
+    };
+    if let Some(change) = state.distortion.take() {
+        change(&mut reply);
     }
+    reply
 }
