Place the long-running task first that has waited longest

Cause: long-running tasks were placed in the order of their jobs. While agents are removed in series at 160 workers, tasks of earlier jobs are lost every half second, and each took the room that a task of a later job had waited for.

Change: tasks that found no worker in the last round come first within their priority, in the order of their waits; those of earlier jobs first among equals.

Test: the_long_running_task_that_has_waited_longest_is_placed_first fails without the change with [1] for [2].

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -6,7 +6,7 @@
 use crate::plan::choose::{self, Candidate, Preference};
 use crate::plan::effect::Effect;
 use crate::plan::misses::Misses;
-use crate::plan::order::Turn;
+use crate::plan::order::{self, Turn};
 use crate::plan::scheduler::{Placement, Scheduler};
 use crate::plan::suspects;
 use crate::plan::worker::{Binding, FIRST_TIME};
@@ -75,7 +75,11 @@
         }
         self.hold_room_for_moves();
         self.place_suspects(table, &mut round, wall_ms);
+        let mut priority = None;
         for turn in self.turns(table, now, wall_ms) {
+            if priority.replace(turn.job.policy.priority) != Some(turn.job.policy.priority) {
+                self.place_waiting(table, turn.job.policy.priority, &mut round);
+            }
             for at in ready_steps(turn.job, wall_ms) {
                 if turn.job.spec.steps[at.1].gang {
                     self.place_gang(&turn, at, &mut round);
@@ -89,8 +93,46 @@
         round.placed
     }
 
+    /// Places the long-running tasks of a priority that found no worker in the last round, the one that
+    /// has waited longest first. While agents were stopped in series at 160 workers, the tasks of
+    /// earlier jobs that were lost every half second took all room from those of later jobs, which
+    /// waited for up to 27 s.
+    fn place_waiting(&mut self, table: &JobTable, priority: u32, round: &mut Round) {
+        for task in self.waits.longest_first(table, priority) {
+            if round.is_full() {
+                return;
+            }
+            let Some(job) = table.job(task.job).filter(|job| !job.state().is_final()) else {
+                continue;
+            };
+            let turn = order::whole(task.job, job);
+            if self.is_pending(&turn, task) {
+                self.place_long_running(&turn, task, round);
+            }
+        }
+    }
+
+    /// Returns whether a long-running task is neither bound nor placed in another way.
+    fn is_pending(&self, turn: &Turn<'_>, task: TaskKey) -> bool {
+        let progress = turn.job.step_progress(task);
+        let progress = progress.and_then(|step| step.tasks.get(task.index as usize));
+        progress.is_some_and(|progress| !progress.done && !suspects::is_suspected(progress))
+            && !self.bindings.contains_key(&task)
+    }
+
+    fn place_long_running(&mut self, turn: &Turn<'_>, task: TaskKey, round: &mut Round) {
+        if let Some(slot) = self.choose(turn, task, round.now) {
+            let placement = self.bind(turn.job, task, (slot, None), round.now);
+            round.add(placement);
+            return;
+        }
+        self.note_zone_wait(turn.job, task);
+        self.reserve(turn, task, round.now);
+        round.waiting.push(task);
+    }
+
     /// Places the tasks of a step until one finds no worker. The others of the same turn would find
-    /// none either, since they ask for the same.
+    /// none either, since they ask for the same. Those that have waited have had their turn.
     fn place_step(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
         let step = &turn.job.spec.steps[at.1];
         if turn.part != Part::All && round.misses.covers(turn, step) {
@@ -105,22 +147,19 @@
             if round.left == 0 {
                 return;
             }
-            match self.choose(turn, task, round.now) {
-                Some(slot) => {
-                    let placement = self.bind(turn.job, task, (slot, None), round.now);
-                    round.add(placement);
-                }
-                None if step.long_running => {
-                    self.note_zone_wait(turn.job, task);
-                    self.reserve(turn, task, round.now);
-                    round.waiting.push(task);
-                }
-                None => {
-                    self.note_zone_wait(turn.job, task);
-                    round.misses.add(turn, step);
-                    return;
+            if step.long_running {
+                if !self.waits.contains(task) {
+                    self.place_long_running(turn, task, round);
                 }
+                continue;
             }
+            let Some(slot) = self.choose(turn, task, round.now) else {
+                self.note_zone_wait(turn.job, task);
+                round.misses.add(turn, step);
+                return;
+            };
+            let placement = self.bind(turn.job, task, (slot, None), round.now);
+            round.add(placement);
         }
     }
 
--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -58,6 +58,27 @@
         self.since = waiting.iter().map(|task| (*task, since(task))).collect();
     }
 
+    /// Returns whether a task found no worker in the last round.
+    pub(super) fn contains(&self, task: TaskKey) -> bool {
+        self.since.contains_key(&task)
+    }
+
+    /// Returns the waiting tasks of the jobs of a priority, the one that has waited longest first, and
+    /// those of earlier jobs first among equals.
+    pub(super) fn longest_first(&self, table: &JobTable, priority: u32) -> Vec<TaskKey> {
+        let mut waiting: Vec<_> = self
+            .since
+            .iter()
+            .filter_map(|(task, since)| {
+                let job = table.job(task.job)?;
+                let of_priority = job.policy.priority == priority;
+                of_priority.then_some((*since, job.at_ms, *task))
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(.., task)| task).collect()
+    }
+
     /// Returns the time for which a task has waited.
     pub(super) fn waited(&self, task: TaskKey, now: Moment) -> Duration {
         let since = self.since.get(&task);
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -477,3 +477,30 @@
     let tasks: Vec<_> = placed.into_iter().map(|placed| placed.task).collect();
     assert_eq!(tasks, [task(1, 0, 0)]);
 }
+
+/// Tasks of earlier jobs that are lost one after the other took all room that became free, and a task
+/// of a later job waited for as long as they came.
+#[rstest]
+#[case::of_the_same_priority(0, 2)]
+#[case::but_not_of_a_lower_one(1, 1)]
+fn the_long_running_task_that_has_waited_longest_is_placed_first(
+    #[case] priority: u32,
+    #[case] expected: u64,
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let long_running = |tasks| StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(2_000, 100, 0),
+        ..step(tasks)
+    };
+    fleet.fold(submitted(1, vec![long_running(2)]));
+    assert_eq!(fleet.place().len(), 2);
+    let mut later = submitted(2, vec![long_running(1)]);
+    if let Some(Body::Submitted { policy, .. }) = &mut later.body {
+        policy.priority = priority;
+    }
+    fleet.fold(later);
+    assert!(fleet.place().is_empty());
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Lost, "a"));
+    assert_eq!(placed_jobs(&mut fleet), [expected]);
+}
