Count the time for which room is left to a task from its reservation

Cause: later long-running tasks leave a worker's room to one that only has to wait there for short tasks, but only until it has waited for 2.5 s in all. A task that had found no such worker until then had a reservation only against short tasks, so that smaller long-running tasks, lost a moment before, took the room as soon as there was any.

Change: the 2.5 s are counted from when room is reserved for the task without a break. Still, a task that has itself waited for 2.5 s takes the room at once.

Test: room_that_short_tasks_are_about_to_leave_is_kept_from, case new_ones_leave_it, was run as a single test on the code before and failed (the smaller task was bound).

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -23,6 +23,8 @@
     misses: Misses,
     /// Long-running tasks that found no worker.
     waiting: Vec<TaskKey>,
+    /// Those that room is reserved for.
+    reserved: Vec<TaskKey>,
 }
 
 impl Round {
@@ -34,6 +36,10 @@
         &self.waiting
     }
 
+    pub(super) fn reserved(&self) -> &[TaskKey] {
+        &self.reserved
+    }
+
     pub(super) const fn is_full(&self) -> bool {
         self.left == 0
     }
@@ -69,6 +75,7 @@
             placed: Vec::new(),
             misses: Misses::default(),
             waiting: Vec::new(),
+            reserved: Vec::new(),
         };
         for worker in &mut self.workers {
             worker.clear_reservations();
@@ -127,7 +134,7 @@
             return;
         }
         self.note_zone_wait(turn.job, task);
-        self.reserve(turn, task, round.now);
+        self.reserve(turn, task, round);
         round.waiting.push(task);
     }
 
@@ -165,14 +172,15 @@
 
     /// Reserves resources for a long-running task that fits nowhere. Otherwise short tasks, and smaller
     /// long-running ones, would take each freed part of them.
-    fn reserve(&mut self, turn: &Turn<'_>, task: TaskKey, now: Moment) {
+    fn reserve(&mut self, turn: &Turn<'_>, task: TaskKey, round: &mut Round) {
         let Some(candidate) = self.candidate(turn, task) else {
             return;
         };
         let demand = candidate.step.demand;
-        if let Some(slot) = choose::reservation_worker(&self.workers, candidate, now) {
-            let waited = self.waits.waited(task, now);
-            self.workers[slot].reserve(task, demand, waited);
+        if let Some(slot) = choose::reservation_worker(&self.workers, candidate, round.now) {
+            let reserved_for = self.waits.reserved_for(task, round.now);
+            self.workers[slot].reserve(task, demand, reserved_for);
+            round.reserved.push(task);
         }
     }
 
--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -47,15 +47,16 @@
 #[derive(Debug, Default)]
 pub(super) struct Waits {
     since: BTreeMap<TaskKey, Moment>,
+    /// The tasks that room is reserved for, and since when without a break.
+    reserved_since: BTreeMap<TaskKey, Moment>,
     reported_at: Option<Moment>,
 }
 
 impl Waits {
     /// Replaces the waiting tasks by those of a round.
-    fn update(&mut self, waiting: &[TaskKey], now: Moment) {
-        let known = std::mem::take(&mut self.since);
-        let since = |task| known.get(task).copied().unwrap_or(now);
-        self.since = waiting.iter().map(|task| (*task, since(task))).collect();
+    fn update(&mut self, round: &Round) {
+        replace(&mut self.since, round.waiting(), round.now());
+        replace(&mut self.reserved_since, round.reserved(), round.now());
     }
 
     /// Returns whether a task found no worker in the last round.
@@ -85,6 +86,12 @@
         since.map_or(Duration::ZERO, |since| now.since(*since))
     }
 
+    /// Returns the time for which room has been reserved for a task without a break.
+    pub(super) fn reserved_for(&self, task: TaskKey, now: Moment) -> Duration {
+        let since = self.reserved_since.get(&task);
+        since.map_or(Duration::ZERO, |since| now.since(*since))
+    }
+
     /// Returns the task that has waited longest if it is due for a report.
     fn due(&mut self, now: Moment) -> Option<(TaskKey, Duration)> {
         let recent = |at: Moment| now.since(at) < REPORT_PERIOD;
@@ -125,7 +132,7 @@
     pub(super) fn record_waits(&mut self, round: &Round) {
         // A full round has not come to all tasks.
         if !round.is_full() {
-            self.waits.update(round.waiting(), round.now());
+            self.waits.update(round);
         }
     }
 
@@ -165,3 +172,10 @@
         wait
     }
 }
+
+/// Replaces the tasks of a map by `tasks`, and keeps the times of those that it has.
+fn replace(times: &mut BTreeMap<TaskKey, Moment>, tasks: &[TaskKey], now: Moment) {
+    let known = std::mem::take(times);
+    let since = |task| known.get(task).copied().unwrap_or(now);
+    *times = tasks.iter().map(|task| (*task, since(task))).collect();
+}
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -201,10 +201,11 @@
         excess_permille(demand, room, self.report.capacity)
     }
 
-    /// Reserves resources for a long-running task that has waited for `waited`.
-    pub fn reserve(&mut self, task: TaskKey, demand: Resources, waited: Duration) {
+    /// Reserves resources for a long-running task for which this has been done without a break for
+    /// `reserved_for`.
+    pub fn reserve(&mut self, task: TaskKey, demand: Resources, reserved_for: Duration) {
         self.reserved += demand;
-        if waited < FIRST_TIME {
+        if reserved_for < FIRST_TIME {
             self.reserved_first += demand;
         }
         self.reservations.push(task);
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -504,3 +504,37 @@
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Lost, "a"));
     assert_eq!(placed_jobs(&mut fleet), [expected]);
 }
+
+/// The time for which new tasks leave room to a large one was over before there was a worker on which it
+/// only had to wait for short tasks. A task that has waited as well takes the room: it stood empty else.
+#[rstest]
+#[case::new_ones_leave_it(0, &[], &[3])]
+#[case::those_that_wait_take_it(3, &[4], &[])]
+fn room_that_short_tasks_are_about_to_leave_is_kept_from(
+    #[case] waited_s: u64,
+    #[case] at_once: &[u64],
+    #[case] later: &[u64],
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let long_running = |millicores| StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(millicores, 1, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(1, vec![long_running(2_000)]));
+    fleet.fold(submitted(2, vec![long_running(1_000), step(1)]));
+    assert_eq!(fleet.place().len(), 3);
+    fleet.fold(submitted(3, vec![long_running(3_000)]));
+    assert!(fleet.place().is_empty());
+    fleet.now = fleet.now + std::time::Duration::from_secs(3 - waited_s);
+    fleet.fold(submitted(4, vec![long_running(2_000)]));
+    if waited_s > 0 {
+        assert!(fleet.place().is_empty());
+    }
+    fleet.now = fleet.now + std::time::Duration::from_secs(waited_s);
+    fleet.fold(Record::new(Body::Cancelled { job: JobId(1) }));
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Stopped, "a"));
+    assert_eq!(placed_jobs(&mut fleet), at_once);
+    fleet.fold(ended(task(2, 1, 0), 1, EndCause::Done, "a"));
+    assert_eq!(placed_jobs(&mut fleet), later);
+}
