Report the room where the agent stops for a task that waits

Cause: task_waits says what workers in service have free, so a log can't tell whether a task waits beside a worker that has room but whose agent stops.

Change: task_waits has closest_stopping, what is free on the one that lacks least among the workers whose agents stop and on which runs are still bound.

Test: a_wait_is_reported_with_the_room_where_the_agent_stops; the field is new, so it doesn't compile without.

--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -11,6 +11,7 @@
 use crate::plan::scheduler::Scheduler;
 use crate::table::JobTable;
 use crate::task::TaskKey;
+use crate::worker::WorkerState;
 
 /// Wait from which on a task is reported.
 const REPORT_AFTER: Duration = Duration::from_secs(1);
@@ -39,6 +40,9 @@
     pub closest_drained: Resources,
     /// Sum of what is free on these workers.
     pub total_free: Resources,
+    /// What is free on the one that lacks least among the workers whose agents stop. Nothing is started
+    /// there, though their tasks go on for some seconds.
+    pub closest_stopping: Resources,
     /// Worker on which room is reserved for it; empty if there is none.
     pub reserved_on: String,
 }
@@ -150,6 +154,7 @@
             closest_free: Resources::ZERO,
             closest_drained: Resources::ZERO,
             total_free: Resources::ZERO,
+            closest_stopping: self.closest_stopping(candidate),
             reserved_on: String::new(),
         };
         let (mut least, mut least_drained) = (u64::MAX, u64::MAX);
@@ -171,6 +176,24 @@
         }
         wait
     }
+
+    /// Returns what is free on the worker with a stopping agent that lacks the smallest part of its
+    /// capacity for a task.
+    fn closest_stopping(&self, candidate: Candidate<'_>) -> Resources {
+        let stopping = self.workers.iter().filter(|worker| {
+            let report = &worker.report;
+            report.service == candidate.service
+                && report.state == WorkerState::Ready
+                && !report.agent.is_serving()
+                && worker.has_runs()
+        });
+        let free = stopping.map(|worker| {
+            let free = worker.report.capacity.saturating_sub(worker.used);
+            (worker.lack_permille(free, candidate.step.demand), free)
+        });
+        let closest = free.min_by_key(|(missing, _)| *missing);
+        closest.map_or(Resources::ZERO, |(_, free)| free)
+    }
 }
 
 /// Replaces the tasks of a map by `tasks`, and keeps the times of those that it has.
--- a/crates/agate_jobs/tests/jobs/waits.rs
+++ b/crates/agate_jobs/tests/jobs/waits.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use agate_core::Resources;
-use agate_jobs::StepSpec;
 use agate_jobs::plan::LongWait;
+use agate_jobs::record::Body;
+use agate_jobs::{AgentState, Record, StepSpec, WorkerReport};
 
 use crate::fleet::Fleet;
 use crate::support::{report, step, submitted, task};
@@ -39,6 +40,7 @@
         closest_free: Resources::new(1_000, 900, 0),
         closest_drained: Resources::new(1_000, 900, 0),
         total_free: Resources::new(1_000, 900, 0),
+        closest_stopping: Resources::ZERO,
         reserved_on: String::new(),
     };
     assert_eq!(wait, Some(expected));
@@ -62,6 +64,7 @@
         closest_free: Resources::new(0, 600, 0),
         closest_drained: Resources::new(4_000, 1_000, 0),
         total_free: Resources::new(0, 600, 0),
+        closest_stopping: Resources::ZERO,
         reserved_on: "a".to_owned(),
     };
     assert_eq!(wait, Some(expected));
@@ -104,9 +107,25 @@
     fleet.fold(submitted(1, vec![long_running(2)]));
     fleet.place();
     assert_eq!(fleet.scheduler.waiting_tasks(), 1);
-    fleet.fold(agate_jobs::Record::new(agate_jobs::record::Body::Worker(
-        report("b", 1),
-    )));
+    fleet.fold(Record::new(Body::Worker(report("b", 1))));
     assert_eq!(fleet.place().len(), 1);
     assert_eq!(fleet.scheduler.waiting_tasks(), 0);
 }
+
+/// The log could not tell a lack of room from room on a worker on which nothing is started any more.
+#[test]
+fn a_wait_is_reported_with_the_room_where_the_agent_stops() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    fleet.place();
+    let stopping = WorkerReport {
+        agent: AgentState::Stopping,
+        ..report("a", 1)
+    };
+    fleet.fold(Record::new(Body::Worker(stopping)));
+    fleet.fold(submitted(2, vec![long_running(1)]));
+    let wait = wait_after(&mut fleet, Duration::from_millis(1_500));
+    let wait = wait.expect("the task waits");
+    assert_eq!(wait.allowed, 0);
+    assert_eq!(wait.closest_stopping, Resources::new(3_000, 900, 0));
+}
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -20,6 +20,7 @@
         waiting = wait.waiting, demand:% = wait.demand, workers = wait.workers,
         allowed = wait.allowed, closest_free:% = wait.closest_free,
         closest_drained:% = wait.closest_drained, total_free:% = wait.total_free,
+        closest_stopping:% = wait.closest_stopping,
         reserved_on = wait.reserved_on.as_str(); "no worker has room for it"
     );
 }
