--- a/crates/agate_jobs/src/plan/waits.rs
+++ b/crates/agate_jobs/src/plan/waits.rs
@@ -11,6 +11,7 @@
 use crate::plan::scheduler::Scheduler;
 use crate::table::JobTable;
 use crate::task::TaskKey;
+use crate::worker::WorkerState;
 
 /// Wait from which on a task is reported.
 const REPORT_AFTER: Duration = Duration::from_secs(1);
@@ -39,6 +40,9 @@
     pub closest_drained: Resources,
     /// Sum of what is free on these workers.
     pub total_free: Resources,
+    /// What is free on the one that lacks least among the workers whose agents stop. Nothing is started
+    /// there, though their tasks go on for some seconds.
+    pub closest_stopping: Resources,
     /// Worker on which room is reserved for it; empty if there is none.
     pub reserved_on: String,
 }
@@ -47,15 +51,37 @@
 #[derive(Debug, Default)]
 pub(super) struct Waits {
     since: BTreeMap<TaskKey, Moment>,
+    /// The tasks that room is reserved for, and since when without a break.
+    reserved_since: BTreeMap<TaskKey, Moment>,
     reported_at: Option<Moment>,
 }
 
 impl Waits {
     /// Replaces the waiting tasks by those of a round.
-    fn update(&mut self, waiting: &[TaskKey], now: Moment) {
-        let known = std::mem::take(&mut self.since);
-        let since = |task| known.get(task).copied().unwrap_or(now);
-        self.since = waiting.iter().map(|task| (*task, since(task))).collect();
+    fn update(&mut self, round: &Round) {
+        replace(&mut self.since, round.waiting(), round.now());
+        replace(&mut self.reserved_since, round.reserved(), round.now());
+    }
+
+    /// Returns whether a task found no worker in the last round.
+    pub(super) fn contains(&self, task: TaskKey) -> bool {
+        self.since.contains_key(&task)
+    }
+
+    /// Returns the waiting tasks of the jobs of a priority, the one that has waited longest first, and
+    /// those of earlier jobs first among equals.
+    pub(super) fn longest_first(&self, table: &JobTable, priority: u32) -> Vec<TaskKey> {
+        let mut waiting: Vec<_> = self
+            .since
+            .iter()
+            .filter_map(|(task, since)| {
+                let job = table.job(task.job)?;
+                let of_priority = job.policy.priority == priority;
+                of_priority.then_some((*since, job.at_ms, *task))
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(.., task)| task).collect()
     }
 
     /// Returns the time for which a task has waited.
@@ -64,6 +90,12 @@
         since.map_or(Duration::ZERO, |since| now.since(*since))
     }
 
+    /// Returns the time for which room has been reserved for a task without a break.
+    pub(super) fn reserved_for(&self, task: TaskKey, now: Moment) -> Duration {
+        let since = self.reserved_since.get(&task);
+        since.map_or(Duration::ZERO, |since| now.since(*since))
+    }
+
     /// Returns the task that has waited longest if it is due for a report.
     fn due(&mut self, now: Moment) -> Option<(TaskKey, Duration)> {
         let recent = |at: Moment| now.since(at) < REPORT_PERIOD;
@@ -104,7 +136,7 @@
     pub(super) fn record_waits(&mut self, round: &Round) {
         // A full round has not come to all tasks.
         if !round.is_full() {
-            self.waits.update(round.waiting(), round.now());
+            self.waits.update(round);
         }
     }
 
@@ -122,6 +154,7 @@
             closest_free: Resources::ZERO,
             closest_drained: Resources::ZERO,
             total_free: Resources::ZERO,
+            closest_stopping: self.closest_stopping(candidate),
             reserved_on: String::new(),
         };
         let (mut least, mut least_drained) = (u64::MAX, u64::MAX);
@@ -143,4 +176,29 @@
         }
         wait
     }
+
+    /// Returns what is free on the worker with a stopping agent that lacks the smallest part of its
+    /// capacity for a task.
+    fn closest_stopping(&self, candidate: Candidate<'_>) -> Resources {
+        let stopping = self.workers.iter().filter(|worker| {
+            let report = &worker.report;
+            report.service == candidate.service
+                && report.state == WorkerState::Ready
+                && !report.agent.is_serving()
+                && worker.has_runs()
+        });
+        let free = stopping.map(|worker| {
+            let free = worker.report.capacity.saturating_sub(worker.used);
+            (worker.lack_permille(free, candidate.step.demand), free)
+        });
+        let closest = free.min_by_key(|(missing, _)| *missing);
+        closest.map_or(Resources::ZERO, |(_, free)| free)
+    }
+}
+
+/// Replaces the tasks of a map by `tasks`, and keeps the times of those that it has.
+fn replace(times: &mut BTreeMap<TaskKey, Moment>, tasks: &[TaskKey], now: Moment) {
+    let known = std::mem::take(times);
+    let since = |task| known.get(task).copied().unwrap_or(now);
+    *times = tasks.iter().map(|task| (*task, since(task))).collect();
 }
