Report a record that an agent steps over once, with its place

Cause: an agent logged an invalid record of its order stream without the stream's name or the key, again with each load, and didn't count it. Change: agents use the list of skipped records that entries use; it moves out of `entry`. Result: odd::an_agent_reports_an_odd_record_once failed before (2 lines for one record).

--- a/crates/agate_node/src/agent/follow.rs
+++ b/crates/agate_node/src/agent/follow.rs
@@ -34,9 +34,10 @@
     loop {
         match worker.context.log.newest(stream).await {
             Ok(newest) => {
+                let records = parse(worker, stream, newest.records);
                 let mut state = worker.state();
                 state.orders.clear();
-                apply(&mut state, newest.records);
+                apply(&mut state, records);
                 state.next_order = newest.end;
                 log::info!(
                     event = "orders_loaded", worker:% = state.incarnation, lane:? = stream,
@@ -61,8 +62,9 @@
             Ok(page) => {
                 monitor.record_result(&worker.context.metrics, None::<&ReadError>);
                 next += page.records.len() as u64;
+                let records = parse(worker, stream, page.records);
                 let mut state = worker.state();
-                let has_changed = apply(&mut state, page.records);
+                let has_changed = apply(&mut state, records);
                 state.next_order = next;
                 if next >= page.end {
                     state.synced_at = state.synced_at.max(Some(began));
@@ -106,17 +108,20 @@
     }
 }
 
+/// Parses records of the stream. One that is invalid is stepped over.
+fn parse(worker: &ManagedWorker, stream: Stream, records: Vec<StoredRecord>) -> Vec<Record> {
+    let metrics = &worker.context.metrics;
+    let records = records.into_iter();
+    records
+        .filter_map(|stored| worker.skipped.parse(stream, stored, metrics))
+        .collect()
+}
+
 /// Applies records of the stream. Returns whether one of them concerns this worker.
-fn apply(state: &mut State, records: Vec<StoredRecord>) -> bool {
+fn apply(state: &mut State, records: Vec<Record>) -> bool {
     let mut has_changed = false;
-    for stored in records {
-        let offset = stored.offset;
-        match Record::parse(stored.key, &stored.value) {
-            Ok(record) => has_changed |= apply_record(state, record),
-            Err(error) => {
-                log::warn!(event = "record_unknown", offset = offset, cause:% = error; "");
-            }
-        }
+    for record in records {
+        has_changed |= apply_record(state, record);
     }
     has_changed
 }
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -27,6 +27,7 @@
 use super::waiting::WaitingOrders;
 use super::zones::ZoneWatch;
 use crate::clock;
+use crate::skipped::SkippedRecords;
 
 /// Factor from time on a clock that runs two percent slow, the slowest allowed, to real time.
 const SLOW_CLOCK_FACTOR: f64 = 1.021;
@@ -81,6 +82,7 @@
     pub zones: Option<Arc<ZoneWatch>>,
     /// Boot time at which the agent learned of this incarnation.
     pub created_at: Duration,
+    pub skipped: SkippedRecords,
     /// Notified when orders, suspicion or state have changed.
     pub changed: Notify,
     /// Cancelled once it is recorded that the worker has left.
@@ -210,6 +212,7 @@
             client,
             zones,
             created_at: clock::boottime(),
+            skipped: SkippedRecords::default(),
             changed: Notify::new(),
             departed: CancellationToken::new(),
             state: Mutex::new(state),
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -11,9 +11,9 @@
 
 use super::Entry;
 use super::shared::View;
-use super::skipped::Place;
 use crate::clock;
 use crate::outage::OutageMonitor;
+use crate::skipped::Place;
 use crate::store::{ReadError, StoredRecord, Stream};
 
 /// Longest wait of a read for new records; bounds how stale the entry's view is.
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -6,7 +6,6 @@
 mod follow;
 mod lead;
 mod shared;
-mod skipped;
 mod writers;
 mod zones;
 
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -12,9 +12,9 @@
 
 use super::EntryContext;
 use super::continuity::ReadContinuity;
-use super::skipped::SkippedRecords;
 use super::zones::EntryZones;
 use crate::appender::Appender;
+use crate::skipped::SkippedRecords;
 
 /// An entry.
 #[derive(Debug)]
--- a/crates/agate_node/src/lib.rs
+++ b/crates/agate_node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 mod outage;
 pub mod relay;
+mod skipped;
 pub mod store;
 mod zones;
 
--- a/crates/agate_node/src/entry/skipped.rs
+++ b/crates/agate_node/src/skipped.rs
@@ -1,4 +1,4 @@
-//! Records that an entry has stepped over.
+//! Records that a process has stepped over.
 
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
@@ -15,14 +15,14 @@
 
 /// Place of a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Place {
+pub(crate) struct Place {
     pub stream: Stream,
     pub offset: u64,
 }
 
 /// The places of the records that have been reported. A load reads the newest record of each key again.
 #[derive(Debug, Default)]
-pub(super) struct SkippedRecords(Mutex<BTreeSet<Place>>);
+pub(crate) struct SkippedRecords(Mutex<BTreeSet<Place>>);
 
 impl SkippedRecords {
     /// Parses a record. One that is invalid or unknown to this version is counted and logged the first
--- a/crates/agate_node/tests/it/odd.rs
+++ b/crates/agate_node/tests/it/odd.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use tokio::time::{sleep, timeout};
 
+use crate::diagnosis::{capture_logs, lines_with};
 use crate::support::{Caller as _, Cluster, Fault, one_task_job, wait_until};
 
 const COMPLETED: Answer = Answer::State(JobState::Completed);
@@ -130,3 +131,21 @@
     let skipped = |entry: &Entry| entry.metrics().event_count(Event::RecordSkipped);
     assert_eq!((skipped(&entry), skipped(&other)), (1, read_by_follower));
 }
+
+/// An agent logged the record without its key, and again with each load of the stream.
+#[tokio::test(start_paused = true)]
+async fn an_agent_reports_an_odd_record_once() {
+    capture_logs();
+    let cluster = Cluster::new();
+    let stream = order_stream("w1", ORDER_STREAMS);
+    cluster.log.put(stream, "r/w1/odd", b"[[[");
+    let (_worker, _agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(1)).await;
+    cluster.log.put(stream, "r/w1/other", b"{}");
+    cluster.log.compact(stream);
+    sleep(Duration::from_secs(3)).await;
+    for key in ["r/w1/odd", "r/w1/other"] {
+        let lines = lines_with(&["event=record_unknown", key]);
+        assert_eq!(lines.len(), 1, "{key}");
+    }
+}
