--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -42,7 +42,7 @@
     context: AgentContext,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     zones: Option<Arc<ZoneWatch>>,
-    /// Stops the follower of the zones and the checks of claims.
+    /// Stops the loads of the zones and the checks of claims.
     stop: CancellationToken,
     book: Mutex<Book>,
     doubts: Arc<Doubts>,
@@ -59,12 +59,12 @@
 }
 
 impl WorkerRegistry {
-    /// Creates an empty registry, and follows the withdrawn zones if the settings ask for it.
+    /// Creates an empty registry, and loads the withdrawn zones if the settings ask for it.
     pub fn new(context: AgentContext) -> Self {
         let stop = CancellationToken::new();
         let watch = context.withdrawal.map(ZoneWatch::new).map(Arc::new);
         if let Some(watch) = &watch {
-            follow_zones(&context, watch, &stop);
+            keep_zones_loaded(&context, watch, &stop);
         }
         Self(Arc::new(Shared {
             context,
@@ -357,11 +357,11 @@
     });
 }
 
-fn follow_zones(context: &AgentContext, watch: &Arc<ZoneWatch>, stop: &CancellationToken) {
+fn keep_zones_loaded(context: &AgentContext, watch: &Arc<ZoneWatch>, stop: &CancellationToken) {
     let mut tree = Supervisor::new("zones", Policy::default());
     let (shared, watch) = (context.clone(), Arc::clone(watch));
     tree.child("zones", Restart::Transient, move |stop| {
-        let task = zones::follow(shared.clone(), Arc::clone(&watch));
+        let task = zones::keep_loaded(shared.clone(), Arc::clone(&watch));
         async move {
             stop.run_until_cancelled(task).await;
             Ok(())
--- a/crates/agate_node/src/agent/zones.rs
+++ b/crates/agate_node/src/agent/zones.rs
@@ -105,7 +105,7 @@
 /// Loads the newest requests again and again until the process ends. The stream also has the routes, which
 /// agents don't need: if each of them follows it, a large configuration saturates the link between two
 /// regions.
-pub(super) async fn follow(context: AgentContext, watch: Arc<ZoneWatch>) {
+pub(super) async fn keep_loaded(context: AgentContext, watch: Arc<ZoneWatch>) {
     let mut monitor = OutageMonitor::new(Stream::Config, "newest");
     let period = watch.gate().load_period();
     loop {
--- a/crates/agate_node/src/entry/callers.rs
+++ b/crates/agate_node/src/entry/callers.rs
@@ -74,7 +74,7 @@
         if let Some(route) = table.find(host, path) {
             return Ok(route.clone());
         }
-        let caught_up = tokio::time::timeout(CATCH_UP_TIMEOUT, config::catch_up(self)).await;
+        let caught_up = tokio::time::timeout(CATCH_UP_TIMEOUT, config::apply_new(self)).await;
         if !matches!(caught_up, Ok(Ok(()))) {
             return Err(Answer::Refused);
         }
--- a/crates/agate_node/src/entry/config.rs
+++ b/crates/agate_node/src/entry/config.rs
@@ -70,7 +70,7 @@
 /// # Errors
 ///
 /// Returns [`ReadError`] if the log returns no page.
-pub(super) async fn catch_up(entry: &Entry) -> Result<(), ReadError> {
+pub(super) async fn apply_new(entry: &Entry) -> Result<(), ReadError> {
     let arrived = Instant::now();
     let mut read_at = entry.config_read_at.lock().await;
     if read_at.is_some_and(|at| at >= arrived) {
