--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod fuzz;
 mod lease;
+mod long_running;
 mod moves;
 mod odd;
 #[path = "../support/odd.rs"]
