Release the probes of a worker with the bindings that they belong to

What callers see: short tasks are never placed on a worker with room, until the leader changes.

Cause: a worker on probation counts its probes. Binding a task raised the count, the end of a run on the worker lowered it. Giving back a gang that doesn't fit lowers nothing, so the worker stays closed to short tasks; and the end of a run that was bound before the quarantine lowers it although the probe still runs, so a second one is bound. The class: a tentative decision changes a count that its undoing doesn't change.

Change: the probes are the bound tasks themselves, and are removed where a binding is removed, whatever removes it.

Ruled out: lowering the count in unbind() alone.

Result: a_gang_that_does_not_fit_leaves_no_probe and the_end_of_an_earlier_run_does_not_end_the_probe fail before (0 and 1 tasks placed in place of 1 and 0) and pass now; the other tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -1,10 +1,12 @@
 //! Recent health of a worker, as judged by the runs that ended on it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
 
 use crate::record::EndCause;
+use crate::task::TaskKey;
 
 /// Time for which results are remembered.
 const HISTORY_WINDOW: Duration = Duration::from_secs(6);
@@ -36,8 +38,8 @@
     paused_until: Moment,
     /// Whether no run has succeeded since the last quarantine.
     on_probation: bool,
-    /// Number of probes: runs bound since the last quarantine that have not ended.
-    probes: u32,
+    /// Probes: tasks whose runs were bound since the last quarantine and are still bound.
+    probes: BTreeSet<TaskKey>,
     /// Moving average of the natural logarithm of run time over estimate, relative to all workers.
     pub slowness: f64,
 }
@@ -49,21 +51,25 @@
 
     /// Returns whether a probe is running. Until one has succeeded, only long-running tasks are bound
     /// besides.
-    pub const fn is_probing(&self) -> bool {
-        self.on_probation && self.probes > 0
+    pub fn is_probing(&self) -> bool {
+        self.on_probation && !self.probes.is_empty()
     }
 
     /// Records that a task was bound.
-    pub const fn record_binding(&mut self) {
+    pub fn record_binding(&mut self, task: TaskKey) {
         if self.on_probation {
-            self.probes += 1;
+            self.probes.insert(task);
         }
     }
 
+    /// Records that a task is no longer bound, whether its run has ended or was never ordered.
+    pub fn record_release(&mut self, task: TaskKey) {
+        self.probes.remove(&task);
+    }
+
     /// Records the end of a run of `job`.
     pub fn record_end(&mut self, job: JobId, cause: EndCause, now: Moment) {
         self.drop_expired(now);
-        self.probes = self.probes.saturating_sub(1);
         match cause {
             EndCause::Done => {
                 self.on_probation = false;
@@ -99,7 +105,7 @@
 
     fn quarantine(&mut self, now: Moment) {
         if !self.on_probation {
-            self.probes = 0;
+            self.probes.clear();
         }
         self.failure_streak.clear();
         self.on_probation = true;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -258,6 +258,7 @@
         self.tasks.remove(&task);
         decrement(&mut self.step_tasks, &step_of(task));
         self.probes.remove(&task);
+        self.health.record_release(task);
         decrement(&mut self.serving_images, &binding.serving_image);
         decrement(&mut self.best_effort_images, &binding.best_effort_image);
         let demand = binding.demand;
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -13,6 +13,7 @@
 mod odd_messages;
 mod pace;
 mod place;
+mod probation;
 mod records;
 mod starts;
 mod support;
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/probation.rs
@@ -0,0 +1,71 @@
+//! Tests of workers on probation, which take few short tasks until a run has succeeded.
+
+use std::time::Duration;
+
+use agate_core::JobId;
+use agate_jobs::record::Body;
+use agate_jobs::{EndCause, Record, StepSpec};
+
+use crate::fleet::Fleet;
+use crate::support::{ended, report, step, submitted, task};
+
+/// Longer than a quarantine, after which a worker is on probation.
+const QUARANTINED: Duration = Duration::from_secs(3);
+
+fn cancelled(job: u64) -> Record {
+    Record::new(Body::Cancelled { job: JobId(job) })
+}
+
+/// Returns workers with four cores that are on probation.
+fn on_probation(names: &[&str]) -> Fleet {
+    let reports: Vec<_> = names.iter().map(|name| report(name, 1)).collect();
+    let mut fleet = Fleet::new(&reports);
+    fleet.fold(submitted(1, vec![step(8)]));
+    for placed in fleet.place() {
+        fleet.fold(ended(
+            placed.task,
+            placed.run,
+            EndCause::Stalled,
+            &placed.worker,
+        ));
+    }
+    fleet.fold(cancelled(1));
+    fleet.now = fleet.now + QUARANTINED;
+    fleet
+}
+
+fn gang(tasks: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(tasks)
+    }
+}
+
+/// The probes of a gang that did not fit were counted for good, so that the worker took no short task
+/// until the leader changed.
+#[test]
+fn a_gang_that_does_not_fit_leaves_no_probe() {
+    let mut fleet = on_probation(&["a"]);
+    fleet.fold(submitted(2, vec![gang(5)]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(submitted(3, vec![step(1)]));
+    let placed = fleet.place();
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].task, task(3, 0, 0));
+}
+
+/// The end of a run from before the quarantine was counted as the end of the probe, so that the worker
+/// took a second one at once.
+#[test]
+fn the_end_of_an_earlier_run_does_not_end_the_probe() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(3)]));
+    fleet.place();
+    for index in 0..2 {
+        fleet.fold(ended(task(1, 0, index), 1, EndCause::Stalled, "a"));
+    }
+    fleet.now = fleet.now + QUARANTINED;
+    assert_eq!(fleet.place().len(), 1);
+    fleet.fold(ended(task(1, 0, 2), 1, EndCause::Lapsed, "a"));
+    assert!(fleet.place().is_empty());
+}
