Let a worker on probation take more short tasks while its probes run

What callers see: tasks that are ready wait beside free room, for as long as other tasks run. After failures or stalls on most workers of a service, each of them takes a single task, and all other short tasks wait until these have ended: a job with a task that runs for 20 s holds up all later jobs for 20 s, with most of the processors idle.

Cause: a worker on probation was closed to short tasks from the first probe until a run had succeeded, without a limit in time.

Change: a probe that has run for 1.5 s, longer than a stall takes to be noticed, allows another one, so that the number of runs triples with each 1.5 s until one succeeds or fails.

Ruled out: a limit on the time of probation. A worker that fails each task late would then get as many tasks as a sound one.

Result: the new tests fail before (2 tasks on two workers after 1.5 and 3 s) and pass now (6 and 8, the capacity); a failure still closes the worker. All tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -1,6 +1,6 @@
 //! Recent health of a worker, as judged by the runs that ended on it.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
@@ -19,9 +19,13 @@
 /// earlier successes.
 const STREAK_LIMIT: usize = 3;
 
-/// Duration of a quarantine, after which a single probe task is bound.
+/// Duration of a quarantine, after which a probe is bound.
 const QUARANTINE: Duration = Duration::from_millis(2_500);
 
+/// Time after which a probe that still runs allows a further one. Runs that stall or fail at once have
+/// ended by then.
+const PROBE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Pause before the next task is bound to a worker that rejected a start.
 const REJECTION_PAUSE: Duration = Duration::from_millis(400);
 
@@ -38,8 +42,8 @@
     paused_until: Moment,
     /// Whether no run has succeeded since the last quarantine.
     on_probation: bool,
-    /// Probes: tasks whose runs were bound since the last quarantine and are still bound.
-    probes: BTreeSet<TaskKey>,
+    /// Probes: tasks that were bound since the last quarantine and are still bound, and since when.
+    probes: BTreeMap<TaskKey, Moment>,
     /// Moving average of the natural logarithm of run time over estimate, relative to all workers.
     pub slowness: f64,
 }
@@ -49,16 +53,23 @@
         now >= self.paused_until
     }
 
-    /// Returns whether a probe is running. Until one has succeeded, only long-running tasks are bound
-    /// besides.
-    pub fn is_probing(&self) -> bool {
-        self.on_probation && !self.probes.is_empty()
+    /// Returns whether a short task may be bound. On probation, one may be at once and one more for each
+    /// probe that has run for [`PROBE_TIME`], so that tasks don't wait beside room for as long as
+    /// the first probe runs.
+    pub fn accepts_short_task(&self, now: Moment) -> bool {
+        if !self.on_probation {
+            return true;
+        }
+        let running = self.probes.values();
+        let proven = running.filter(|since| now.since(**since) >= PROBE_TIME);
+        let proven = proven.count();
+        self.probes.len() <= 2 * proven
     }
 
     /// Records that a task was bound.
-    pub fn record_binding(&mut self, task: TaskKey) {
+    pub fn record_binding(&mut self, task: TaskKey, now: Moment) {
         if self.on_probation {
-            self.probes.insert(task);
+            self.probes.insert(task, now);
         }
     }
 
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -309,7 +309,7 @@
         };
         worker.bind(task, &binding);
         if !step.long_running {
-            worker.health.record_binding(task);
+            worker.health.record_binding(task, now);
         }
         let interference = if step.best_effort {
             self.interference
--- a/crates/agate_jobs/tests/jobs/probation.rs
+++ b/crates/agate_jobs/tests/jobs/probation.rs
@@ -6,6 +6,8 @@
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, StepSpec};
 
+use rstest::rstest;
+
 use crate::fleet::Fleet;
 use crate::support::{ended, report, step, submitted, task};
 
@@ -69,3 +71,38 @@
     fleet.fold(ended(task(1, 0, 2), 1, EndCause::Lapsed, "a"));
     assert!(fleet.place().is_empty());
 }
+
+/// One long probe on each worker kept all other tasks waiting beside room until it ended.
+#[rstest]
+#[case::one_at_once(0, 2)]
+#[case::one_for_each_that_runs(1_500, 6)]
+#[case::up_to_the_capacity(3_000, 8)]
+fn a_worker_on_probation_takes_more_tasks_as_long_as_they_run(
+    #[case] after_ms: u64,
+    #[case] running: usize,
+) {
+    let mut fleet = on_probation(&["a", "b"]);
+    for job in 2..12 {
+        fleet.fold(submitted(job, vec![step(1)]));
+    }
+    let mut placed = fleet.place().len();
+    for _ in 0..after_ms / 100 {
+        fleet.now = fleet.now + Duration::from_millis(100);
+        placed += fleet.place().len();
+    }
+    assert_eq!(placed, running);
+}
+
+/// A run that fails on probation closes the worker again, whatever still runs there.
+#[test]
+fn a_failure_on_probation_closes_the_worker_again() {
+    let mut fleet = on_probation(&["a"]);
+    fleet.fold(submitted(2, vec![step(4)]));
+    let probe = fleet.place();
+    assert_eq!(probe.len(), 1);
+    fleet.now = fleet.now + Duration::from_millis(1_500);
+    assert_eq!(fleet.place().len(), 2);
+    fleet.fold(ended(probe[0].task, probe[0].run, EndCause::Failed, "a"));
+    fleet.now = fleet.now + Duration::from_millis(1_500);
+    assert!(fleet.place().is_empty());
+}
