Count the members of a gang as one probe of a worker

What callers see: a gang never starts while too few workers are free of probation, although the workers have room for it.

Cause: the first member of a gang was the probe of a worker on probation, which closed the worker to the other members. A gang is placed as a whole or not at all, so it was given back in each round.

Change: the members of a gang, which start together, are one probe.

Ruled out: leaving probation out for gangs. A worker that fails everything would then get gangs as long as it is idle.

Result: a_gang_starts_on_a_worker_on_probation fails before (no task placed) and passes now; all tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -172,7 +172,7 @@
         && !worker.withdrawn
         && worker.accepts_tasks(now)
         && !worker.is_probing(now)
-        && (step.long_running || worker.health.accepts_short_task(now))
+        && (step.long_running || worker.health.accepts_short_task(task.task, step, now))
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
         && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
 }
--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -6,6 +6,7 @@
 use agate_core::{JobId, Moment};
 
 use crate::record::EndCause;
+use crate::spec::StepSpec;
 use crate::task::TaskKey;
 
 /// Time for which results are remembered.
@@ -55,15 +56,17 @@
 
     /// Returns whether a short task may be bound. On probation, one may be at once and one more for each
     /// probe that has run for [`PROBE_TIME`], so that tasks don't wait beside room for as long as
-    /// the first probe runs.
-    pub fn accepts_short_task(&self, now: Moment) -> bool {
+    /// the first probe runs. The members of a gang, which start together, count as one.
+    pub fn accepts_short_task(&self, task: TaskKey, step: &StepSpec, now: Moment) -> bool {
         if !self.on_probation {
             return true;
         }
-        let running = self.probes.values();
-        let proven = running.filter(|since| now.since(**since) >= PROBE_TIME);
-        let proven = proven.count();
-        self.probes.len() <= 2 * proven
+        let is_member = |other: &TaskKey| step.gang && other.is_sibling(task);
+        let others = self.probes.iter().filter(|(other, _)| !is_member(other));
+        let proven = others
+            .clone()
+            .filter(|(_, since)| now.since(**since) >= PROBE_TIME);
+        others.count() <= 2 * proven.count()
     }
 
     /// Records that a task was bound.
--- a/crates/agate_jobs/src/task.rs
+++ b/crates/agate_jobs/src/task.rs
@@ -21,6 +21,13 @@
     pub index: u32,
 }
 
+impl TaskKey {
+    /// Returns whether both are tasks of the same step and occurrence.
+    pub(crate) fn is_sibling(self, other: Self) -> bool {
+        (self.job, self.occurrence, self.step) == (other.job, other.occurrence, other.step)
+    }
+}
+
 /// invalid task key {0:?}: expected job.occurrence.step.index
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct TaskKeyError(pub String);
--- a/crates/agate_jobs/tests/jobs/probation.rs
+++ b/crates/agate_jobs/tests/jobs/probation.rs
@@ -43,6 +43,14 @@
     }
 }
 
+/// The first member of a gang was the probe, which closed the only worker to the second one.
+#[test]
+fn a_gang_starts_on_a_worker_on_probation() {
+    let mut fleet = on_probation(&["a"]);
+    fleet.fold(submitted(2, vec![gang(2)]));
+    assert_eq!(fleet.place().len(), 2);
+}
+
 /// The probes of a gang that did not fit were counted for good, so that the worker took no short task
 /// until the leader changed.
 #[test]
