Count only workers in service when a best-effort task waits for a better one

What callers see: best-effort tasks wait, although most of the processors that can be used are idle.

Cause: a best-effort task waits for a worker on which it runs at 0.7 of its speed while more than half of the service's processors are in use. Everything bound counted as used: also on workers that are silent, suspected, drain, or whose agents stop, where runs may have ended or never start, and nothing else may.

Change: only workers in service count, with what is bound there.

Ruled out: counting only runs whose start is known. Agents report the first start of a job, not each start.

Result: the three new cases fail before (no task placed) and pass now; all tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -115,12 +115,12 @@
     fitting.map(|(slot, _)| slot)
 }
 
-/// Returns whether more than half of a service's processors are in use, apart from those of
-/// withdrawn zones.
+/// Returns whether more than half of the processors are in use on the workers of a service on which
+/// anything may be started. What is bound to the others may have ended.
 fn is_half_used(workers: &[Worker], service: &str) -> bool {
-    let own = workers
-        .iter()
-        .filter(|worker| worker.report.service == service && !worker.withdrawn);
+    let own = workers.iter().filter(|worker| {
+        worker.report.service == service && !worker.withdrawn && worker.is_in_service()
+    });
     let (used, total) = own.fold((0, 0), |(used, total), worker| {
         let busy = u64::from(worker.busy_millicores());
         (
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -3,7 +3,7 @@
 use agate_core::JobId;
 use agate_jobs::pace::{Headroom, Interference};
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, OrderKind, Record, StepSpec, WorkerReport, WorkerState};
+use agate_jobs::{AgentState, EndCause, OrderKind, Record, StepSpec, WorkerReport, WorkerState};
 use rstest::rstest;
 
 use crate::fleet::Fleet;
@@ -251,6 +251,35 @@
     assert_eq!(fleet.place().len(), 1);
 }
 
+/// What was bound to workers that were silent or about to leave counted as used, so that best-effort
+/// tasks waited for a faster worker while all processors in service were idle.
+#[rstest]
+#[case::drains(WorkerReport { state: WorkerState::Draining, ..report("b", 1) })]
+#[case::unreachable(WorkerReport { unreachable: true, ..report("b", 1) })]
+#[case::agent_stops(WorkerReport { agent: AgentState::Stopping, ..report("b", 1) })]
+fn a_best_effort_task_does_not_wait_because_of_what_is_bound_out_of_service(
+    #[case] left: WorkerReport,
+) {
+    let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
+    let on = |worker: &str, step: StepSpec| StepSpec {
+        label: format!("r-{worker}"),
+        ..step
+    };
+    let serving = StepSpec {
+        tasks: 1,
+        ..serving_step()
+    };
+    fleet.fold(submitted(1, vec![on("a", serving), on("b", step(4))]));
+    assert_eq!(fleet.place().len(), 5);
+    fleet.fold(Record::new(Body::Worker(report_with_interference(
+        "a", 900, 300,
+    ))));
+    fleet.fold(submitted(2, vec![best_effort_step()]));
+    assert!(fleet.place().is_empty(), "most processors are in use");
+    fleet.fold(Record::new(Body::Worker(left)));
+    assert_eq!(fleet.place().len(), 1);
+}
+
 #[test]
 fn serving_tasks_of_one_image_share_workers() {
     let mut fleet = Fleet::new(&[report("a", 1), report("b", 1)]);
