--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -17,6 +17,7 @@
 mod records;
 mod starts;
 mod support;
+mod suspects;
 mod suspicion;
 mod table;
 mod takeover;
