Let short tasks take room that has been reserved for long while most processors are idle

What callers see: a short task is ready and doesn't run, with most of the workers' room free, for as long as other short tasks run.

Cause: a long-running task that fits on no worker reserves all that is free on the worker that lacks least, until the short tasks there have ended. A short task may run for long, and several long-running tasks reserve on several workers. Short tasks had no limit for how long they leave such room, while later long-running ones leave it for 2.5 s.

Change: a short task leaves reserved room for 2.5 s as well if less than half of the service's processors are in use, and takes other room first. While more is in use, reservations hold as before.

Ruled out: the same limit at any load. By reading, not by a run: under a backlog, short tasks would again take each freed core, and a large long-running task would never fit.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -44,6 +44,10 @@
 /// between workers, but not the cost of a prior failure.
 const COLD_COST: f64 = 5.0;
 
+/// Cost, for a short task, of room that is reserved for a long-running one. It exceeds the usual differences
+/// in cost between workers.
+const RESERVED_COST: f64 = 5.0;
+
 /// Weight of a worker's slowness, which is a logarithm.
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
@@ -73,7 +77,8 @@
     /// than half of the service's processors are in use.
     pub min_speed: f64,
     pub preference: Preference,
-    /// Whether a long-running task leaves room to an earlier one that waits for it.
+    /// Whether a long-running task leaves room to an earlier one that waits for it, and whether a short
+    /// task leaves room to long-running ones that have waited for long.
     pub yields: bool,
 }
 
@@ -97,6 +102,9 @@
         if now < worker.cold_until {
             cost += COLD_COST;
         }
+        if takes_reserved(worker, task.step) {
+            cost += RESERVED_COST;
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, slot));
         }
@@ -104,6 +112,11 @@
     best.map(|(_, slot)| slot)
 }
 
+/// Returns whether a short task would take room that is reserved.
+fn takes_reserved(worker: &Worker, step: &StepSpec) -> bool {
+    !step.long_running && !worker.reservations.is_empty() && !worker.has_room(step, true)
+}
+
 /// Returns the workers that a task fits on.
 pub(super) fn fitting<'a>(
     workers: &'a [Worker],
@@ -117,7 +130,7 @@
 
 /// Returns whether more than half of the processors are in use on the workers of a service on which
 /// anything may be started. What is bound to the others may have ended.
-fn is_half_used(workers: &[Worker], service: &str) -> bool {
+pub(super) fn is_half_used(workers: &[Worker], service: &str) -> bool {
     let own = workers.iter().filter(|worker| {
         worker.report.service == service && !worker.withdrawn && worker.is_in_service()
     });
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -234,15 +234,29 @@
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
-        // A task that is being moved is bound, and its zone has to be left.
-        let moves = self.bindings.contains_key(&task);
+        let candidate = self.candidate(turn, task)?;
         let candidate = Candidate {
-            yields: !moves && self.waits.waited(task, now) < FIRST_TIME,
-            ..self.candidate(turn, task)?
+            yields: self.yields(candidate, now),
+            ..candidate
         };
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
+    /// Returns whether a task leaves room to others that it is reserved for.
+    fn yields(&self, candidate: Candidate<'_>, now: Moment) -> bool {
+        let task = candidate.task;
+        if candidate.step.long_running {
+            // A task that is being moved is bound, and its zone has to be left.
+            let moves = self.bindings.contains_key(&task);
+            return !moves && self.waits.waited(task, now) < FIRST_TIME;
+        }
+        // The short tasks in the way of a long-running one may run for long, while most processors
+        // are idle.
+        let mut workers = self.workers.iter();
+        workers.any(|worker| !worker.reservations.is_empty())
+            && choose::is_half_used(&self.workers, candidate.service)
+    }
+
     pub(super) fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
         let job = turn.job;
         let step = job.step(task)?;
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -63,7 +63,7 @@
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
-    /// Part of them that later long-running tasks don't take, either.
+    /// Part of them that was reserved recently, which later long-running tasks don't take, either.
     pub reserved_first: Resources,
     /// The tasks that they are reserved for.
     pub reservations: Vec<TaskKey>,
@@ -159,23 +159,21 @@
     }
 
     /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
-    /// to.
+    /// to. A long-running task that doesn't yield ignores them all; a short one yields to the new ones
+    /// in any case.
     pub fn has_room(&self, step: &StepSpec, yields: bool) -> bool {
         let demand = step.demand;
+        let reserved = match (step.long_running, yields) {
+            (true, true) | (false, false) => self.reserved_first,
+            (true, false) => Resources::ZERO,
+            (false, true) => self.reserved,
+        };
+        let kept = reserved + self.held;
         let room = self.report.capacity.saturating_sub(self.used);
-        if step.long_running {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(if yields {
-                room.saturating_sub(self.reserved_first)
-            } else {
-                room
-            });
+        if step.long_running || !step.best_effort {
+            return demand.fits_in(room.saturating_sub(kept));
         }
-        if !step.best_effort {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(room.saturating_sub(self.reserved));
-        }
-        let room = room.saturating_sub(without_cpu(self.reserved + self.held));
+        let room = room.saturating_sub(without_cpu(kept));
         let idle = self.long_running.millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         // More may be in use than the worker has, if it has shrunk.
         let capacity = self.report.capacity.millicores.saturating_add(idle);
--- a/crates/agate_jobs/tests/jobs/long_running.rs
+++ b/crates/agate_jobs/tests/jobs/long_running.rs
@@ -91,3 +91,29 @@
     fleet.fold(ended(task(2, 1, 0), 1, EndCause::Done, "a"));
     assert_eq!(placed_jobs(&mut fleet), later);
 }
+
+/// A short task that ran for long kept a long-running one from a worker, and the room that was reserved
+/// for that one kept all other short tasks from nearly idle workers.
+#[rstest]
+#[case::at_first(1, 2_400, 0)]
+#[case::while_most_processors_idle(1, 2_500, 1)]
+#[case::not_while_most_are_in_use(3, 60_000, 0)]
+fn short_tasks_take_reserved_room(
+    #[case] running: u32,
+    #[case] waited_ms: u64,
+    #[case] expected: usize,
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(running)]));
+    fleet.place();
+    let long_running = StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(3_500, 100, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![long_running]));
+    fleet.fold(submitted(3, vec![step(1)]));
+    assert!(fleet.place().is_empty());
+    fleet.now = fleet.now + std::time::Duration::from_millis(waited_ms);
+    assert_eq!(fleet.place().len(), expected);
+}
