Compare a best-effort task with the workers though others of its image found none

What callers see: best-effort tasks wait, although the processors that long-running tasks leave idle would do for them.

Cause: with the order `backlog`, a task that asks for as much as one that found no worker in the same round is skipped. What found none is known by service, image and label. A task that needs processors of its own then stood for a best-effort one as well, which may use the idle ones of long-running tasks, and those that are reserved.

Change: it is known apart for best-effort tasks.

Ruled out: the other properties of a step. A step with a limit for each worker or for a single rack is never noted, and a data rack or a rank only changes the cost.

Result: found by reading. a_task_without_room_does_not_keep_best_effort_ones_from_idle_processors fails before (no task placed) and passes now; all tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/misses.rs
+++ b/crates/agate_jobs/src/plan/misses.rs
@@ -10,7 +10,17 @@
 /// What was asked for without success. No room becomes free within a round, so a task that asks for
 /// as much finds no worker either, and the workers need not be compared again.
 #[derive(Debug, Default)]
-pub(super) struct Misses(HashMap<(String, String, String), Vec<(Resources, f64)>>);
+pub(super) struct Misses(HashMap<Key, Vec<(Resources, f64)>>);
+
+/// What the workers are compared with besides the demand. Best-effort tasks fit where others don't: they
+/// use the processors that others leave idle or that are reserved.
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct Key {
+    service: String,
+    image: String,
+    label: String,
+    best_effort: bool,
+}
 
 impl Misses {
     pub fn add(&mut self, turn: &Turn<'_>, step: &StepSpec) {
@@ -30,7 +40,11 @@
     }
 }
 
-fn key(turn: &Turn<'_>, step: &StepSpec) -> (String, String, String) {
-    let service = turn.job.policy.service.clone();
-    (service, step.image.clone(), step.label.clone())
+fn key(turn: &Turn<'_>, step: &StepSpec) -> Key {
+    Key {
+        service: turn.job.policy.service.clone(),
+        image: step.image.clone(),
+        label: step.label.clone(),
+        best_effort: step.best_effort,
+    }
 }
--- a/crates/agate_jobs/tests/jobs/backlog.rs
+++ b/crates/agate_jobs/tests/jobs/backlog.rs
@@ -247,3 +247,24 @@
     assert!(summary.more_changes > 0);
     assert!(fleet.scheduler.take_backlog_summary().is_none());
 }
+
+/// A best-effort task uses the processors that a long-running one leaves idle. It was passed over for as
+/// long as a task of the same image that needs processors of its own found no worker.
+#[test]
+fn a_task_without_room_does_not_keep_best_effort_ones_from_idle_processors() {
+    let mut fleet = backlog_fleet(&[report("a", 1)]);
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    fleet.fold(submitted(1, vec![long_running]));
+    assert_eq!(placed_jobs(&mut fleet), BTreeSet::from([1]));
+    let large = |best_effort| StepSpec {
+        best_effort,
+        demand: Resources::new(3_500, 100, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(2, vec![large(false)]));
+    fleet.fold(submitted(3, vec![large(true)]));
+    assert_eq!(placed_jobs(&mut fleet), BTreeSet::from([3]));
+}
