Limit the time for which suspects close a worker to other tasks

What callers see: tasks that are ready wait beside room for many seconds after crashes, suspects and others alike.

Cause: nothing is started beside a suspect until it has survived its start, for which it gets as long as its runs had lasted at a crash, up to 3.1 s. Suspects are placed first in each round, so the next one closes the worker again as soon as it is free. The limit after which a suspect is placed like any other task doesn't help, since other tasks don't get onto such workers either.

Change: suspects that follow one another close a worker for 2.5 s at most. After that other tasks are placed there until no suspect has been placed for 0.2 s.

Ruled out: a shorter time to survive for each suspect. Ten short ones in a row close a worker for as long.

Result: found by reading. Both cases of ready_tasks_do_not_wait_for_a_series_of_suspects fail before (2 of 5 and 16 of 25 tasks are bound within 3 s on an idle worker) and pass now; all tests of agate_jobs pass.

--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -20,6 +20,13 @@
 /// beside room for as long as it does.
 pub(super) const FIRST_TIME: Duration = Duration::from_millis(2_500);
 
+/// Longest time for which suspects, one after the other, close a worker to other tasks. Tasks that are ready
+/// would otherwise wait beside room for as long as there are suspects that have to survive their start.
+const MAX_CLOSED: Duration = Duration::from_millis(2_500);
+
+/// Time after a suspect has survived its start within which the next one continues to close the worker.
+const NEXT_PROBE: Duration = Duration::from_millis(200);
+
 /// Headroom assumed for serving tasks until their worker reports one.
 const DEFAULT_HEADROOM: f64 = 0.3;
 
@@ -82,6 +89,8 @@
     pub best_effort_images: BTreeMap<String, u32>,
     /// Runs whose tasks may have crashed a worker, and until when nothing is started beside them.
     pub probes: BTreeMap<TaskKey, Moment>,
+    /// Times since and until which such runs have closed the worker, one after the other.
+    closed: (Moment, Moment),
     /// The bound tasks.
     pub tasks: BTreeSet<TaskKey>,
     /// Number of bound tasks, by job, occurrence and step.
@@ -109,6 +118,7 @@
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
             probes: BTreeMap::new(),
+            closed: (Moment::ZERO, Moment::ZERO),
             tasks: BTreeSet::new(),
             step_tasks: BTreeMap::new(),
         }
@@ -143,9 +153,10 @@
             && !self.suspicion.suspected
     }
 
-    /// Returns whether a run must survive its start before anything else is started.
+    /// Returns whether a run must survive its start before anything else is started. Runs for which that
+    /// takes long don't close the worker for longer than [`MAX_CLOSED`].
     pub fn is_probing(&self, now: Moment) -> bool {
-        self.probes.values().any(|until| now < *until)
+        now.since(self.closed.0) < MAX_CLOSED && self.probes.values().any(|until| now < *until)
     }
 
     /// Returns whether nothing runs but tasks that may have crashed a worker.
@@ -226,6 +237,7 @@
         *self.step_tasks.entry(step_of(task)).or_default() += 1;
         if let Some(until) = binding.probe_until {
             self.probes.insert(task, until);
+            self.close(binding.bound_at, until);
         }
         let demand = binding.demand;
         if binding.best_effort {
@@ -252,6 +264,14 @@
         }
     }
 
+    /// Closes the worker to other tasks from `since` to `until`.
+    fn close(&mut self, since: Moment, until: Moment) {
+        if since > self.closed.1 + NEXT_PROBE {
+            self.closed.0 = since;
+        }
+        self.closed.1 = self.closed.1.max(until);
+    }
+
     pub fn release(&mut self, task: TaskKey, binding: &Binding) {
         self.tasks.remove(&task);
         decrement(&mut self.step_tasks, &step_of(task));
--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -6,7 +6,8 @@
 use agate_jobs::plan::Placement;
 use agate_jobs::record::Body;
 use agate_jobs::{
-    EndCause, JobState, JobTable, LossReason, Record, RunEnd, TaskKey, WorkerReport, WorkerState,
+    EndCause, JobState, JobTable, LossReason, Record, RunEnd, StepSpec, TaskKey, WorkerReport,
+    WorkerState,
 };
 use rstest::rstest;
 
@@ -293,3 +294,39 @@
     let workers = workers_of(&placed);
     assert_eq!(workers, [workers[0]; 6]);
 }
+
+/// Tasks that had run for seconds before two crashes closed each worker to all others for as long, one after
+/// the other, so that the last of them and all tasks beside them waited beside room.
+#[rstest]
+#[case::of_long_runs(2_500, 4)]
+#[case::of_prompt_crashes(50, 24)]
+fn ready_tasks_do_not_wait_for_a_series_of_suspects(#[case] ran_ms: u64, #[case] suspects: u32) {
+    let small = |tasks| StepSpec {
+        demand: agate_core::Resources::new(50, 10, 0),
+        ..step(tasks)
+    };
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![small(suspects)]));
+    for index in 0..suspects {
+        for run in 1..=2 {
+            let crash = Some(Crash {
+                peers: suspects - 1,
+                ..crash("a:1", ran_ms, 0)
+            });
+            let end = crash_end(task(1, 0, index), run);
+            let end = RunEnd {
+                crash,
+                ..end_of(end)
+            };
+            fleet.fold(Record::new(Body::Ended(end)));
+        }
+    }
+    fleet.fold(submitted(2, vec![small(1)]));
+    let mut placed = fleet.place().len();
+    for _ in 0..30 {
+        fleet.advance(Duration::from_millis(100));
+        fleet.fold(Record::new(Body::Worker(report("a", 1))));
+        placed += fleet.place().len();
+    }
+    assert_eq!(placed, suspects as usize + 1);
+}
