--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -162,7 +162,11 @@
             }
             let Some(slot) = self.choose(turn, task, round.now) else {
                 self.note_zone_wait(turn.job, task);
-                round.misses.add(turn, step);
+                // Workers that are closed to this job alone may take others.
+                let mut workers = self.workers.iter();
+                if !workers.any(|worker| worker.health.blames(turn.id)) {
+                    round.misses.add(turn, step);
+                }
                 return;
             };
             let placement = self.bind(turn.job, task, (slot, None), round.now);
@@ -234,15 +238,29 @@
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
-        // A task that is being moved is bound, and its zone has to be left.
-        let moves = self.bindings.contains_key(&task);
+        let candidate = self.candidate(turn, task)?;
         let candidate = Candidate {
-            yields: !moves && self.waits.waited(task, now) < FIRST_TIME,
-            ..self.candidate(turn, task)?
+            yields: self.yields(candidate, now),
+            ..candidate
         };
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
+    /// Returns whether a task leaves room to others that it is reserved for.
+    fn yields(&self, candidate: Candidate<'_>, now: Moment) -> bool {
+        let task = candidate.task;
+        if candidate.step.long_running {
+            // A task that is being moved is bound, and its zone has to be left.
+            let moves = self.bindings.contains_key(&task);
+            return !moves && self.waits.waited(task, now) < FIRST_TIME;
+        }
+        // The short tasks in the way of a long-running one may run for long, while most processors
+        // are idle.
+        let mut workers = self.workers.iter();
+        workers.any(|worker| !worker.reservations.is_empty())
+            && choose::is_half_used(&self.workers, candidate.service)
+    }
+
     pub(super) fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
         let job = turn.job;
         let step = job.step(task)?;
