--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -305,7 +305,6 @@
         let step = &job.spec.steps[task.step as usize];
         let progress = &job.progress[task.occurrence as usize][task.step as usize];
         let progress = &progress.tasks[task.index as usize];
-        let waited = self.suspects.waited(task, now);
         let worker = &mut self.workers[slot];
         let incarnation = worker.suspicion.incarnation.clone();
         let binding = Binding {
@@ -324,7 +323,7 @@
             },
             stopping: false,
             bound_at: now,
-            probe_until: suspects::probe_until(step, progress, waited, now),
+            probe_until: suspects::probe_until(step, progress, now),
         };
         worker.bind(task, &binding);
         if !step.long_running {
--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -4,8 +4,6 @@
 //! of agents may take effect late, so each of the three may be older than the others. The newest
 //! incarnation and term that any of them names is the current one.
 
-use std::time::Duration;
-
 use agate_core::{JobId, Moment};
 
 use crate::loss::LossReason;
@@ -239,7 +237,7 @@
             bound_at: now,
             probe_until: step
                 .zip(task)
-                .and_then(|(step, task)| suspects::probe_until(step, task, Duration::ZERO, now)),
+                .and_then(|(step, task)| suspects::probe_until(step, task, now)),
         };
         if let Some(old) = self.bindings.insert(order.task, binding.clone()) {
             self.workers[old.worker].release(order.task, &old);
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -9,7 +9,7 @@
 
 use agate_core::Moment;
 
-use crate::crash::{Attribution, CrashHistory, PROMPT_CRASH, RECENT_START};
+use crate::crash::{Attribution, CrashHistory, RECENT_START};
 use crate::plan::choose;
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
@@ -29,22 +29,10 @@
 /// capacity.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Divisor of the number of workers of a service. Suspects close at most the quotient, and one at
-/// least, to other tasks.
-const PROBED_DIVISOR: usize = 2;
-
 /// Suspects that wait for a worker, and since when.
 #[derive(Debug, Default)]
 pub(super) struct Suspects(BTreeMap<TaskKey, Moment>);
 
-impl Suspects {
-    /// Returns the time for which a suspect has waited; zero for other tasks.
-    pub(super) fn waited(&self, task: TaskKey, now: Moment) -> Duration {
-        let since = self.0.get(&task);
-        since.map_or(Duration::ZERO, |since| now.since(*since))
-    }
-}
-
 /// A suspect that is ready to run.
 struct Pending<'a> {
     task: TaskKey,
@@ -53,54 +41,11 @@
     waited: Duration,
 }
 
-/// How long nothing else is started beside a suspect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Isolation {
-    /// Until it has run for longer than in any of its crashes.
-    Full,
-    /// Until a prompt crash would have been noticed.
-    Brief,
-    /// Not at all.
-    None,
-}
-
-impl Isolation {
-    /// Returns the isolation of a suspect that has waited for `waited`. Workers are not closed for
-    /// seconds by tasks that have waited so long because others had closed them.
-    fn of(crashes: &CrashHistory, waited: Duration) -> Self {
-        if waited < MAX_WAIT {
-            Self::Full
-        } else if crashes.shortest_delay() <= PROMPT_CRASH {
-            Self::Brief
-        } else {
-            Self::None
-        }
-    }
-
-    fn time(self, crashes: &CrashHistory) -> Option<Duration> {
-        let survival = match self {
-            Self::Full => crashes.longest_run(),
-            Self::Brief => crashes.longest_run().min(PROMPT_CRASH),
-            Self::None => return None,
-        };
-        Some(RECENT_START + DELIVERY_TIME + survival)
-    }
-}
-
-/// Returns the time until which nothing else is started beside a suspect that is bound at `now` and
-/// has waited for `waited`; `None` for other tasks, and for members of a gang, which are started
-/// together.
-pub(super) fn probe_until(
-    step: &StepSpec,
-    task: &TaskProgress,
-    waited: Duration,
-    now: Moment,
-) -> Option<Moment> {
-    if step.gang || !is_suspected(task) {
-        return None;
-    }
-    let time = Isolation::of(&task.crashes, waited).time(&task.crashes)?;
-    Some(now + time)
+/// Returns the time by which a suspect that is bound at `now` has survived its start; `None` for other
+/// tasks, and for members of a gang, which are started together.
+pub(super) fn probe_until(step: &StepSpec, task: &TaskProgress, now: Moment) -> Option<Moment> {
+    let time = RECENT_START + DELIVERY_TIME + task.crashes.longest_run();
+    (!step.gang && is_suspected(task)).then(|| now + time)
 }
 
 /// Returns whether a task may have crashed a worker.
@@ -189,11 +134,7 @@
         now: Moment,
     ) -> Option<usize> {
         let turn = order::whole(suspect.task.job, suspect.job);
-        let isolation = Isolation::of(suspect.crashes, suspect.waited);
-        if isolation != Isolation::None && self.is_half_probed(&suspect.job.policy.service, now) {
-            return None;
-        }
-        if isolation != Isolation::Full {
+        if suspect.waited >= MAX_WAIT {
             return self.choose(&turn, suspect.task, now);
         }
         let candidate = self.candidate(&turn, suspect.task)?;
@@ -215,21 +156,6 @@
         })
     }
 
-    /// Returns whether suspects close as many workers of a service as they may. If they closed all of
-    /// them, the other tasks would wait beside idle workers.
-    fn is_half_probed(&self, service: &str, now: Moment) -> bool {
-        let workers = self.workers.iter();
-        let own = workers.filter(|worker| {
-            worker.report.service == service && !worker.withdrawn && worker.is_in_service()
-        });
-        let (mut all, mut probed) = (0, 0);
-        for worker in own {
-            all += 1;
-            probed += usize::from(worker.is_probing(now));
-        }
-        probed >= (all / PROBED_DIVISOR).max(1)
-    }
-
     /// Returns whether a suspect runs beside other tasks and has not survived its start yet. One such
     /// task at a time limits what a wrong guess costs.
     fn has_shared_probe(&self, now: Moment) -> bool {
