Report short tasks that wait, and times in which nothing is placed

short_task_waits names, once a second, the job that has waited longest with a short task that is ready and none that is bound, and the first reason that excludes each worker of its service. The reasons are an enum, and the choice of a worker takes its yes or no from the functions that name them, also for suspects of crashes. The open jobs are compared with the bindings every 0.1 s, not with what the rounds came to, so that a step that a round skips waits as well; a worker that nothing excludes counts as unobstructed. placement_paused gives the reason for which whole steps of the leader place nothing for 1 s or more. agatenotch_waiting_jobs is the gauge.

Broken once each, and seen to fail: removal of what a round binds, the rule for full rounds, and the time between two reports.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -3,6 +3,7 @@
 use agate_core::Moment;
 
 use crate::plan::interference::InterferenceTable;
+use crate::plan::obstacle::{self, Obstacle};
 use crate::plan::worker::Worker;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
@@ -77,6 +78,44 @@
     pub yields: bool,
 }
 
+/// What a worker must offer to a task.
+#[derive(Clone, Copy)]
+pub(super) struct Search<'a> {
+    interference: &'a InterferenceTable,
+    task: Candidate<'a>,
+    now: Moment,
+    /// Whether the task waits for a better worker if it would be slow.
+    may_wait: bool,
+}
+
+impl<'a> Search<'a> {
+    pub(super) fn new(
+        workers: &[Worker],
+        interference: &'a InterferenceTable,
+        task: Candidate<'a>,
+        now: Moment,
+    ) -> Self {
+        Self {
+            interference,
+            task,
+            now,
+            may_wait: task.step.best_effort && is_half_used(workers, task.service),
+        }
+    }
+
+    /// Returns why the task may not be started on a worker of its service.
+    #[inline]
+    pub(super) fn obstacle(&self, worker: &Worker) -> Option<Obstacle> {
+        obstacle::obstacle(worker, self.task, self.now)
+            .or_else(|| self.is_slow(worker).then_some(Obstacle::TooSlow))
+    }
+
+    fn is_slow(&self, worker: &Worker) -> bool {
+        let speed = || expected_speed(worker, self.interference, &self.task.step.image);
+        self.may_wait && speed() < self.task.min_speed
+    }
+}
+
 /// Returns the worker with the lowest cost among those that the task fits on.
 pub(super) fn choose(
     workers: &[Worker],
@@ -84,13 +123,10 @@
     task: Candidate<'_>,
     now: Moment,
 ) -> Option<usize> {
-    let may_wait = task.step.best_effort && is_half_used(workers, task.service);
+    let search = Search::new(workers, interference, task, now);
     let mut best: Option<(f64, usize)> = None;
     for (slot, worker) in workers.iter().enumerate() {
-        if !fits(worker, task, now) {
-            continue;
-        }
-        if may_wait && expected_speed(worker, interference, &task.step.image) < task.min_speed {
+        if worker.report.service != task.service || search.obstacle(worker).is_some() {
             continue;
         }
         let mut cost = cost(worker, interference, task);
@@ -118,17 +154,22 @@
 /// Returns whether more than half of the processors are in use on the workers of a service on which
 /// anything may be started. What is bound to the others may have ended.
 fn is_half_used(workers: &[Worker], service: &str) -> bool {
+    let (used, total) = busy_millicores(workers, service);
+    used * 2 > total
+}
+
+/// Returns the processors in use, and all of them, on the same workers.
+pub(super) fn busy_millicores(workers: &[Worker], service: &str) -> (u64, u64) {
     let own = workers.iter().filter(|worker| {
         worker.report.service == service && !worker.withdrawn && worker.is_in_service()
     });
-    let (used, total) = own.fold((0, 0), |(used, total), worker| {
+    own.fold((0, 0), |(used, total), worker| {
         let busy = u64::from(worker.busy_millicores());
         (
             used + busy,
             total + u64::from(worker.report.capacity.millicores),
         )
-    });
-    used * 2 > total
+    })
 }
 
 /// Returns the worker on which to reserve resources for a long-running task: the one that lacks the
@@ -162,19 +203,12 @@
 }
 
 fn fits(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
-    is_allowed(worker, task, now) && worker.has_room(task.step, task.yields)
+    worker.report.service == task.service && obstacle::obstacle(worker, task, now).is_none()
 }
 
 /// Returns whether a task may run on a worker, regardless of the room left.
 fn is_allowed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
-    let step = task.step;
-    worker.report.service == task.service
-        && !worker.withdrawn
-        && worker.accepts_tasks(now)
-        && !worker.is_probing(now)
-        && (step.long_running || worker.health.accepts_short_task(task.task, step, now))
-        && (step.label.is_empty() || worker.report.labels.contains(&step.label))
-        && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
+    worker.report.service == task.service && obstacle::restriction(worker, task, now).is_none()
 }
 
 fn cost(worker: &Worker, interference: &InterferenceTable, task: Candidate<'_>) -> f64 {
--- a/crates/agate_jobs/src/plan/order.rs
+++ b/crates/agate_jobs/src/plan/order.rs
@@ -4,12 +4,13 @@
 
 use agate_core::{JobId, Moment};
 
-use crate::backlog::plan::Group;
+use crate::backlog::plan::{Group, Rank};
 use crate::backlog::{
     BatchOrder, LATE_FACTOR, MIN_SPEED, OpenJob, Part, Plan, Standing, Summary, min_speed,
 };
 use crate::plan::scheduler::Scheduler;
 use crate::table::{Job, JobTable};
+use crate::task::TaskKey;
 
 /// The state of an order.
 #[derive(Debug, Default)]
@@ -75,6 +76,34 @@
         }
     }
 
+    /// Returns the class of a job in the plan, or `None` if it has no part in one.
+    pub(super) fn standing_of(&self, job: &Job, id: JobId) -> Option<Standing> {
+        match &self.order {
+            JobOrder::Backlog(plan) if is_planned(job) => Some(plan.rank_of(id).standing),
+            JobOrder::Urgency | JobOrder::Backlog(_) => None,
+        }
+    }
+
+    /// Returns the turn in which a pending task may be placed.
+    pub(super) fn turn_of<'a>(&self, job: &'a Job, task: TaskKey) -> Turn<'a> {
+        let turn = whole(task.job, job);
+        let (JobOrder::Backlog(plan), Some(progress)) = (&self.order, job.step_progress(task))
+        else {
+            return turn;
+        };
+        if !is_planned(job) {
+            return turn;
+        }
+        let at = (task.occurrence as usize, task.step as usize);
+        let stragglers = Part::Stragglers.of(progress, self.pending_tasks(&turn, at));
+        let part = if stragglers.contains(&task) {
+            Part::Stragglers
+        } else {
+            Part::Others
+        };
+        planned_turn(turn, part, plan.rank_of(task.job))
+    }
+
     /// Returns the turns of the open jobs.
     pub(super) fn turns<'a>(
         &mut self,
@@ -158,11 +187,7 @@
         .flat_map(|(id, job)| {
             let rank = plan.rank_of(id);
             [Part::Stragglers, Part::Others].map(|part| {
-                let turn = Turn {
-                    part,
-                    min_speed: min_speed(part, rank.standing, rank.exceeded),
-                    ..whole(id, job)
-                };
+                let turn = planned_turn(whole(id, job), part, rank);
                 let key = (rank.standing, part, rank.position, id);
                 (job.policy.priority, key, turn)
             })
@@ -180,6 +205,15 @@
     all.into_iter().map(|(_, turn)| turn).collect()
 }
 
+/// Returns the turn in which a part of a planned job may be placed.
+fn planned_turn(turn: Turn<'_>, part: Part, rank: Rank) -> Turn<'_> {
+    Turn {
+        part,
+        min_speed: min_speed(part, rank.standing, rank.exceeded),
+        ..turn
+    }
+}
+
 /// Returns the turn of a job in which all of its tasks may be placed.
 pub(super) const fn whole(id: JobId, job: &Job) -> Turn<'_> {
     Turn {
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -40,6 +40,10 @@
         &self.reserved
     }
 
+    pub(super) fn placed(&self) -> &[Placement] {
+        &self.placed
+    }
+
     pub(super) const fn is_full(&self) -> bool {
         self.left == 0
     }
@@ -83,20 +87,22 @@
         self.hold_room_for_moves();
         self.place_suspects(table, &mut round, wall_ms);
         let mut priority = None;
-        for turn in self.turns(table, now, wall_ms) {
+        let turns = self.turns(table, now, wall_ms);
+        for turn in &turns {
             if priority.replace(turn.job.policy.priority) != Some(turn.job.policy.priority) {
                 self.place_waiting(table, turn.job.policy.priority, &mut round);
             }
             for at in ready_steps(turn.job, wall_ms) {
                 if turn.job.spec.steps[at.1].gang {
-                    self.place_gang(&turn, at, &mut round);
+                    self.place_gang(turn, at, &mut round);
                 } else {
-                    self.place_step(&turn, at, &mut round);
+                    self.place_step(turn, at, &mut round);
                 }
             }
         }
         self.begin_moves(table, now);
         self.record_waits(&round);
+        self.record_short_waits(&turns, &round, wall_ms);
         round.placed
     }
 
@@ -218,19 +224,23 @@
     }
 
     /// Returns the tasks of a step that are neither finished, nor bound, nor given up.
-    pub(super) fn pending_tasks(
-        &self,
-        &Turn { id, job, .. }: &Turn<'_>,
+    pub(super) fn pending_tasks(&self, turn: &Turn<'_>, at: (usize, usize)) -> Vec<TaskKey> {
+        self.pending(turn, at).collect()
+    }
+
+    /// Returns the same tasks one by one.
+    pub(super) fn pending<'a>(
+        &'a self,
+        &Turn { id, job, .. }: &Turn<'a>,
         (occurrence, step): (usize, usize),
-    ) -> Vec<TaskKey> {
+    ) -> impl Iterator<Item = TaskKey> + 'a {
         let long_running = job.spec.steps[step].long_running;
         let max_attempts = job.policy.max_attempts.max(1);
         let tasks = job.progress[occurrence][step].tasks.iter().enumerate();
         tasks
-            .filter(|(_, task)| !task.done && (long_running || task.failures < max_attempts))
-            .map(|(index, _)| task_key(id, occurrence, step, index))
+            .filter(move |(_, task)| !task.done && (long_running || task.failures < max_attempts))
+            .map(move |(index, _)| task_key(id, occurrence, step, index))
             .filter(|task| !self.bindings.contains_key(task))
-            .collect()
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::plan::interference::InterferenceTable;
 use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
+use crate::plan::short_waits::ShortWaits;
 use crate::plan::suspects::Suspects;
 use crate::plan::waits::Waits;
 use crate::plan::withdrawal::Withdrawal;
@@ -49,6 +50,7 @@
     pub(super) order: JobOrder,
     pub(super) suspects: Suspects,
     pub(super) waits: Waits,
+    pub(super) short_waits: ShortWaits,
     mean_slowness: f64,
 }
 
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -11,9 +11,11 @@
 
 use crate::crash::{Attribution, CrashHistory, RECENT_START};
 use crate::plan::choose;
+use crate::plan::obstacle::Obstacle;
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
+use crate::plan::worker::Worker;
 use crate::spec::StepSpec;
 use crate::table::{Job, JobTable, TaskProgress};
 use crate::task::TaskKey;
@@ -41,6 +43,22 @@
     waited: Duration,
 }
 
+/// How far a suspect is kept apart from other tasks.
+pub(super) struct Isolation<'a> {
+    /// Workers on which a run was bound shortly before.
+    busy: &'a BTreeSet<usize>,
+    /// Whether it may run beside other tasks.
+    may_share: bool,
+}
+
+impl Isolation<'_> {
+    /// Returns why a suspect may not be started on a worker that takes it otherwise.
+    pub(super) fn obstacle(&self, slot: usize, worker: &Worker) -> Option<Obstacle> {
+        let is_apart = !self.busy.contains(&slot) && (worker.is_idle() || self.may_share);
+        (!is_apart).then_some(Obstacle::Shared)
+    }
+}
+
 /// Returns the time by which a suspect that is bound at `now` has survived its start; `None` for other
 /// tasks, and for members of a gang, which are started together.
 pub(super) fn probe_until(step: &StepSpec, task: &TaskProgress, now: Moment) -> Option<Moment> {
@@ -119,7 +137,7 @@
     }
 
     /// Returns the workers on which a run was bound shortly before.
-    fn recently_used(&self, now: Moment) -> BTreeSet<usize> {
+    pub(super) fn recently_used(&self, now: Moment) -> BTreeSet<usize> {
         let recent = self
             .bindings
             .values()
@@ -134,16 +152,12 @@
         now: Moment,
     ) -> Option<usize> {
         let turn = order::whole(suspect.task.job, suspect.job);
-        if suspect.waited >= MAX_WAIT {
+        let Some(isolation) = self.isolation(suspect.waited, busy, now) else {
             return self.choose(&turn, suspect.task, now);
-        }
+        };
         let candidate = self.candidate(&turn, suspect.task)?;
-        let may_share = suspect.waited >= IDLE_WAIT && !self.has_shared_probe(now);
         let slots = choose::fitting(&self.workers, candidate, now);
-        let usable = slots.filter(|slot| {
-            let worker = &self.workers[*slot];
-            !busy.contains(slot) && (worker.is_idle() || may_share)
-        });
+        let usable = slots.filter(|slot| isolation.obstacle(*slot, &self.workers[*slot]).is_none());
         usable.min_by_key(|slot| {
             let worker = &self.workers[*slot];
             let crashed_there = suspect.crashes.has_address(&worker.report.address);
@@ -156,6 +170,39 @@
         })
     }
 
+    /// Returns how far a waiting task is kept apart from other tasks, or `None` if it is placed like any
+    /// other task.
+    pub(super) fn isolation_of<'a>(
+        &self,
+        task: TaskKey,
+        job: &Job,
+        busy: &'a BTreeSet<usize>,
+        now: Moment,
+    ) -> Option<Isolation<'a>> {
+        let is_gang = job.step(task)?.gang;
+        let progress = job.step_progress(task)?.tasks.get(task.index as usize)?;
+        if is_gang || !is_suspected(progress) {
+            return None;
+        }
+        let since = self.suspects.0.get(&task).copied().unwrap_or(now);
+        self.isolation(now.since(since), busy, now)
+    }
+
+    /// Returns how far a suspect that has waited for `waited` is kept apart from other tasks, or `None`
+    /// if it is placed like any other task.
+    fn isolation<'a>(
+        &self,
+        waited: Duration,
+        busy: &'a BTreeSet<usize>,
+        now: Moment,
+    ) -> Option<Isolation<'a>> {
+        let may_share = || waited >= IDLE_WAIT && !self.has_shared_probe(now);
+        (waited < MAX_WAIT).then(|| Isolation {
+            busy,
+            may_share: may_share(),
+        })
+    }
+
     /// Returns whether a suspect runs beside other tasks and has not survived its start yet. One such
     /// task at a time limits what a wrong guess costs.
     fn has_shared_probe(&self, now: Moment) -> bool {
--- a/crates/agate_jobs/src/plan/withdrawal.rs
+++ b/crates/agate_jobs/src/plan/withdrawal.rs
@@ -146,6 +146,11 @@
         self.count_zone_runs();
     }
 
+    /// Returns whether the requests about zones have been read, without which nothing is placed.
+    pub const fn knows_zones(&self) -> bool {
+        self.withdrawal.is_known()
+    }
+
     /// Returns the changes since the last call.
     pub fn take_zone_changes(&mut self) -> Vec<ZoneChange> {
         std::mem::take(&mut self.withdrawal.changes)
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::crash::Crash;
 use crate::plan::health::Health;
+use crate::plan::obstacle::Obstacle;
 use crate::record::SuspicionRecord;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
@@ -153,37 +154,51 @@
         self.runs() == self.probes.len()
     }
 
-    /// Returns whether new tasks may be bound to the worker.
-    pub fn accepts_tasks(&self, now: Moment) -> bool {
-        self.is_in_service() && self.health.accepts_tasks(now)
+    /// Returns why a task of a step doesn't fit beside the bound tasks and the reservations that it
+    /// yields to.
+    #[inline]
+    pub fn shortage(&self, step: &StepSpec, yields: bool) -> Option<Obstacle> {
+        let room = self.room_for(step);
+        let reserved = self.reserved_from(step, yields);
+        if step.demand.fits_in(room.saturating_sub(reserved)) {
+            None
+        } else if step.demand.fits_in(room) {
+            Some(Obstacle::Reserved)
+        } else {
+            Some(Obstacle::NoRoom)
+        }
     }
 
-    /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
-    /// to.
-    pub fn has_room(&self, step: &StepSpec, yields: bool) -> bool {
-        let demand = step.demand;
+    /// Returns what the bound tasks leave to a task of a step.
+    fn room_for(&self, step: &StepSpec) -> Resources {
         let room = self.report.capacity.saturating_sub(self.used);
-        if step.long_running {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(if yields {
-                room.saturating_sub(self.reserved_first)
-            } else {
-                room
-            });
+        if step.long_running || !step.best_effort {
+            return room;
         }
-        if !step.best_effort {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(room.saturating_sub(self.reserved));
-        }
-        let room = room.saturating_sub(without_cpu(self.reserved + self.held));
         let idle = self.long_running.millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         // More may be in use than the worker has, if it has shrunk.
         let capacity = self.report.capacity.millicores.saturating_add(idle);
-        let spare = capacity.saturating_sub(self.busy_millicores());
-        demand.fits_in(Resources {
-            millicores: spare,
+        Resources {
+            millicores: capacity.saturating_sub(self.busy_millicores()),
             ..room
-        })
+        }
+    }
+
+    /// Returns the part of the room that is kept from a task of a step.
+    fn reserved_from(&self, step: &StepSpec, yields: bool) -> Resources {
+        if step.long_running {
+            return if yields {
+                self.held + self.reserved_first
+            } else {
+                self.held
+            };
+        }
+        let reserved = self.held + self.reserved;
+        if step.best_effort {
+            without_cpu(reserved)
+        } else {
+            reserved
+        }
     }
 
     /// Returns the processor demand of all bound tasks.
--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -174,7 +174,7 @@
     fleet
 }
 
-fn crash_end(task: TaskKey, run: u32) -> Record {
+pub(crate) fn crash_end(task: TaskKey, run: u32) -> Record {
     Record::new(Body::Ended(RunEnd {
         task,
         run,
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -15,6 +15,7 @@
 mod place;
 mod probation;
 mod records;
+mod short_waits;
 mod starts;
 mod support;
 mod suspicion;
--- a/crates/agate_jobs/tests/jobs/probation.rs
+++ b/crates/agate_jobs/tests/jobs/probation.rs
@@ -14,12 +14,12 @@
 /// Longer than a quarantine, after which a worker is on probation.
 const QUARANTINED: Duration = Duration::from_secs(3);
 
-fn cancelled(job: u64) -> Record {
+pub(crate) fn cancelled(job: u64) -> Record {
     Record::new(Body::Cancelled { job: JobId(job) })
 }
 
 /// Returns workers with four cores that are on probation.
-fn on_probation(names: &[&str]) -> Fleet {
+pub(crate) fn on_probation(names: &[&str]) -> Fleet {
     let reports: Vec<_> = names.iter().map(|name| report(name, 1)).collect();
     let mut fleet = Fleet::new(&reports);
     fleet.fold(submitted(1, vec![step(8)]));
@@ -36,7 +36,7 @@
     fleet
 }
 
-fn gang(tasks: u32) -> StepSpec {
+pub(crate) fn gang(tasks: u32) -> StepSpec {
     StepSpec {
         gang: true,
         ..step(tasks)
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_jobs::plan::Pauses;
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record};
 use tokio::time::Instant;
@@ -149,12 +150,14 @@
         takeover_heartbeats,
         heartbeat_recorded_at: None,
         unlisted_since: None,
+        pauses: Pauses::default(),
     };
     let deposed = leadership.run(outcomes, stop).await;
     entry.context.metrics.backlog.clear();
     entry.view().is_leader = false;
     entry.context.metrics.clear_zone_runs();
     entry.context.metrics.set_waiting_tasks(0);
+    entry.context.metrics.set_waiting_jobs(0);
     if deposed {
         entry.context.metrics.count(Event::LeaderLost);
     }
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agate_core::{Moment, clock as wall};
-use agate_jobs::plan::{Effect, Placement, Scheduler};
+use agate_jobs::plan::{Effect, Pause, Pauses, Placement, Scheduler};
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record, lease};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -49,6 +49,8 @@
     pub heartbeat_recorded_at: Option<Moment>,
     /// Since when a suspicion has been stored that no heartbeat lists yet.
     pub unlisted_since: Option<Moment>,
+    /// How long nothing has been placed.
+    pub pauses: Pauses,
 }
 
 impl Leadership {
@@ -119,9 +121,14 @@
         let now = clock::now();
         let wall_ms = wall::wall_millis();
         zones::update(&self.entry, &mut self.scheduler);
-        let placed = self.decide(now, wall_ms);
+        let decided = self.decide(now, wall_ms);
         zones::report(&self.entry, &mut self.scheduler, self.epoch);
-        for placed in placed {
+        let pause = decided.as_ref().err().copied();
+        let due = self.pauses.update(pause, now);
+        if let Some((pause, lasted)) = due {
+            waits::report_pause(&self.entry, &self.scheduler, (pause, lasted), wall_ms);
+        }
+        for placed in decided.unwrap_or_default() {
             self.entry.context.metrics.count(Event::TaskBound);
             log::info!(
                 event = "task_bound", task:% = placed.task, run = placed.run,
@@ -130,6 +137,9 @@
             );
         }
         waits::report(&self.entry, &mut self.scheduler, now);
+        if pause.is_none() {
+            waits::report_short(&self.entry, &mut self.scheduler, now, wall_ms);
+        }
         if let Some(summary) = self.scheduler.take_backlog_summary() {
             backlog::report(&self.entry.context.metrics, &summary);
         }
@@ -172,7 +182,8 @@
         }
     }
 
-    fn decide(&mut self, now: Moment, wall_ms: u64) -> Vec<Placement> {
+    /// Returns what has been placed, or why nothing may be.
+    fn decide(&mut self, now: Moment, wall_ms: u64) -> Result<Vec<Placement>, Pause> {
         let entry = Arc::clone(&self.entry);
         let mut view = entry.view();
         for change in std::mem::take(&mut view.pending_changes) {
@@ -181,18 +192,28 @@
         }
         let since = view.reading.unbroken_since(now);
         let confirmed_at = self.heartbeat_recorded_at.unwrap_or(self.taken_at);
-        let is_current = since < now && now.since(confirmed_at) < MAX_HEARTBEAT_AGE;
-        if !is_current {
-            return Vec::new();
+        if since >= now {
+            return Err(Pause::LogUnread);
+        }
+        if now.since(confirmed_at) >= MAX_HEARTBEAT_AGE {
+            return Err(Pause::HeartbeatOld);
         }
         let lease = lease::duration(entry.context.max_lease);
         self.scheduler.update_suspicions(now, since, lease);
         if self.heartbeat_recorded_at.is_none() {
-            return Vec::new();
+            return Err(Pause::HeartbeatUnrecorded);
+        }
+        if !self.scheduler.knows_zones() {
+            return Err(Pause::ZonesUnread);
         }
         let limit = MAX_IN_FLIGHT.saturating_sub(self.writers.in_flight());
-        self.scheduler
-            .place_up_to(limit, &view.job_table, now, wall_ms)
+        let placed = self
+            .scheduler
+            .place_up_to(limit, &view.job_table, now, wall_ms);
+        if limit == 0 {
+            return Err(Pause::RecordsInFlight);
+        }
+        Ok(placed)
     }
 
     /// Replaces the records of each finished job by a single one, and deletes that after the
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -1,12 +1,14 @@
-//! Reports long-running tasks that find no worker.
+//! Reports tasks that find no worker, and times in which nothing is placed.
+
+use std::time::Duration;
 
 use agate_core::Moment;
-use agate_jobs::plan::Scheduler;
+use agate_jobs::plan::{Pause, Scheduler};
 
 use crate::clock;
 use crate::entry::Entry;
 
-/// Sets the gauge of waiting tasks, and logs the one that has waited longest.
+/// Sets the gauge of waiting long-running tasks, and logs the one that has waited longest.
 pub(super) fn report(entry: &Entry, scheduler: &mut Scheduler, now: Moment) {
     let metrics = &entry.context.metrics;
     metrics.set_waiting_tasks(scheduler.waiting_tasks());
@@ -24,3 +26,40 @@
         reserved_on = wait.reserved_on.as_str(); "no worker has room for it"
     );
 }
+
+/// Sets the gauge of waiting jobs, and logs the one that has waited longest.
+pub(super) fn report_short(entry: &Entry, scheduler: &mut Scheduler, now: Moment, wall_ms: u64) {
+    let metrics = &entry.context.metrics;
+    metrics.set_waiting_jobs(scheduler.waiting_jobs());
+    let view = entry.view();
+    let Some(wait) = scheduler.take_short_wait(&view.job_table, now, wall_ms) else {
+        return;
+    };
+    drop(view);
+    let standing = wait.standing.map(|standing| standing.to_string());
+    log::info!(
+        event = "short_task_waits", task:% = wait.task,
+        standing = standing.as_deref().unwrap_or("unplanned"),
+        waited_ms = clock::millis(wait.waited), waiting = wait.waiting, demand:% = wait.demand,
+        members = wait.members, workers = wait.workers, obstacles:% = wait.obstacles,
+        unobstructed = wait.unobstructed, busy_percent = wait.busy_percent;
+        "none of its job is bound"
+    );
+}
+
+/// Logs that nothing has been placed for a while, if any job has a task that is ready.
+pub(super) fn report_pause(
+    entry: &Entry,
+    scheduler: &Scheduler,
+    (pause, lasted): (Pause, Duration),
+    wall_ms: u64,
+) {
+    let ready = scheduler.ready_jobs(&entry.view().job_table, wall_ms);
+    if ready == 0 {
+        return;
+    }
+    log::warn!(
+        event = "placement_paused", reason:% = pause, lasted_ms = clock::millis(lasted),
+        ready = ready; "no task is placed"
+    );
+}
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -107,6 +107,7 @@
     zone_withdrawn: Family<ZoneLabel, Gauge>,
     zone_runs: Family<ZoneLabel, Gauge>,
     waiting_tasks: Gauge,
+    waiting_jobs: Gauge,
     read_bytes: ReadBytes,
     /// Time until a caller was answered, in seconds.
     pub answer_seconds: Histogram,
@@ -127,6 +128,7 @@
             zone_withdrawn: Family::default(),
             zone_runs: Family::default(),
             waiting_tasks: Gauge::default(),
+            waiting_jobs: Gauge::default(),
             read_bytes: ReadBytes::default(),
             answer_seconds: histogram(),
             append_seconds: histogram(),
@@ -184,6 +186,12 @@
         self.waiting_tasks.set(tasks);
     }
 
+    /// Sets the number of jobs with a short task that is ready, while none of their tasks is bound.
+    pub fn set_waiting_jobs(&self, jobs: usize) {
+        let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
+        self.waiting_jobs.set(jobs);
+    }
+
     /// Counts bytes that were read from a stream of the log.
     pub fn count_read(&self, stream: StreamKind, bytes: usize) {
         self.read_bytes.count(stream, bytes);
@@ -219,6 +227,11 @@
             "Long-running tasks that find no worker; set by the leader",
             self.waiting_tasks.clone(),
         );
+        registry.register(
+            "waiting_jobs",
+            "Jobs with a short task that is ready and none that is bound; set by the leader",
+            self.waiting_jobs.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time until a caller was answered",
