--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -40,6 +40,10 @@
         &self.reserved
     }
 
+    pub(super) fn placed(&self) -> &[Placement] {
+        &self.placed
+    }
+
     pub(super) const fn is_full(&self) -> bool {
         self.left == 0
     }
@@ -83,20 +87,22 @@
         self.hold_room_for_moves();
         self.place_suspects(table, &mut round, wall_ms);
         let mut priority = None;
-        for turn in self.turns(table, now, wall_ms) {
+        let turns = self.turns(table, now, wall_ms);
+        for turn in &turns {
             if priority.replace(turn.job.policy.priority) != Some(turn.job.policy.priority) {
                 self.place_waiting(table, turn.job.policy.priority, &mut round);
             }
             for at in ready_steps(turn.job, wall_ms) {
                 if turn.job.spec.steps[at.1].gang {
-                    self.place_gang(&turn, at, &mut round);
+                    self.place_gang(turn, at, &mut round);
                 } else {
-                    self.place_step(&turn, at, &mut round);
+                    self.place_step(turn, at, &mut round);
                 }
             }
         }
         self.begin_moves(table, now);
         self.record_waits(&round);
+        self.record_short_waits(&turns, &round, wall_ms);
         round.placed
     }
 
@@ -222,43 +228,41 @@
     }
 
     /// Returns the tasks of a step that are neither finished, nor bound, nor given up.
-    pub(super) fn pending_tasks(
-        &self,
-        &Turn { id, job, .. }: &Turn<'_>,
+    pub(super) fn pending_tasks(&self, turn: &Turn<'_>, at: (usize, usize)) -> Vec<TaskKey> {
+        self.pending(turn, at).collect()
+    }
+
+    /// Returns the same tasks one by one.
+    pub(super) fn pending<'a>(
+        &'a self,
+        &Turn { id, job, .. }: &Turn<'a>,
         (occurrence, step): (usize, usize),
-    ) -> Vec<TaskKey> {
+    ) -> impl Iterator<Item = TaskKey> + 'a {
         let long_running = job.spec.steps[step].long_running;
         let max_attempts = job.policy.max_attempts.max(1);
         let tasks = job.progress[occurrence][step].tasks.iter().enumerate();
         tasks
-            .filter(|(_, task)| !task.done && (long_running || task.failures < max_attempts))
-            .map(|(index, _)| task_key(id, occurrence, step, index))
+            .filter(move |(_, task)| !task.done && (long_running || task.failures < max_attempts))
+            .map(move |(index, _)| task_key(id, occurrence, step, index))
             .filter(|task| !self.bindings.contains_key(task))
-            .collect()
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
-        let candidate = self.candidate(turn, task)?;
-        let candidate = Candidate {
-            yields: self.yields(candidate, now),
-            ..candidate
-        };
-        choose::choose(&self.workers, &self.interference, candidate, now)
-    }
-
-    /// Returns whether a task leaves room to others that it is reserved for.
-    fn yields(&self, candidate: Candidate<'_>, now: Moment) -> bool {
-        let task = candidate.task;
+        let mut candidate = self.candidate(turn, task)?;
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            return !moves && self.waits.waited(task, now) < FIRST_TIME;
+            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
         }
-        // The short tasks in the way of a long-running one may run for long, while most processors
-        // are idle.
+        choose::choose(&self.workers, &self.interference, candidate, now)
+    }
+
+    /// Returns whether short tasks leave room to long-running ones for which it has been reserved for
+    /// long. The short tasks in their way may run for long as well, while most processors are idle.
+    fn short_tasks_yield(&self, service: &str) -> bool {
         let mut workers = self.workers.iter();
         workers.any(|worker| !worker.reservations.is_empty())
-            && choose::is_half_used(&self.workers, candidate.service)
+            && choose::is_half_used(&self.workers, service)
     }
 
     pub(super) fn candidate<'a>(&'a self, turn: &Turn<'a>, task: TaskKey) -> Option<Candidate<'a>> {
@@ -281,7 +285,7 @@
                 Part::Stragglers => Preference::Fastest,
                 Part::Others | Part::All => Preference::Balanced,
             },
-            yields: false,
+            yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
         })
     }
 
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -15,6 +15,7 @@
 mod place;
 mod probation;
 mod records;
+mod short_waits;
 mod stalls;
 mod starts;
 mod support;
