Check that ready tasks are bound in time after any series of faults

A property test of the scheduler on the platform's path. Random series of jobs of every kind, rounds with and without a limit, both orders, ends of every cause (also late ones and crashes), reports and late reports, restarts under the same and another name, silence and suspicions, cancels, takeovers (also with an end during the restore) and withdrawn zones leave the scheduler in some state. Then all machines recover, and runs end after a while or run on. Room, readiness and limits are derived from the orders and reports alone. No order may stay open that no worker can carry out, and the scheduler has as many runs bound as there are orders.

--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -44,6 +44,14 @@
         placed
     }
 
+    pub(crate) fn place_up_to(&mut self, limit: usize, wall_ms: u64) -> Vec<Placement> {
+        let placed = self
+            .scheduler
+            .place_up_to(limit, &self.table, self.now, wall_ms);
+        self.apply_effects();
+        placed
+    }
+
     pub(crate) fn advance(&mut self, time: Duration) {
         self.now = self.now + time;
         self.update_suspicions(Moment::ZERO);
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod place;
 mod probation;
+mod ready;
 mod records;
 mod stalls;
 mod starts;
