Open a worker again once its urgent work has ended

What callers see (the product's own path): a worker takes no batch task any more, and a throttled run there stays throttled, though no urgent work is left on it.

Cause: a worker is closed while the newest reading of its urgent work shows a slowdown, or none has been taken since the last step. Agents report classes that answered requests; once these end, no reading follows, and nothing ends the state.

Change: a minute after the last reading, the age from which the choice of a worker ignores one, the readings are forgotten. The worker opens, and its throttled runs are released one at a time.

Ruled out: an agent that reports idle classes. Its crash or an older version would leave the worker closed as well.

Result: found by reading. Both cases of a_worker_without_urgent_work_takes_tasks_again fail before (no task placed in 100 s) and pass now; all tests of agate_place pass. The release of throttled runs has no test of its own.

--- a/crates/agate_place/src/eviction/pressure.rs
+++ b/crates/agate_place/src/eviction/pressure.rs
@@ -5,6 +5,7 @@
 use agate_core::Moment;
 use agate_preset::policy::Eviction;
 
+use crate::workers::MAX_READING_AGE;
 use crate::{ClassKey, amount};
 
 /// Weight of a new reading in the smoothed slowdown.
@@ -29,6 +30,17 @@
     Critical,
 }
 
+/// What the readings tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Evidence {
+    /// The present state, or that there has been no urgent work.
+    Current,
+    /// Nothing yet about the effect of the last step.
+    Awaited,
+    /// Nothing, since the last one is too old: the urgent work has ended.
+    Expired,
+}
+
 /// Latest reading of one urgent class.
 #[derive(Debug, Clone, Copy)]
 struct Reading {
@@ -42,6 +54,7 @@
 pub(crate) struct Pressure {
     readings: Vec<Reading>,
     level: PressureLevel,
+    evidence: Evidence,
     /// Start of the current unbroken stretch at [`PressureLevel::Low`], at or above `High`, and at
     /// or above `Critical`.
     low_since: Option<Moment>,
@@ -59,6 +72,7 @@
         Self {
             readings: Vec::new(),
             level: PressureLevel::Moderate,
+            evidence: Evidence::Current,
             low_since: None,
             high_since: None,
             critical_since: None,
@@ -81,6 +95,7 @@
             return;
         }
         self.latest_reading = measured_at;
+        self.evidence = Evidence::Current;
         self.smooth(class, measured_at, slowdown);
         let max_age = amount::millis(policy.hold_ms) * 4;
         self.readings
@@ -104,9 +119,19 @@
         );
     }
 
+    /// Forgets the readings if none has been taken for so long that they tell nothing of the present.
+    pub(crate) fn expire(&mut self, now: Moment) {
+        if now.since(self.latest_reading.max(self.last_step)) > MAX_READING_AGE {
+            self.clear(Evidence::Expired);
+        }
+    }
+
     /// Returns the level that has lasted for the hold time, times the backoff for `Low`; otherwise
-    /// `Moderate`.
+    /// `Moderate`. Without urgent work, it is `Low`.
     pub(crate) fn sustained_level(&self, policy: &Eviction) -> PressureLevel {
+        if self.evidence == Evidence::Expired {
+            return PressureLevel::Low;
+        }
         let hold = amount::millis(policy.hold_ms);
         let lasted = |since: Option<Moment>, hold: Duration| {
             since.is_some_and(|since| self.latest_reading.since(since) >= hold)
@@ -124,8 +149,7 @@
 
     /// Whether the slowdown is at or above the throttle threshold, or unknown since the last step.
     pub(crate) fn is_under_pressure(&self) -> bool {
-        self.level >= PressureLevel::High
-            || (self.readings.is_empty() && self.last_step > Moment::ZERO)
+        self.level >= PressureLevel::High || self.evidence == Evidence::Awaited
     }
 
     /// Returns the most slowed urgent class.
@@ -151,11 +175,18 @@
     /// Records that a throttle was released.
     pub(crate) fn record_release(&mut self, now: Moment) {
         self.last_release = Some(now);
-        self.reset(now);
+        if self.evidence != Evidence::Expired {
+            self.reset(now);
+        }
     }
 
     fn reset(&mut self, now: Moment) {
         self.last_step = now;
+        self.clear(Evidence::Awaited);
+    }
+
+    fn clear(&mut self, evidence: Evidence) {
+        self.evidence = evidence;
         self.readings.clear();
         self.level = PressureLevel::Moderate;
         self.low_since = None;
--- a/crates/agate_place/src/scheduler/steps.rs
+++ b/crates/agate_place/src/scheduler/steps.rs
@@ -59,6 +59,9 @@
         let mut steps = Vec::new();
         let under_pressure: Vec<WorkerKey> = self.under_pressure.iter().copied().collect();
         for key in under_pressure {
+            if let Some(monitor) = self.monitors.get_mut(key) {
+                monitor.pressure.expire(now);
+            }
             steps.extend(self.stop_overdue(now, key));
             if let Some(task) = self.next_step(now, key) {
                 steps.push(task);
--- a/crates/agate_place/tests/place/ready.rs
+++ b/crates/agate_place/tests/place/ready.rs
@@ -1,8 +1,9 @@
 //! Ready tasks are placed while there is room for them.
 
-use agate_core::{JobId, Moment, Resources};
-use agate_place::{Placement, Policy, RunOutcome, Scheduler};
+use agate_core::{Incarnation, JobId, Moment, Resources};
+use agate_place::{Placement, Policy, RunOutcome, Scheduler, UrgentReading};
 use rstest::rstest;
+use std::time::Duration;
 
 use crate::support::{at, class, job, rng, scheduler};
 
@@ -35,3 +36,39 @@
     let workers: Vec<u64> = placed.iter().map(|placed| placed.worker.get()).collect();
     assert_eq!(workers, [free]);
 }
+
+/// A worker stayed closed for good after the last reading of its urgent work, if that showed a slowdown or
+/// the effect of a step was not known yet.
+#[rstest]
+#[case::slowed(1)]
+#[case::after_a_step(30)]
+fn a_worker_without_urgent_work_takes_tasks_again(#[case] readings: u64) {
+    let mut s = scheduler(Policy::default(), 1);
+    s.push(at(0), &job(1, 1));
+    let running = place_all(&mut s, at(1));
+    for secs in 10..10 + readings {
+        let reading = UrgentReading {
+            worker: Incarnation::new(0),
+            class: class("seat-check"),
+            age: Duration::from_secs(1),
+            slowdown_percent: 300,
+            load_percent: 40,
+        };
+        s.observe_urgent(at(secs), &reading);
+        s.steps(at(secs));
+    }
+    s.ended(
+        at(41),
+        running[0].task,
+        RunOutcome::Finished,
+        Resources::ZERO,
+    );
+    s.push(at(41), &job(2, 1));
+    assert!(place_all(&mut s, at(41)).is_empty(), "under pressure");
+    let mut placed = 0;
+    for secs in 42..142 {
+        s.steps(at(secs));
+        placed += place_all(&mut s, at(secs)).len();
+    }
+    assert_eq!(placed, 1);
+}
