Let a worker on probation take another run while its trial runs

What callers see (the product's own path): ready tasks wait beside room for as long as other tasks run, which may be hours, after a few failures on several workers.

Cause: a worker with unexplained failures takes one run at a time until one succeeds, without a limit in time.

Change: a trial that has run for `probe_ms` allows another one.

Ruled out: full trust after that time. A worker on which tasks fail late would get as many as a sound one.

Result: found by reading. a_worker_on_probation_takes_more_tasks_while_its_trial_runs fails before (1 task placed in 200 s on a worker of 16 cores) and passes now; all tests of agate_place and agate_docs pass.

--- a/crates/agate_place/src/scheduler/mod.rs
+++ b/crates/agate_place/src/scheduler/mod.rs
@@ -63,6 +63,8 @@
     /// When each job was first found to fit no worker.
     waiting_since: SparseSecondaryMap<JobKey, Moment>,
     probe_times: BTreeSet<(Moment, WorkerKey)>,
+    /// When the trial of a worker on probation allows another run.
+    trial_times: BTreeSet<(Moment, WorkerKey, TaskId)>,
     given_up: Vec<GivenUp>,
     /// Whether the last call to `next` stopped before it had checked all jobs.
     has_more: bool,
@@ -88,6 +90,7 @@
             reservations: Vec::new(),
             waiting_since: SparseSecondaryMap::new(),
             probe_times: BTreeSet::new(),
+            trial_times: BTreeSet::new(),
             given_up: Vec::new(),
             has_more: false,
             policy,
@@ -181,7 +184,8 @@
         }
         let blocked = self.retry_times.first().map(|&(at, _)| at);
         let probe = self.probe_times.first().map(|&(at, _)| at);
-        [self.queue.next_wake(), blocked, probe]
+        let trial = self.trial_times.first().map(|&(at, ..)| at);
+        [self.queue.next_wake(), blocked, probe, trial]
             .into_iter()
             .flatten()
             .min()
--- a/crates/agate_place/src/scheduler/monitor.rs
+++ b/crates/agate_place/src/scheduler/monitor.rs
@@ -3,6 +3,7 @@
 use agate_core::{Moment, TaskId};
 
 use super::Scheduler;
+use crate::amount;
 use crate::blame::Trust;
 use crate::eviction::Pressure;
 use crate::workers::{Admission, WorkerKey};
@@ -73,12 +74,29 @@
     }
 
     /// Makes a run the trial of its worker if the worker is not fully trusted.
-    pub(super) fn start_trial(&mut self, key: WorkerKey, task: TaskId) {
+    pub(super) fn start_trial(&mut self, now: Moment, key: WorkerKey, task: TaskId) {
         if self.failure_tracker.trust(key) == Trust::Full {
             return;
         }
         if let Some(monitor) = self.monitors.get_mut(key) {
             monitor.trial = Some(task);
+            let probe_time = amount::millis(self.policy.placement.probe_ms);
+            self.trial_times.insert((now + probe_time, key, task));
+        }
+    }
+
+    /// Lets workers on probation take another run beside a trial that has run for as long as a worker in
+    /// quarantine waits for a probe. Others would wait beside room for as long as the trial runs.
+    pub(super) fn end_due_trials(&mut self, now: Moment) {
+        while let Some(&(at, key, task)) = self.trial_times.first() {
+            if at > now {
+                break;
+            }
+            self.trial_times.pop_first();
+            if self.failure_tracker.trust(key) == Trust::Probation {
+                self.end_trial(key, task);
+                self.refresh_admission(key);
+            }
         }
     }
 
--- a/crates/agate_place/src/scheduler/place.rs
+++ b/crates/agate_place/src/scheduler/place.rs
@@ -29,6 +29,7 @@
         self.has_more = false;
         self.unblock_due(now);
         self.open_due_probes(now);
+        self.end_due_trials(now);
         for _ in 0..JOBS_PER_CALL {
             let head = match self.queue.peek(now) {
                 Peek::Ready(head) => head,
@@ -176,7 +177,7 @@
         };
         self.queue.charge(run.team, run.demand);
         self.workers.allocate(now, run.worker, allocation);
-        self.start_trial(run.worker, task);
+        self.start_trial(now, run.worker, task);
         self.refresh_admission(run.worker);
         self.runs.insert(task, run);
     }
--- a/crates/agate_place/tests/place/ready.rs
+++ b/crates/agate_place/tests/place/ready.rs
@@ -72,3 +72,22 @@
     }
     assert_eq!(placed, 1);
 }
+
+/// One long run on each worker on probation kept all other tasks waiting beside room until it ended.
+#[test]
+fn a_worker_on_probation_takes_more_tasks_while_its_trial_runs() {
+    let mut s = scheduler(Policy::default(), 1);
+    s.push(at(0), &job(1, 1));
+    let failed = place_all(&mut s, at(1));
+    s.ended(at(2), failed[0].task, RunOutcome::Failed, Resources::ZERO);
+    s.push(at(2), &job(2, 10));
+    let mut placed = 0;
+    for secs in 2..4 {
+        placed += place_all(&mut s, at(secs)).len();
+    }
+    assert_eq!(placed, 1, "one at once");
+    for secs in 4..200 {
+        placed += place_all(&mut s, at(secs)).len();
+    }
+    assert!(placed > 5, "{placed} tasks placed");
+}
