Tell processors taken by best-effort tasks from a lack of room in short_task_waits

The line could not say whether the capacity was in use. Now a worker whose processors alone are taken is busy, and the line gives the processors of all tasks, those without best-effort tasks, and memory.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -4,6 +4,7 @@
 
 use crate::plan::interference::InterferenceTable;
 use crate::plan::obstacle::{self, Obstacle};
+use crate::plan::short_waits::Load;
 use crate::plan::worker::Worker;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
@@ -159,11 +160,8 @@
 }
 
 /// Returns the processors in use, and all of them, on the same workers.
-pub(super) fn busy_millicores(workers: &[Worker], service: &str) -> (u64, u64) {
-    let own = workers.iter().filter(|worker| {
-        worker.report.service == service && !worker.withdrawn && worker.is_in_service()
-    });
-    own.fold((0, 0), |(used, total), worker| {
+fn busy_millicores(workers: &[Worker], service: &str) -> (u64, u64) {
+    in_service(workers, service).fold((0, 0), |(used, total), worker| {
         let busy = u64::from(worker.busy_millicores());
         (
             used + busy,
@@ -172,6 +170,29 @@
     })
 }
 
+/// Returns the percentages of the processors and of the memory of the same workers that are in use.
+pub(super) fn load(workers: &[Worker], service: &str) -> Load {
+    let (busy, millicores) = busy_millicores(workers, service);
+    let (mut counted, mut used_mib, mut memory_mib) = (0, 0, 0);
+    for worker in in_service(workers, service) {
+        counted += u64::from(worker.used.millicores);
+        used_mib += u64::from(worker.used.memory_mib);
+        memory_mib += u64::from(worker.report.capacity.memory_mib);
+    }
+    let percent = |part: u64, total: u64| part * 100 / total.max(1);
+    Load {
+        busy: percent(busy, millicores),
+        counted: percent(counted, millicores),
+        memory: percent(used_mib, memory_mib),
+    }
+}
+
+fn in_service<'a>(workers: &'a [Worker], service: &'a str) -> impl Iterator<Item = &'a Worker> {
+    workers.iter().filter(move |worker| {
+        worker.report.service == service && !worker.withdrawn && worker.is_in_service()
+    })
+}
+
 /// Returns the worker on which to reserve resources for a long-running task: the one that lacks the
 /// smallest part of its capacity.
 pub(super) fn reservation_worker(
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -27,7 +27,7 @@
 pub use pause::{Pause, Pauses};
 pub use restore::{Known, Restore};
 pub use scheduler::{Placement, Scheduler};
-pub use short_waits::ShortWait;
+pub use short_waits::{Load, ShortWait};
 pub use suspicion::SUSPECT_AFTER;
 pub use suspicion_times::SuspicionTimes;
 pub use waits::LongWait;
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -30,6 +30,8 @@
     Reserved,
     /// The worker has too little room.
     NoRoom,
+    /// Other tasks use the processors that a best-effort task asks for. There is room for it otherwise.
+    Busy,
     /// A best-effort task would be too slow there, and most of the service is in use.
     TooSlow,
     /// The task may have crashed a worker, and others run here or have just been started.
--- a/crates/agate_jobs/src/plan/short_waits.rs
+++ b/crates/agate_jobs/src/plan/short_waits.rs
@@ -44,8 +44,19 @@
     pub obstacles: Obstacles,
     /// Number of those that nothing excludes.
     pub unobstructed: usize,
-    /// Share of the processors in use on the workers in service.
-    pub busy_percent: u64,
+    /// What is in use on the workers of its service that are in service.
+    pub load: Load,
+}
+
+/// Percentages of what a set of workers has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Processors that all bound tasks ask for.
+    pub busy: u64,
+    /// Processors that count against the capacity, which excludes best-effort tasks.
+    pub counted: u64,
+    /// Memory.
+    pub memory: u64,
 }
 
 /// The waiting jobs.
@@ -154,7 +165,6 @@
         let candidate = self.candidate(&turn, task)?;
         let step = candidate.step;
         let search = Search::new(&self.workers, &self.interference, candidate, now);
-        let (busy, total) = choose::busy_millicores(&self.workers, candidate.service);
         let mut wait = ShortWait {
             task,
             standing: self.standing_of(job, task.job),
@@ -165,7 +175,7 @@
             workers: 0,
             obstacles: Obstacles::default(),
             unobstructed: 0,
-            busy_percent: busy * 100 / total.max(1),
+            load: choose::load(&self.workers, candidate.service),
         };
         for (slot, worker) in self.workers.iter().enumerate() {
             if worker.report.service != candidate.service || worker.is_gone() {
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -160,10 +160,13 @@
     pub fn shortage(&self, step: &StepSpec, yields: bool) -> Option<Obstacle> {
         let room = self.room_for(step);
         let reserved = self.reserved_from(step, yields);
-        if step.demand.fits_in(room.saturating_sub(reserved)) {
+        let unreserved = room.saturating_sub(reserved);
+        if step.demand.fits_in(unreserved) {
             None
         } else if step.demand.fits_in(room) {
             Some(Obstacle::Reserved)
+        } else if step.best_effort && without_cpu(step.demand).fits_in(unreserved) {
+            Some(Obstacle::Busy)
         } else {
             Some(Obstacle::NoRoom)
         }
--- a/crates/agate_jobs/tests/jobs/short_waits.rs
+++ b/crates/agate_jobs/tests/jobs/short_waits.rs
@@ -4,7 +4,7 @@
 
 use agate_core::{JobId, Moment, Resources};
 use agate_jobs::backlog::BatchOrder;
-use agate_jobs::plan::{Pause, Pauses, ShortWait};
+use agate_jobs::plan::{Load, Pause, Pauses, ShortWait};
 use agate_jobs::record::Body;
 use agate_jobs::{AgentState, EndCause, Record, StepSpec, WorkerReport};
 use rstest::rstest;
@@ -94,6 +94,18 @@
     fleet
 }
 
+/// Returns a fleet in which best-effort tasks use all processors of the worker.
+fn filled() -> Fleet {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let fills = StepSpec {
+        tasks: 4,
+        ..best_effort_step()
+    };
+    fleet.fold(submitted(1, vec![fills]));
+    assert_eq!(fleet.place().len(), 4);
+    fleet
+}
+
 fn slow() -> Fleet {
     let mut fleet = Fleet::new(&[report("a", 1)]);
     fleet.fold(submitted(1, vec![serving_step()]));
@@ -121,6 +133,7 @@
 #[case::reserved(reserved(), step(1), "reserved:1")]
 #[case::no_room(busy_with(4), step(1), "no_room:1")]
 #[case::too_slow(slow(), best_effort_step(), "too_slow:1")]
+#[case::busy(filled(), best_effort_step(), "busy:1")]
 #[case::too_few_workers(busy_with(1), gang(4), "too_few_workers:1")]
 fn a_wait_is_reported_with_the_reason_of_each_worker(
     #[case] mut fleet: Fleet,
@@ -199,7 +212,11 @@
         workers: 2,
         obstacles: wait.obstacles,
         unobstructed: 0,
-        busy_percent: 87,
+        load: Load {
+            busy: 87,
+            counted: 87,
+            memory: 35,
+        },
     };
     assert_eq!(wait, expected);
 }
