Request smaller pages after reads that time out

An entry that lags reads pages of 1 MB. Over a shared link such a page takes longer than the 0.6 s within which a response has to begin, and the read is repeated from the same offset while the link still transfers the first answer.

Cause: the size of a page was the store's maximum, whatever the link carries in time.

Change: `agate_core::PageSize` decides the size: 256 KB at first, half after each timeout (32 KB at least), 64 KB more after each full page that took 0.2 s or less (1 MB at most). `PagedLog` applies it to all streams of a process, because they share the link, and requests a record that is larger than its page once more with the maximum. An entry that hasn't reached the end reads on without a pause. A submission that waits for the reader to catch up asks for the end of the stream, not for a page. `agatenotch_log_page_bytes` shows the size.

Ruled out: one size for each stream (they compete for one link); smaller pages by default without growth (a catch-up over a good link would take more calls).

Tests, each seen to fail without its change: `pages::readers_catch_up_over_a_slow_link`: without pages of that size, 11 readers of 2 MB each behind 7.5 MB/s transferred 107 MB in twice the time that is needed and had not caught up; with it, less than 1.5 times the bytes that are needed. `pages::an_entry_catches_up_without_pauses_between_pages`; `store::a_read_requests_no_more_than_its_limit`.

--- a/crates/agate_core/src/lib.rs
+++ b/crates/agate_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod kind;
 pub mod moment;
 pub mod names;
+pub mod page_size;
 pub mod resources;
 pub mod trace;
 
@@ -17,5 +18,6 @@
 pub use kind::{Host, Outcome, Urgency};
 pub use moment::Moment;
 pub use names::{CallerName, ClassName, RegionName, Site, Tag, TeamName, ZoneName};
+pub use page_size::{PageResult, PageSize};
 pub use resources::Resources;
 pub use trace::TraceContext;
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -95,8 +95,12 @@
             Ok(page) => {
                 monitor.record_result(&entry.context.metrics, None::<&ReadError>);
                 let next = from + page.records.len() as u64;
+                let has_more = !page.records.is_empty() && next < page.end;
                 apply(entry, page.records, next >= page.end, started);
                 entry.folded.send_replace(next);
+                if has_more {
+                    continue;
+                }
             }
             Err(ReadError::Deleted) => {
                 log::warn!(event = "records_deleted", lane:% = Stream::Main, offset = from; "");
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -143,8 +143,9 @@
             }
             let from = *self.folded.borrow();
             let stream = crate::store::Stream::Main;
-            let read = self.context.log.read(stream, from, Duration::ZERO).await;
-            let end = match read {
+            // Only the end is needed; the records arrive through the reader of the stream.
+            let read = self.context.log.read_page(stream, from, Duration::ZERO, 1);
+            let end = match read.await {
                 Ok(page) => page.end,
                 Err(error) => {
                     log::warn!(event = "catch_up_failed", from = from, cause:% = error; "");
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -108,6 +108,7 @@
     zone_runs: Family<ZoneLabel, Gauge>,
     waiting_tasks: Gauge,
     read_bytes: ReadBytes,
+    page_bytes: Gauge,
     /// Time until a caller was answered, in seconds.
     pub answer_seconds: Histogram,
     /// Time until an append was answered, in seconds.
@@ -128,6 +129,7 @@
             zone_runs: Family::default(),
             waiting_tasks: Gauge::default(),
             read_bytes: ReadBytes::default(),
+            page_bytes: Gauge::default(),
             answer_seconds: histogram(),
             append_seconds: histogram(),
             start_seconds: histogram(),
@@ -194,6 +196,12 @@
         self.read_bytes.total(stream)
     }
 
+    /// Sets the size of the pages that are requested from the log.
+    pub fn set_page_bytes(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.page_bytes.set(bytes);
+    }
+
     /// Returns the registry, from which the metrics are exported as text.
     pub const fn registry(&self) -> &Registry {
         &self.registry
@@ -219,6 +227,11 @@
             "Long-running tasks that find no worker; set by the leader",
             self.waiting_tasks.clone(),
         );
+        registry.register(
+            "log_page_bytes",
+            "Size of the pages that are requested from the log",
+            self.page_bytes.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time until a caller was answered",
--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_core::PageSize;
 use async_trait::async_trait;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -56,7 +57,11 @@
 /// A read with any result.
 #[derive(Debug, Clone, Copy)]
 enum Query<'a> {
-    Page { from: u64, wait: Duration },
+    Page {
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    },
     Newest,
     Prefix(&'a str),
 }
@@ -150,8 +155,12 @@
 
     async fn query_store(&self, stream: Stream, query: Query<'_>) -> Attempt<Stored, ReadError> {
         let result = match query {
-            Query::Page { from, wait } => {
-                let page = self.direct.read(stream, from, wait).await;
+            Query::Page {
+                from,
+                wait,
+                max_bytes,
+            } => {
+                let page = self.direct.read(stream, from, wait, max_bytes).await;
                 page.map(|page| (page.records, page.end))
             }
             Query::Newest => {
@@ -198,7 +207,9 @@
         }
         let is_due = self.direct.state().failover.takes_probe(clock::now());
         let direct = Arc::clone(&self.direct);
-        is_due.then(|| tokio::spawn(async move { direct.read(stream, from, Duration::ZERO).await }))
+        let (wait, max_bytes) = (Duration::ZERO, PageSize::MAX_BYTES);
+        is_due
+            .then(|| tokio::spawn(async move { direct.read(stream, from, wait, max_bytes).await }))
     }
 
     fn exclude(&self, peer: SocketAddr, cause: &str) {
@@ -267,9 +278,20 @@
         Err(failure.unwrap_or_else(|| AppendError::NotDone("no time is left".to_owned())))
     }
 
-    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError> {
         let probe = self.start_probe(stream, from);
-        let query = self.query(stream, Query::Page { from, wait });
+        let query = Query::Page {
+            from,
+            wait,
+            max_bytes,
+        };
+        let query = self.query(stream, query);
         let page = |(records, end)| Page { records, end };
         let Some(probe) = probe else {
             return query.await.map(page);
@@ -320,9 +342,14 @@
     /// Returns the query with a wait that ends before `limit` is over.
     fn shortened(self, limit: Duration) -> Self {
         match self {
-            Self::Page { from, wait } => Self::Page {
+            Self::Page {
+                from,
+                wait,
+                max_bytes,
+            } => Self::Page {
                 from,
                 wait: wait.min(limit.saturating_sub(MIN_ATTEMPT)),
+                max_bytes,
             },
             Self::Newest | Self::Prefix(_) => self,
         }
@@ -330,7 +357,7 @@
 
     fn request(self, stream: Stream) -> RelayRequest {
         match self {
-            Self::Page { from, wait } => read_request(stream, from, wait),
+            Self::Page { from, wait, .. } => read_request(stream, from, wait),
             Self::Newest => newest_request(stream),
             Self::Prefix(prefix) => prefix_request(stream, prefix),
         }
--- a/crates/agate_node/src/relay/direct.rs
+++ b/crates/agate_node/src/relay/direct.rs
@@ -98,9 +98,15 @@
         (result, kind)
     }
 
-    pub async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+    pub async fn read(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError> {
         let began = clock::now();
-        let result = self.log.read(stream, from, wait).await;
+        let result = self.log.read_page(stream, from, wait, max_bytes).await;
         self.record_read(result.as_ref().err(), began, wait);
         result
     }
--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_core::PageSize;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::direct::DirectLog;
@@ -65,7 +66,9 @@
         match call {
             Call::Append { stream, records } => self.append(stream, &records).await,
             Call::Read { stream, from, wait } => {
-                let page = self.direct.read(stream, from, wait.min(MAX_WAIT)).await;
+                let wait = wait.min(MAX_WAIT);
+                let max_bytes = PageSize::MAX_BYTES;
+                let page = self.direct.read(stream, from, wait, max_bytes).await;
                 read_response(page.as_ref().map(|page| (&*page.records, page.end)))
             }
             Call::Newest { stream } => {
--- a/crates/agate_node/src/store/metered.rs
+++ b/crates/agate_node/src/store/metered.rs
@@ -46,8 +46,14 @@
         self.log.append(stream, records, fence).await
     }
 
-    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
-        let page = self.log.read(stream, from, wait).await?;
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError> {
+        let page = self.log.read_page(stream, from, wait, max_bytes).await?;
         self.count(stream, &page.records);
         Ok(page)
     }
--- a/crates/agate_node/src/store/mod.rs
+++ b/crates/agate_node/src/store/mod.rs
@@ -1,15 +1,18 @@
 //! The platform's log as seen by the processes: streams of keyed records.
 
 mod metered;
+mod paged;
 mod stream;
 
 use std::fmt::Debug;
 use std::time::Duration;
 
+use agate_core::PageSize;
 use async_trait::async_trait;
 use displaydoc::Display;
 
 pub use metered::MeteredLog;
+pub use paged::PagedLog;
 pub use stream::{ORDER_STREAMS, Stream, order_stream};
 
 /// A stored record.
@@ -93,12 +96,28 @@
     ) -> Result<u64, AppendError>;
 
     /// Reads from the offset `from` on. If there is no record yet, waits up to `wait` for an
-    /// append.
+    /// append. The page has about `max_bytes` at most, or a single record.
     ///
     /// # Errors
     ///
     /// Returns [`ReadError`] if the log returns no page.
-    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError>;
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError>;
+
+    /// Reads a page of any size.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError`] if the log returns no page.
+    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let max_bytes = PageSize::MAX_BYTES;
+        self.read_page(stream, from, wait, max_bytes).await
+    }
 
     /// Returns the number of order streams, the same for every process.
     fn order_streams(&self) -> u16 {
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod odd_series;
 mod odd_workers;
 mod orders;
+mod pages;
 mod relay;
 mod relay_clusters;
 mod relay_protocol;
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -10,7 +10,7 @@
 };
 use async_trait::async_trait;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Duration of a call.
 const CALL_TIME: Duration = Duration::from_millis(4);
@@ -66,6 +66,47 @@
     appends: HashMap<Stream, usize>,
 }
 
+/// A link that transfers answers to reads one after another, also those that nobody waits for any more.
+#[derive(Debug)]
+pub(crate) struct SlowLink {
+    bytes_per_s: usize,
+    busy_until: Mutex<Instant>,
+    transferred: AtomicUsize,
+}
+
+impl SlowLink {
+    pub(crate) fn new(bytes_per_s: usize) -> Arc<Self> {
+        Arc::new(Self {
+            bytes_per_s,
+            busy_until: Mutex::new(Instant::now()),
+            transferred: AtomicUsize::new(0),
+        })
+    }
+
+    /// Returns the bytes of all answers so far.
+    pub(crate) fn transferred(&self) -> usize {
+        self.transferred.load(Ordering::Relaxed)
+    }
+
+    /// Waits until an answer has arrived.
+    async fn transfer(&self, page: &Page) -> Result<(), ReadError> {
+        let bytes: usize = page.records.iter().map(|r| r.value.len()).sum();
+        self.transferred.fetch_add(bytes, Ordering::Relaxed);
+        let took = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64);
+        let arrival = {
+            let mut busy_until = self.busy_until.lock().expect("the lock is not poisoned");
+            *busy_until = (*busy_until).max(Instant::now()) + took;
+            *busy_until
+        };
+        if arrival > Instant::now() + READ_TIMEOUT {
+            sleep(READ_TIMEOUT).await;
+            return Err(ReadError::Unavailable("no answer".to_owned()));
+        }
+        sleep_until(arrival).await;
+        Ok(())
+    }
+}
+
 /// A client of the log. Clients made from each other share its records.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FakeLog {
@@ -75,6 +116,7 @@
     attempts: Arc<AtomicUsize>,
     config_reads: Arc<AtomicUsize>,
     order_reads: Arc<AtomicUsize>,
+    link: Option<Arc<SlowLink>>,
 }
 
 impl FakeLog {
@@ -87,6 +129,15 @@
             attempts: Arc::default(),
             config_reads: Arc::default(),
             order_reads: Arc::default(),
+            link: None,
+        }
+    }
+
+    /// Returns another client of the same log, whose pages arrive over a slow link.
+    pub(crate) fn client_behind(&self, link: &Arc<SlowLink>) -> Self {
+        Self {
+            link: Some(Arc::clone(link)),
+            ..self.client()
         }
     }
 
@@ -213,14 +264,21 @@
         Ok(self.push(stream, records))
     }
 
-    fn page(&self, stream: Stream, from: u64) -> Result<Page, ReadError> {
+    fn page(&self, stream: Stream, from: u64, max_bytes: usize) -> Result<Page, ReadError> {
         if from < self.deleted.get(&stream).copied().unwrap_or(0) {
             return Err(ReadError::Deleted);
         }
         let stored = self.streams.get(&stream).map_or(&[][..], Vec::as_slice);
         let at = usize::try_from(from).expect("offsets in tests are small");
+        let mut bytes = 0;
+        let fits = |record: &&StoredRecord| {
+            let is_first = bytes == 0;
+            bytes += record.value.len();
+            is_first || bytes <= max_bytes
+        };
+        let rest = stored.get(at..).unwrap_or_default().iter();
         Ok(Page {
-            records: stored.get(at..).unwrap_or_default().to_vec(),
+            records: rest.take_while(fits).cloned().collect(),
             end: stored.len() as u64,
         })
     }
@@ -274,11 +332,17 @@
         appended
     }
 
-    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError> {
         self.count_read(stream);
         sleep(CALL_TIME).await;
         self.check_answers(wait).await?;
-        let deadline = tokio::time::Instant::now() + wait;
+        let deadline = Instant::now() + wait;
         loop {
             let news = self.news.notified();
             if self.refuses_read(stream) {
@@ -286,10 +350,13 @@
             }
             let page = {
                 let shared = self.shared.lock().expect("the lock is not poisoned");
-                shared.page(stream, from)?
+                shared.page(stream, from, max_bytes)?
             };
-            let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+            let left = deadline.saturating_duration_since(Instant::now());
             if !page.records.is_empty() || timeout(left, news).await.is_err() {
+                if let Some(link) = &self.link {
+                    link.transfer(&page).await?;
+                }
                 return Ok(page);
             }
         }
