Relay pages that a peer with a small link fetches in time

A peer fetches a whole page before it answers. With a link of 10 Mbit/s it needs 0.8 s for 1 MB, and its caller gives up after 0.5 s, excludes the peer for 2 s and reads the same page through another one.

Change: a relayed page has 128 KB at most, 0.1 s on such a link. The configuration is a single record, which no page size splits, so a read of it may take 1 s at a peer (1.5 s over all attempts).

Ruled out: a longer limit for every read, because a paused peer would then cost a lease most of its time.

Test: `relay_links::a_peer_with_a_slow_link_relays_a_large_read` (backlog, configuration); without the change neither arrived within 10 s.

--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -39,6 +39,13 @@
 /// Timeout of a load at a peer.
 const PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Timeout of a read of the configuration at a peer, in addition to the wait. A peer with a link of
+/// 10 Mbit/s needs 0.75 s for a configuration of 0.9 MB, which is a single record.
+const PEER_CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Timeout of a read of the configuration over all attempts, in addition to the wait.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Time that an undisturbed peer or log takes to answer a call that does not wait. No attempt
 /// begins with less time left.
 const MIN_ATTEMPT: Duration = Duration::from_millis(150);
@@ -133,7 +140,7 @@
 
     /// Makes attempts until one is answered or the time is over.
     async fn query(&self, stream: Stream, query: Query<'_>) -> Result<Stored, ReadError> {
-        let deadline = Instant::now() + query.timeout();
+        let deadline = Instant::now() + query.timeout(stream);
         let mut attempts = self.direct.attempts();
         let mut last_error = ReadError::Unavailable("no time is left".to_owned());
         while let Some(target) = self.direct.next(&mut attempts) {
@@ -182,7 +189,7 @@
         query: Query<'_>,
         left: Duration,
     ) -> Attempt<Stored, ReadError> {
-        let limit = left.min(query.peer_timeout());
+        let limit = left.min(query.peer_timeout(stream));
         let request = query.shortened(limit).request(stream);
         let response = self.transport.call(peer, request, limit).await;
         let result = response
@@ -325,15 +332,17 @@
         }
     }
 
-    fn timeout(self) -> Duration {
+    fn timeout(self, stream: Stream) -> Duration {
         match self {
+            Self::Page { .. } if stream == Stream::Config => self.wait() + CONFIG_TIMEOUT,
             Self::Page { .. } | Self::Prefix(_) => self.wait() + READ_TIMEOUT,
             Self::Newest => LOAD_TIMEOUT,
         }
     }
 
-    fn peer_timeout(self) -> Duration {
+    fn peer_timeout(self, stream: Stream) -> Duration {
         match self {
+            Self::Page { .. } if stream == Stream::Config => self.wait() + PEER_CONFIG_TIMEOUT,
             Self::Page { .. } | Self::Prefix(_) => self.wait() + PEER_TIMEOUT,
             Self::Newest => PEER_LOAD_TIMEOUT,
         }
--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_core::PageSize;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::direct::DirectLog;
@@ -20,6 +19,10 @@
 /// Most loads in progress for others. Each holds all records of a stream.
 const MAX_LOADS: usize = 4;
 
+/// Size of a relayed page: 0.1 s on a link of 10 Mbit/s in each direction, so that the peer answers within
+/// the caller's time limit.
+const PAGE_BYTES: usize = 128 * 1_024;
+
 /// Longest wait of a relayed read, above that of every reader.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -67,8 +70,7 @@
             Call::Append { stream, records } => self.append(stream, &records).await,
             Call::Read { stream, from, wait } => {
                 let wait = wait.min(MAX_WAIT);
-                let max_bytes = PageSize::MAX_BYTES;
-                let page = self.direct.read(stream, from, wait, max_bytes).await;
+                let page = self.direct.read(stream, from, wait, PAGE_BYTES).await;
                 read_response(page.as_ref().map(|page| (&*page.records, page.end)))
             }
             Call::Newest { stream } => {
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod pages;
 mod relay;
 mod relay_clusters;
+mod relay_links;
 mod relay_protocol;
 mod relay_state;
 mod restarts;
