Limit the bytes that a peer has in flight for other processes

What callers saw: nothing yet; found by reading. A peer limited the number of calls (128) and of loads (4), but not their bytes: four loads of a configuration of 0.9 MB fill a link of 10 Mbit/s for 3 s, and the peer's own reads and appends time out behind them.

Change: while 512 KB of responses or more are being sent, further reads are refused with "too many calls", so that the caller turns to another peer. A body counts until the server has written it. Appends are not refused, as their answers are short.

Not limited: what reads that were admitted before bring, at most 128 KB each.

--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -7,6 +7,7 @@
 
 use super::direct::DirectLog;
 use super::failover::CallResult;
+use super::outgoing::{InFlight, OutgoingBody};
 use super::protocol::{
     Call, RelayRequest, RelayResponse, append_response, decode_call, read_response, status,
 };
@@ -23,6 +24,9 @@
 /// the caller's time limit.
 const PAGE_BYTES: usize = 128 * 1_024;
 
+/// Bytes of responses in flight from which further reads are refused: 0.4 s on a link of 10 Mbit/s.
+const MAX_IN_FLIGHT: usize = 512 * 1_024;
+
 /// Longest wait of a relayed read, above that of every reader.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -37,6 +41,7 @@
     metrics: Arc<Metrics>,
     calls: Semaphore,
     loads: Semaphore,
+    in_flight: InFlight,
 }
 
 impl RelayServer {
@@ -46,9 +51,15 @@
             metrics,
             calls: Semaphore::new(MAX_CALLS),
             loads: Semaphore::new(MAX_LOADS),
+            in_flight: InFlight::default(),
         }
     }
 
+    /// Returns the body of a response that is about to be sent. It counts as in flight until it is dropped.
+    pub fn outgoing(&self, body: Vec<u8>) -> OutgoingBody {
+        self.in_flight.add(body)
+    }
+
     /// Makes a call at the log and returns its result.
     pub async fn handle(&self, request: &RelayRequest) -> RelayResponse {
         let call = match decode_call(request) {
@@ -102,6 +113,10 @@
         if self.direct.is_in_failover() {
             return Err("the log does not serve this process");
         }
+        let is_append = matches!(call, Call::Append { .. });
+        if !is_append && self.in_flight.bytes() >= MAX_IN_FLIGHT {
+            return Err("too many calls");
+        }
         let permits = match call {
             Call::Append { .. } | Call::Read { .. } | Call::NewestWithPrefix { .. } => &self.calls,
             Call::Newest { .. } => &self.loads,
--- a/crates/agate_node/tests/it/relay_links.rs
+++ b/crates/agate_node/tests/it/relay_links.rs
@@ -1,8 +1,9 @@
-//! Peers with slow links.
+//! Peers with slow links, and the bytes that they relay.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_node::relay::{RelayRequest, newest_request, read_request, status};
 use agate_node::store::{KeyedLog, Stream};
 use rstest::rstest;
 use tokio::time::{sleep, timeout};
@@ -57,3 +58,30 @@
     let read = timeout(Duration::from_secs(10), read).await;
     assert_eq!(read.ok(), Some(records));
 }
+
+/// Nothing limited the bytes that a peer had in flight for others: each of up to 128 reads got a page of 1 MB.
+#[rstest]
+#[case::read(read_request(Stream::Main, 0, Duration::ZERO))]
+#[case::load(newest_request(Stream::Main))]
+#[tokio::test(start_paused = true)]
+async fn reads_are_refused_while_many_bytes_are_in_flight(#[case] request: RelayRequest) {
+    let shared = FakeLog::default();
+    for number in 0..64 {
+        shared.put(Stream::Main, &format!("x/{number}"), &[0; 16_384]);
+    }
+    let (relay, _) = Network::default().machine(1, &shared, &[1]);
+    let mut sending = Vec::new();
+    let refused = loop {
+        let response = relay.server.handle(&request).await;
+        if response.status != status::OK {
+            break response;
+        }
+        sending.push(relay.server.outgoing(response.body));
+        assert!(sending.len() < 8, "nothing is refused");
+    };
+    assert_eq!(refused.status, status::UNAVAILABLE);
+    assert_eq!(refused.body, b"too many calls");
+    sending.clear();
+    let response = relay.server.handle(&request).await;
+    assert_eq!(response.status, status::OK);
+}
