--- a/crates/agate_log/tests/cases/mod.rs
+++ b/crates/agate_log/tests/cases/mod.rs
@@ -3,6 +3,7 @@
 mod appending;
 mod following;
 mod http;
+mod links;
 mod recovery;
 mod responses;
 mod snapshots;
