--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_core::PageSize;
 use async_trait::async_trait;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -38,6 +39,13 @@
 /// Timeout of a load at a peer.
 const PEER_LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Timeout of a read of the configuration at a peer, in addition to the wait. A peer with a link of
+/// 10 Mbit/s needs 0.75 s for a configuration of 0.9 MB, which is a single record.
+const PEER_CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Timeout of a read of the configuration over all attempts, in addition to the wait.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Time that an undisturbed peer or log takes to answer a call that does not wait. No attempt
 /// begins with less time left.
 const MIN_ATTEMPT: Duration = Duration::from_millis(150);
@@ -56,7 +64,11 @@
 /// A read with any result.
 #[derive(Debug, Clone, Copy)]
 enum Query<'a> {
-    Page { from: u64, wait: Duration },
+    Page {
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    },
     Newest,
     Prefix(&'a str),
 }
@@ -128,7 +140,7 @@
 
     /// Makes attempts until one is answered or the time is over.
     async fn query(&self, stream: Stream, query: Query<'_>) -> Result<Stored, ReadError> {
-        let deadline = Instant::now() + query.timeout();
+        let deadline = Instant::now() + query.timeout(stream);
         let mut attempts = self.direct.attempts();
         let mut last_error = ReadError::Unavailable("no time is left".to_owned());
         while let Some(target) = self.direct.next(&mut attempts) {
@@ -150,8 +162,12 @@
 
     async fn query_store(&self, stream: Stream, query: Query<'_>) -> Attempt<Stored, ReadError> {
         let result = match query {
-            Query::Page { from, wait } => {
-                let page = self.direct.read(stream, from, wait).await;
+            Query::Page {
+                from,
+                wait,
+                max_bytes,
+            } => {
+                let page = self.direct.read(stream, from, wait, max_bytes).await;
                 page.map(|page| (page.records, page.end))
             }
             Query::Newest => {
@@ -173,7 +189,7 @@
         query: Query<'_>,
         left: Duration,
     ) -> Attempt<Stored, ReadError> {
-        let limit = left.min(query.peer_timeout());
+        let limit = left.min(query.peer_timeout(stream));
         let request = query.shortened(limit).request(stream);
         let response = self.transport.call(peer, request, limit).await;
         let result = response
@@ -198,7 +214,9 @@
         }
         let is_due = self.direct.state().failover.takes_probe(clock::now());
         let direct = Arc::clone(&self.direct);
-        is_due.then(|| tokio::spawn(async move { direct.read(stream, from, Duration::ZERO).await }))
+        let (wait, max_bytes) = (Duration::ZERO, PageSize::MAX_BYTES);
+        is_due
+            .then(|| tokio::spawn(async move { direct.read(stream, from, wait, max_bytes).await }))
     }
 
     fn exclude(&self, peer: SocketAddr, cause: &str) {
@@ -267,9 +285,20 @@
         Err(failure.unwrap_or_else(|| AppendError::NotDone("no time is left".to_owned())))
     }
 
-    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        max_bytes: usize,
+    ) -> Result<Page, ReadError> {
         let probe = self.start_probe(stream, from);
-        let query = self.query(stream, Query::Page { from, wait });
+        let query = Query::Page {
+            from,
+            wait,
+            max_bytes,
+        };
+        let query = self.query(stream, query);
         let page = |(records, end)| Page { records, end };
         let Some(probe) = probe else {
             return query.await.map(page);
@@ -303,15 +332,17 @@
         }
     }
 
-    fn timeout(self) -> Duration {
+    fn timeout(self, stream: Stream) -> Duration {
         match self {
+            Self::Page { .. } if stream == Stream::Config => self.wait() + CONFIG_TIMEOUT,
             Self::Page { .. } | Self::Prefix(_) => self.wait() + READ_TIMEOUT,
             Self::Newest => LOAD_TIMEOUT,
         }
     }
 
-    fn peer_timeout(self) -> Duration {
+    fn peer_timeout(self, stream: Stream) -> Duration {
         match self {
+            Self::Page { .. } if stream == Stream::Config => self.wait() + PEER_CONFIG_TIMEOUT,
             Self::Page { .. } | Self::Prefix(_) => self.wait() + PEER_TIMEOUT,
             Self::Newest => PEER_LOAD_TIMEOUT,
         }
@@ -320,9 +351,14 @@
     /// Returns the query with a wait that ends before `limit` is over.
     fn shortened(self, limit: Duration) -> Self {
         match self {
-            Self::Page { from, wait } => Self::Page {
+            Self::Page {
+                from,
+                wait,
+                max_bytes,
+            } => Self::Page {
                 from,
                 wait: wait.min(limit.saturating_sub(MIN_ATTEMPT)),
+                max_bytes,
             },
             Self::Newest | Self::Prefix(_) => self,
         }
@@ -330,7 +366,7 @@
 
     fn request(self, stream: Stream) -> RelayRequest {
         match self {
-            Self::Page { from, wait } => read_request(stream, from, wait),
+            Self::Page { from, wait, .. } => read_request(stream, from, wait),
             Self::Newest => newest_request(stream),
             Self::Prefix(prefix) => prefix_request(stream, prefix),
         }
--- a/crates/agate_node/src/relay/server.rs
+++ b/crates/agate_node/src/relay/server.rs
@@ -7,6 +7,7 @@
 
 use super::direct::DirectLog;
 use super::failover::CallResult;
+use super::outgoing::{InFlight, OutgoingBody};
 use super::protocol::{
     Call, RelayRequest, RelayResponse, append_response, decode_call, read_response, status,
 };
@@ -19,6 +20,13 @@
 /// Most loads in progress for others. Each holds all records of a stream.
 const MAX_LOADS: usize = 4;
 
+/// Size of a relayed page: 0.1 s on a link of 10 Mbit/s in each direction, so that the peer answers within
+/// the caller's time limit.
+const PAGE_BYTES: usize = 128 * 1_024;
+
+/// Bytes of responses in flight from which further reads are refused: 0.4 s on a link of 10 Mbit/s.
+const MAX_IN_FLIGHT: usize = 512 * 1_024;
+
 /// Longest wait of a relayed read, above that of every reader.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -33,6 +41,7 @@
     metrics: Arc<Metrics>,
     calls: Semaphore,
     loads: Semaphore,
+    in_flight: InFlight,
 }
 
 impl RelayServer {
@@ -42,9 +51,15 @@
             metrics,
             calls: Semaphore::new(MAX_CALLS),
             loads: Semaphore::new(MAX_LOADS),
+            in_flight: InFlight::default(),
         }
     }
 
+    /// Returns the body of a response that is about to be sent. It counts as in flight until it is dropped.
+    pub fn outgoing(&self, body: Vec<u8>) -> OutgoingBody {
+        self.in_flight.add(body)
+    }
+
     /// Makes a call at the log and returns its result.
     pub async fn handle(&self, request: &RelayRequest) -> RelayResponse {
         let call = match decode_call(request) {
@@ -65,7 +80,8 @@
         match call {
             Call::Append { stream, records } => self.append(stream, &records).await,
             Call::Read { stream, from, wait } => {
-                let page = self.direct.read(stream, from, wait.min(MAX_WAIT)).await;
+                let wait = wait.min(MAX_WAIT);
+                let page = self.direct.read(stream, from, wait, PAGE_BYTES).await;
                 read_response(page.as_ref().map(|page| (&*page.records, page.end)))
             }
             Call::Newest { stream } => {
@@ -97,6 +113,10 @@
         if self.direct.is_in_failover() {
             return Err("the log does not serve this process");
         }
+        let is_append = matches!(call, Call::Append { .. });
+        if !is_append && self.in_flight.bytes() >= MAX_IN_FLIGHT {
+            return Err("too many calls");
+        }
         let permits = match call {
             Call::Append { .. } | Call::Read { .. } | Call::NewestWithPrefix { .. } => &self.calls,
             Call::Newest { .. } => &self.loads,
