Bind nothing to a worker whose agent can't start anything

What callers saw: a task bound to a worker whose agent reports, but can't read its orders or the withdrawn zones, waited there although other workers had room.

Cause: a report says that the worker answers and the agent lives, not that orders are carried out. The leader went on binding tasks to such a worker.

The leader binds nothing to such a worker; what runs there goes on. A report without the field reads as before, and older entries skip it.

Tests: the two in tests/it/orders.rs and zones.rs and the three cases in tests/jobs/suspicion.rs failed without the condition in the leader: one task was bound to the worker, and with the zones unknown the job never completed.

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -76,6 +76,7 @@
         acked_suspicion: 0,
         cold_ms: 0,
         unreachable: false,
+        obstacle: None,
         agent: AgentState::Serving,
         heartbeat: 0,
         started_jobs: Vec::new(),
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -135,6 +135,7 @@
             interference,
             cold_ms: 0,
             unreachable: false,
+            obstacle: None,
             agent: AgentState::Serving,
             heartbeat: 0,
             started_jobs: Vec::new(),
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -28,4 +28,4 @@
 pub use table::{JobState, JobTable};
 pub use task::{TaskKey, TaskKeyError};
 pub use validity::Invalid;
-pub use worker::{AgentState, WorkerIncarnation, WorkerReport, WorkerState};
+pub use worker::{AgentState, Obstacle, WorkerIncarnation, WorkerReport, WorkerState};
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -155,7 +155,7 @@
 
     /// Returns whether new tasks may be bound to the worker.
     pub fn accepts_tasks(&self, now: Moment) -> bool {
-        self.is_in_service() && self.health.accepts_tasks(now)
+        self.is_in_service() && self.report.obstacle.is_none() && self.health.accepts_tasks(now)
     }
 
     /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// What keeps an agent from starting runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Obstacle {
+    /// The orders have not been read to their end recently enough.
+    OrdersStale,
+    /// The withdrawn zones have not been loaded since the agent started.
+    ZonesNotLoaded,
+    /// The withdrawn zones have not been loaded recently enough.
+    ZonesStale,
+}
+
 /// A report of an agent on its worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
@@ -105,6 +118,9 @@
     /// Whether the worker doesn't answer its agent, so that nothing can be started on it.
     #[serde(default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
+    /// What keeps the agent from starting anything; `None` if nothing does. What runs goes on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub obstacle: Option<Obstacle>,
     /// What the agent says of itself.
     #[serde(default, skip_serializing_if = "AgentState::is_serving")]
     pub agent: AgentState,
--- a/crates/agate_jobs/tests/jobs/records.rs
+++ b/crates/agate_jobs/tests/jobs/records.rs
@@ -2,7 +2,7 @@
 
 use agate_core::JobId;
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, Record, TaskKey};
+use agate_jobs::{EndCause, Obstacle, Record, TaskKey, WorkerReport};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -24,6 +24,10 @@
     "x/0000000000000007.0.1.2/3"
 )]
 #[case(Record::new(Body::Worker(report("i-1", 5))), "w/i-1")]
+#[case(
+    Record::new(Body::Worker(WorkerReport { obstacle: Some(Obstacle::ZonesStale), ..report("i-1", 5) })),
+    "w/i-1"
+)]
 fn a_record_round_trips_under_its_key(#[case] record: Record, #[case] key: &str) {
     assert_eq!(record.key, key);
     let value = record.value().expect("the record can be encoded");
@@ -56,6 +60,16 @@
     assert!(name.parse::<TaskKey>().is_err(), "{name:?} was accepted");
 }
 
+/// Agents of earlier versions don't report what keeps them from starting runs, and a report that says
+/// nothing of it reads as before.
+#[test]
+fn a_report_without_an_obstacle_has_no_field_for_it() {
+    let record = Record::new(Body::Worker(report("i-1", 5)));
+    let value = record.value().expect("the record can be encoded");
+    let text = String::from_utf8(value).expect("it is JSON");
+    assert!(!text.contains("obstacle"), "{text}");
+}
+
 proptest! {
     #[test]
     fn a_task_key_round_trips(
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -84,6 +84,7 @@
         interference: Vec::new(),
         cold_ms: 0,
         unreachable: false,
+        obstacle: None,
         agent: AgentState::Serving,
         heartbeat: 0,
         started_jobs: Vec::new(),
--- a/crates/agate_jobs/tests/jobs/suspicion.rs
+++ b/crates/agate_jobs/tests/jobs/suspicion.rs
@@ -5,7 +5,8 @@
 use agate_core::Moment;
 use agate_jobs::record::Body;
 use agate_jobs::{
-    AgentState, EndCause, Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState,
+    AgentState, EndCause, Obstacle, Record, SuspicionRecord, WorkerIncarnation, WorkerReport,
+    WorkerState,
 };
 
 use crate::fleet::{Fleet, LEASE};
@@ -473,3 +474,26 @@
     assert_eq!(fleet.suspicions().len(), 1);
     assert!(fleet.suspicions()[0].suspected);
 }
+
+/// Tasks were bound one after another to workers whose agents reported, but could not carry out orders, and
+/// waited there.
+#[rstest::rstest]
+#[case::orders(Obstacle::OrdersStale)]
+#[case::first_load_of_zones(Obstacle::ZonesNotLoaded)]
+#[case::zones(Obstacle::ZonesStale)]
+fn nothing_is_bound_to_a_worker_whose_agent_starts_nothing(#[case] obstacle: Obstacle) {
+    let mut fleet = fleet_with_one_run();
+    fleet.fold(Record::new(Body::Worker(blocked_by(obstacle))));
+    assert_eq!(fleet.scheduler.bound_runs(), 1, "what runs goes on");
+    fleet.fold(submitted(2, vec![step(1)]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(Record::new(Body::Worker(report("a", 1))));
+    assert_eq!(fleet.place().len(), 1);
+}
+
+fn blocked_by(obstacle: Obstacle) -> WorkerReport {
+    WorkerReport {
+        obstacle: Some(obstacle),
+        ..report("a", 1)
+    }
+}
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -10,7 +10,7 @@
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::waiting::WaitReason;
 use super::zones::{self, PREDECESSOR_START_WAIT, Verdict};
-use super::{ends, pacing};
+use super::{ends, obstacle, pacing};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -39,6 +39,10 @@
 
 fn execute_orders(worker: &Arc<ManagedWorker>) {
     let mut state = worker.state();
+    if obstacle::update(worker, &mut state) {
+        state.reported_at = None;
+        worker.changed.notify_waiters();
+    }
     let orders: Vec<Order> = state.orders.values().cloned().collect();
     let mut waiting = Vec::new();
     for order in orders {
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -8,7 +8,7 @@
 use agate_core::{JobId, Resources};
 use agate_jobs::lease::{self, ClockReading};
 use agate_jobs::{
-    AgentState, Order, OrderKind, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation,
+    AgentState, Obstacle, Order, OrderKind, RunEnd, SuspicionRecord, TaskKey, WorkerIncarnation,
     WorkerReport, WorkerState,
 };
 use tokio::sync::Notify;
@@ -107,6 +107,8 @@
     /// Offset up to which the orders have been read.
     pub next_order: u64,
     pub waiting: WaitingOrders,
+    /// What keeps the agent from starting anything.
+    pub obstacle: Option<Obstacle>,
     pub suspicion: Option<SuspicionRecord>,
     /// Boot time at the start of the newest read that reached the end of the orders.
     pub synced_at: Option<Duration>,
@@ -186,6 +188,7 @@
             orders: HashMap::new(),
             next_order: 0,
             waiting: WaitingOrders::default(),
+            obstacle: None,
             suspicion: None,
             synced_at: None,
             clock: None,
@@ -437,6 +440,7 @@
             interference: self.pacing.interference(),
             cold_ms: self.cold_ms(),
             unreachable: self.contact.is_unreachable(),
+            obstacle: self.obstacle,
             agent: self.agent,
             heartbeat: self.sequence.highest(),
             started_jobs: self
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -11,6 +11,7 @@
 mod introduction;
 mod lists;
 mod managed;
+mod obstacle;
 mod pacing;
 mod registry;
 mod renewal;
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::managed::{ManagedWorker, State};
+use super::obstacle;
 use crate::appender::AppenderError;
 
 /// Time between reports. A worker is suspected after 1.9 s of silence.
@@ -53,7 +54,8 @@
     limit: Duration,
 ) -> Result<WorkerState, AppenderError> {
     let (report, ends, recorded) = {
-        let state = worker.state();
+        let mut state = worker.state();
+        obstacle::update(worker, &mut state);
         (state.report(), state.crash_ends.clone(), state.recorded)
     };
     let standing = (report.state, report.agent);
--- a/crates/agate_node/src/agent/zones.rs
+++ b/crates/agate_node/src/agent/zones.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Checks a start on a worker in `zone` at the boot time `now`.
+    pub fn check(&self, zone: &str, now: Duration) -> StartCheck {
+        self.gate().check(zone, now)
+    }
+
     fn gate(&self) -> MutexGuard<'_, ZoneGate> {
         self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -84,7 +89,7 @@
         return Ok(Verdict::Start);
     };
     let zone = state.heartbeat.zone.as_str();
-    match zones.gate().check(zone, now) {
+    match zones.check(zone, now) {
         StartCheck::Allowed => Ok(Verdict::Start),
         StartCheck::NotLoaded => Err(WaitReason::ZonesNotLoaded),
         StartCheck::Stale => Err(WaitReason::ZonesStale),
--- a/crates/agate_node/tests/it/orders.rs
+++ b/crates/agate_node/tests/it/orders.rs
@@ -8,7 +8,10 @@
 use agate_node::store::{ORDER_STREAMS, Stream, order_stream};
 use tokio::time::sleep;
 
-use crate::support::{Caller as _, Cluster, FakeLog, job_id, one_task_job, wait_until};
+use crate::diagnosis::{capture_logs, lines_with};
+use crate::support::{
+    Caller as _, Cluster, FakeLog, FakeWorker, Fault, job_id, one_task_job, wait_until,
+};
 
 /// Returns an order to start the task of [`one_task_job`] on the first incarnation of a worker.
 pub(crate) fn start_order(worker: &str, term: u32, run: u32) -> Record {
@@ -110,6 +113,31 @@
     assert_eq!(worker.started_runs().len(), 1);
 }
 
+/// The leader bound task after task to a worker whose agent reported, but could not read its orders. Each
+/// waited there until the lease had lapsed.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_bound_to_a_worker_whose_agent_cannot_read_its_orders() {
+    capture_logs();
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::RefusesOrderReads);
+    sleep(Duration::from_secs(3)).await;
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(1)).await;
+    let bound = || lines_with(&["event=task_bound", "worker=w1"]).len();
+    assert_eq!(bound(), 0);
+    log.set_fault(Fault::None);
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+    assert_eq!((worker.started_runs().len(), bound()), (1, 1));
+}
+
 /// Each append to an order stream wakes every agent that reads it. With 36 streams for 160 workers,
 /// an order woke 5.4 agents, a read of the store each.
 #[rstest::rstest]
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -49,6 +49,8 @@
     RejectsSlowly,
     /// Appends after [`SLOW_APPEND_TIME`].
     AppendsSlowly,
+    /// Refuses reads of the order streams, but answers other reads and takes appends.
+    RefusesOrderReads,
     /// Refuses reads of the configuration only.
     RefusesConfig,
     /// Neither appends nor answers within [`APPEND_TIMEOUT`].
@@ -157,6 +159,7 @@
         match self.fault() {
             Fault::RefusesAll => true,
             Fault::RefusesMainReads => stream == Stream::Main,
+            Fault::RefusesOrderReads => matches!(stream, Stream::Orders(_)),
             Fault::RefusesConfig => stream == Stream::Config,
             _ => false,
         }
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -527,6 +527,7 @@
             interference: Vec::new(),
             cold_ms: 0,
             unreachable: false,
+            obstacle: None,
             agent: AgentState::Serving,
             heartbeat: 0,
             started_jobs: Vec::new(),
--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -118,6 +118,26 @@
     assert_eq!((worker.running(), worker.started_runs().len()), (1, 1));
 }
 
+/// A worker was introduced before its agent had loaded the withdrawn zones, and orders waited there for as
+/// long as that took.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_bound_to_a_worker_whose_agent_does_not_know_the_zones() {
+    let cluster = Cluster::with_zones();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let log = cluster.log.client();
+    log.set_fault(Fault::RefusesConfig);
+    let (without, _agent) = zone_worker(log, "w1");
+    sleep(2 * SECOND).await;
+    entry.submit_job(1, one_task_job()).await;
+    sleep(SECOND).await;
+    let (with, _other) = zone_worker(cluster.log.client(), "w2");
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+    assert_eq!(with.started_runs().len(), 1);
+    assert!(without.started_runs().is_empty());
+}
+
 /// A start that the agent sent before it was restarted is carried out after its successor has read
 /// the request. An order returned before that would let the task run in two places.
 #[tokio::test(start_paused = true)]
