Settle the runs of an agent that can't read its orders

What callers saw: a run that was bound just before its agent lost the order stream was neither started nor ended for as long as the agent went on reporting, although other workers had room.

Cause: only silence raises a suspicion. An agent that can append but not read is never silent, starts nothing, and its worker answers, so that it reports no lapse either.

The rest is as for silence: an agent that reads its orders again acknowledges the suspicion and keeps its runs; otherwise they are settled once the lease has surely lapsed, which that agent could not renew beyond its last read anyway.

Ruled out: a return by the agent, which doesn't know the orders that it has not read.

--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -9,7 +9,7 @@
 use crate::plan::effect::Effect;
 use crate::plan::scheduler::Scheduler;
 use crate::record::{Record, Suspect, SuspicionRecord};
-use crate::worker::AgentState;
+use crate::worker::{AgentState, Obstacle};
 
 /// Silence after which a worker is suspected. Agents report every 800 ms.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_900);
@@ -116,9 +116,13 @@
         }
         let current = worker.report.incarnation == suspicion.incarnation;
         let stopped = current && worker.report.agent == AgentState::Stopped;
+        // Such an agent starts nothing and renews no lease for longer than that of its last read, but its
+        // reports would keep unread orders waiting for as long as it can't read them.
+        let unread = current && worker.report.obstacle == Some(Obstacle::OrdersStale);
         let silent = stopped || now.since(worker.last_contact.max(reading_since)) > SUSPECT_AFTER;
         let forgotten = now.since(worker.last_contact) > FORGET_AFTER;
-        if silent && ((current && !forgotten) || self.has_runs_of_term(slot)) {
+        let is_silent = silent && current && !forgotten;
+        if is_silent || ((silent || unread) && self.has_runs_of_term(slot)) {
             let worker = &mut self.workers[slot];
             worker.suspicion.number += 1;
             worker.suspicion.suspected = true;
--- a/crates/agate_node/tests/it/orders.rs
+++ b/crates/agate_node/tests/it/orders.rs
@@ -10,9 +10,13 @@
 
 use crate::diagnosis::{capture_logs, lines_with};
 use crate::support::{
-    Caller as _, Cluster, FakeLog, FakeWorker, Fault, job_id, one_task_job, wait_until,
+    Caller as _, Cluster, FakeLog, FakeWorker, Fault, MAX_REPLACE_TIME, job_id, one_task_job,
+    wait_until,
 };
 
+/// Run time of [`one_task_job`].
+const TASK_TIME: Duration = Duration::from_secs(1);
+
 /// Returns an order to start the task of [`one_task_job`] on the first incarnation of a worker.
 pub(crate) fn start_order(worker: &str, term: u32, run: u32) -> Record {
     let step = &one_task_job().steps[0];
@@ -138,6 +142,36 @@
     assert_eq!((worker.started_runs().len(), bound()), (1, 1));
 }
 
+/// An order waited for as long as the agent reported without being able to read it.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_its_agent_cannot_read_is_settled() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let log = cluster.log.client();
+    let agent = Cluster::agent(log.clone());
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(2)).await;
+    log.set_fault(Fault::RefusesOrderReads);
+    // A read that waits for news still answers with them.
+    sleep(Duration::from_secs(1)).await;
+    entry.submit_job(1, one_task_job()).await;
+    let (other, _agent) = cluster.worker("w2");
+    let began = tokio::time::Instant::now();
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+    assert!(
+        began.elapsed() < MAX_REPLACE_TIME + TASK_TIME,
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(
+        (worker.started_runs().len(), other.started_runs().len()),
+        (0, 1)
+    );
+}
+
 /// Each append to an order stream wakes every agent that reads it. With 36 streams for 160 workers,
 /// an order woke 5.4 agents, a read of the store each.
 #[rstest::rstest]
