Return orders that wait for the withdrawn zones for 3 s

What callers saw: an order that its agent had read waited for as long as the agent could not load the withdrawn zones. The lease was renewed meanwhile, so nothing ended the wait.

Change: an agent returns such an order after 3 s, as it does in a withdrawn zone: the end is recorded only once the worker rejects the run, so neither this agent nor a successor that still finds the order can start it. No start of a predecessor can be carried out so late after the agent has started, which is checked at compile time. `order_returned` is logged.

Ruled out: a shorter wait. The load is repeated each second, and existing tests hold that an order waits for 2 to 3 s for it.

Test: `an_order_that_waits_long_for_the_zones_is_returned` timed out before.

--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -58,6 +58,7 @@
         .count_many(Event::OrderOverdue, overdue);
     log_overdue(&mut state);
     settle_abandoned(worker, &mut state);
+    return_delayed(worker, &mut state);
 }
 
 /// Executes an order unless that has been done.
@@ -114,6 +115,20 @@
     }
 }
 
+/// Returns the orders that have waited too long for the withdrawn zones.
+fn return_delayed(worker: &Arc<ManagedWorker>, state: &mut State) {
+    for waiting in state.waiting.returnable() {
+        let Some(order) = state.orders.get(&waiting.task).cloned() else {
+            continue;
+        };
+        log::warn!(
+            event = "order_returned", worker:% = state.incarnation, task:% = order.task,
+            run = order.run, reason:% = waiting.reason, age_ms = clock::millis(waiting.age()); ""
+        );
+        refuse(worker, state, &order, EndCause::Refused);
+    }
+}
+
 fn handle_start(
     worker: &Arc<ManagedWorker>,
     state: &mut State,
--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -6,6 +6,8 @@
 use agate_jobs::{Order, TaskKey, WorkerIncarnation};
 use tokio::time::Instant;
 
+use super::zones::PREDECESSOR_START_WAIT;
+
 /// Wait after which an order is logged.
 const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
@@ -16,6 +18,13 @@
 /// term drops such orders itself, normally within a second.
 const SETTLE_AFTER: Duration = Duration::from_secs(3);
 
+/// Wait for the withdrawn zones after which an order is returned. The lease is renewed meanwhile, so
+/// nothing else would end the wait. No start of a predecessor can be carried out so late after this agent
+/// has started.
+const RETURN_AFTER: Duration = Duration::from_secs(3);
+
+const _: () = assert!(RETURN_AFTER.as_millis() > PREDECESSOR_START_WAIT.as_millis());
+
 /// Why an order is not executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -72,6 +81,15 @@
         self.since.elapsed()
     }
 
+    /// Returns whether the order is to be returned, so that its task can be started elsewhere.
+    pub fn is_returnable(&self) -> bool {
+        let for_zones = matches!(
+            self.reason,
+            WaitReason::ZonesNotLoaded | WaitReason::ZonesStale
+        );
+        for_zones && self.age() >= RETURN_AFTER
+    }
+
     /// Returns whether the agent has to settle the order because its leader doesn't.
     pub fn is_abandoned(&self) -> bool {
         self.reason == WaitReason::EarlierTerm && self.age() >= SETTLE_AFTER
@@ -110,6 +128,12 @@
         overdue
     }
 
+    /// Returns the orders that are to be returned.
+    pub fn returnable(&self) -> Vec<WaitingOrder> {
+        let orders = self.orders.values().copied();
+        orders.filter(WaitingOrder::is_returnable).collect()
+    }
+
     /// Returns the orders that the agent has to settle.
     pub fn abandoned(&self) -> Vec<(TaskKey, u32)> {
         let orders = self.orders.values();
--- a/crates/agate_node/tests/it/zones.rs
+++ b/crates/agate_node/tests/it/zones.rs
@@ -90,6 +90,26 @@
     assert!(worker.started_runs().is_empty());
 }
 
+/// An order waited for as long as the agent could not load the zones, since the lease was renewed meanwhile.
+/// The worker rejects the run from then on, so that it doesn't start when the zones are loaded.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_waits_long_for_the_zones_is_returned() {
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let (worker, _agent) = zone_worker(log.clone(), "w1");
+    sleep(SECOND).await;
+    log.set_fault(Fault::RefusesConfig);
+    sleep(WITHDRAWAL_BOUND).await;
+    put(&cluster.log, "w1", &start_order("w1", 0, 1));
+    sleep(2 * SECOND).await;
+    assert_eq!(returned(&cluster), 0, "the zones may be loaded soon");
+    wait_until("it is returned", || returned(&cluster) == 1).await;
+    log.set_fault(Fault::None);
+    sleep(4 * SECOND).await;
+    assert!(worker.started_runs().is_empty());
+    assert_eq!(returned(&cluster), 1, "returned again");
+}
+
 /// A restarted agent doesn't know the requests yet. Tasks that run go on.
 #[tokio::test(start_paused = true)]
 async fn a_restarted_agent_starts_nothing_before_it_has_read_the_zones() {
