--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -14,6 +14,8 @@
 pub enum Obstacle {
     /// The worker is silent, suspected or about to leave, or its agent stops.
     OutOfService,
+    /// The worker's agent reports that it can't start anything for now.
+    StartsBlocked,
     /// The operator has withdrawn the worker's zone.
     ZoneWithdrawn,
     /// The worker takes nothing for a while after failures, stalls or rejected starts.
@@ -79,6 +81,8 @@
     let step = task.step;
     if !worker.is_in_service() {
         Some(Obstacle::OutOfService)
+    } else if worker.report.start_block.is_some() {
+        Some(Obstacle::StartsBlocked)
     } else if worker.withdrawn {
         Some(Obstacle::ZoneWithdrawn)
     } else if !worker.health.accepts_tasks(now) {
--- a/crates/agate_jobs/tests/jobs/short_waits.rs
+++ b/crates/agate_jobs/tests/jobs/short_waits.rs
@@ -6,7 +6,7 @@
 use agate_jobs::backlog::BatchOrder;
 use agate_jobs::plan::{Load, Pause, Pauses, ShortWait};
 use agate_jobs::record::Body;
-use agate_jobs::{AgentState, EndCause, Record, StepSpec, WorkerReport};
+use agate_jobs::{AgentState, EndCause, Record, StartBlock, StepSpec, WorkerReport};
 use rstest::rstest;
 
 use crate::crash::crash_end;
@@ -115,6 +115,13 @@
     fleet
 }
 
+fn starts_blocked() -> Fleet {
+    Fleet::new(&[WorkerReport {
+        start_block: Some(StartBlock::OrdersStale),
+        ..report("a", 1)
+    }])
+}
+
 fn labelled() -> StepSpec {
     StepSpec {
         label: "gpu".to_owned(),
@@ -126,6 +133,7 @@
 /// not be told from a reservation.
 #[rstest]
 #[case::out_of_service(out_of_service(), step(1), "out_of_service:1")]
+#[case::starts_blocked(starts_blocked(), step(1), "starts_blocked:1")]
 #[case::zone_withdrawn(zone_withdrawn(), step(1), "zone_withdrawn:1")]
 #[case::closed(closed(), step(1), "closed:1")]
 #[case::probation(probation(), step(1), "probation:1")]
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -18,6 +18,7 @@
 mod sequence;
 mod shutdown;
 mod stall;
+mod start_block;
 mod waiting;
 mod zones;
 
