--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::crash::Crash;
 use crate::plan::health::Health;
+use crate::plan::obstacle::Obstacle;
 use crate::record::SuspicionRecord;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
@@ -20,6 +21,13 @@
 /// beside room for as long as it does.
 pub(super) const FIRST_TIME: Duration = Duration::from_millis(2_500);
 
+/// Longest time for which suspects, one after the other, close a worker to other tasks. Tasks that are ready
+/// would otherwise wait beside room for as long as there are suspects that have to survive their start.
+const MAX_CLOSED: Duration = Duration::from_millis(2_500);
+
+/// Time after a suspect has survived its start within which the next one continues to close the worker.
+const NEXT_PROBE: Duration = Duration::from_millis(200);
+
 /// Headroom assumed for serving tasks until their worker reports one.
 const DEFAULT_HEADROOM: f64 = 0.3;
 
@@ -63,7 +71,7 @@
     /// Resources reserved in the current placement round for long-running tasks that wait until
     /// others have ended.
     pub reserved: Resources,
-    /// Part of them that later long-running tasks don't take, either.
+    /// Part of them that was reserved recently, which later long-running tasks don't take, either.
     pub reserved_first: Resources,
     /// The tasks that they are reserved for.
     pub reservations: Vec<TaskKey>,
@@ -82,6 +90,8 @@
     pub best_effort_images: BTreeMap<String, u32>,
     /// Runs whose tasks may have crashed a worker, and until when nothing is started beside them.
     pub probes: BTreeMap<TaskKey, Moment>,
+    /// Times since and until which such runs have closed the worker, one after the other.
+    closed: (Moment, Moment),
     /// The bound tasks.
     pub tasks: BTreeSet<TaskKey>,
     /// Number of bound tasks, by job, occurrence and step.
@@ -109,6 +119,7 @@
             serving_images: BTreeMap::new(),
             best_effort_images: BTreeMap::new(),
             probes: BTreeMap::new(),
+            closed: (Moment::ZERO, Moment::ZERO),
             tasks: BTreeSet::new(),
             step_tasks: BTreeMap::new(),
         }
@@ -143,9 +154,10 @@
             && !self.suspicion.suspected
     }
 
-    /// Returns whether a run must survive its start before anything else is started.
+    /// Returns whether a run must survive its start before anything else is started. Runs for which that
+    /// takes long don't close the worker for longer than [`MAX_CLOSED`].
     pub fn is_probing(&self, now: Moment) -> bool {
-        self.probes.values().any(|until| now < *until)
+        now.since(self.closed.0) < MAX_CLOSED && self.probes.values().any(|until| now < *until)
     }
 
     /// Returns whether nothing runs but tasks that may have crashed a worker.
@@ -153,37 +165,50 @@
         self.runs() == self.probes.len()
     }
 
-    /// Returns whether new tasks may be bound to the worker.
-    pub fn accepts_tasks(&self, now: Moment) -> bool {
-        self.is_in_service() && self.health.accepts_tasks(now)
+    /// Returns why a task of a step doesn't fit beside the bound tasks and the reservations that it
+    /// yields to.
+    #[inline]
+    pub fn shortage(&self, step: &StepSpec, yields: bool) -> Option<Obstacle> {
+        let room = self.room_for(step);
+        let reserved = self.reserved_from(step, yields);
+        if step.demand.fits_in(room.saturating_sub(reserved)) {
+            None
+        } else if step.demand.fits_in(room) {
+            Some(Obstacle::Reserved)
+        } else {
+            Some(Obstacle::NoRoom)
+        }
     }
 
-    /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
-    /// to.
-    pub fn has_room(&self, step: &StepSpec, yields: bool) -> bool {
-        let demand = step.demand;
+    /// Returns what the bound tasks leave to a task of a step.
+    fn room_for(&self, step: &StepSpec) -> Resources {
         let room = self.report.capacity.saturating_sub(self.used);
-        if step.long_running {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(if yields {
-                room.saturating_sub(self.reserved_first)
-            } else {
-                room
-            });
+        if step.long_running || !step.best_effort {
+            return room;
         }
-        if !step.best_effort {
-            let room = room.saturating_sub(self.held);
-            return demand.fits_in(room.saturating_sub(self.reserved));
-        }
-        let room = room.saturating_sub(without_cpu(self.reserved + self.held));
         let idle = self.long_running.millicores / 100 * LONG_RUNNING_IDLE_PERCENT;
         // More may be in use than the worker has, if it has shrunk.
         let capacity = self.report.capacity.millicores.saturating_add(idle);
-        let spare = capacity.saturating_sub(self.busy_millicores());
-        demand.fits_in(Resources {
-            millicores: spare,
+        Resources {
+            millicores: capacity.saturating_sub(self.busy_millicores()),
             ..room
-        })
+        }
+    }
+
+    /// Returns what is kept from a task of a step. A long-running task that doesn't yield ignores all
+    /// reservations; a short one yields to the new ones in any case.
+    fn reserved_from(&self, step: &StepSpec, yields: bool) -> Resources {
+        let reserved = match (step.long_running, yields) {
+            (true, true) | (false, false) => self.reserved_first,
+            (true, false) => Resources::ZERO,
+            (false, true) => self.reserved,
+        };
+        let kept = reserved + self.held;
+        if step.best_effort {
+            without_cpu(kept)
+        } else {
+            kept
+        }
     }
 
     /// Returns the processor demand of all bound tasks.
@@ -228,6 +253,7 @@
         *self.step_tasks.entry(step_of(task)).or_default() += 1;
         if let Some(until) = binding.probe_until {
             self.probes.insert(task, until);
+            self.close(binding.bound_at, until);
         }
         let demand = binding.demand;
         if binding.best_effort {
@@ -254,6 +280,14 @@
         }
     }
 
+    /// Closes the worker to other tasks from `since` to `until`.
+    fn close(&mut self, since: Moment, until: Moment) {
+        if since > self.closed.1 + NEXT_PROBE {
+            self.closed.0 = since;
+        }
+        self.closed.1 = self.closed.1.max(until);
+    }
+
     pub fn release(&mut self, task: TaskKey, binding: &Binding) {
         self.tasks.remove(&task);
         decrement(&mut self.step_tasks, &step_of(task));
