--- a/crates/agate_log/src/recover.rs
+++ b/crates/agate_log/src/recover.rs
@@ -11,6 +11,9 @@
 
 use crate::{FollowEvent, FollowSettings, Follower, LogStore, Stream};
 
+/// Number of appends to the snapshot stream that are read first, besides those of a whole snapshot.
+const SPARE_APPENDS: u64 = 16;
+
 /// Number of attempts if records expire during recovery.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -79,11 +82,11 @@
 
 /// Returns the state of the newest complete snapshot, or an empty state.
 async fn load_snapshot(store: Arc<dyn LogStore>, limits: StateLimits, rng: &mut impl Rng) -> State {
-    let mut end = read_end(Arc::clone(&store), rng).await;
+    let mut end = read_end(&store, Stream::Main, rng).await;
     let loader = loop {
-        let mut loader = SnapshotLoader::new(limits).up_to(end);
-        read_parts(Arc::clone(&store), &mut loader, rng).await;
-        let newer = read_end(Arc::clone(&store), rng).await;
+        let new_loader = || SnapshotLoader::new(limits).up_to(end);
+        let loader = load_newest(&store, new_loader, rng).await;
+        let newer = read_end(&store, Stream::Main, rng).await;
         // A snapshot of later records may have been written since `end` was read.
         if !loader.failures().iter().any(|f| f.is_within(end, newer)) {
             break loader;
@@ -96,28 +99,75 @@
     loader.finish().unwrap_or_else(|| State::new(limits))
 }
 
-/// Reads the whole snapshot stream.
-async fn read_parts(store: Arc<dyn LogStore>, loader: &mut SnapshotLoader, rng: &mut impl Rng) {
+/// Reads the snapshot stream from as near to its end as a complete snapshot needs.
+async fn load_newest(
+    store: &Arc<dyn LogStore>,
+    new_loader: impl Fn() -> SnapshotLoader,
+    rng: &mut impl Rng,
+) -> SnapshotLoader {
+    let end = read_end(store, Stream::Snap, rng).await;
+    let mut span = newest_parts(store, end, rng).await + SPARE_APPENDS;
+    loop {
+        let from = Offset(end.0.saturating_sub(span).max(1));
+        let mut loader = new_loader();
+        let has_expired = read_parts(store, from, &mut loader, rng).await;
+        if loader.is_loaded() || has_expired || from == Offset(1) {
+            return loader;
+        }
+        span = span.saturating_mul(4);
+    }
+}
+
+/// Returns the number of parts of the snapshot to which the last append belongs.
+async fn newest_parts(store: &Arc<dyn LogStore>, end: Offset, rng: &mut impl Rng) -> u64 {
+    let mut follower = snapshot_follower(store, end.max(Offset(1)));
+    let FollowEvent::Batches(batches) = follower.next(rng).await else {
+        return 0;
+    };
+    let records = batches.into_iter().flat_map(|batch| batch.records);
+    let parts = records.map(|positioned| match positioned.record.body {
+        Body::SnapshotPart(part) => u64::from(part.parts),
+        _ => 0,
+    });
+    parts.max().unwrap_or(0)
+}
+
+fn snapshot_follower(store: &Arc<dyn LogStore>, from: Offset) -> Follower {
     let settings = FollowSettings::builder()
         .poll_timeout(std::time::Duration::ZERO)
         .build();
-    let mut follower = Follower::new(store, Stream::Snap, Offset(1), settings);
+    Follower::new(Arc::clone(store), Stream::Snap, from, settings)
+}
+
+/// Reads the snapshot stream from an offset on. Returns whether appends after it have expired.
+async fn read_parts(
+    store: &Arc<dyn LogStore>,
+    from: Offset,
+    loader: &mut SnapshotLoader,
+    rng: &mut impl Rng,
+) -> bool {
+    let mut has_expired = false;
+    let mut follower = snapshot_follower(store, from);
     loop {
         match follower.next(rng).await {
-            FollowEvent::Batches(batches) if batches.is_empty() => break,
+            FollowEvent::Batches(batches) if batches.is_empty() => return has_expired,
             FollowEvent::Batches(batches) => batches
                 .into_iter()
                 .for_each(|batch| add_parts(loader, batch)),
-            FollowEvent::Gap { earliest, .. } => follower.seek(earliest),
-            FollowEvent::Rewound { .. } => break,
+            FollowEvent::Gap { earliest, .. } => {
+                has_expired = true;
+                follower.seek(earliest);
+            }
+            FollowEvent::Rewound { .. } => return has_expired,
         }
     }
 }
 
-/// Returns the offset of the newest append of the main stream.
-async fn read_end(store: Arc<dyn LogStore>, rng: &mut impl Rng) -> Offset {
+/// Returns the offset of the newest append of a stream.
+async fn read_end(store: &Arc<dyn LogStore>, stream: Stream, rng: &mut impl Rng) -> Offset {
     let settings = FollowSettings::default();
-    let mut follower = Follower::new(store, Stream::Main, Offset(u64::MAX), settings);
+    let store = Arc::clone(store);
+    let mut follower = Follower::new(store, stream, Offset(u64::MAX), settings);
     loop {
         // A read past every append returns the end of the stream.
         if let FollowEvent::Rewound { end, .. } = follower.next(rng).await {
--- a/crates/agate_log/tests/cases/recovery.rs
+++ b/crates/agate_log/tests/cases/recovery.rs
@@ -106,6 +106,27 @@
     assert_eq!(recovered.config(), state.config());
 }
 
+/// Each entry that rebuilt its state read all retained snapshots, not just the newest.
+#[tokio::test(start_paused = true)]
+async fn recovery_reads_about_one_snapshot() {
+    let mut fixture = fixture();
+    fixture.submit(0..400).await;
+    let state = fixture.recover().await.expect("no record has expired");
+    fixture.snapshot(&state).await;
+    let one: usize = {
+        fixture.recover().await.expect("no record has expired");
+        fixture.store.snapshot_bytes()
+    };
+    for _ in 0..30 {
+        fixture.snapshot(&state).await;
+    }
+    let before = fixture.store.snapshot_bytes();
+    let recovered = fixture.recover().await.expect("no record has expired");
+    let read = fixture.store.snapshot_bytes() - before;
+    assert_eq!(recovered.open_jobs(), 400);
+    assert!(read < 6 * one, "{read} bytes for a snapshot of {one}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn recovery_of_an_expired_log_without_a_snapshot_fails() {
     let fixture = fixture();
--- a/crates/agate_log/tests/support/fake.rs
+++ b/crates/agate_log/tests/support/fake.rs
@@ -35,6 +35,7 @@
     faults: VecDeque<AppendFault>,
     down: bool,
     appends: usize,
+    snapshot_bytes: usize,
 }
 
 /// An in-memory log store with injectable faults.
@@ -59,6 +60,7 @@
             faults: VecDeque::new(),
             down: false,
             appends: 0,
+            snapshot_bytes: 0,
         };
         Self {
             started: Instant::now(),
@@ -84,6 +86,11 @@
         self.lock().appends
     }
 
+    /// Returns the number of bytes that reads of the snapshot stream have returned.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.lock().snapshot_bytes
+    }
+
     /// Replaces the log with an empty one.
     pub fn wipe(&self) {
         let limits = Limits {
@@ -170,6 +177,10 @@
                 return Err(unanswered());
             }
             let page = self.read_page(stream, from);
+            if stream == Stream::Snap {
+                let bytes: usize = page.entries.iter().map(|entry| entry.data.len()).sum();
+                self.lock().snapshot_bytes += bytes;
+            }
             if !page.entries.is_empty() || Instant::now() >= deadline {
                 return Ok(page);
             }
--- a/crates/agate_state/src/snapshot/load.rs
+++ b/crates/agate_state/src/snapshot/load.rs
@@ -90,6 +90,11 @@
         self.evict_oldest();
     }
 
+    /// Returns whether a complete snapshot has been loaded.
+    pub const fn is_loaded(&self) -> bool {
+        self.newest.is_some()
+    }
+
     /// Returns the state of the newest complete snapshot; `None` if there is none.
     pub fn finish(self) -> Option<State> {
         self.newest
