Check the offsets of a load through a peer

A page through a peer had to have consecutive offsets, a load had no check: records out of order let an older one replace a newer one, and a record past the load's end is folded twice or hides those before it.

Change: the offsets of a load are in order and before its end; otherwise the answer counts as unavailable, and the caller turns to another peer or to the log. A record whose key is not text may come twice, as in a load from the store.

--- a/crates/agate_node/src/relay/client.rs
+++ b/crates/agate_node/src/relay/client.rs
@@ -372,28 +372,38 @@
         }
     }
 
-    /// Decodes a response. A reader derives the next offset from the number of records, so a page
-    /// must have consecutive ones. A peer of an earlier version ignores the prefix, and its answer need not
-    /// be a consistent view.
+    /// Decodes a response. A peer of an earlier version ignores the prefix, and its answer need not be a
+    /// consistent view.
     fn decode(self, response: &RelayResponse) -> Result<Stored, ReadError> {
         let (records, end) = decode_read(response)?;
-        if let Self::Prefix(prefix) = self
-            && !records.iter().all(|record| record.key.starts_with(prefix))
-        {
-            let cause = "a record has a key without the prefix";
-            return Err(ReadError::Unavailable(cause.to_owned()));
-        }
-        if let Self::Page { from, .. } = self {
-            let expected = (from..).zip(&records);
-            if !expected.into_iter().all(|(at, record)| record.offset == at) {
-                let cause = "the offsets of a page are not consecutive";
-                return Err(ReadError::Unavailable(cause.to_owned()));
+        let cause = match self {
+            Self::Prefix(prefix) if !records.iter().all(|r| r.key.starts_with(prefix)) => {
+                "a record has a key without the prefix"
             }
-        }
-        Ok((records, end))
+            Self::Prefix(_) | Self::Newest if !are_ordered(&records, end) => {
+                "the offsets of a load are not in order, or are past its end"
+            }
+            // A reader derives the next offset from the number of records.
+            Self::Page { from, .. } if !are_consecutive(&records, from) => {
+                "the offsets of a page are not consecutive"
+            }
+            _ => return Ok((records, end)),
+        };
+        Err(ReadError::Unavailable(cause.to_owned()))
     }
 }
 
+fn are_consecutive(records: &[StoredRecord], from: u64) -> bool {
+    let mut expected = (from..).zip(records);
+    expected.all(|(at, record)| record.offset == at)
+}
+
+/// Returns whether offsets are in order and before `end`. A record whose key is not text may come twice.
+fn are_ordered(records: &[StoredRecord], end: u64) -> bool {
+    let is_before = records.last().is_none_or(|record| record.offset < end);
+    is_before && records.is_sorted_by_key(|record| record.offset)
+}
+
 fn read_attempt(result: Result<Stored, ReadError>) -> Attempt<Stored, ReadError> {
     match result {
         Err(error @ ReadError::Unavailable(_)) => Attempt::Failed(error),
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod pages;
 mod relay;
+mod relay_answers;
 mod relay_clusters;
 mod relay_links;
 mod relay_protocol;
