Limit a lease to the longest that a preset allows

An agent of the product believed any `lease_ms` in an answer to its heartbeat, and a grant never shortens a lease, so one odd answer let the runs of an agent that has lost its entries go on for good beside their replacements.

Change: a grant counts as an hour at most, the upper bound of `leases.run_ms`.

Ruled out: the value of the preset in force as the bound, because the agent may know an older preset.

Test: `runs::lease_ends::longer_than_a_preset_allows`, seen to fail without the bound.

--- a/crates/agate_bind/src/run/lease.rs
+++ b/crates/agate_bind/src/run/lease.rs
@@ -4,6 +4,9 @@
 
 use agate_core::Moment;
 
+/// Longest lease that a preset allows.
+const MAX_LENGTH: Duration = Duration::from_hours(1);
+
 /// The lease on all runs of an incarnation. Times are on the machine's boot clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Lease {
@@ -13,8 +16,9 @@
 impl Lease {
     /// Renews the lease for `length`, counted from `sent`, the time at which the heartbeat that
     /// requested it was sent. Several entries grant leases, so a grant never shortens the lease.
+    /// A longer grant than a preset allows counts as the longest one.
     pub fn renew(&mut self, sent: Moment, length: Duration) {
-        self.expires_at = self.expires_at.max(sent + length);
+        self.expires_at = self.expires_at.max(sent + length.min(MAX_LENGTH));
     }
 
     /// Whether the lease has expired at `now`.
--- a/crates/agate_bind/tests/runs.rs
+++ b/crates/agate_bind/tests/runs.rs
@@ -88,6 +88,8 @@
 #[case::shorter_grant_does_not_shorten_the_lease(&[(10, 5), (11, 1)], 15)]
 #[case::late_answer_to_an_early_heartbeat(&[(20, 5), (10, 5)], 25)]
 #[case::no_grant(&[(20, 0)], 20)]
+// A grant never shortens a lease, so one odd answer held the runs of a lost machine for good.
+#[case::longer_than_a_preset_allows(&[(10, u64::MAX), (11, 5)], 3_600_010)]
 fn lease_ends(#[case] grants: &[(u64, u64)], #[case] expires_at_ms: u64) {
     let mut lease = Lease::default();
     for (sent, length) in grants {
