Request configurations whole until a read times out

Cause, suspected: the store sends no record that is larger than `maxKb`, so a configuration of 0.3 MB or more took a second call. Not shown separately.

Change: the limit applies to the configuration only while the size is below that of the first page, that is after timeouts. Several configurations that arrive together are then requested one by one.

Test: `pages::configurations_share_a_page_until_reads_time_out`; the case `in_time` failed without the change.

--- a/crates/agate_node/src/store/paged.rs
+++ b/crates/agate_node/src/store/paged.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// Returns how many bytes to request from a stream. A configuration is a single record, often larger than a
+/// page, so that a limit would only cost another call, unless several of them arrive too slowly.
+fn page_bytes(stream: Stream, size: usize) -> usize {
+    match stream {
+        Stream::Config if size >= PageSize::default().bytes() => PageSize::MAX_BYTES,
+        Stream::Config | Stream::Main | Stream::Orders(_) => size,
+    }
+}
+
 /// Returns what a read that took this long tells about the size of its page.
 fn page_result(
     result: &Result<Page, ReadError>,
@@ -90,7 +99,8 @@
     ) -> Result<Page, ReadError> {
         let began = Instant::now();
         let size = self.size().bytes();
-        let result = self.log.read_page(stream, from, wait, size.min(max_bytes));
+        let bytes = page_bytes(stream, size).min(max_bytes);
+        let result = self.log.read_page(stream, from, wait, bytes);
         let result = result.await;
         match page_result(&result, from, wait, began.elapsed()) {
             // A page that the caller limits tells nothing about larger ones.
--- a/crates/agate_node/tests/it/pages.rs
+++ b/crates/agate_node/tests/it/pages.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::support::{Cluster, FakeLog, SlowLink, wait_until};
+use crate::support::{Cluster, FakeLog, Fault, SlowLink, wait_until};
 
 const RECORD_BYTES: usize = 4_096;
 
@@ -92,3 +92,29 @@
         began.elapsed()
     );
 }
+
+/// A limit below the size of a configuration cost another call for each one.
+#[rstest]
+#[case::in_time(0, 2)]
+#[case::after_timeouts(1, 1)]
+#[tokio::test(start_paused = true)]
+async fn configurations_share_a_page_until_reads_time_out(
+    #[case] timeouts: usize,
+    #[case] expected: usize,
+) {
+    let shared = FakeLog::default();
+    for version in 0..2 {
+        shared.put(Stream::Config, &format!("c{version}"), &vec![0; 300_000]);
+    }
+    let client = shared.client();
+    let log = paged(client.clone());
+    client.set_fault(Fault::AnswersNothing);
+    for _ in 0..timeouts {
+        let read = log.read(Stream::Config, 0, Duration::ZERO).await;
+        read.expect_err("nothing is answered");
+    }
+    client.set_fault(Fault::None);
+    let page = log.read(Stream::Config, 0, Duration::ZERO).await;
+    let page = page.expect("it is answered");
+    assert_eq!(page.records.len(), expected);
+}
