Let a task return to a worker if no other one is large enough

What callers see (the product's own path): a task that has failed once is never started again, while the worker that it needs is idle.

Cause: a task doesn't return to a worker on which it failed while there are more than two workers for each such one. Workers that are too small for it counted as well.

Change: only workers that are large enough count.

Ruled out: a time limit. A task that fails on a bad worker would return there while others are only busy for the moment.

--- a/crates/agate_place/src/choose.rs
+++ b/crates/agate_place/src/choose.rs
@@ -15,7 +15,7 @@
 const FAILED_HERE_COST: f64 = 1e6;
 
 /// A task never returns to a worker on which it has failed while there are more than this many
-/// workers per such worker.
+/// workers per such worker that are large enough for it.
 const WORKERS_PER_AVOIDED: usize = 2;
 
 /// The task to place.
@@ -94,6 +94,8 @@
     } else {
         Mode::Predict
     };
+    let never_returns = !request.avoid.is_empty()
+        && request.avoid.len() * WORKERS_PER_AVOIDED < workers.sizes().count_for(request.demand);
     let mut best: Option<(f64, WorkerKey)> = None;
     for key in sampled {
         let Some(worker) = workers.get(key) else {
@@ -104,7 +106,7 @@
         };
         let cost = if !request.avoid.contains(&key) {
             cost
-        } else if request.avoid.len() * WORKERS_PER_AVOIDED < workers.len() {
+        } else if never_returns {
             continue;
         } else {
             cost + FAILED_HERE_COST
--- a/crates/agate_place/src/impossible.rs
+++ b/crates/agate_place/src/impossible.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Returns the number of workers that are large enough for `needed`.
+    pub fn count_for(&self, needed: Resources) -> usize {
+        let sizes = self.by_capacity.values();
+        let large = sizes.filter(|size| needed.fits_in(size.limit));
+        large.map(|size| size.count as usize).sum()
+    }
+
     /// Caps `wanted` at the limit of the worker that comes closest.
     pub fn clamp(&self, wanted: Resources) -> Resources {
         let fits = |worker_size: &WorkerSize| wanted.fits_in(worker_size.limit);
--- a/crates/agate_place/tests/place/ready.rs
+++ b/crates/agate_place/tests/place/ready.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::time::Duration;
 
-use crate::support::{at, class, job, rng, scheduler};
+use crate::support::{at, class, job, join, rng, scheduler};
 
 fn place_all(s: &mut Scheduler, now: Moment) -> Vec<Placement> {
     let mut rng = rng(7);
@@ -91,3 +91,23 @@
     }
     assert!(placed > 5, "{placed} tasks placed");
 }
+
+/// A task was kept from the worker on which it had failed though no other one is large enough, so that it
+/// waited for good.
+#[test]
+fn a_task_returns_to_the_only_worker_that_is_large_enough() {
+    let mut s = scheduler(Policy::default(), 1);
+    for id in 10..12 {
+        join(&mut s, id, Resources::new(2_000, 8_000, 0));
+    }
+    let mut large = job(1, 1);
+    large.declared = Resources::new(500, 8_192, 0);
+    s.push(at(0), &large);
+    let failed = place_all(&mut s, at(1));
+    s.ended(at(2), failed[0].task, RunOutcome::Failed, Resources::ZERO);
+    let mut placed = 0;
+    for secs in 2..10 {
+        placed += place_all(&mut s, at(secs)).len();
+    }
+    assert_eq!(placed, 1);
+}
