Check that all work is done after any series of faults

A property test of the scheduler on the product's own path. Random series of jobs, placements, ends of every outcome, refusals, workers that join, leave and are lost, withdrawals, cancels, readings of urgent work, adopted runs, wrong reports of held resources and new policies leave the scheduler in some state. Then nothing fails any more, readings stop, and time passes only up to the next wake or end of a run. All tasks have to be placed or given up within an hour, which covers the longest backoffs several times over.

--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -9,6 +9,7 @@
 mod blame;
 mod capacity;
 mod choose;
+mod drain;
 mod eviction;
 mod failure_tracker;
 mod interference;
