Bind nothing to a worker whose orders the log doesn't take

Cause: the leader knew that its append of orders had failed, and went on binding tasks to the workers of that stream. A binding can't be taken back, since the append may still take effect.

Change: a worker takes no tasks while the newest append to its order stream has failed. Such appends are repeated each 40 ms, so it is used again once one is recorded.

`nothing_is_bound_to_a_worker_whose_orders_the_log_does_not_take` failed before.

--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -79,6 +79,14 @@
         self.bindings.len()
     }
 
+    /// Binds nothing to the workers, given by name, whose orders the log doesn't take at present. What was
+    /// bound to them waits for the log.
+    pub fn hold_orders(&mut self, is_held: impl Fn(&str) -> bool) {
+        for worker in &mut self.workers {
+            worker.orders_held = is_held(&worker.report.incarnation.name);
+        }
+    }
+
     /// Reacts to the change that a record made to `table`.
     pub fn apply(&mut self, table: &JobTable, change: &Change, now: Moment) {
         match change {
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -73,6 +73,8 @@
     pub records_dropped: bool,
     /// Whether the operator has withdrawn the worker's zone.
     pub withdrawn: bool,
+    /// Whether the log doesn't take orders for the worker at present.
+    pub orders_held: bool,
     /// Time until which the worker is slow after its start.
     pub cold_until: Moment,
     pub health: Health,
@@ -104,6 +106,7 @@
             held: Resources::ZERO,
             records_dropped: false,
             withdrawn: false,
+            orders_held: false,
             cold_until: Moment::ZERO,
             health: Health::default(),
             serving_images: BTreeMap::new(),
@@ -155,7 +158,12 @@
 
     /// Returns whether new tasks may be bound to the worker.
     pub fn accepts_tasks(&self, now: Moment) -> bool {
-        self.is_in_service() && self.report.obstacle.is_none() && self.health.accepts_tasks(now)
+        self.is_in_service() && self.executes_orders() && self.health.accepts_tasks(now)
+    }
+
+    /// Returns whether an order reaches the agent, and the agent can execute it.
+    const fn executes_orders(&self) -> bool {
+        self.report.obstacle.is_none() && !self.orders_held
     }
 
     /// Returns whether a task of a step fits beside the bound tasks and the reservations that it yields
--- a/crates/agate_jobs/tests/jobs/obstacles.rs
+++ b/crates/agate_jobs/tests/jobs/obstacles.rs
@@ -26,6 +26,22 @@
     assert_eq!(fleet.place().len(), 1);
 }
 
+/// Tasks were bound one after another to workers whose orders the log did not take, and waited for the log
+/// beside workers with room.
+#[test]
+fn nothing_is_bound_to_a_worker_whose_orders_the_log_does_not_take() {
+    let mut fleet = fleet_with_one_run();
+    fleet.scheduler.hold_orders(|worker| worker == "a");
+    fleet.fold(submitted(2, vec![step(1)]));
+    assert!(placements(&mut fleet).is_empty());
+    fleet.fold(Record::new(Body::Worker(report("b", 2))));
+    assert_eq!(placements(&mut fleet), [("b".to_owned(), 1)]);
+    fleet.scheduler.hold_orders(|_| false);
+    fleet.fold(submitted(3, vec![step(8)]));
+    let placed = placements(&mut fleet);
+    assert!(placed.iter().any(|(worker, _)| worker == "a"));
+}
+
 /// A run that was bound to such a worker was never started nor ended while the agent reported, however long
 /// it could not read its orders.
 #[rstest]
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -190,6 +190,11 @@
         if self.heartbeat_recorded_at.is_none() {
             return Vec::new();
         }
+        let streams = entry.context.log.order_streams();
+        let failing = self.writers.failing();
+        self.scheduler.hold_orders(|worker| {
+            !failing.is_empty() && failing.contains(&order_stream(worker, streams))
+        });
         let limit = MAX_IN_FLIGHT.saturating_sub(self.writers.in_flight());
         self.scheduler
             .place_up_to(limit, &view.job_table, now, wall_ms)
--- a/crates/agate_node/src/entry/writers.rs
+++ b/crates/agate_node/src/entry/writers.rs
@@ -1,8 +1,8 @@
 //! Appends of the leader, with one writer for each stream.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use agate_jobs::record::Body;
@@ -36,6 +36,16 @@
     Deposed(Stream),
 }
 
+/// Streams whose newest append has failed so far.
+#[derive(Debug, Clone, Default)]
+struct FailingStreams(Arc<Mutex<HashSet<Stream>>>);
+
+impl FailingStreams {
+    fn streams(&self) -> MutexGuard<'_, HashSet<Stream>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Writers of the streams that only the leader writes, and of its records on the main stream.
 #[derive(Debug)]
 pub(super) struct StreamWriters {
@@ -45,6 +55,7 @@
     tasks: JoinSet<()>,
     outcomes: UnboundedSender<Outcome>,
     in_flight: Arc<AtomicUsize>,
+    failing: FailingStreams,
 }
 
 impl StreamWriters {
@@ -57,6 +68,7 @@
             tasks: JoinSet::new(),
             outcomes,
             in_flight: Arc::default(),
+            failing: FailingStreams::default(),
         };
         (writers, receiver)
     }
@@ -76,6 +88,7 @@
             monitor: OutageMonitor::new(stream, "append"),
             outcomes: self.outcomes.clone(),
             in_flight: Arc::clone(&self.in_flight),
+            failing: self.failing.clone(),
         };
         self.tasks.spawn(writer.run(receiver));
     }
@@ -98,6 +111,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Returns the streams whose newest append has failed so far.
+    pub fn failing(&self) -> HashSet<Stream> {
+        self.failing.streams().clone()
+    }
+
     /// Waits until every queued record has been appended or the writers have given up.
     pub async fn finish(mut self) {
         self.senders.clear();
@@ -139,6 +157,7 @@
     monitor: OutageMonitor,
     outcomes: UnboundedSender<Outcome>,
     in_flight: Arc<AtomicUsize>,
+    failing: FailingStreams,
 }
 
 impl StreamWriter {
@@ -148,6 +167,7 @@
                 self.notify(Outcome::Deposed(self.stream));
                 return;
             }
+            self.failing.streams().remove(&self.stream);
             self.notify_recorded(&group);
         }
     }
@@ -210,6 +230,7 @@
                 }
                 Err(error) => {
                     drop(in_flight.take());
+                    self.failing.streams().insert(self.stream);
                     uncertain |= matches!(error, AppendError::Unknown(_));
                     self.monitor
                         .record_result(&self.entry.context.metrics, Some(&error));
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -41,6 +41,8 @@
     RefusesAppends,
     /// Refuses appends to the order streams, but takes those to others and answers reads.
     RefusesOrderAppends,
+    /// Refuses appends to one stream, but takes those to others and answers reads.
+    RefusesAppendsTo(Stream),
     /// Refuses appends to the main stream, but takes those to others and answers reads.
     RefusesMainAppends,
     /// Refuses reads of the main stream, but takes appends.
@@ -249,6 +251,7 @@
         let refuses = match fault {
             Fault::RefusesAll | Fault::RefusesAppends => true,
             Fault::RefusesMainAppends => stream == Stream::Main,
+            Fault::RefusesAppendsTo(refused) => stream == refused,
             Fault::RefusesOrderAppends => matches!(stream, Stream::Orders(_)),
             _ => false,
         };
