--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -16,6 +16,8 @@
     OutOfService,
     /// The worker's agent reports that it can't start anything for now.
     StartsBlocked,
+    /// The log doesn't take the orders of the worker.
+    OrdersHeld,
     /// The operator has withdrawn the worker's zone.
     ZoneWithdrawn,
     /// The worker takes nothing for a while after failures, stalls or rejected starts.
@@ -83,6 +85,8 @@
         Some(Obstacle::OutOfService)
     } else if worker.report.start_block.is_some() {
         Some(Obstacle::StartsBlocked)
+    } else if worker.orders_held {
+        Some(Obstacle::OrdersHeld)
     } else if worker.withdrawn {
         Some(Obstacle::ZoneWithdrawn)
     } else if !worker.health.accepts_tasks(now) {
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -81,6 +81,8 @@
     pub records_dropped: bool,
     /// Whether the operator has withdrawn the worker's zone.
     pub withdrawn: bool,
+    /// Whether the log doesn't take orders for the worker at present.
+    pub orders_held: bool,
     /// Time until which the worker is slow after its start.
     pub cold_until: Moment,
     pub health: Health,
@@ -114,6 +116,7 @@
             held: Resources::ZERO,
             records_dropped: false,
             withdrawn: false,
+            orders_held: false,
             cold_until: Moment::ZERO,
             health: Health::default(),
             serving_images: BTreeMap::new(),
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -18,6 +18,7 @@
 mod records;
 mod short_waits;
 mod stalls;
+mod start_blocks;
 mod starts;
 mod support;
 mod suspects;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -206,6 +206,11 @@
         if !self.scheduler.knows_zones() {
             return Err(Pause::ZonesUnread);
         }
+        let streams = entry.context.log.order_streams();
+        let failing = self.writers.failing();
+        self.scheduler.hold_orders(|worker| {
+            !failing.is_empty() && failing.contains(&order_stream(worker, streams))
+        });
         let limit = MAX_IN_FLIGHT.saturating_sub(self.writers.in_flight());
         let placed = self
             .scheduler
