--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -231,16 +231,10 @@
     /// Returns the same tasks one by one.
     pub(super) fn pending<'a>(
         &'a self,
-        &Turn { id, job, .. }: &Turn<'a>,
-        (occurrence, step): (usize, usize),
+        turn: &Turn<'a>,
+        at: (usize, usize),
     ) -> impl Iterator<Item = TaskKey> + 'a {
-        let long_running = job.spec.steps[step].long_running;
-        let max_attempts = job.policy.max_attempts.max(1);
-        let tasks = job.progress[occurrence][step].tasks.iter().enumerate();
-        tasks
-            .filter(move |(_, task)| !task.done && (long_running || task.failures < max_attempts))
-            .map(move |(index, _)| task_key(id, occurrence, step, index))
-            .filter(|task| !self.bindings.contains_key(task))
+        unfinished(turn, at).filter(|task| !self.bindings.contains_key(task))
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
@@ -363,6 +357,19 @@
     steps.filter(|(at, step)| !job.progress[*at][*step].is_done() && job.is_ready(*at, *step))
 }
 
+/// Returns the tasks of a step that are neither finished nor given up.
+pub(super) fn unfinished<'a>(
+    &Turn { id, job, .. }: &Turn<'a>,
+    (occurrence, step): (usize, usize),
+) -> impl Iterator<Item = TaskKey> + 'a {
+    let long_running = job.spec.steps[step].long_running;
+    let max_attempts = job.policy.max_attempts.max(1);
+    let tasks = job.progress[occurrence][step].tasks.iter().enumerate();
+    tasks
+        .filter(move |(_, task)| !task.done && (long_running || task.failures < max_attempts))
+        .map(move |(index, _)| task_key(id, occurrence, step, index))
+}
+
 fn task_key(job: JobId, occurrence: usize, step: usize, index: usize) -> TaskKey {
     let narrow = |value: usize| u32::try_from(value).unwrap_or(u32::MAX);
     TaskKey {
--- a/crates/agate_jobs/src/plan/short_waits.rs
+++ b/crates/agate_jobs/src/plan/short_waits.rs
@@ -9,7 +9,7 @@
 use crate::plan::choose::{self, Search};
 use crate::plan::obstacle::{self, Obstacle, Obstacles};
 use crate::plan::order::{self, Turn};
-use crate::plan::place::{Round, ready_steps};
+use crate::plan::place::{self, Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
@@ -129,9 +129,14 @@
         if round.is_full() || self.short_waits.passed_at.is_some_and(recent) {
             return;
         }
+        let mut bound: Vec<JobId> = self.bindings.keys().map(|task| task.job).collect();
+        bound.dedup();
         // A job with a turn for its stragglers has another one for its other tasks.
-        let whole = turns.iter().filter(|turn| turn.part != Part::Stragglers);
-        let waiting = whole.filter(|turn| self.waiting_task(turn.id, turn.job, wall_ms).is_some());
+        let waiting = turns.iter().filter(|turn| {
+            turn.part != Part::Stragglers
+                && bound.binary_search(&turn.id).is_err()
+                && first_short_task(turn, wall_ms).is_some()
+        });
         let since = |id| self.short_waits.since.get(&id).copied().unwrap_or(now);
         let since = waiting.map(|turn| (turn.id, since(turn.id))).collect();
         self.short_waits.since = since;
@@ -143,9 +148,7 @@
         if self.is_bound(id) {
             return None;
         }
-        let turn = order::whole(id, job);
-        let mut steps = ready_steps(job, wall_ms).filter(|at| !job.spec.steps[at.1].long_running);
-        steps.find_map(|at| self.pending(&turn, at).next())
+        first_short_task(&order::whole(id, job), wall_ms)
     }
 
     fn diagnose_short(
@@ -195,3 +198,10 @@
         Some(wait)
     }
 }
+
+/// Returns the first short task of a job that is ready, whether it is bound or not.
+fn first_short_task(turn: &Turn<'_>, wall_ms: u64) -> Option<TaskKey> {
+    let steps = &turn.job.spec.steps;
+    let mut short = ready_steps(turn.job, wall_ms).filter(|at| !steps[at.1].long_running);
+    short.find_map(|at| place::unfinished(turn, at).next())
+}
