Place a suspect that has waited for long also beside other suspects

What callers see: a task that may have crashed a worker waits for 4 s beside room, and in a series of such tasks for longer.

Cause: after 2.5 s a suspect is to be placed like any other task. But no task is placed beside a suspect that has not survived its start. On a worker with other runs the first suspect is placed after 1.5 s and closes it for up to 2.5 s.

Change: after 2.5 s a suspect is placed wherever it fits, also beside other suspects.

Ruled out: a shorter time for which a suspect closes its worker. It would expose the other tasks, for which 2.5 s are within the bound.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -80,6 +80,8 @@
     /// Whether a long-running task leaves room to an earlier one that waits for it, and whether a short
     /// task leaves room to long-running ones that have waited for long.
     pub yields: bool,
+    /// Whether the task may be started beside suspects that have not survived their start.
+    pub beside_probes: bool,
 }
 
 /// Returns the worker with the lowest cost among those that the task fits on.
@@ -184,7 +186,7 @@
     worker.report.service == task.service
         && !worker.withdrawn
         && worker.accepts_tasks(now)
-        && !worker.is_probing(now)
+        && (task.beside_probes || !worker.is_probing(now))
         && (step.long_running || worker.health.accepts_short_task(task.task, step, now))
         && (step.label.is_empty() || worker.report.labels.contains(&step.label))
         && (step.per_worker == 0 || worker.siblings(task.task) < step.per_worker)
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -282,6 +282,7 @@
                 Part::Others | Part::All => Preference::Balanced,
             },
             yields: false,
+            beside_probes: false,
         })
     }
 
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -10,7 +10,7 @@
 use agate_core::Moment;
 
 use crate::crash::{Attribution, CrashHistory, RECENT_START};
-use crate::plan::choose;
+use crate::plan::choose::{self, Candidate};
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
@@ -25,8 +25,8 @@
 /// that its runs are placed again.
 const IDLE_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Wait after which a suspect is placed like any other task, so that none waits for long beside free
-/// capacity.
+/// Wait after which a suspect is placed wherever it fits, also beside other suspects, so that none waits for
+/// long beside free capacity.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Suspects that wait for a worker, and since when.
@@ -134,10 +134,14 @@
         now: Moment,
     ) -> Option<usize> {
         let turn = order::whole(suspect.task.job, suspect.job);
+        let candidate = self.candidate(&turn, suspect.task)?;
         if suspect.waited >= MAX_WAIT {
-            return self.choose(&turn, suspect.task, now);
+            let candidate = Candidate {
+                beside_probes: true,
+                ..candidate
+            };
+            return choose::choose(&self.workers, &self.interference, candidate, now);
         }
-        let candidate = self.candidate(&turn, suspect.task)?;
         let may_share = suspect.waited >= IDLE_WAIT && !self.has_shared_probe(now);
         let slots = choose::fitting(&self.workers, candidate, now);
         let usable = slots.filter(|slot| {
--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -298,14 +298,22 @@
 /// Tasks that had run for seconds before two crashes closed each worker to all others for as long, one after
 /// the other, so that the last of them and all tasks beside them waited beside room.
 #[rstest]
-#[case::of_long_runs(2_500, 4)]
-#[case::of_prompt_crashes(50, 24)]
-fn ready_tasks_do_not_wait_for_a_series_of_suspects(#[case] ran_ms: u64, #[case] suspects: u32) {
+#[case::of_long_runs(2_500, 4, 0)]
+#[case::of_prompt_crashes(50, 24, 0)]
+#[case::beside_other_tasks(2_500, 2, 1)]
+fn ready_tasks_do_not_wait_for_a_series_of_suspects(
+    #[case] ran_ms: u64,
+    #[case] suspects: u32,
+    #[case] running: u32,
+) {
     let small = |tasks| StepSpec {
         demand: agate_core::Resources::new(50, 10, 0),
         ..step(tasks)
     };
     let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(3, vec![small(running)]));
+    assert_eq!(fleet.place().len(), running as usize);
+    fleet.advance(Duration::from_millis(500));
     fleet.fold(submitted(1, vec![small(suspects)]));
     for index in 0..suspects {
         for run in 1..=2 {
