Lose machines and the effects of leaders in the property test of ready tasks

Some machines may now stay away when the others recover, with runs bound to them and suspicions open. A leader may be lost after any part of the effects of a round, of its reaction to a report or of its suspicions has been recorded, so that a takeover meets orders of earlier terms without their ends.

--- a/crates/agate_jobs/tests/jobs/fleet.rs
+++ b/crates/agate_jobs/tests/jobs/fleet.rs
@@ -178,6 +178,21 @@
             .collect()
     }
 
+    /// Records a part of the scheduler's effects, those whose bit is set in `recorded`, and replaces the
+    /// scheduler by that of a new leader.
+    pub(crate) fn lose_leader(&mut self, recorded: u64) {
+        let effects = self.scheduler.take_effects().into_iter();
+        let kept = (0_u64..).zip(effects);
+        let kept = kept.filter(|(at, _)| recorded & (1 << (at % 64)) != 0);
+        for (_, effect) in kept {
+            match effect {
+                Effect::Main(record) => drop(self.table.fold(record)),
+                Effect::Order { record, .. } => self.orders.push(record),
+            }
+        }
+        self.take_over();
+    }
+
     /// Folds the scheduler's effects as if they had passed through the log.
     fn apply_effects(&mut self) {
         let mut effects = self.scheduler.take_effects();
--- a/crates/agate_jobs/tests/jobs/ready/cluster.rs
+++ b/crates/agate_jobs/tests/jobs/ready/cluster/mod.rs
@@ -1,5 +1,7 @@
 //! A leader, the machines whose agents report to it, and what happens to them.
 
+mod agents;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -8,12 +10,12 @@
 use agate_jobs::record::Body;
 use agate_jobs::zones::ZoneTable;
 use agate_jobs::{
-    AgentState, BatchOrder, EndCause, JobSpec, Order, OrderKind, QueuePolicy, Record, RunEnd,
-    SuspicionRecord, TaskKey, WorkerIncarnation, WorkerReport, WorkerState,
+    AgentState, BatchOrder, EndCause, JobSpec, Order, QueuePolicy, Record, RunEnd, SuspicionRecord,
+    TaskKey, WorkerIncarnation, WorkerReport, WorkerState,
 };
 
-use super::event::{Change, Event, ZONES};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, LEASE};
+use crate::ready::event::{Change, Decision, Event, ZONES};
 use crate::support::{policy, report};
 use crate::zones::{loaded, withdraws};
 
@@ -23,9 +25,6 @@
 /// Rounds between two reports of an agent.
 const REPORT_ROUNDS: u64 = 8;
 
-/// Time that an agent takes for a stop, or for ending a member of a gang that is incomplete.
-const STOP_TIME: Duration = Duration::from_millis(500);
-
 /// A machine: a worker and its agent.
 #[derive(Debug)]
 struct Machine {
@@ -36,6 +35,8 @@
     capacity: Resources,
     /// Incarnations and terms of its earlier reports.
     earlier: Vec<WorkerReport>,
+    /// Whether it stays as it is when the others recover: its agent reports nothing any more.
+    lost: bool,
 }
 
 pub(crate) struct Cluster {
@@ -95,6 +96,7 @@
                 unreachable: false,
                 capacity: Resources::new(4_000, 1_000, 0),
                 earlier: Vec::new(),
+                lost: false,
             });
             cluster.send_report(at);
         }
@@ -115,9 +117,9 @@
         self.orders.values()
     }
 
-    /// Returns the newest reports on the workers that are there and whose zone is not withdrawn.
+    /// Returns the reports on the workers that have recovered and whose zone is not withdrawn.
     pub fn workers(&self) -> Vec<WorkerReport> {
-        let reports = (0..self.machines.len()).map(|at| self.report_on(at));
+        let reports = self.recovered().map(|at| self.report_on(at));
         reports
             .filter(|report| !self.zones().is_withdrawn(&report.zone))
             .collect()
@@ -205,6 +207,11 @@
                 self.fleet.take_over();
                 self.configure();
             }
+            Event::LoseLeader { decision, recorded } => {
+                self.decide(*decision);
+                self.fleet.lose_leader(*recorded);
+                self.configure();
+            }
             Event::TakeOverDuringEnd { step, run, cause } => {
                 let orders = self.fleet.issued_orders();
                 if let Some(order) = orders.get(run % orders.len().max(1)) {
@@ -221,33 +228,14 @@
         self.read_orders();
     }
 
-    /// Lets all machines recover: their workers and agents are there, answer and serve.
-    pub fn recover(&mut self) {
-        for at in 0..self.machines.len() {
-            let machine = &mut self.machines[at];
-            machine.agent = AgentState::Serving;
-            machine.unreachable = false;
-            if machine.state == WorkerState::Gone {
-                self.restart(at, true);
-            }
-            self.machines[at].state = WorkerState::Ready;
-            self.send_report(at);
-        }
-        self.read_orders();
+    fn recovered(&self) -> impl Iterator<Item = usize> + use<'_> {
+        (0..self.machines.len()).filter(|at| !self.machines[*at].lost)
     }
 
-    /// Plays a round in which nothing fails.
-    pub fn round(&mut self) {
-        self.rounds += 1;
-        if self.rounds.is_multiple_of(REPORT_ROUNDS) {
-            for at in 0..self.machines.len() {
-                self.send_report(at);
-            }
-        }
-        self.carry_out();
-        self.fleet.advance(ROUND);
-        self.place(self.limit);
-        self.read_orders();
+    /// Returns whether the worker of an order is on a machine that is lost.
+    fn is_lost(&self, order: &Order) -> bool {
+        let mut lost = self.machines.iter().filter(|machine| machine.lost);
+        lost.any(|machine| machine.incarnation.name == order.incarnation.name)
     }
 
     fn at(&self, machine: usize) -> usize {
@@ -295,6 +283,37 @@
         }
     }
 
+    /// Lets the leader decide without recording the effects.
+    fn decide(&mut self, decision: Decision) {
+        let fleet = &mut self.fleet;
+        match decision {
+            Decision::Place => {
+                let wall_ms = 1_000 + fleet.now.as_micros() / 1_000;
+                fleet.scheduler.place(&fleet.table, fleet.now, wall_ms);
+            }
+            Decision::Report(machine, state) => {
+                let at = self.at(machine);
+                let gone = self.machines[at].state == WorkerState::Gone;
+                self.machines[at].state = if gone { WorkerState::Gone } else { state };
+                self.heartbeat += 1;
+                let report = self.report_on(at);
+                self.machines[at].earlier.push(report.clone());
+                if state == WorkerState::Lapsed && !gone {
+                    self.machines[at].state = WorkerState::Ready;
+                }
+                let fleet = &mut self.fleet;
+                let change = fleet.table.fold(Record::new(Body::Worker(report)));
+                fleet.scheduler.apply(&fleet.table, &change, fleet.now);
+            }
+            Decision::Suspect(ms) => {
+                fleet.now = fleet.now + Duration::from_millis(ms);
+                fleet
+                    .scheduler
+                    .update_suspicions(fleet.now, Moment::ZERO, LEASE);
+            }
+        }
+    }
+
     fn change(&mut self, at: usize, change: Change) {
         let machine = &mut self.machines[at];
         match change {
@@ -406,48 +425,6 @@
         };
         self.fold(end_of(order, (cause, ran_ms, crash)));
     }
-
-    /// Records the ends that are due of the orders that the agents carry out.
-    fn carry_out(&mut self) {
-        let now = self.now();
-        let orders: Vec<(String, Order)> = self
-            .orders
-            .iter()
-            .filter(|(_, order)| self.is_current(order))
-            .map(|(key, order)| (key.clone(), order.clone()))
-            .collect();
-        for (key, order) in orders {
-            let stops = matches!(order.kind, OrderKind::Stop { .. });
-            let since = *self.since.entry((key, order.run, stops)).or_insert(now);
-            let Some((time, cause)) = self.end_after(&order) else {
-                continue;
-            };
-            if now.since(since) >= time {
-                let ran_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-                self.fold(end_of(&order, (cause, ran_ms, None)));
-            }
-        }
-    }
-
-    /// Returns when a run ends by itself, and how.
-    fn end_after(&self, order: &Order) -> Option<(Duration, EndCause)> {
-        if matches!(order.kind, OrderKind::Stop { .. }) {
-            return Some((STOP_TIME, EndCause::Stopped));
-        }
-        let step = self.fleet.table.job(order.task.job)?.step(order.task)?;
-        let members = |other: &&Order| other.run == order.run && is_sibling(other.task, order.task);
-        if step.gang && self.orders().filter(members).count() < step.tasks as usize {
-            return Some((STOP_TIME, EndCause::Alone));
-        }
-        if step.long_running {
-            return None;
-        }
-        let at = if step.gang { 0 } else { order.task.index };
-        let at = order.task.job.0 + u64::from(order.task.step) + u64::from(at);
-        let at = usize::try_from(at).unwrap_or(0) % self.run_times.len();
-        let ms = self.run_times[at];
-        (ms > 0).then(|| (Duration::from_millis(ms), EndCause::Done))
-    }
 }
 
 pub(crate) fn is_sibling(task: TaskKey, other: TaskKey) -> bool {
--- a/crates/agate_jobs/tests/jobs/ready/event.rs
+++ b/crates/agate_jobs/tests/jobs/ready/event.rs
@@ -18,6 +18,16 @@
     Capacity(u32),
 }
 
+/// A decision of a leader.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Decision {
+    Place,
+    /// The reaction to a report that a worker has restarted or left, or that its lease has lapsed.
+    Report(usize, WorkerState),
+    /// The suspicions raised and settled after some silence, in milliseconds.
+    Suspect(u64),
+}
+
 /// Something that happens. Indices are taken modulo the number of items.
 #[derive(Debug, Clone)]
 pub(crate) enum Event {
@@ -68,6 +78,11 @@
     },
     Cancel(usize),
     TakeOver,
+    /// The leader is lost after a part of the effects of a decision has been recorded.
+    LoseLeader {
+        decision: Decision,
+        recorded: u64,
+    },
     /// A takeover during which the end of a run is recorded.
     TakeOverDuringEnd {
         step: usize,
@@ -255,6 +270,18 @@
         .prop_map(|(ms, silent)| Event::Pass { ms, silent });
     let restored = (0_usize..40, index(), cause())
         .prop_map(|(step, run, cause)| Event::TakeOverDuringEnd { step, run, cause });
+    let states = [
+        WorkerState::Lapsed,
+        WorkerState::Gone,
+        WorkerState::Draining,
+    ];
+    let decision = prop_oneof![
+        Just(Decision::Place),
+        (index(), select(states.to_vec())).prop_map(|(at, state)| Decision::Report(at, state)),
+        select(vec![2_000, 8_000]).prop_map(Decision::Suspect),
+    ];
+    let lost_leader = (decision, any::<u64>())
+        .prop_map(|(decision, recorded)| Event::LoseLeader { decision, recorded });
     let zone = (0_usize..2, any::<bool>())
         .prop_map(|(zone, withdrawn)| Event::Withdraw { zone, withdrawn });
     prop_oneof![
@@ -269,6 +296,7 @@
         3 => pass,
         1 => index().prop_map(Event::Cancel),
         1 => Just(Event::TakeOver),
+        2 => lost_leader,
         1 => restored,
         1 => zone,
     ]
--- a/crates/agate_jobs/tests/jobs/ready/mod.rs
+++ b/crates/agate_jobs/tests/jobs/ready/mod.rs
@@ -1,7 +1,8 @@
 //! Ready work is bound in time once the faults are over.
 //!
-//! Random series of jobs, ends, reports and decisions leave the scheduler in some state. Then all
-//! workers recover and nothing fails any more, and no task may be passed over beside room for it.
+//! Random series of jobs, ends, reports and decisions leave the scheduler in some state. Then the
+//! machines recover, or some of them stay away, and nothing else fails. No task may be passed over beside
+//! room for it on the others.
 
 mod cluster;
 mod event;
@@ -46,11 +47,11 @@
     }
 }
 
-fn play(mut cluster: Cluster, events: &[Event]) -> Result<(), TestCaseError> {
+fn play(mut cluster: Cluster, events: &[Event], lost: u8) -> Result<(), TestCaseError> {
     for event in events {
         cluster.apply(event);
     }
-    cluster.recover();
+    cluster.recover(lost);
     let recovered_at = cluster.now();
     let (mut waits, mut dead) = (Since::default(), Since::default());
     while cluster.now().since(recovered_at) < OBSERVED {
@@ -94,8 +95,9 @@
         backlog: bool,
         run_times in prop_oneof![vec(select(vec![0, 100, 400, 1_500, 3_000]), 5), Just(vec![0])],
         limit in select(vec![8, 1_000]),
+        lost in prop_oneof![2 => Just(0), 1 => any::<u8>()],
     ) {
         let order = if backlog { BatchOrder::Backlog } else { BatchOrder::Urgency };
-        play(Cluster::new(machines, order, run_times, limit), &events)?;
+        play(Cluster::new(machines, order, run_times, limit), &events, lost)?;
     }
 }
