--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -82,6 +82,8 @@
     /// Whether a long-running task leaves room to an earlier one that waits for it, and whether a short
     /// task leaves room to long-running ones that have waited for long.
     pub yields: bool,
+    /// Whether the task may be started beside suspects that have not survived their start.
+    pub beside_probes: bool,
 }
 
 /// What a worker must offer to a task.
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -91,7 +91,7 @@
         Some(Obstacle::ZoneWithdrawn)
     } else if !worker.health.accepts_tasks(now) {
         Some(Obstacle::Closed)
-    } else if worker.is_probing(now) {
+    } else if worker.is_probing(now) && !task.beside_probes {
         Some(Obstacle::CrashProbe)
     } else if !step.long_running && !worker.health.accepts_short_task(task.task, step, now) {
         Some(Obstacle::Probation)
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -280,6 +280,7 @@
                 Part::Others | Part::All => Preference::Balanced,
             },
             yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
+            beside_probes: false,
         })
     }
 
