Continue a load of the main stream after the pages that it has

A load of the newest records takes several calls. When the last page failed, the entry began again with the first one, over the same slow link.

Change: the pages of a load of the main stream are kept when the next one fails, and the next attempt within 10 s of its beginning continues after them. Its readers go on from the end that the first page reported, as before, and the log keeps 20 s. Loads of orders and of the configuration begin anew, because they have to be as new as their call.

Test: `store::a_load_continues_after_the_pages_that_it_has`; the case `main` failed without the change.

--- a/crates/agate_node/src/store/mod.rs
+++ b/crates/agate_node/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's log as seen by the processes: streams of keyed records.
 
+mod load;
 mod metered;
 mod paged;
 mod stream;
@@ -11,6 +12,7 @@
 use async_trait::async_trait;
 use displaydoc::Display;
 
+pub use load::Load;
 pub use metered::MeteredLog;
 pub use paged::PagedLog;
 pub use stream::{ORDER_STREAMS, Stream, order_stream};
