Let an entry that announces itself replace a mentioned one

Mentions of false addresses in a heartbeat filled it, and an entry that then announced itself was not taken.

Change: when the list is full, an entry that makes contact takes the place of one that has only been mentioned.

Not covered: false entries that are announced directly, and a false word that an entry leaves.

Test: `peers::an_entry_that_announces_itself_replaces_a_mentioned_one`, seen to fail without the change.

--- a/crates/agate_entry/src/members/peers.rs
+++ b/crates/agate_entry/src/members/peers.rs
@@ -84,8 +84,11 @@
             return;
         }
         let mut peers = self.lock();
-        let full = peers.len() >= MAX_PEERS;
         let is_confirmed = source != Source::Gossip;
+        if is_confirmed && peers.len() >= MAX_PEERS && !peers.contains_key(&info.address) {
+            remove_mentioned(&mut peers);
+        }
+        let full = peers.len() >= MAX_PEERS;
         let mut is_leaving = source == Source::Leave;
         match peers.get_mut(&info.address) {
             Some(peer) if is_confirmed => {
@@ -122,6 +125,15 @@
     }
 }
 
+/// Removes a peer that has only been mentioned, if there is one.
+fn remove_mentioned(peers: &mut HashMap<SocketAddr, Peer>) {
+    let mut mentioned = peers.iter().filter(|(_, peer)| !peer.is_confirmed);
+    let address = mentioned.next().map(|(address, _)| *address);
+    if let Some(address) = address {
+        peers.remove(&address);
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
     Direct,
--- a/crates/agate_entry/tests/it/peers.rs
+++ b/crates/agate_entry/tests/it/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agate_core::{Incarnation, Version};
-use agate_wire::message::{EntryInfo, Heartbeat, Load};
+use agate_wire::message::{EntryInfo, Heartbeat, Hello, Load};
 use agate_wire::rpc::EntryRpcClient;
 use jsonrpsee::ws_client::WsClientBuilder;
 use serde_json::json;
@@ -55,6 +55,38 @@
     }
 }
 
+/// False addresses filled the list, so that an entry that announced itself was not listed.
+#[tokio::test]
+async fn an_entry_that_announces_itself_replaces_a_mentioned_one() {
+    let log = start_log().await;
+    let entry = start_entry_on(&log, Vec::new()).await;
+    let client = WsClientBuilder::new()
+        .build(format!("ws://{}", entry.rpc_address()))
+        .await
+        .unwrap();
+    let mut heartbeat = heartbeat_mentioning(1, SocketAddr::from(([127, 0, 0, 1], 1)));
+    let mentioned = heartbeat.entries[0].clone();
+    heartbeat.entries = (1..=300)
+        .map(|port| EntryInfo {
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            ..mentioned.clone()
+        })
+        .collect();
+    client.heartbeat(heartbeat).await.unwrap();
+    let announced = EntryInfo {
+        incarnation: Incarnation::new(7),
+        address: SocketAddr::from(([127, 0, 0, 2], 1)),
+        site: site(),
+    };
+    let hello = Hello {
+        member: None,
+        entry: Some(announced.clone()),
+        leaving: false,
+    };
+    let welcome = client.hello(hello).await.unwrap();
+    assert_eq!(welcome.peers, [announced]);
+}
+
 /// The entry and its peer.
 const EXPECTED_ENTRIES: usize = 2;
 
