--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Tests of job records, the job table, the scheduler and pacing.
 
 mod backlog;
+mod best_effort_waits;
 mod capacity;
 mod crash;
 mod fleet;
