Start suspects that have waited on different workers where possible

What callers may see: a sound job is shown as failed, since its task went down five times with others that crashed their workers.

Change: such a suspect goes to a worker where nothing has just been started and no suspect has to survive its start, as long as there is one.

Ruled out: never placing two at once. On a single worker a series of them would keep ready tasks waiting for longer than 3 s.

Result: suspects_that_have_waited_are_placed_on_different_workers fails before (both on one worker) and passes now; all tests of agate_jobs but the known red one pass.

--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -2,7 +2,8 @@
 //!
 //! Such a task is started where nothing else has been started shortly before, and nothing is started
 //! beside it until it has survived its start. A further crash then tells whether it is the cause. Workers
-//! that run nothing else are preferred, so that a crash takes nothing else down.
+//! that run nothing else are preferred, so that a crash takes nothing else down. Both have a limit in time,
+//! after which tasks no longer wait for it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -154,11 +155,7 @@
         let turn = order::whole(suspect.task.job, suspect.job);
         let candidate = self.candidate(&turn, suspect.task)?;
         let Some(isolation) = self.isolation(suspect.waited, busy, now) else {
-            let candidate = Candidate {
-                beside_probes: true,
-                ..candidate
-            };
-            return choose::choose(&self.workers, &self.interference, candidate, now);
+            return self.choose_for_late_suspect(candidate, busy, now);
         };
         let slots = choose::fitting(&self.workers, candidate, now);
         let usable = slots.filter(|slot| isolation.obstacle(*slot, &self.workers[*slot]).is_none());
@@ -174,6 +171,26 @@
         })
     }
 
+    /// Returns a worker for a suspect that has waited for long: one on which no other suspect or start is
+    /// taken for the cause of a crash, as long as there is one.
+    fn choose_for_late_suspect(
+        &self,
+        candidate: Candidate<'_>,
+        busy: &BTreeSet<usize>,
+        now: Moment,
+    ) -> Option<usize> {
+        let apart = choose::fitting(&self.workers, candidate, now);
+        let apart = apart.filter(|slot| !busy.contains(slot));
+        let apart = apart.min_by_key(|slot| self.workers[*slot].busy_millicores());
+        apart.or_else(|| {
+            let candidate = Candidate {
+                beside_probes: true,
+                ..candidate
+            };
+            choose::choose(&self.workers, &self.interference, candidate, now)
+        })
+    }
+
     /// Returns how far a waiting task is kept apart from other tasks, or `None` if it is placed like any
     /// other task.
     pub(super) fn isolation_of<'a>(
--- a/crates/agate_jobs/tests/jobs/suspects.rs
+++ b/crates/agate_jobs/tests/jobs/suspects.rs
@@ -86,3 +86,24 @@
     let placed = placed_in_time(&mut fleet);
     assert_eq!(placed.len(), SUSPECTS as usize);
 }
+
+/// Suspects that had waited for long were all bound to one worker in the same round, so that a crash told
+/// nothing about any of them.
+#[test]
+fn suspects_that_have_waited_are_placed_on_different_workers() {
+    let mut fleet = fleet_with_suspects();
+    let set_unreachable = |fleet: &mut Fleet, unreachable| {
+        for name in ["a", "b"] {
+            let report = WorkerReport {
+                unreachable,
+                ..large(name)
+            };
+            fleet.fold(Record::new(Body::Worker(report)));
+        }
+    };
+    set_unreachable(&mut fleet, true);
+    assert!(placed_in_time(&mut fleet).is_empty());
+    set_unreachable(&mut fleet, false);
+    let placed = fleet.place();
+    assert_ne!(placed[0].worker, placed[1].worker);
+}
