Leave workers that start nothing out of a service's load

What callers see: best-effort tasks wait for a better worker although all usable processors are idle, while a part of the agents can't start anything.

Cause: the share of a service's processors in use counts the workers in service. Workers whose agents can't start anything, or whose orders the log doesn't take, have been excluded from placement since, but not from this share.

Change: they don't count.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -204,7 +204,10 @@
 
 fn in_service<'a>(workers: &'a [Worker], service: &'a str) -> impl Iterator<Item = &'a Worker> {
     workers.iter().filter(move |worker| {
-        worker.report.service == service && !worker.withdrawn && worker.is_in_service()
+        worker.report.service == service
+            && !worker.withdrawn
+            && worker.is_in_service()
+            && worker.executes_orders()
     })
 }
 
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -90,7 +90,7 @@
     pub serving_images: BTreeMap<String, u32>,
     /// Number of best-effort tasks, by image.
     pub best_effort_images: BTreeMap<String, u32>,
-    /// Runs whose tasks may have crashed a worker, and until when nothing is started beside them.
+    /// Runs whose tasks may have crashed a worker, and until when they have to survive their start.
     pub probes: BTreeMap<TaskKey, Moment>,
     /// Times since and until which such runs have closed the worker, one after the other.
     closed: (Moment, Moment),
@@ -157,6 +157,11 @@
             && !self.suspicion.suspected
     }
 
+    /// Returns whether orders reach the worker's agent and are executed there.
+    pub const fn executes_orders(&self) -> bool {
+        self.report.start_block.is_none() && !self.orders_held
+    }
+
     /// Returns whether a run must survive its start before anything else is started. Runs for which that
     /// takes long don't close the worker for longer than [`MAX_CLOSED`].
     pub fn is_probing(&self, now: Moment) -> bool {
--- a/crates/agate_jobs/tests/jobs/place.rs
+++ b/crates/agate_jobs/tests/jobs/place.rs
@@ -3,7 +3,9 @@
 use agate_core::JobId;
 use agate_jobs::pace::{Headroom, Interference};
 use agate_jobs::record::Body;
-use agate_jobs::{AgentState, EndCause, OrderKind, Record, StepSpec, WorkerReport, WorkerState};
+use agate_jobs::{
+    AgentState, EndCause, OrderKind, Record, StartBlock, StepSpec, WorkerReport, WorkerState,
+};
 use rstest::rstest;
 
 use crate::fleet::Fleet;
@@ -257,6 +259,7 @@
 #[case::drains(WorkerReport { state: WorkerState::Draining, ..report("b", 1) })]
 #[case::unreachable(WorkerReport { unreachable: true, ..report("b", 1) })]
 #[case::agent_stops(WorkerReport { agent: AgentState::Stopping, ..report("b", 1) })]
+#[case::starts_nothing(WorkerReport { start_block: Some(StartBlock::OrdersStale), ..report("b", 1) })]
 fn a_best_effort_task_does_not_wait_because_of_what_is_bound_out_of_service(
     #[case] left: WorkerReport,
 ) {
