--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -63,10 +63,10 @@
         now >= self.paused_until
     }
 
-    /// Returns whether a short task may be bound. On probation, one may be at once and one more for each
-    /// probe that has run for [`PROBE_TIME`], so that tasks don't wait beside room for as long as
-    /// the first probe runs. The members of a gang, which start together, don't count against each other. Jobs that led to
-    /// the quarantine come after others and don't keep them from a probe.
+    /// Returns whether a short task may be bound. On probation, one may be at once and one more for
+    /// each probe that has run for [`PROBE_TIME`], so that tasks don't wait beside room for as long
+    /// as the first probe runs. The members of a gang, which start together, don't count against each
+    /// other. Jobs that led to the quarantine come after others and don't keep them from a probe.
     pub fn accepts_short_task(&self, task: TaskKey, step: &StepSpec, now: Moment) -> bool {
         if !self.on_probation {
             return true;
