--- a/review/standins.py
+++ b/review/standins.py
@@ -761,6 +761,8 @@
         finally:
             world.stop()
 
+    # The processes are ended also if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = asyncio.run(run())
     sys.stdout.flush()
     os._exit(code)
