--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,5 @@
-"""The minion that runs one task of a job that lasts crashes three times. The job is shown as failed, and its other tasks
-are stopped, although no run has ended `failed`."""
+"""A minion crashes five times. It is the only one of its kind, and one task of a job that lasts needs that kind. The job
+is shown as failed, and its other tasks are stopped on sound minions, although no run has ended `failed`."""
 
 import asyncio
 import sys
@@ -10,30 +10,25 @@
 from standins import TROUBLE, job_id, main
 
 # `srv_crash`: 0.14 of the minions, one of seven, for at most 4.5 s.
-DOWN_S = 1.5
-CRASHES = 3
+DOWN_S, UP_S, CRASHES = 1.0, 2.0, 5
+LASTS = {"cpu": 13_000, "memMb": 26_000, "longRunning": True, "mayMiss": 1}
+PHASES = [{"count": 3, "requirements": "a", **LASTS}, {"count": 1, "requirements": "b", **LASTS}]
 TASKS = 4
-PHASE = {"count": TASKS, "cpu": 13_000, "memMb": 26_000, "antiAffinity": 1, "longRunning": True, "mayMiss": 1}
 
 
 async def case(world):
-    record = world.record
+    record, minion = world.record, world.minions[0]
     job = job_id()
-    victim = f"{job}.0.0.0"
-    await world.submit(job, [PHASE], None)
-    crashed = 0
-    until = record.now() + 25
-    while record.now() < until and crashed < CRASHES:
-        await asyncio.sleep(0.05)
-        runs = world.runs.get(victim, [])
-        run = runs[-1] if runs else None
-        if TROUBLE and run and run.ended is None and record.now() - run.started > 2.0:
-            crashed += 1
-            record.line(f"trouble: minion {run.minion.id} crashes and is down for {DOWN_S} s")
-            run.minion.crash()
-            await asyncio.sleep(DOWN_S)
-            await run.minion.start()
-    # All minions are back; 9 s later each task has been at work again for long, if the job goes on.
+    await world.submit(job, PHASES, None)
+    for _ in range(CRASHES):
+        await asyncio.sleep(UP_S)
+        if TROUBLE:
+            record.line(f"trouble: minion {minion.id} crashes and is down for {DOWN_S} s")
+            minion.crash()
+        await asyncio.sleep(DOWN_S)
+        if TROUBLE:
+            await minion.start()
+    # All minions are back and sound.
     await asyncio.sleep(12)
     states = [await world.state(job, entry=entry) for entry in range(3)]
     return judge(world, job, states)
@@ -53,4 +48,5 @@
     return []
 
 
-main(case, minions=7)
+# The first minion is the one of kind b.
+main(case, minions=7, kinds=["b"] + ["a"] * 6)
