--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""A minion crashes five times. It is the only one of its kind, and one task of a job that lasts needs that kind. The job
-is shown as failed, and its other tasks are stopped on sound minions, although no run has ended `failed`."""
+"""The answer to the append of an end is lost, so that the end is recorded twice, and later the entries are restarted in
+turn. A task is started once more after three of its runs have failed."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -9,44 +10,56 @@
 import standins
 from standins import TROUBLE, job_id, main
 
-# `srv_crash`: 0.14 of the minions, one of seven, for at most 4.5 s.
-DOWN_S, UP_S, CRASHES = 1.0, 2.0, 5
-LASTS = {"cpu": 13_000, "memMb": 26_000, "longRunning": True, "mayMiss": 1}
-PHASES = [{"count": 3, "requirements": "a", **LASTS}, {"count": 1, "requirements": "b", **LASTS}]
-TASKS = 4
+MAX_ATTEMPTS = 3
+PHASE = {"count": 1, "cpu": 2000, "memMb": 2000, "estimateMs": 10_000}
+# How long each run takes before it fails, by its number.
+RUNS_MS = [300, 300, 25_000, 300]
 
 
 async def case(world):
-    record, minion = world.record, world.minions[0]
+    record, loop = world.record, asyncio.get_running_loop()
     job = job_id()
-    await world.submit(job, PHASES, None)
-    for _ in range(CRASHES):
-        await asyncio.sleep(UP_S)
-        if TROUBLE:
-            record.line(f"trouble: minion {minion.id} crashes and is down for {DOWN_S} s")
-            minion.crash()
-        await asyncio.sleep(DOWN_S)
-        if TROUBLE:
-            await minion.start()
-    # All minions are back and sound.
-    await asyncio.sleep(12)
+    first_end = f"e/{job}.0.0.0/1".encode()
+
+    async def lose(call, topic, part, records, query):
+        if call == "append" and any(key == first_end for key, _, _ in records):
+            world.store.trouble = None
+            await world.store.append(topic, part, records, query)
+            record.line("trouble: the append of the first end is done, and its answer is lost")
+            raise standins.Silence
+        return None
+
+    if TROUBLE:
+        world.store.trouble = lose
+    await world.submit(job, [PHASE], RUNS_MS, how="failed")
+    await asyncio.sleep(5)
+    if TROUBLE:
+        for entry in world.entries:
+            record.line(f"trouble: {entry.name} gets SIGTERM and is started again")
+            entry.signal(signal.SIGTERM)
+            while entry.process.poll() is None:
+                await asyncio.sleep(0.05)
+            entry.start()
+            await asyncio.sleep(1.3)
+    await asyncio.sleep(20 if TROUBLE else 30)
     states = [await world.state(job, entry=entry) for entry in range(3)]
     return judge(world, job, states)
 
 
 def judge(world, job, states):
-    """LOST: a job that nobody has cancelled is shown as `failed` without cause: only ends `failed` count as attempts."""
-    runs = [run for task, runs in world.runs.items() if task.startswith(job) for run in runs]
-    ends = sorted(f"{run.how}" for run in runs if run.ended is not None)
-    at_work = sum(run.ended is None for run in runs)
-    world.record.line(f"shown as {states}; {at_work} of {TASKS} tasks are at work; ends: {ends}")
-    if "failed" in states and "failed" not in ends:
-        return [f"LOST: the job is shown as {states}, and nobody has cancelled it; its runs ended {ends}, none of them "
-                f"failed; {at_work} of {TASKS} tasks are at work"]
-    if states != ["running"] * 3:
-        raise standins.CannotRun(f"the job is shown as {states}")
-    return []
-
-
-# The first minion is the one of kind b.
-main(case, minions=7, kinds=["b"] + ["a"] * 6)
+    """BUDGET: a start after `maxAttempts` runs of the task have ended `failed`, if these ends are taken note of."""
+    runs = world.runs.get(f"{job}.0.0.0", [])
+    world.record.line(f"shown as {states}; runs: {[(run.number, run.how, run.noted is not None) for run in runs]}")
+    if len(runs) < MAX_ATTEMPTS:
+        raise standins.CannotRun(f"{len(runs)} runs only")
+    found = []
+    for run in runs:
+        failed = [other for other in runs if other.how == "failed" and other.ended < run.started
+                  and other.noted is not None and not other.lapsed_between]
+        if len(failed) >= MAX_ATTEMPTS:
+            found.append(f"BUDGET: run {run.number} is started after {len(failed)} runs have ended failed, and maxAttempts "
+                         f"is {MAX_ATTEMPTS}")
+    return found
+
+
+main(case)
