--- a/review/4/case.py
+++ b/review/4/case.py
@@ -40,7 +40,7 @@
             while entry.process.poll() is None:
                 await asyncio.sleep(0.05)
             entry.start()
-            await asyncio.sleep(1.3)
+            await asyncio.sleep(2.0)
     await asyncio.sleep(20 if TROUBLE else 30)
     states = [await world.state(job, entry=entry) for entry in range(3)]
     return judge(world, job, states)
