Start jobs on closed workers once they have waited while most of the capacity is free

Cause: each failure or stall closes its worker for 2.5 s and leaves it on probation, and nothing limited how many workers of a service were closed.

Change: a job with a short task of which nothing has been bound for 2 s while under half of the counted capacity of its service is in use gets one task bound, on a closed worker if no other one takes it, and a long-running task that has waited for 2 s too. A task that may fail only once more stays away from closed workers, and a worker that has just rejected a start still gets its pause. The pass over starved jobs had this for best-effort jobs and for their processors only; it also ignores room that has been reserved for 2.5 s, as short tasks do otherwise while most processors are idle.

Ruled out: a limit on the share of closed workers, as on the product's own path. Where more workers than that are at fault it opens a bad worker to all tasks, in place of one for each job that waits.

Tests: of closed.rs both cases of jobs that wait, the long-running task and the pause after a rejection failed before.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -50,6 +50,10 @@
 /// in cost between workers.
 const RESERVED_COST: f64 = 5.0;
 
+/// Cost of a worker that is closed after failures or stalls, or on probation. It exceeds the usual differences
+/// in cost between workers.
+const CLOSED_COST: f64 = 5.0;
+
 /// Weight of a worker's slowness, which is a logarithm.
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
@@ -66,6 +70,17 @@
     Fastest,
 }
 
+/// What a task accepts in a worker. It accepts more once it has waited for long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Tolerance {
+    /// An open worker on which it runs fast enough.
+    Usual,
+    /// The processors of a worker may be in use by best-effort tasks, and the task may be slow beside them.
+    Busy,
+    /// The worker may also be closed after failures or stalls, or on probation.
+    Closed,
+}
+
 /// A task to be placed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate<'a> {
@@ -84,9 +99,7 @@
     pub yields: bool,
     /// Whether the task may be started beside suspects that have not survived their start.
     pub beside_probes: bool,
-    /// Whether a best-effort task has waited for so long that the processors that others of its kind use,
-    /// and its speed beside them, don't matter.
-    pub is_starved: bool,
+    pub tolerance: Tolerance,
 }
 
 /// What a worker must offer to a task.
@@ -111,7 +124,7 @@
             task,
             now,
             may_wait: task.step.best_effort
-                && !task.is_starved
+                && task.tolerance == Tolerance::Usual
                 && is_half_used(workers, task.service),
         }
     }
@@ -149,6 +162,11 @@
         if takes_reserved(worker, task.step) {
             cost += RESERVED_COST;
         }
+        if task.tolerance == Tolerance::Closed
+            && let Some(distrust) = worker.health.distrust(now)
+        {
+            cost += CLOSED_COST + distrust;
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, slot));
         }
--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -47,7 +47,9 @@
     successes: Vec<Moment>,
     /// Jobs of the failures since the last success or quarantine.
     failure_streak: Vec<JobId>,
-    paused_until: Moment,
+    quarantined_until: Moment,
+    /// Time until which the worker takes nothing after it has rejected a start.
+    rejected_until: Moment,
     /// Jobs whose runs led to a quarantine and when, since the last success.
     blamed: Vec<(Moment, JobId)>,
     /// Whether no run has succeeded since the last quarantine.
@@ -60,7 +62,20 @@
 
 impl Health {
     pub fn accepts_tasks(&self, now: Moment) -> bool {
-        now >= self.paused_until
+        now >= self.quarantined_until && !self.has_rejected(now)
+    }
+
+    /// Returns whether the worker has just rejected a start.
+    pub fn has_rejected(&self, now: Moment) -> bool {
+        now < self.rejected_until
+    }
+
+    /// Returns the share of a quarantine that is left, or `None` if the worker is neither in quarantine nor on
+    /// probation.
+    pub fn distrust(&self, now: Moment) -> Option<f64> {
+        let left = self.quarantined_until.since(now);
+        self.on_probation
+            .then(|| left.as_secs_f64() / QUARANTINE.as_secs_f64())
     }
 
     /// Returns whether a short task may be bound. On probation, one may be at once and one more for
@@ -72,7 +87,7 @@
             return true;
         }
         let is_blamed = self.blames(task.job);
-        if is_blamed && now < self.paused_until + OTHERS_FIRST {
+        if is_blamed && now < self.quarantined_until + OTHERS_FIRST {
             return false;
         }
         let is_member = |other: &TaskKey| step.gang && other.is_sibling(task);
@@ -114,7 +129,7 @@
             }
             EndCause::Failed => self.record_failure(job, now),
             EndCause::Stalled => self.quarantine(job, now),
-            EndCause::NoRoom | EndCause::Refused => self.pause(now + REJECTION_PAUSE),
+            EndCause::NoRoom | EndCause::Refused => self.rejected_until = now + REJECTION_PAUSE,
             _ => {}
         }
     }
@@ -147,11 +162,7 @@
         }
         self.failure_streak.clear();
         self.on_probation = true;
-        self.pause(now + QUARANTINE);
-    }
-
-    fn pause(&mut self, until: Moment) {
-        self.paused_until = self.paused_until.max(until);
+        self.quarantined_until = now + QUARANTINE;
     }
 
     fn drop_expired(&mut self, now: Moment) {
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -5,7 +5,7 @@
 use agate_core::Moment;
 use strum::{Display, EnumCount, IntoEnumIterator};
 
-use crate::plan::choose::Candidate;
+use crate::plan::choose::{Candidate, Tolerance};
 use crate::plan::worker::Worker;
 
 /// The first reason for which a task may not be started on a worker of its service.
@@ -75,7 +75,7 @@
 #[inline]
 pub(super) fn obstacle(worker: &Worker, task: Candidate<'_>, now: Moment) -> Option<Obstacle> {
     restriction(worker, task, now).or_else(|| match worker.shortage(task.step, task.yields) {
-        Some(Obstacle::Busy) if task.is_starved => None,
+        Some(Obstacle::Busy) if task.tolerance >= Tolerance::Busy => None,
         shortage => shortage,
     })
 }
@@ -92,11 +92,11 @@
         Some(Obstacle::OrdersHeld)
     } else if worker.withdrawn {
         Some(Obstacle::ZoneWithdrawn)
-    } else if !worker.health.accepts_tasks(now) {
+    } else if is_closed(worker, task, now) {
         Some(Obstacle::Closed)
     } else if worker.is_probing(now) && !task.beside_probes {
         Some(Obstacle::CrashProbe)
-    } else if !step.long_running && !worker.health.accepts_short_task(task.task, step, now) {
+    } else if is_on_probation(worker, task, now) {
         Some(Obstacle::Probation)
     } else if !step.label.is_empty() && !worker.report.labels.contains(&step.label) {
         Some(Obstacle::Label)
@@ -106,3 +106,16 @@
         None
     }
 }
+
+fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
+    match task.tolerance {
+        Tolerance::Closed => worker.health.has_rejected(now),
+        Tolerance::Usual | Tolerance::Busy => !worker.health.accepts_tasks(now),
+    }
+}
+
+fn is_on_probation(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
+    task.tolerance < Tolerance::Closed
+        && !task.step.long_running
+        && !worker.health.accepts_short_task(task.task, task.step, now)
+}
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -3,11 +3,12 @@
 use agate_core::{JobId, Moment};
 
 use crate::backlog::Part;
-use crate::plan::choose::{self, Candidate, Preference};
+use crate::plan::choose::{self, Candidate, Preference, Tolerance};
 use crate::plan::effect::Effect;
 use crate::plan::misses::Misses;
 use crate::plan::order::{self, Turn};
 use crate::plan::scheduler::{Placement, Scheduler};
+use crate::plan::starved;
 use crate::plan::suspects;
 use crate::plan::worker::{Binding, FIRST_TIME};
 use crate::record::{Order, OrderKind};
@@ -247,7 +248,11 @@
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
+            let waited = self.waits.waited(task, now);
+            candidate.yields = !moves && waited < FIRST_TIME;
+            if !moves && waited >= starved::MAX_WAIT {
+                candidate.tolerance = Tolerance::Closed;
+            }
         }
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
@@ -282,7 +287,7 @@
             },
             yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
             beside_probes: false,
-            is_starved: false,
+            tolerance: Tolerance::Usual,
         })
     }
 
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -1,11 +1,11 @@
-//! Placement of best-effort jobs that wait while most of the capacity is free.
+//! Placement of jobs that wait while most of the capacity is free.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
 
-use crate::plan::choose::{self, Candidate};
+use crate::plan::choose::{self, Candidate, Tolerance};
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
@@ -15,7 +15,7 @@
 
 /// Time without a bound task after which a job is starved. Ready work has to run within 3 s while most of the
 /// capacity is free; the rest is left to the order and the start.
-const MAX_WAIT: Duration = Duration::from_secs(2);
+pub(super) const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
@@ -30,9 +30,10 @@
 }
 
 impl Scheduler {
-    /// Binds a task of each starved best-effort job of which nothing is bound, whatever processors other
-    /// best-effort tasks use. Those count against no capacity, so the job would wait for as long as others
-    /// come. The job that has waited longest comes first.
+    /// Binds a task of each starved job of which nothing is bound. Processors that other best-effort tasks use
+    /// don't matter to a best-effort job: they count against no capacity, so the job would wait for as long as
+    /// others come. Nor do workers that are closed after failures or on probation: a fault of all of them would
+    /// close the whole service. The job that has waited longest comes first.
     pub(super) fn place_starved(&mut self, table: &JobTable, round: &mut Round, wall_ms: u64) {
         let now = round.now();
         let recent = |at: Moment| now.since(at) < PASS_PERIOD;
@@ -60,12 +61,18 @@
             if !*is_free || self.is_bound(id) {
                 continue;
             }
-            let Some(task) = self.best_effort_task(id, job, wall_ms) else {
+            let Some(task) = self.short_task(id, job, wall_ms) else {
                 continue;
             };
             let turn = self.turn_of(job, task);
+            let tolerance = if waited >= MAX_WAIT && has_spare_attempt(job, task) {
+                Tolerance::Closed
+            } else {
+                Tolerance::Busy
+            };
             let candidate = self.candidate(&turn, task).map(|candidate| Candidate {
-                is_starved: true,
+                tolerance,
+                yields: false,
                 ..candidate
             });
             let slot = candidate.and_then(|candidate| {
@@ -79,12 +86,12 @@
         }
     }
 
-    /// Returns the first pending task of a job that is best-effort and starts by itself.
-    fn best_effort_task(&self, id: JobId, job: &Job, wall_ms: u64) -> Option<TaskKey> {
+    /// Returns the first pending task of a job that is short and starts by itself.
+    fn short_task(&self, id: JobId, job: &Job, wall_ms: u64) -> Option<TaskKey> {
         let whole = order::whole(id, job);
         let steps = ready_steps(job, wall_ms).filter(|at| {
             let step = &job.spec.steps[at.1];
-            step.best_effort && !step.gang && !step.long_running
+            !step.gang && !step.long_running
         });
         let mut tasks = steps.filter_map(|at| self.pending(&whole, at).next());
         tasks.find(|task| {
@@ -94,3 +101,10 @@
         })
     }
 }
+
+/// Returns whether a task may fail once more. A worker that is closed is likely to fail it.
+fn has_spare_attempt(job: &Job, task: TaskKey) -> bool {
+    let step = job.step_progress(task);
+    let progress = step.and_then(|step| step.tasks.get(task.index as usize));
+    progress.is_some_and(|progress| progress.failures + 1 < job.policy.max_attempts)
+}
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod best_effort_waits;
 mod capacity;
+mod closed;
 mod crash;
 mod fleet;
 mod fuzz;
