Report tasks that are bound to workers that aren't trusted

An operator couldn't tell from the logs why a task ran on a worker that had just failed others: neither ordinary probes nor the starts of jobs that have waited were visible. The leader logs worker_probed with the trust in the worker, and counts it. A test of agate_jobs checks the trust that a placement tells.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -2,6 +2,7 @@
 
 use agate_core::Moment;
 
+use crate::plan::health::Trust;
 use crate::plan::interference::InterferenceTable;
 use crate::plan::obstacle::{self, Obstacle};
 use crate::plan::short_waits::Load;
@@ -162,10 +163,8 @@
         if takes_reserved(worker, task.step) {
             cost += RESERVED_COST;
         }
-        if task.tolerance == Tolerance::Closed
-            && let Some(distrust) = worker.health.distrust(now)
-        {
-            cost += CLOSED_COST + distrust;
+        if task.tolerance == Tolerance::Closed && worker.health.trust(now) != Trust::Full {
+            cost += CLOSED_COST + worker.health.quarantine_left(now);
         }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, slot));
--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
+use strum::Display;
 
 use crate::record::EndCause;
 use crate::spec::StepSpec;
@@ -40,6 +41,18 @@
 /// Weight of a new run in the moving average of the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 
+/// How far a worker is trusted with short tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Trust {
+    /// The worker takes any task.
+    Full,
+    /// The worker takes few short tasks until a run has succeeded.
+    Probation,
+    /// The worker is closed after failures or stalls, except to tasks that have waited for long.
+    Quarantine,
+}
+
 /// Recent results of a worker.
 #[derive(Debug, Default)]
 pub(super) struct Health {
@@ -70,12 +83,20 @@
         now < self.rejected_until
     }
 
-    /// Returns the share of a quarantine that is left, or `None` if the worker is neither in quarantine nor on
-    /// probation.
-    pub fn distrust(&self, now: Moment) -> Option<f64> {
-        let left = self.quarantined_until.since(now);
-        self.on_probation
-            .then(|| left.as_secs_f64() / QUARANTINE.as_secs_f64())
+    /// Returns how far the worker is trusted.
+    pub fn trust(&self, now: Moment) -> Trust {
+        if now < self.quarantined_until {
+            Trust::Quarantine
+        } else if self.on_probation {
+            Trust::Probation
+        } else {
+            Trust::Full
+        }
+    }
+
+    /// Returns the share of a quarantine that is left.
+    pub fn quarantine_left(&self, now: Moment) -> f64 {
+        now.until(self.quarantined_until).as_secs_f64() / QUARANTINE.as_secs_f64()
     }
 
     /// Returns whether a short task may be bound. On probation, one may be at once and one more for
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -23,6 +23,7 @@
 mod worker;
 
 pub use effect::Effect;
+pub use health::Trust;
 pub use last_contact::LastContact;
 pub use obstacle::{Obstacle, Obstacles};
 pub use pause::{Pause, Pauses};
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -345,6 +345,7 @@
             task,
             run: binding.run,
             worker: incarnation.name.clone(),
+            trust: worker.health.trust(now),
         };
         self.effects.push(Effect::order(Order {
             incarnation,
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -6,6 +6,7 @@
 
 use crate::loss::LossReason;
 use crate::plan::effect::Effect;
+use crate::plan::health::Trust;
 use crate::plan::interference::InterferenceTable;
 use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
@@ -32,6 +33,8 @@
     pub run: u32,
     /// Name of the worker.
     pub worker: String,
+    /// How far the worker was trusted.
+    pub trust: Trust,
 }
 
 /// Binds tasks to workers and tracks what these decisions depend on.
--- a/crates/agate_jobs/tests/jobs/closed.rs
+++ b/crates/agate_jobs/tests/jobs/closed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
+use agate_jobs::plan::Trust;
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, StepSpec, TaskKey, WorkerReport};
 use rstest::rstest;
@@ -95,6 +96,21 @@
     assert_eq!(placed(&mut fleet, 22).len(), 1);
 }
 
+/// Without it, no log tells why a task runs on a worker that has just failed others.
+#[test]
+fn a_placement_on_a_closed_worker_says_so() {
+    let mut fleet = closed(&["a"], EndCause::Stalled);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert!(placed(&mut fleet, 2).is_empty());
+    fleet.now = fleet.now + Duration::from_secs(2);
+    let placed = fleet.place();
+    assert_eq!(placed[0].trust, Trust::Quarantine);
+    fleet.fold(ended(placed[0].task, placed[0].run, EndCause::Done, "a"));
+    fleet.fold(submitted(2, vec![step(1)]));
+    fleet.now = fleet.now + Duration::from_secs(1);
+    assert_eq!(fleet.place()[0].trust, Trust::Full);
+}
+
 /// A task that may fail only once more would be given up by the fault of its worker.
 #[test]
 fn the_last_attempt_of_a_task_waits_for_an_open_worker() {
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agate_core::{Moment, clock as wall};
-use agate_jobs::plan::{Effect, Pause, Pauses, Placement, Scheduler};
+use agate_jobs::plan::{Effect, Pause, Pauses, Placement, Scheduler, Trust};
 use agate_jobs::record::Body;
 use agate_jobs::{LeaderHeartbeat, Record, lease};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -133,12 +133,7 @@
             waits::report_pause(&self.entry, &self.scheduler, (pause, lasted), wall_ms);
         }
         for placed in decided.unwrap_or_default() {
-            self.entry.context.metrics.count(Event::TaskBound);
-            log::info!(
-                event = "task_bound", task:% = placed.task, run = placed.run,
-                worker = placed.worker.as_str(), epoch = self.epoch,
-                offset = *self.entry.folded.borrow(); ""
-            );
+            self.report_placement(&placed);
         }
         waits::report(&self.entry, &mut self.scheduler, now);
         if pause.is_none() {
@@ -284,6 +279,23 @@
         }
     }
 
+    fn report_placement(&self, placed: &Placement) {
+        let metrics = &self.entry.context.metrics;
+        metrics.count(Event::TaskBound);
+        log::info!(
+            event = "task_bound", task:% = placed.task, run = placed.run,
+            worker = placed.worker.as_str(), epoch = self.epoch,
+            offset = *self.entry.folded.borrow(); ""
+        );
+        if placed.trust != Trust::Full {
+            metrics.count(Event::WorkerProbed);
+            log::info!(
+                event = "worker_probed", worker = placed.worker.as_str(), trust:% = placed.trust,
+                task:% = placed.task, run = placed.run; ""
+            );
+        }
+    }
+
     fn report_lost_run(&self, record: &Record) {
         let Some(Body::Ended(end)) = &record.body else {
             return;
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -31,6 +31,8 @@
     NotFound,
     /// A task was bound to a worker.
     TaskBound,
+    /// A task was bound to a worker that is in quarantine or on probation.
+    WorkerProbed,
     /// A worker started a run.
     TaskStarted,
     /// A worker rejected a start.
