Let quarantines end while waiting tasks run on closed workers

The pass tried one task of each job.

Change: only a run that was bound after a quarantine tells whether the worker is still at fault; the others don't prolong it, and a run that was bound during it is no probe. A waiting task takes a quarantined worker only if stalls have closed it, and one task each 100 ms; the load is compared after each binding. The pass tries the first task of each step, and the first one that may fail once more. It remembers what found no worker, as rounds do.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -35,6 +35,10 @@
 /// Time for which a worker remembers these jobs, which covers several quarantines.
 const BLAME_TIME: Duration = Duration::from_secs(30);
 
+/// Time between two tasks that are bound to a worker that isn't trusted because they have waited for long. A
+/// worker that fails everything at once would otherwise take an attempt of each of them.
+const WAITING_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause before the next task is bound to a worker that rejected a start.
 const REJECTION_PAUSE: Duration = Duration::from_millis(400);
 
@@ -61,6 +65,10 @@
     /// Jobs of the failures since the last success or quarantine.
     failure_streak: Vec<JobId>,
     quarantined_until: Moment,
+    /// Whether a run has failed since the last quarantine began, or led to it.
+    has_failed: bool,
+    /// Time of the newest binding to the worker while it wasn't trusted.
+    probed_at: Option<Moment>,
     /// Time until which the worker takes nothing after it has rejected a start.
     rejected_until: Moment,
     /// Jobs whose runs led to a quarantine and when, since the last success.
@@ -78,8 +86,21 @@
         now >= self.quarantined_until && !self.has_rejected(now)
     }
 
-    /// Returns whether the worker has just rejected a start.
-    pub fn has_rejected(&self, now: Moment) -> bool {
+    /// Returns whether a task may be bound that has waited for long while most of the capacity is free. It
+    /// would run on a worker that lets tasks stall, as far as the callers see, and lose an attempt on one that
+    /// fails them.
+    pub fn accepts_waiting_task(&self, now: Moment) -> bool {
+        let recent = |at: Moment| now.since(at) < WAITING_PAUSE;
+        let is_paused = self.probed_at.is_some_and(recent);
+        let accepts = match self.trust(now) {
+            Trust::Full => true,
+            Trust::Probation => !is_paused,
+            Trust::Quarantine => !is_paused && !self.has_failed,
+        };
+        accepts && !self.has_rejected(now)
+    }
+
+    fn has_rejected(&self, now: Moment) -> bool {
         now < self.rejected_until
     }
 
@@ -126,11 +147,14 @@
         self.blamed.iter().any(|(_, known)| *known == job)
     }
 
-    /// Records that a task was bound.
+    /// Records that a task was bound. One that was bound during a quarantine is no probe.
     pub fn record_binding(&mut self, task: TaskKey, now: Moment) {
-        if self.on_probation {
-            self.probes.insert(task, now);
+        match self.trust(now) {
+            Trust::Full => return,
+            Trust::Probation => drop(self.probes.insert(task, now)),
+            Trust::Quarantine => {}
         }
+        self.probed_at = Some(now);
     }
 
     /// Records that a task is no longer bound, whether its run has ended or was never ordered.
@@ -138,9 +162,23 @@
         self.probes.remove(&task);
     }
 
-    /// Records the end of a run of `job`.
-    pub fn record_end(&mut self, job: JobId, cause: EndCause, now: Moment) {
+    /// Records the end of a run of `job` that was bound at `bound_at`, if that is known. Only a run that was
+    /// bound after a quarantine tells whether the worker is still at fault. If the others prolonged the
+    /// quarantine, a worker that takes tasks meanwhile would never be probed.
+    pub fn record_end(
+        &mut self,
+        job: JobId,
+        cause: EndCause,
+        bound_at: Option<Moment>,
+        now: Moment,
+    ) {
         self.drop_expired(now);
+        let is_failure = matches!(cause, EndCause::Failed | EndCause::Stalled);
+        if is_failure && bound_at.unwrap_or(now) < self.quarantined_until {
+            self.blame(job, now);
+            self.has_failed |= cause == EndCause::Failed;
+            return;
+        }
         match cause {
             EndCause::Done => {
                 self.on_probation = false;
@@ -149,7 +187,7 @@
                 self.successes.push(now);
             }
             EndCause::Failed => self.record_failure(job, now),
-            EndCause::Stalled => self.quarantine(job, now),
+            EndCause::Stalled => self.quarantine(job, cause, now),
             EndCause::NoRoom | EndCause::Refused => self.rejected_until = now + REJECTION_PAUSE,
             _ => {}
         }
@@ -171,21 +209,26 @@
         let mostly_failures =
             self.failures.len() >= FAILURE_LIMIT && self.successes.len() < self.failures.len();
         if in_a_row || mostly_failures || self.on_probation {
-            self.quarantine(job, now);
+            self.quarantine(job, EndCause::Failed, now);
         }
     }
 
-    fn quarantine(&mut self, job: JobId, now: Moment) {
-        self.blamed.retain(|(_, known)| *known != job);
-        self.blamed.push((now, job));
+    fn quarantine(&mut self, job: JobId, cause: EndCause, now: Moment) {
+        self.blame(job, now);
         if !self.on_probation {
             self.probes.clear();
         }
         self.failure_streak.clear();
         self.on_probation = true;
+        self.has_failed = cause == EndCause::Failed;
         self.quarantined_until = now + QUARANTINE;
     }
 
+    fn blame(&mut self, job: JobId, now: Moment) {
+        self.blamed.retain(|(_, known)| *known != job);
+        self.blamed.push((now, job));
+    }
+
     fn drop_expired(&mut self, now: Moment) {
         self.failures
             .retain(|(at, _)| now.since(*at) < HISTORY_WINDOW);
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -109,7 +109,7 @@
 
 fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     match task.tolerance {
-        Tolerance::Closed => worker.health.has_rejected(now),
+        Tolerance::Closed => !worker.health.accepts_waiting_task(now),
         Tolerance::Usual | Tolerance::Busy => !worker.health.accepts_tasks(now),
     }
 }
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -8,7 +8,6 @@
 use crate::plan::misses::Misses;
 use crate::plan::order::{self, Turn};
 use crate::plan::scheduler::{Placement, Scheduler};
-use crate::plan::starved;
 use crate::plan::suspects;
 use crate::plan::worker::{Binding, FIRST_TIME};
 use crate::record::{Order, OrderKind};
@@ -248,11 +247,7 @@
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            let waited = self.waits.waited(task, now);
-            candidate.yields = !moves && waited < FIRST_TIME;
-            if !moves && waited >= starved::MAX_WAIT {
-                candidate.tolerance = Tolerance::Closed;
-            }
+            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
         }
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -154,11 +154,15 @@
 
     fn apply_end(&mut self, table: &JobTable, end: &RunEnd, now: Moment) {
         if let Some(slot) = self.slots.get(&end.worker).copied() {
+            let binding = self.bindings.get(&end.task);
+            let binding = binding.filter(|known| known.worker == slot && known.run == end.run);
+            let bound_at = binding.map(|known| known.bound_at);
             let worker = &mut self.workers[slot];
             if end.cause != EndCause::Lost {
                 worker.last_contact = now;
             }
-            worker.health.record_end(end.task.job, end.cause, now);
+            let job = end.task.job;
+            worker.health.record_end(job, end.cause, bound_at, now);
         }
         let bound_run = self.bindings.get(&end.task).map(|binding| binding.run);
         match bound_run {
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -6,16 +6,17 @@
 use agate_core::{JobId, Moment};
 
 use crate::plan::choose::{self, Candidate, Tolerance};
+use crate::plan::misses::Misses;
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
 use crate::plan::suspects;
-use crate::table::{Job, JobTable};
+use crate::table::{Job, JobTable, TaskProgress};
 use crate::task::TaskKey;
 
 /// Time without a bound task after which a job is starved. Ready work has to run within 3 s while most of the
 /// capacity is free; the rest is left to the order and the start.
-pub(super) const MAX_WAIT: Duration = Duration::from_secs(2);
+const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
@@ -44,6 +45,7 @@
         let is_open = |id: &JobId| table.job(*id).is_some_and(|job| !job.state().is_final());
         self.starved.jobs.retain(is_open);
         let mut is_free: HashMap<&str, bool> = HashMap::new();
+        let mut misses = StarvedMisses::default();
         for (id, waited) in self.short_waits.longest_first(now) {
             if round.is_full() {
                 return;
@@ -55,56 +57,105 @@
                 continue;
             };
             let service = job.policy.service.as_str();
-            let is_free = is_free
+            let may_place = *is_free
                 .entry(service)
                 .or_insert_with(|| choose::is_mostly_free(&self.workers, service));
-            if !*is_free || self.is_bound(id) {
+            if !may_place || self.is_bound(id) {
                 continue;
             }
-            let Some(task) = self.short_task(id, job, wall_ms) else {
+            let Some((task, slot)) =
+                self.choose_starved((id, job, waited), &mut misses, now, wall_ms)
+            else {
                 continue;
             };
+            let placement = self.bind(job, task, (slot, None), now);
+            round.add(placement);
+            self.starved.jobs.insert(id);
+            is_free.remove(service);
+        }
+    }
+
+    /// Returns a task of a starved job and the worker for it.
+    fn choose_starved(
+        &self,
+        (id, job, waited): (JobId, &Job, Duration),
+        misses: &mut StarvedMisses,
+        now: Moment,
+        wall_ms: u64,
+    ) -> Option<(TaskKey, usize)> {
+        let mut tasks = self.short_tasks(id, job, wall_ms).into_iter();
+        tasks.find_map(|task| {
             let turn = self.turn_of(job, task);
             let tolerance = if waited >= MAX_WAIT && has_spare_attempt(job, task) {
                 Tolerance::Closed
             } else {
                 Tolerance::Busy
             };
-            let candidate = self.candidate(&turn, task).map(|candidate| Candidate {
+            let candidate = Candidate {
                 tolerance,
                 yields: false,
-                ..candidate
-            });
-            let slot = candidate.and_then(|candidate| {
-                choose::choose(&self.workers, &self.interference, candidate, now)
-            });
-            if let Some(slot) = slot {
-                let placement = self.bind(job, task, (slot, None), now);
-                round.add(placement);
-                self.starved.jobs.insert(id);
+                ..self.candidate(&turn, task)?
+            };
+            let misses = misses.of(tolerance);
+            if misses.covers(&turn, candidate.step) {
+                return None;
             }
-        }
+            let slot = choose::choose(&self.workers, &self.interference, candidate, now);
+            if slot.is_none() {
+                misses.add(&turn, candidate.step);
+            }
+            Some((task, slot?))
+        })
     }
 
-    /// Returns the first pending task of a job that is short and starts by itself.
-    fn short_task(&self, id: JobId, job: &Job, wall_ms: u64) -> Option<TaskKey> {
+    /// Returns the pending tasks of a job to try: of each step with short tasks that start by themselves, the
+    /// first one and the first one that may fail once more.
+    fn short_tasks(&self, id: JobId, job: &Job, wall_ms: u64) -> Vec<TaskKey> {
         let whole = order::whole(id, job);
         let steps = ready_steps(job, wall_ms).filter(|at| {
             let step = &job.spec.steps[at.1];
             !step.gang && !step.long_running
         });
-        let mut tasks = steps.filter_map(|at| self.pending(&whole, at).next());
-        tasks.find(|task| {
-            let step = job.step_progress(*task);
-            let progress = step.and_then(|step| step.tasks.get(task.index as usize));
-            progress.is_some_and(|progress| !suspects::is_suspected(progress))
-        })
+        let mut found = Vec::new();
+        for at in steps {
+            let tasks = || {
+                let pending = self.pending(&whole, at);
+                pending.filter(|task| !is_suspected(job, *task))
+            };
+            let spare = tasks().find(|task| has_spare_attempt(job, *task));
+            found.extend(spare.into_iter().chain(tasks().next()));
+        }
+        found.dedup();
+        found
     }
 }
 
-/// Returns whether a task may fail once more. A worker that is closed is likely to fail it.
+/// The tasks that found no worker in a pass, by what they accept.
+#[derive(Debug, Default)]
+struct StarvedMisses {
+    busy: Misses,
+    closed: Misses,
+}
+
+impl StarvedMisses {
+    const fn of(&mut self, tolerance: Tolerance) -> &mut Misses {
+        match tolerance {
+            Tolerance::Usual | Tolerance::Busy => &mut self.busy,
+            Tolerance::Closed => &mut self.closed,
+        }
+    }
+}
+
+fn is_suspected(job: &Job, task: TaskKey) -> bool {
+    progress_of(job, task).is_some_and(suspects::is_suspected)
+}
+
+/// Returns whether a task may fail once more. A worker that isn't trusted is likely to fail it.
 fn has_spare_attempt(job: &Job, task: TaskKey) -> bool {
-    let step = job.step_progress(task);
-    let progress = step.and_then(|step| step.tasks.get(task.index as usize));
+    let progress = progress_of(job, task);
     progress.is_some_and(|progress| progress.failures + 1 < job.policy.max_attempts)
 }
+
+fn progress_of(job: &Job, task: TaskKey) -> Option<&TaskProgress> {
+    job.step_progress(task)?.tasks.get(task.index as usize)
+}
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod best_effort_waits;
 mod capacity;
 mod closed;
+mod closed_gaps;
 mod crash;
 mod fleet;
 mod fuzz;
