Keep no failure record of workers that have been removed

Cause: a run whose end is read after its worker was removed was recorded against the worker's stale key. SparseSecondaryMap::entry refuses a key only if a newer one is present, so the removed worker got a record again. Three such failures quarantined it, nothing forgets it a second time, and it counted among the quarantined workers for good. The limit of half was then reached with fewer workers in quarantine, and work was held at fault after failures on fewer workers.

Change: the scheduler records the results of such runs against their job only. Failures there still explain the quarantine of other workers.

Ruled out: to insert records when a worker joins and never later, which the tests of the tracker alone, which has no joins, would have to be rewritten for.

Test: closed::failures_on_a_removed_worker_take_no_place_in_quarantine failed before (the second bad worker of two was not quarantined).

--- a/crates/agate_place/src/blame/mod.rs
+++ b/crates/agate_place/src/blame/mod.rs
@@ -46,17 +46,18 @@
         Self::default()
     }
 
-    /// Records that a run finished.
+    /// Records that a run finished on a known worker.
     pub fn record_success(&mut self, worker: WorkerKey, job: JobKey, policy: &Placement) {
-        self.mark_succeeded(job);
+        self.record_job_success(job);
         if let Some(record) = get_or_insert(&mut self.workers, worker) {
             self.quarantined -= usize::from(record.probe_at().is_some());
             record.record_success(policy);
         }
     }
 
-    /// Records the first success of a job, which clears it of its earlier failures.
-    fn mark_succeeded(&mut self, job: JobKey) {
+    /// Records that a run of a job finished on a worker that may have been removed. The first success of a
+    /// job clears it of its earlier failures.
+    pub fn record_job_success(&mut self, job: JobKey) {
         let Some(record) = get_or_insert(&mut self.jobs, job) else {
             return;
         };
@@ -71,8 +72,8 @@
         }
     }
 
-    /// Records that a run failed by itself. Quarantines its worker after too many unexplained
-    /// failures. `worker_count` is the number of known workers.
+    /// Records that a run failed by itself on a known worker. Quarantines the worker after too many
+    /// unexplained failures. `worker_count` is the number of known workers.
     pub fn record_failure(
         &mut self,
         now: Moment,
@@ -81,9 +82,7 @@
         worker_count: usize,
         policy: &Placement,
     ) {
-        if let Some(record) = get_or_insert(&mut self.jobs, job) {
-            record.record_failure(now, worker);
-        }
+        self.add_failure(now, worker, job);
         let job_succeeded = self.has_succeeded(job);
         if let Some(record) = get_or_insert(&mut self.workers, worker) {
             record.record_failure(Failure { job, job_succeeded });
@@ -93,8 +92,32 @@
         if is_bad && (may_grow || self.is_quarantined(worker)) {
             self.quarantine(now, worker, policy);
         }
-        for other in self.failed_on(job).to_vec() {
-            self.lift_if_explained(other, policy);
+        self.lift_explained(job, policy);
+    }
+
+    /// Records that a run failed by itself on a worker that may have been removed. A removed worker gets no
+    /// record: nothing would forget it again, so its quarantine would count for good.
+    pub fn record_job_failure(
+        &mut self,
+        now: Moment,
+        worker: WorkerKey,
+        job: JobKey,
+        policy: &Placement,
+    ) {
+        self.add_failure(now, worker, job);
+        self.lift_explained(job, policy);
+    }
+
+    fn add_failure(&mut self, now: Moment, worker: WorkerKey, job: JobKey) {
+        if let Some(record) = get_or_insert(&mut self.jobs, job) {
+            record.record_failure(now, worker);
+        }
+    }
+
+    /// Ends the quarantines that the failures of a job have explained.
+    fn lift_explained(&mut self, job: JobKey, policy: &Placement) {
+        for worker in self.failed_on(job).to_vec() {
+            self.lift_if_explained(worker, policy);
         }
     }
 
--- a/crates/agate_place/src/scheduler/feedback.rs
+++ b/crates/agate_place/src/scheduler/feedback.rs
@@ -91,8 +91,12 @@
         if let Some(oom) = self.oom_histories.get_mut(job) {
             oom.finished += 1;
         }
-        self.failure_tracker
-            .record_success(run.worker, job, &self.policy.placement);
+        let policy = &self.policy.placement;
+        if self.workers.get(run.worker).is_some() {
+            self.failure_tracker.record_success(run.worker, job, policy);
+        } else {
+            self.failure_tracker.record_job_success(job);
+        }
         self.refresh_trust(run.worker);
         self.finish_task(task);
         Disposition::Done
@@ -101,8 +105,13 @@
     fn failed(&mut self, now: Moment, task: TaskId, job: JobKey, run: &Run) -> Disposition {
         let policy = self.policy.placement;
         let worker_count = self.workers.len();
-        self.failure_tracker
-            .record_failure(now, run.worker, job, worker_count, &policy);
+        if self.workers.get(run.worker).is_some() {
+            self.failure_tracker
+                .record_failure(now, run.worker, job, worker_count, &policy);
+        } else {
+            self.failure_tracker
+                .record_job_failure(now, run.worker, job, &policy);
+        }
         for worker in self.failure_tracker.failed_on(job).to_vec() {
             self.refresh_trust(worker);
         }
--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -9,6 +9,7 @@
 mod blame;
 mod capacity;
 mod choose;
+mod closed;
 mod drain;
 mod eviction;
 mod failure_tracker;
