Release workers from quarantine when too few others are left

Cause: the limit of half of the workers was checked only when a worker entered quarantine. When healthy workers left, those in quarantine could be all that remained, and ready tasks waited for their next probe: 30 s to 4 minutes, at no load at all.

Change: the removal of a worker ends quarantines, those with the earliest probe first, until the limit holds again. The released workers keep their failures, so they are on probation and take one task at a time.

Ruled out: to allow earlier probes instead, as a worker in quarantine is left alone for its backoff whenever there are others.

Test: closed::at_most_half_of_the_workers_stay_in_quarantine_when_the_others_leave failed before (4 of 4 in quarantine).

--- a/crates/agate_place/src/blame/mod.rs
+++ b/crates/agate_place/src/blame/mod.rs
@@ -128,6 +128,11 @@
         {
             return;
         }
+        self.end_quarantine(worker);
+    }
+
+    /// Ends the quarantine of a quarantined worker.
+    fn end_quarantine(&mut self, worker: WorkerKey) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.end_quarantine();
             self.quarantined -= 1;
@@ -141,6 +146,30 @@
         self.quarantined -= usize::from(was_quarantined);
     }
 
+    /// Ends quarantines, those with the earliest probe first, until no more than the maximum share of
+    /// `worker_count` workers is left. Returns the released workers, which are on probation if they
+    /// are not cleared of their failures.
+    pub fn release_excess(&mut self, worker_count: usize) -> Vec<WorkerKey> {
+        let max_quarantined = worker_count * MAX_QUARANTINED_PERCENT / 100;
+        let excess = self.quarantined.saturating_sub(max_quarantined);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let probes = self.workers.iter();
+        let probes = probes.filter_map(|(key, record)| Some((record.probe_at()?, key)));
+        let mut probes: Vec<_> = probes.collect();
+        probes.sort_unstable();
+        let released: Vec<_> = probes
+            .into_iter()
+            .take(excess)
+            .map(|(_, key)| key)
+            .collect();
+        for &key in &released {
+            self.end_quarantine(key);
+        }
+        released
+    }
+
     /// Forgets a job that has ended.
     pub fn forget_job(&mut self, job: JobKey) {
         self.jobs.remove(job);
--- a/crates/agate_place/src/blame/worker.rs
+++ b/crates/agate_place/src/blame/worker.rs
@@ -81,7 +81,7 @@
         });
     }
 
-    /// Ends a quarantine that later evidence refutes.
+    /// Ends a quarantine that later evidence refutes, or that too few other workers are left for.
     pub(super) fn end_quarantine(&mut self) {
         self.quarantine = None;
     }
--- a/crates/agate_place/src/scheduler/members.rs
+++ b/crates/agate_place/src/scheduler/members.rs
@@ -43,6 +43,9 @@
         self.failure_tracker.forget_worker(key);
         self.reservations.retain(|r| r.worker != key);
         self.queue.set_total(self.workers.total());
+        for key in self.failure_tracker.release_excess(self.workers.len()) {
+            self.refresh_trust(key);
+        }
         removed.map_or_else(Vec::new, |worker| worker.runs)
     }
 
--- a/crates/agate_place/tests/place/closed.rs
+++ b/crates/agate_place/tests/place/closed.rs
@@ -2,9 +2,19 @@
 
 use agate_core::{Incarnation, JobId, Resources, TaskId};
 use agate_place::blame::Trust;
-use agate_place::{AdoptedRun, Policy, RunOutcome, Scheduler};
+use agate_place::{AdoptedRun, Placement, Policy, RunOutcome, Scheduler};
 
-use crate::support::{at, class, job, scheduler, team};
+use crate::support::{at, class, job, rng, scheduler, team};
+
+/// Returns the tasks placed in each second from `from` to `to`. None of them ends.
+fn place(s: &mut Scheduler, from: u64, to: u64) -> Vec<Placement> {
+    let mut rng = rng(7);
+    let mut placed = Vec::new();
+    for secs in from..to {
+        placed.extend(std::iter::from_fn(|| s.next(at(secs), &mut rng)));
+    }
+    placed
+}
 
 /// Starts one task each of three jobs from `first` on at a worker.
 fn start(s: &mut Scheduler, worker: u64, first: u64) -> Vec<TaskId> {
@@ -58,3 +68,21 @@
     quarantine(&mut s, 1);
     assert!(is_quarantined(&s, 1));
 }
+
+/// The workers in quarantine were all that was left once the others had gone, and ready tasks waited for
+/// their next probe, for up to 4 minutes.
+#[test]
+fn at_most_half_of_the_workers_stay_in_quarantine_when_the_others_leave() {
+    let mut s = scheduler(Policy::default(), 8);
+    for worker in 0..4 {
+        quarantine(&mut s, worker);
+        assert!(is_quarantined(&s, worker));
+    }
+    for worker in 4..8 {
+        s.remove(at(2), Incarnation::new(worker));
+    }
+    let count = (0..4).filter(|worker| is_quarantined(&s, *worker)).count();
+    assert_eq!(count, 2);
+    s.push(at(2), &job(1, 2));
+    assert_eq!(place(&mut s, 2, 6).len(), 2);
+}
