Limit the time of a trial on workers in quarantine, too

Cause: the trial of a worker ended after the probe interval only if the worker was on probation then. On a worker in quarantine, a probe kept all other tasks away for as long as it ran, which may be hours. A trial begun on probation did so, too, if the worker was in quarantine when the trial was due.

Change: a trial ends after the probe interval whatever the trust is. A worker in quarantine still takes tasks only once a probe is due, one for each probe interval.

Ruled out: to count a probe that runs for long as a success, since tasks may fail late.

Tests: closed::a_worker_in_quarantine_takes_more_tasks_while_its_probe_runs (0 tasks placed from 60 to 200 s beside an idle worker) and closed::a_trial_ends_though_its_worker_went_into_quarantine_meanwhile failed before.

--- a/crates/agate_place/src/scheduler/monitor.rs
+++ b/crates/agate_place/src/scheduler/monitor.rs
@@ -85,18 +85,17 @@
         }
     }
 
-    /// Lets workers on probation take another run beside a trial that has run for as long as a worker in
-    /// quarantine waits for a probe. Others would wait beside room for as long as the trial runs.
+    /// Lets workers take another run beside a trial that has run for as long as a worker in quarantine waits
+    /// for its first probe. Others would wait beside room for as long as the trial runs. If the trial is a
+    /// probe, the other run is one, too.
     pub(super) fn end_due_trials(&mut self, now: Moment) {
         while let Some(&(at, key, task)) = self.trial_times.first() {
             if at > now {
                 break;
             }
             self.trial_times.pop_first();
-            if self.failure_tracker.trust(key) == Trust::Probation {
-                self.end_trial(key, task);
-                self.refresh_admission(key);
-            }
+            self.end_trial(key, task);
+            self.refresh_admission(key);
         }
     }
 
--- a/crates/agate_place/tests/place/closed.rs
+++ b/crates/agate_place/tests/place/closed.rs
@@ -86,3 +86,37 @@
     s.push(at(2), &job(1, 2));
     assert_eq!(place(&mut s, 2, 6).len(), 2);
 }
+
+/// A probe that ran for long kept all other tasks from its worker until it ended.
+#[test]
+fn a_worker_in_quarantine_takes_more_tasks_while_its_probe_runs() {
+    let mut s = scheduler(Policy::default(), 2);
+    quarantine(&mut s, 0);
+    s.mark_leaving(Incarnation::new(1));
+    s.push(at(2), &job(1, 10));
+    assert_eq!(place(&mut s, 2, 31).len(), 0, "in quarantine");
+    assert_eq!(place(&mut s, 31, 60).len(), 1, "one probe");
+    let placed = place(&mut s, 60, 200).len();
+    assert!(placed >= 4, "{placed} tasks placed");
+}
+
+/// The trial of a worker on probation lasted for as long as its run if the worker was in quarantine when the
+/// trial was due.
+#[test]
+fn a_trial_ends_though_its_worker_went_into_quarantine_meanwhile() {
+    let mut s = scheduler(Policy::default(), 2);
+    let tasks = start(&mut s, 0, 100);
+    s.mark_leaving(Incarnation::new(1));
+    for &task in &tasks[..2] {
+        s.ended(at(1), task, RunOutcome::Failed, Resources::ZERO);
+    }
+    s.push(at(2), &job(1, 10));
+    assert_eq!(place(&mut s, 2, 3).len(), 1, "the trial");
+    s.ended(at(3), tasks[2], RunOutcome::Failed, Resources::ZERO);
+    assert!(is_quarantined(&s, 0));
+    for task in tasks {
+        s.cancel(task.job);
+    }
+    assert_eq!(place(&mut s, 3, 33).len(), 0, "in quarantine");
+    assert!(place(&mut s, 33, 100).len() > 1);
+}
