Let jobs without a success start further tasks at the probe interval

Cause: a job that has failed and never succeeded may have two runs at a time. Runs that started before the failure count, and only a success or their ends clear the limit. A task that failed once, of a job whose other tasks run for hours, waited for hours beside idle workers.

Change: such a job may start a further task once no task of it has started for the probe interval (30 s by default). The limit moves to the failure tracker, which has the other rules on such jobs.

Ruled out: to count only runs that started after the failure, as two runs of hours would block the job again.

--- a/crates/agate_place/src/blame/job.rs
+++ b/crates/agate_place/src/blame/job.rs
@@ -24,6 +24,8 @@
     failed_on: Vec<WorkerKey>,
     /// End of the backoff of a job that has never succeeded.
     not_before: Moment,
+    /// Time of the first failure, or of the last start after it.
+    last_start: Moment,
 }
 
 impl JobRecord {
@@ -32,6 +34,9 @@
     }
 
     pub(super) fn record_failure(&mut self, now: Moment, worker: WorkerKey) {
+        if self.failure_rounds == 0 {
+            self.last_start = now;
+        }
         if now >= self.not_before {
             self.not_before =
                 now + INITIAL_BACKOFF * 2_u32.pow(self.failure_rounds.min(MAX_DOUBLINGS));
@@ -42,6 +47,14 @@
         }
     }
 
+    pub(super) fn record_start(&mut self, now: Moment) {
+        self.last_start = now;
+    }
+
+    pub(super) fn last_start(&self) -> Moment {
+        self.last_start
+    }
+
     pub(super) fn has_succeeded(&self) -> bool {
         self.succeeded
     }
--- a/crates/agate_place/src/blame/mod.rs
+++ b/crates/agate_place/src/blame/mod.rs
@@ -31,6 +31,10 @@
 /// Maximum backoff factor on the probe interval.
 const MAX_PROBE_FACTOR: u32 = 8;
 
+/// Maximum number of concurrent runs of a job that has failed and never succeeded, unless they run for
+/// long.
+const MAX_UNPROVEN_RUNS: u64 = 2;
+
 /// Failure records of workers and jobs.
 #[derive(Debug, Default)]
 pub struct FailureTracker {
@@ -203,6 +207,28 @@
         is_unproven.then(|| record.not_before())
     }
 
+    /// Records that a task of a job starts.
+    pub fn record_start(&mut self, now: Moment, job: JobKey) {
+        if let Some(record) = self.jobs.get_mut(job) {
+            record.record_start(now);
+        }
+    }
+
+    /// Whether a job with `run_count` runs may start another one. Without a success, a job that has
+    /// failed has few at a time, but a further one after each probe interval: its runs may take hours
+    /// to succeed.
+    pub fn may_start(&self, now: Moment, job: JobKey, run_count: u64, policy: &Placement) -> bool {
+        let Some(until) = self.backoff_until(job) else {
+            return true;
+        };
+        let last_start = self
+            .jobs
+            .get(job)
+            .map_or(Moment::ZERO, JobRecord::last_start);
+        let probe_due = last_start + amount::millis(policy.probe_ms);
+        now >= until && (run_count < MAX_UNPROVEN_RUNS || now >= probe_due)
+    }
+
     /// Whether failures on these workers implicate the work itself: on enough distinct healthy
     /// workers, or on all of the `worker_count` workers outside quarantine if those are fewer.
     pub fn is_work_at_fault(
--- a/crates/agate_place/src/scheduler/place.rs
+++ b/crates/agate_place/src/scheduler/place.rs
@@ -13,9 +13,6 @@
 /// Maximum number of jobs checked per call.
 const JOBS_PER_CALL: usize = 16;
 
-/// Maximum number of concurrent runs of a job that has failed and never succeeded.
-const MAX_UNPROVEN_RUNS: u64 = 2;
-
 /// Result of trying to place the job at the head of the queue.
 enum Attempt {
     Placed(Placement),
@@ -53,8 +50,10 @@
             self.wait_for_quota(now, head, demand);
             return Attempt::Skipped;
         }
-        if let Some(until) = self.failure_tracker.backoff_until(head.key)
-            && (head.taken >= MAX_UNPROVEN_RUNS || now < until)
+        let policy = &self.policy.placement;
+        if !self
+            .failure_tracker
+            .may_start(now, head.key, head.taken, policy)
         {
             self.defer(now, head.key);
             return Attempt::Skipped;
@@ -146,6 +145,7 @@
         let Some(task) = self.queue.take(now, head.key) else {
             return Attempt::Skipped;
         };
+        self.failure_tracker.record_start(now, head.key);
         self.waiting_since.remove(head.key);
         self.drop_reservation(head.key);
         let run = Run {
--- a/crates/agate_place/tests/place/closed.rs
+++ b/crates/agate_place/tests/place/closed.rs
@@ -120,3 +120,17 @@
     assert_eq!(place(&mut s, 3, 33).len(), 0, "in quarantine");
     assert!(place(&mut s, 33, 100).len() > 1);
 }
+
+/// A task that had failed once waited for the first success of its job, which may be hours away, as all runs
+/// of the job counted against the limit of jobs that have never succeeded.
+#[test]
+fn a_failed_task_runs_again_while_the_others_of_its_job_run() {
+    let mut s = scheduler(Policy::default(), 4);
+    s.push(at(1), &job(1, 10));
+    let running = place(&mut s, 1, 2);
+    assert_eq!(running.len(), 10);
+    let failed = running[0].task;
+    s.ended(at(3), failed, RunOutcome::Failed, Resources::ZERO);
+    assert_eq!(place(&mut s, 3, 30).len(), 0, "it may fail everywhere");
+    assert_eq!(place(&mut s, 30, 60).len(), 1);
+}
