Offer the jobs behind blocked ones when the same number blocks again

Cause: a bucket of one team and class stops offering jobs once eight of them are blocked, and retries find the same eight blocked each second. Eight jobs that fit no worker for hours, for example for lack of an accelerator, so hid all jobs behind them, though these fit idle workers.

Ruled out: to offer all jobs, as each blocked one costs a retry a second.

Test: closed::jobs_behind_many_blocked_ones_run_on_idle_workers failed before (0 of 4 tasks in 10 s). All 80 tests of agate_place pass.

--- a/crates/agate_place/src/queue/mod.rs
+++ b/crates/agate_place/src/queue/mod.rs
@@ -250,7 +250,8 @@
     }
 
     /// Holds the job at the head back until [`Self::unblock`], because no worker has enough
-    /// capacity. If many jobs of one team and class are blocked, the jobs behind them wait too.
+    /// capacity. If many jobs of one team and class are blocked, the jobs behind them wait too, fewer
+    /// each time that the same number is blocked.
     pub fn block(&mut self, key: JobKey) {
         self.set_state(key, JobState::Blocked);
     }
--- a/crates/agate_place/tests/place/closed.rs
+++ b/crates/agate_place/tests/place/closed.rs
@@ -4,14 +4,17 @@
 use agate_place::blame::Trust;
 use agate_place::{AdoptedRun, Placement, Policy, RunOutcome, Scheduler};
 
-use crate::support::{at, class, job, rng, scheduler, team};
+use crate::support::{at, class, job, join, rng, scheduler, team};
 
 /// Returns the tasks placed in each second from `from` to `to`. None of them ends.
 fn place(s: &mut Scheduler, from: u64, to: u64) -> Vec<Placement> {
     let mut rng = rng(7);
     let mut placed = Vec::new();
-    for secs in from..to {
-        placed.extend(std::iter::from_fn(|| s.next(at(secs), &mut rng)));
+    for now in (from..to).map(at) {
+        placed.extend(std::iter::from_fn(|| s.next(now, &mut rng)));
+        while s.next_wake(now) == Some(now) {
+            placed.extend(std::iter::from_fn(|| s.next(now, &mut rng)));
+        }
     }
     placed
 }
@@ -134,3 +137,22 @@
     assert_eq!(place(&mut s, 3, 30).len(), 0, "it may fail everywhere");
     assert_eq!(place(&mut s, 30, 60).len(), 1);
 }
+
+/// Eight jobs that fit no worker hid all jobs behind them in their team and class, until one of them ran.
+#[test]
+fn jobs_behind_many_blocked_ones_run_on_idle_workers() {
+    let mut s = scheduler(Policy::default(), 2);
+    join(&mut s, 2, Resources::new(16_000, 61_440, 1));
+    let accelerated = |id| {
+        let mut spec = job(id, 1);
+        spec.declared = Resources::new(1_000, 1_024, 1);
+        spec
+    };
+    for id in 1..=20 {
+        s.push(at(1), &accelerated(id));
+    }
+    s.push(at(2), &job(50, 4));
+    let placed = place(&mut s, 2, 12);
+    let behind = placed.iter().filter(|placed| placed.task.job == JobId(50));
+    assert_eq!(behind.count(), 4);
+}
