Test that the listed end of a run keeps the crash under it

No test noticed a change of EndedRun::merge by which a listed end erases the crash of its run: the property of repeated records compares tables with the same fault. A task whose worker came back and listed its run would have gone on to crash its workers.

Broken once: merge sets the crash to that of each end that counts. Both cases in which the listed end comes last of crash::a_listed_end_keeps_the_crash_of_its_run failed then; the other two guard the other order.

--- a/crates/agate_jobs/tests/jobs/crash.rs
+++ b/crates/agate_jobs/tests/jobs/crash.rs
@@ -138,6 +138,26 @@
     assert_eq!(state_after(long_running, twice), Some(JobState::Failed));
 }
 
+/// A worker that comes back may list the end of a run under which it had crashed: the crashes were forgotten,
+/// and the task went on to crash its workers.
+#[rstest]
+fn a_listed_end_keeps_the_crash_of_its_run(
+    #[values(EndCause::Stopped, EndCause::Stalled)] listed: EndCause,
+    #[values(false, true)] listed_first: bool,
+) {
+    let ends = (1..=2).flat_map(|run| {
+        let mut ends = vec![
+            ended(run, EndCause::Lost, Some(lone("a"))),
+            ended(run, listed, None),
+        ];
+        if listed_first {
+            ends.reverse();
+        }
+        ends
+    });
+    assert_eq!(state_after(false, ends.collect()), Some(JobState::Failed));
+}
+
 #[test]
 fn a_crash_under_a_finished_task_does_not_count() {
     let mut ends = vec![ended(1, EndCause::Done, None)];
