Test that starved jobs wait where half of the capacity is in use

No test noticed starved jobs that are placed however full their service is, nor is_mostly_free without memory: the test with memory in use had no room for the waiting jobs, so they had to wait anyway. The new cases have room for them while over half of the processors or of the memory is in use, and on workers out of service.

Broken once, each with failures of starved_jobs_wait_where_half_is_used_but_there_is_room or workers_out_of_service_count_for_starved_jobs: place_starved without is_mostly_free (processors, memory, out of service), is_mostly_free without memory (memory), without processors (processors, out of service), and with workers in service only (both cases of out of service).

--- a/crates/agate_jobs/tests/jobs/starved.rs
+++ b/crates/agate_jobs/tests/jobs/starved.rs
@@ -22,15 +22,22 @@
 
 /// Returns two workers that serve, and whose processors best-effort tasks of another image use.
 fn busy_fleet(memory_mib: u32) -> Fleet {
+    serving_fleet([Resources::new(2_000, 100, 0); 2], memory_mib)
+}
+
+/// Returns two workers that serve with these resources, and whose other processors best-effort tasks of
+/// another image use.
+fn serving_fleet(serving: [Resources; 2], memory_mib: u32) -> Fleet {
     let reports = ["a", "b"].map(|name| large(name, memory_mib));
     let mut fleet = Fleet::new(&reports);
-    let serving = |worker: &str| StepSpec {
+    let steps = ["a", "b"].into_iter().zip(serving);
+    let steps = steps.map(|(worker, demand)| StepSpec {
         tasks: 1,
         label: format!("r-{worker}"),
-        demand: Resources::new(2_000, 100, 0),
+        demand,
         ..serving_step()
-    };
-    fleet.fold(submitted(1, vec![serving("a"), serving("b")]));
+    });
+    fleet.fold(submitted(1, steps.collect()));
     fleet.place();
     for report in reports {
         fleet.fold(Record::new(Body::Worker(report)));
@@ -93,6 +100,42 @@
     assert_eq!(placed(&mut fleet, 40).len(), expected);
 }
 
+/// Jobs that waited longest would take the room of those that are served, though it would suffice.
+#[rstest]
+#[case::mostly_free(Resources::new(3_500, 3_000, 0), 3)]
+#[case::processors_half_used(Resources::new(5_000, 3_000, 0), 0)]
+#[case::memory_half_used(Resources::new(3_500, 4_500, 0), 0)]
+fn starved_jobs_wait_where_half_is_used_but_there_is_room(
+    #[case] serving: Resources,
+    #[case] expected: usize,
+) {
+    let mut fleet = serving_fleet([serving; 2], 8_000);
+    for job in 3..6 {
+        fleet.fold(submitted(job, vec![best_effort_step()]));
+    }
+    assert_eq!(placed(&mut fleet, 40).len(), expected);
+}
+
+/// What is in use on a worker that takes no orders still counts, and so does its capacity.
+#[rstest]
+#[case::out_of_service_and_used([7_000, 2_000], 0)]
+#[case::out_of_service_and_free([1_000, 5_000], 3)]
+fn workers_out_of_service_count_for_starved_jobs(
+    #[case] serving: [u32; 2],
+    #[case] expected: usize,
+) {
+    let serving = serving.map(|millicores| Resources::new(millicores, 100, 0));
+    let mut fleet = serving_fleet(serving, 8_000);
+    fleet.fold(Record::new(Body::Worker(WorkerReport {
+        unreachable: true,
+        ..large("a", 8_000)
+    })));
+    for job in 3..6 {
+        fleet.fold(submitted(job, vec![best_effort_step()]));
+    }
+    assert_eq!(placed(&mut fleet, 40).len(), expected);
+}
+
 /// A starved job ignores processors of best-effort tasks only, and no other reason for which a task may not run.
 #[test]
 fn a_starved_job_starts_on_no_worker_that_is_out_of_service() {
