Test that zone tables agree however the configuration stream is read

The records of withdrawn zones lacked the property that job records have: a table is the same from any load and pages, in any order of loads and overlapping pages, whether or not loads hold the records of returned zones.

Broken once, with a failure each: a load returns no zone that it lacks, a page applies records that are known, a late load applies. Not noticed: ZoneTable::apply without its check of offsets, which the checks of its callers cover, and a record at the end of a load that does not count as newer, which zones::a_record_at_the_end_of_a_load_is_newer covers.

--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -30,4 +30,5 @@
 mod table;
 mod takeover;
 mod waits;
+mod zone_repeats;
 mod zones;
