--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -31,4 +31,5 @@
 mod table;
 mod takeover;
 mod waits;
+mod zone_repeats;
 mod zones;
--- a/crates/agate_place/src/blame/mod.rs
+++ b/crates/agate_place/src/blame/mod.rs
@@ -31,6 +31,10 @@
 /// Maximum backoff factor on the probe interval.
 const MAX_PROBE_FACTOR: u32 = 8;
 
+/// Maximum number of concurrent runs of a job that has failed and never succeeded, unless they run for
+/// long.
+const MAX_UNPROVEN_RUNS: u64 = 2;
+
 /// Failure records of workers and jobs.
 #[derive(Debug, Default)]
 pub struct FailureTracker {
@@ -46,17 +50,18 @@
         Self::default()
     }
 
-    /// Records that a run finished.
+    /// Records that a run finished on a known worker.
     pub fn record_success(&mut self, worker: WorkerKey, job: JobKey, policy: &Placement) {
-        self.mark_succeeded(job);
+        self.record_job_success(job);
         if let Some(record) = get_or_insert(&mut self.workers, worker) {
             self.quarantined -= usize::from(record.probe_at().is_some());
             record.record_success(policy);
         }
     }
 
-    /// Records the first success of a job, which clears it of its earlier failures.
-    fn mark_succeeded(&mut self, job: JobKey) {
+    /// Records that a run of a job finished on a worker that may have been removed. The first success of a
+    /// job clears it of its earlier failures.
+    pub fn record_job_success(&mut self, job: JobKey) {
         let Some(record) = get_or_insert(&mut self.jobs, job) else {
             return;
         };
@@ -71,8 +76,8 @@
         }
     }
 
-    /// Records that a run failed by itself. Quarantines its worker after too many unexplained
-    /// failures. `worker_count` is the number of known workers.
+    /// Records that a run failed by itself on a known worker. Quarantines the worker after too many
+    /// unexplained failures. `worker_count` is the number of known workers.
     pub fn record_failure(
         &mut self,
         now: Moment,
@@ -81,9 +86,7 @@
         worker_count: usize,
         policy: &Placement,
     ) {
-        if let Some(record) = get_or_insert(&mut self.jobs, job) {
-            record.record_failure(now, worker);
-        }
+        self.add_failure(now, worker, job);
         let job_succeeded = self.has_succeeded(job);
         if let Some(record) = get_or_insert(&mut self.workers, worker) {
             record.record_failure(Failure { job, job_succeeded });
@@ -93,8 +96,32 @@
         if is_bad && (may_grow || self.is_quarantined(worker)) {
             self.quarantine(now, worker, policy);
         }
-        for other in self.failed_on(job).to_vec() {
-            self.lift_if_explained(other, policy);
+        self.lift_explained(job, policy);
+    }
+
+    /// Records that a run failed by itself on a worker that may have been removed. A removed worker gets no
+    /// record: nothing would forget it again, so its quarantine would count for good.
+    pub fn record_job_failure(
+        &mut self,
+        now: Moment,
+        worker: WorkerKey,
+        job: JobKey,
+        policy: &Placement,
+    ) {
+        self.add_failure(now, worker, job);
+        self.lift_explained(job, policy);
+    }
+
+    fn add_failure(&mut self, now: Moment, worker: WorkerKey, job: JobKey) {
+        if let Some(record) = get_or_insert(&mut self.jobs, job) {
+            record.record_failure(now, worker);
+        }
+    }
+
+    /// Ends the quarantines that the failures of a job have explained.
+    fn lift_explained(&mut self, job: JobKey, policy: &Placement) {
+        for worker in self.failed_on(job).to_vec() {
+            self.lift_if_explained(worker, policy);
         }
     }
 
@@ -105,6 +132,11 @@
         {
             return;
         }
+        self.end_quarantine(worker);
+    }
+
+    /// Ends the quarantine of a quarantined worker.
+    fn end_quarantine(&mut self, worker: WorkerKey) {
         if let Some(record) = self.workers.get_mut(worker) {
             record.end_quarantine();
             self.quarantined -= 1;
@@ -118,6 +150,30 @@
         self.quarantined -= usize::from(was_quarantined);
     }
 
+    /// Ends quarantines, those with the earliest probe first, until no more than the maximum share of
+    /// `worker_count` workers is left. Returns the released workers, which are on probation if they
+    /// are not cleared of their failures.
+    pub fn release_excess(&mut self, worker_count: usize) -> Vec<WorkerKey> {
+        let max_quarantined = worker_count * MAX_QUARANTINED_PERCENT / 100;
+        let excess = self.quarantined.saturating_sub(max_quarantined);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let probes = self.workers.iter();
+        let probes = probes.filter_map(|(key, record)| Some((record.probe_at()?, key)));
+        let mut probes: Vec<_> = probes.collect();
+        probes.sort_unstable();
+        let released: Vec<_> = probes
+            .into_iter()
+            .take(excess)
+            .map(|(_, key)| key)
+            .collect();
+        for &key in &released {
+            self.end_quarantine(key);
+        }
+        released
+    }
+
     /// Forgets a job that has ended.
     pub fn forget_job(&mut self, job: JobKey) {
         self.jobs.remove(job);
@@ -151,6 +207,28 @@
         is_unproven.then(|| record.not_before())
     }
 
+    /// Records that a task of a job starts.
+    pub fn record_start(&mut self, now: Moment, job: JobKey) {
+        if let Some(record) = self.jobs.get_mut(job) {
+            record.record_start(now);
+        }
+    }
+
+    /// Whether a job with `run_count` runs may start another one. Without a success, a job that has
+    /// failed has few at a time, but a further one after each probe interval: its runs may take hours
+    /// to succeed.
+    pub fn may_start(&self, now: Moment, job: JobKey, run_count: u64, policy: &Placement) -> bool {
+        let Some(until) = self.backoff_until(job) else {
+            return true;
+        };
+        let last_start = self
+            .jobs
+            .get(job)
+            .map_or(Moment::ZERO, JobRecord::last_start);
+        let probe_due = last_start + amount::millis(policy.probe_ms);
+        now >= until && (run_count < MAX_UNPROVEN_RUNS || now >= probe_due)
+    }
+
     /// Whether failures on these workers implicate the work itself: on enough distinct healthy
     /// workers, or on all of the `worker_count` workers outside quarantine if those are fewer.
     pub fn is_work_at_fault(
