Bind nothing to workers unheard since a gap, or through silent order streams

Change: a worker whose last contact was before the newest gap in the reading gets nothing until its agent has been heard of, with the obstacle 'unheard'. An append that has had no answer for 0.3 s holds its stream. It remains in flight, and what was bound keeps its binding: the append may still take effect.

Ruled out: a flag that each report sets, since a report that is read in the catch-up page after a gap counts.

--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -18,6 +18,8 @@
     StartsBlocked,
     /// The log doesn't take the orders of the worker.
     OrdersHeld,
+    /// Nothing has been read of the worker's agent since the main stream could be read again.
+    Unheard,
     /// The operator has withdrawn the worker's zone.
     ZoneWithdrawn,
     /// The worker takes nothing for a while after failures, stalls or rejected starts.
@@ -90,6 +92,8 @@
         Some(Obstacle::StartsBlocked)
     } else if worker.orders_held {
         Some(Obstacle::OrdersHeld)
+    } else if worker.is_unheard() {
+        Some(Obstacle::Unheard)
     } else if worker.withdrawn {
         Some(Obstacle::ZoneWithdrawn)
     } else if is_closed(worker, task, now) {
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -25,6 +25,7 @@
     /// stream has been read to its end without a gap.
     pub fn update_suspicions(&mut self, now: Moment, reading_since: Moment, lease: Duration) {
         for slot in 0..self.workers.len() {
+            self.workers[slot].reading_since = reading_since;
             self.update_suspicion(slot, now, reading_since, lease);
         }
     }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -28,6 +28,10 @@
 /// Time after a suspect has survived its start within which the next one continues to close the worker.
 const NEXT_PROBE: Duration = Duration::from_millis(200);
 
+/// Longest time between a contact that is read after a gap and the end of the gap. Reads of 1.6 s count as a gap,
+/// so a contact from before it is older.
+const CATCH_UP_TIME: Duration = Duration::from_millis(1_500);
+
 /// Headroom assumed for serving tasks until their worker reports one.
 const DEFAULT_HEADROOM: f64 = 0.3;
 
@@ -62,6 +66,8 @@
     /// recorded.
     pub suspected_at: Option<Moment>,
     pub last_contact: Moment,
+    /// Time since which the main stream has been read to its end without a gap.
+    pub reading_since: Moment,
     /// Demand that counts against the capacity. Excludes the processor demand of best-effort tasks.
     pub used: Resources,
     /// Processor demand of best-effort tasks.
@@ -107,6 +113,7 @@
             suspicion,
             suspected_at: None,
             last_contact: now,
+            reading_since: Moment::ZERO,
             used: Resources::ZERO,
             best_effort_millicores: 0,
             long_running: Resources::ZERO,
@@ -158,8 +165,14 @@
     }
 
     /// Returns whether orders reach the worker's agent and are executed there.
-    pub const fn executes_orders(&self) -> bool {
-        self.report.start_block.is_none() && !self.orders_held
+    pub fn executes_orders(&self) -> bool {
+        self.report.start_block.is_none() && !self.orders_held && !self.is_unheard()
+    }
+
+    /// Returns whether the last contact was before the newest gap in the reading. The agent may have stopped
+    /// while its reports couldn't be stored or read.
+    pub fn is_unheard(&self) -> bool {
+        self.reading_since.since(self.last_contact) > CATCH_UP_TIME
     }
 
     /// Returns whether a run must survive its start before anything else is started. Runs for which that
--- a/crates/agate_jobs/tests/jobs/start_blocks.rs
+++ b/crates/agate_jobs/tests/jobs/start_blocks.rs
@@ -42,6 +42,24 @@
     assert!(placed.iter().any(|(worker, _)| worker == "a"));
 }
 
+/// Tasks were bound to workers whose agents had stopped while the main stream was away, and waited for the
+/// suspicion and the lease.
+#[test]
+fn nothing_is_bound_to_a_worker_that_is_unheard_since_a_gap_in_the_reading() {
+    let mut fleet = fleet_with_one_run();
+    fleet.now = fleet.now + Duration::from_secs(5);
+    fleet.fold(Record::new(Body::Worker(report("b", 2))));
+    fleet.now = fleet.now + Duration::from_millis(20);
+    fleet.update_suspicions(fleet.now);
+    fleet.fold(submitted(2, vec![step(9)]));
+    let placed = placements(&mut fleet);
+    assert!(!placed.is_empty(), "the other is heard of after the gap");
+    assert!(placed.iter().all(|(worker, _)| worker == "b"));
+    fleet.fold(Record::new(Body::Worker(report("a", 1))));
+    let placed = placements(&mut fleet);
+    assert!(placed.iter().any(|(worker, _)| worker == "a"));
+}
+
 /// A run that was bound to such a worker was never started nor ended while the agent reported, however long
 /// it could not read its orders.
 #[rstest]
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -211,9 +211,9 @@
             return Err(Pause::ZonesUnread);
         }
         let streams = entry.context.log.order_streams();
-        let failing = self.writers.failing();
+        let held = self.writers.held();
         self.scheduler.hold_orders(|worker| {
-            !failing.is_empty() && failing.contains(&order_stream(worker, streams))
+            !held.is_empty() && held.contains(&order_stream(worker, streams))
         });
         let limit = MAX_IN_FLIGHT.saturating_sub(self.writers.in_flight());
         let placed = self
--- a/crates/agate_node/src/entry/writers.rs
+++ b/crates/agate_node/src/entry/writers.rs
@@ -1,6 +1,7 @@
 //! Appends of the leader, with one writer for each stream.
 
 use std::collections::{HashMap, HashSet};
+use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use agate_jobs::{Record, SuspicionRecord};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::Entry;
 use crate::outage::OutageMonitor;
@@ -22,6 +23,11 @@
 /// append wakes the agents that read the stream, and none of them needs a removal soon.
 const REMOVAL_DELAY: Duration = Duration::from_secs(1);
 
+/// Time without an answer after which nothing more is ordered through a stream. An append that gets none
+/// fails after 0.8 s, and what is bound until then waits for the log. Without a fault it takes some
+/// milliseconds; those of a slow log are followed by the orders that were held meanwhile.
+const HOLD_AFTER: Duration = Duration::from_millis(300);
+
 /// Most records in one append, well below the log's limit on the size of a call.
 const MAX_GROUP_RECORDS: usize = 200;
 
@@ -36,11 +42,11 @@
     Deposed(Stream),
 }
 
-/// Streams whose newest append has failed so far.
+/// Streams whose newest append has failed so far or has had no answer for [`HOLD_AFTER`].
 #[derive(Debug, Clone, Default)]
-struct FailingStreams(Arc<Mutex<HashSet<Stream>>>);
+struct HeldStreams(Arc<Mutex<HashSet<Stream>>>);
 
-impl FailingStreams {
+impl HeldStreams {
     fn streams(&self) -> MutexGuard<'_, HashSet<Stream>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -55,7 +61,7 @@
     tasks: JoinSet<()>,
     outcomes: UnboundedSender<Outcome>,
     in_flight: Arc<AtomicUsize>,
-    failing: FailingStreams,
+    held: HeldStreams,
 }
 
 impl StreamWriters {
@@ -68,7 +74,7 @@
             tasks: JoinSet::new(),
             outcomes,
             in_flight: Arc::default(),
-            failing: FailingStreams::default(),
+            held: HeldStreams::default(),
         };
         (writers, receiver)
     }
@@ -88,7 +94,7 @@
             monitor: OutageMonitor::new(stream, "append"),
             outcomes: self.outcomes.clone(),
             in_flight: Arc::clone(&self.in_flight),
-            failing: self.failing.clone(),
+            held: self.held.clone(),
         };
         self.tasks.spawn(writer.run(receiver));
     }
@@ -111,9 +117,9 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the streams whose newest append has failed so far.
-    pub fn failing(&self) -> HashSet<Stream> {
-        self.failing.streams().clone()
+    /// Returns the streams whose newest append has failed so far or has had no answer for a while.
+    pub fn held(&self) -> HashSet<Stream> {
+        self.held.streams().clone()
     }
 
     /// Waits until every queued record has been appended or the writers have given up.
@@ -157,7 +163,7 @@
     monitor: OutageMonitor,
     outcomes: UnboundedSender<Outcome>,
     in_flight: Arc<AtomicUsize>,
-    failing: FailingStreams,
+    held: HeldStreams,
 }
 
 impl StreamWriter {
@@ -167,7 +173,7 @@
                 self.notify(Outcome::Deposed(self.stream));
                 return;
             }
-            self.failing.streams().remove(&self.stream);
+            self.held.streams().remove(&self.stream);
             self.notify_recorded(&group);
         }
     }
@@ -210,8 +216,7 @@
         let mut uncertain = false;
         self.fence.sequence += 1;
         loop {
-            let log = &self.entry.context.log;
-            match log.append(self.stream, &encoded, Some(self.fence)).await {
+            match self.append_once(&encoded).await {
                 Ok(_) => {
                     self.monitor
                         .record_result(&self.entry.context.metrics, None::<&AppendError>);
@@ -230,7 +235,7 @@
                 }
                 Err(error) => {
                     drop(in_flight.take());
-                    self.failing.streams().insert(self.stream);
+                    self.held.streams().insert(self.stream);
                     uncertain |= matches!(error, AppendError::Unknown(_));
                     self.monitor
                         .record_result(&self.entry.context.metrics, Some(&error));
@@ -240,6 +245,17 @@
         }
     }
 
+    /// Makes one attempt at an append. The stream is held while it has no answer for long.
+    async fn append_once(&self, encoded: &[(String, Vec<u8>)]) -> Result<u64, AppendError> {
+        let log = &self.entry.context.log;
+        let mut append = pin!(log.append(self.stream, encoded, Some(self.fence)));
+        if let Ok(answer) = timeout(HOLD_AFTER, append.as_mut()).await {
+            return answer;
+        }
+        self.held.streams().insert(self.stream);
+        append.await
+    }
+
     fn notify_recorded(&self, group: &[Record]) {
         for record in group {
             match &record.body {
--- a/crates/agate_node/tests/it/orders.rs
+++ b/crates/agate_node/tests/it/orders.rs
@@ -142,6 +142,38 @@
     assert_eq!((worker.started_runs().len(), bound()), (1, 1));
 }
 
+/// Until the first append to a silent stream had failed, after 0.8 s, tasks were bound to its workers and
+/// waited for the log.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_bound_through_a_stream_that_has_not_answered_for_long() {
+    capture_logs();
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let entry = cluster.entry("e1", log.clone()).await;
+    let (_worker, _agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(1)).await;
+    log.set_fault(Fault::SilentTo(order_stream("w1", ORDER_STREAMS)));
+    entry.submit_job(1, one_task_job()).await;
+    let bound = |worker: &str| lines_with(&["event=task_bound", worker]).len();
+    wait_until("the first append is made", || bound("worker=w1") == 1).await;
+    sleep(Duration::from_millis(350)).await;
+    let mut job = one_task_job();
+    job.steps[0].tasks = 4;
+    entry.submit_job(2, job).await;
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(bound("worker=w1"), 1, "bound before the append has failed");
+    let (other, _agent) = cluster.worker("w2");
+    wait_until("the others run elsewhere", || {
+        other.started_runs().len() == 4
+    })
+    .await;
+    assert_eq!(bound("worker=w1"), 1);
+    log.set_fault(Fault::None);
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+}
+
 /// An order waited for as long as the agent reported without being able to read it.
 #[tokio::test(start_paused = true)]
 async fn an_order_that_its_agent_cannot_read_is_settled() {
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -62,6 +62,8 @@
     RefusesConfig,
     /// Neither appends nor answers within [`APPEND_TIMEOUT`].
     Silent,
+    /// Neither appends to one stream nor answers within [`APPEND_TIMEOUT`], but takes appends to others.
+    SilentTo(Stream),
     /// Processes and answers no call.
     AnswersNothing,
 }
@@ -328,7 +330,9 @@
         if fault == Fault::AppendsSlowly {
             sleep(SLOW_APPEND_TIME).await;
         }
-        if matches!(fault, Fault::Silent | Fault::AnswersNothing) {
+        if matches!(fault, Fault::Silent | Fault::AnswersNothing)
+            || fault == Fault::SilentTo(stream)
+        {
             sleep(APPEND_TIMEOUT).await;
             return Err(AppendError::Unknown("no answer".to_owned()));
         }
