Let agents report the runs that they have not started, and name them

Cause: a run that is bound counts as running.

Change: WorkerReport.not_started lists task and run of orders of the current term that the agent read at least a second ago and whose run is not known to have started; 64 at most, the oldest first. Entries of earlier versions skip the field, and an empty list has none. Nothing is listed before the worker has listed its runs, as a predecessor may have started any of them. The leader logs runs_not_started at most once a second and sets agatenotch_unstarted_runs. Nothing is decided by it yet.

Ruled out: the waiting orders alone. They lack starts that are sent and unanswered, and a start that is refused and tried again is not in them either, so each run is timed from the first check of its order.

Tests seen to fail: a_run_that_its_agent_has_not_started_is_named with an empty list in the report; a_run_that_goes_on_is_not_named with started and confirmed runs listed too.

--- a/crates/agate_bench/src/cost/round.rs
+++ b/crates/agate_bench/src/cost/round.rs
@@ -80,6 +80,7 @@
         agent: AgentState::Serving,
         heartbeat: 0,
         started_jobs: Vec::new(),
+        not_started: Vec::new(),
         headroom: serving
             .iter()
             .map(|image| Headroom {
--- a/crates/agate_bench/src/shared/worker.rs
+++ b/crates/agate_bench/src/shared/worker.rs
@@ -139,6 +139,7 @@
             agent: AgentState::Serving,
             heartbeat: 0,
             started_jobs: Vec::new(),
+            not_started: Vec::new(),
         }
     }
 
--- a/crates/agate_jobs/src/lib.rs
+++ b/crates/agate_jobs/src/lib.rs
@@ -28,4 +28,6 @@
 pub use table::{JobState, JobTable};
 pub use task::{TaskKey, TaskKeyError};
 pub use validity::Invalid;
-pub use worker::{AgentState, StartBlock, WorkerIncarnation, WorkerReport, WorkerState};
+pub use worker::{
+    AgentState, StartBlock, UnstartedRun, WorkerIncarnation, WorkerReport, WorkerState,
+};
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::plan::short_waits::ShortWaits;
 use crate::plan::starved::Starved;
 use crate::plan::suspects::Suspects;
+use crate::plan::unstarted::UnstartedRuns;
 use crate::plan::waits::Waits;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
@@ -53,6 +54,7 @@
     pub(super) waits: Waits,
     pub(super) short_waits: ShortWaits,
     pub(super) starved: Starved,
+    pub(super) unstarted: UnstartedRuns,
     mean_slowness: f64,
 }
 
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use crate::pace::{Headroom, Interference};
+use crate::task::TaskKey;
 use agate_core::{JobId, Resources};
 use serde::{Deserialize, Serialize};
 
@@ -85,6 +86,15 @@
     ZonesStale,
 }
 
+/// A run that was ordered from an agent and has not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnstartedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
 /// A report of an agent on its worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
@@ -132,6 +142,10 @@
     /// last recorded report.
     #[serde(rename = "begun", default, skip_serializing_if = "Vec::is_empty")]
     pub started_jobs: Vec<JobId>,
+    /// Runs that the agent has not been able to start within a second of reading their orders, the oldest
+    /// order first. The list is bounded.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub not_started: Vec<UnstartedRun>,
 }
 
 #[expect(
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -29,5 +29,6 @@
 mod suspicion;
 mod table;
 mod takeover;
+mod unstarted;
 mod waits;
 mod zones;
--- a/crates/agate_jobs/tests/jobs/records.rs
+++ b/crates/agate_jobs/tests/jobs/records.rs
@@ -2,7 +2,7 @@
 
 use agate_core::JobId;
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, Record, StartBlock, TaskKey, WorkerReport};
+use agate_jobs::{EndCause, Record, StartBlock, TaskKey, UnstartedRun, WorkerReport};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -28,6 +28,13 @@
     Record::new(Body::Worker(WorkerReport { start_block: Some(StartBlock::ZonesStale), ..report("i-1", 5) })),
     "w/i-1"
 )]
+#[case(
+    Record::new(Body::Worker(WorkerReport {
+        not_started: vec![UnstartedRun { task: task(7, 1, 2), run: 3 }],
+        ..report("i-1", 5)
+    })),
+    "w/i-1"
+)]
 fn a_record_round_trips_under_its_key(#[case] record: Record, #[case] key: &str) {
     assert_eq!(record.key, key);
     let value = record.value().expect("the record can be encoded");
@@ -70,6 +77,15 @@
     assert!(!text.contains("start_block"), "{text}");
 }
 
+/// Agents of earlier versions don't report the runs that they have not started.
+#[test]
+fn a_report_without_unstarted_runs_has_no_field_for_them() {
+    let record = Record::new(Body::Worker(report("i-1", 5)));
+    let value = record.value().expect("the record can be encoded");
+    let text = String::from_utf8(value).expect("it is JSON");
+    assert!(!text.contains("not_started"), "{text}");
+}
+
 proptest! {
     #[test]
     fn a_task_key_round_trips(
--- a/crates/agate_jobs/tests/jobs/support.rs
+++ b/crates/agate_jobs/tests/jobs/support.rs
@@ -97,5 +97,6 @@
         agent: AgentState::Serving,
         heartbeat: 0,
         started_jobs: Vec::new(),
+        not_started: Vec::new(),
     }
 }
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -11,7 +11,7 @@
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::waiting::WaitReason;
 use super::zones::{self, PREDECESSOR_START_WAIT, Verdict};
-use super::{ends, pacing, start_block};
+use super::{ends, pacing, start_block, unstarted};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -60,6 +60,7 @@
     log_overdue(&mut state);
     settle_abandoned(worker, &mut state);
     return_delayed(worker, &mut state);
+    unstarted::update(&mut state);
 }
 
 /// Executes an order unless that has been done.
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -25,6 +25,7 @@
 use super::pacing::Pacing;
 use super::sequence::SequenceOrder;
 use super::stall::Progress;
+use super::unstarted::UnstartedRuns;
 use super::waiting::WaitingOrders;
 use super::zones::ZoneWatch;
 use crate::clock;
@@ -108,6 +109,7 @@
     /// Offset up to which the orders have been read.
     pub next_order: u64,
     pub waiting: WaitingOrders,
+    pub unstarted: UnstartedRuns,
     /// What keeps the agent from starting anything.
     pub start_block: Option<StartBlock>,
     pub suspicion: Option<SuspicionRecord>,
@@ -190,6 +192,7 @@
             orders: HashMap::new(),
             next_order: 0,
             waiting: WaitingOrders::default(),
+            unstarted: UnstartedRuns::default(),
             start_block: None,
             suspicion: None,
             synced_at: None,
@@ -479,6 +482,7 @@
                 .take(MAX_STARTED_JOBS)
                 .copied()
                 .collect(),
+            not_started: self.unstarted.overdue(),
         }
     }
 
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod stall;
 mod start_block;
+mod unstarted;
 mod waiting;
 mod zones;
 
--- a/crates/agate_node/src/agent/report.rs
+++ b/crates/agate_node/src/agent/report.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::managed::{ManagedWorker, State};
-use super::start_block;
+use super::{start_block, unstarted};
 use crate::appender::AppenderError;
 
 /// Time between reports. A worker is suspected after 1.9 s of silence.
@@ -56,6 +56,7 @@
     let (report, ends, recorded) = {
         let mut state = worker.state();
         start_block::update(worker, &mut state);
+        unstarted::update(&mut state);
         (state.report(), state.crash_ends.clone(), state.recorded)
     };
     let standing = (report.state, report.agent);
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -158,6 +158,7 @@
     entry.context.metrics.clear_zone_runs();
     entry.context.metrics.set_waiting_tasks(0);
     entry.context.metrics.set_waiting_jobs(0);
+    entry.context.metrics.set_unstarted_runs(0);
     if deposed {
         entry.context.metrics.count(Event::LeaderLost);
     }
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -141,6 +141,7 @@
             );
         }
         waits::report(&self.entry, &mut self.scheduler, now);
+        waits::report_unstarted(&self.entry, &mut self.scheduler, now);
         if pause.is_none() {
             waits::report_short(&self.entry, &mut self.scheduler, now, wall_ms);
         }
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -1,4 +1,4 @@
-//! Reports tasks that find no worker, and times in which nothing is placed.
+//! Reports tasks that find no worker, runs that are not started, and times in which nothing is placed.
 
 use std::time::Duration;
 
@@ -48,6 +48,22 @@
     );
 }
 
+/// Sets the gauge of the runs that are bound and not started, and logs the one that was bound first.
+pub(super) fn report_unstarted(entry: &Entry, scheduler: &mut Scheduler, now: Moment) {
+    let Some(unstarted) = scheduler.take_unstarted(now) else {
+        return;
+    };
+    entry.context.metrics.set_unstarted_runs(unstarted.runs);
+    let Some(oldest) = unstarted.oldest else {
+        return;
+    };
+    log::warn!(
+        event = "runs_not_started", runs = unstarted.runs, task:% = oldest.task, run = oldest.run,
+        worker = oldest.worker.as_str(), age_ms = clock::millis(oldest.age);
+        "they are bound, and their agents have not started them"
+    );
+}
+
 /// Logs that nothing has been placed for a while, if any job has a task that is ready.
 pub(super) fn report_pause(
     entry: &Entry,
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -108,6 +108,7 @@
     zone_runs: Family<ZoneLabel, Gauge>,
     waiting_tasks: Gauge,
     waiting_jobs: Gauge,
+    unstarted_runs: Gauge,
     read_bytes: ReadBytes,
     page_bytes: Gauge,
     /// Time until a caller was answered, in seconds.
@@ -130,6 +131,7 @@
             zone_runs: Family::default(),
             waiting_tasks: Gauge::default(),
             waiting_jobs: Gauge::default(),
+            unstarted_runs: Gauge::default(),
             read_bytes: ReadBytes::default(),
             page_bytes: Gauge::default(),
             answer_seconds: histogram(),
@@ -194,6 +196,12 @@
         self.waiting_jobs.set(jobs);
     }
 
+    /// Sets the number of runs that are bound and that their agents have not started.
+    pub fn set_unstarted_runs(&self, runs: usize) {
+        let runs = i64::try_from(runs).unwrap_or(i64::MAX);
+        self.unstarted_runs.set(runs);
+    }
+
     /// Counts bytes that were read from a stream of the log.
     pub fn count_read(&self, stream: StreamKind, bytes: usize) {
         self.read_bytes.count(stream, bytes);
@@ -240,6 +248,11 @@
             "Jobs with a short task that is ready and none that is bound; set by the leader",
             self.waiting_jobs.clone(),
         );
+        registry.register(
+            "unstarted_runs",
+            "Runs that are bound and that their agents have not started; set by the leader",
+            self.unstarted_runs.clone(),
+        );
         registry.register(
             "log_page_bytes",
             "Size of the pages that are requested from the log",
--- a/crates/agate_node/tests/it/diagnosis.rs
+++ b/crates/agate_node/tests/it/diagnosis.rs
@@ -9,7 +9,7 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use tokio::time::sleep;
 
-use crate::support::{Behavior, Caller as _, Cluster, Fault, one_task_job, wait_until};
+use crate::support::{Behavior, Caller as _, Cluster, FakeWorker, Fault, one_task_job, wait_until};
 
 /// Log lines of this test's process.
 struct CapturedLines(Mutex<Vec<String>>);
@@ -106,6 +106,49 @@
     assert!(order.is_sorted(), "{order:?}");
 }
 
+/// A run whose start isn't answered was bound for the leader, and none of its logs named it.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_its_agent_has_not_started_is_named_by_the_leader() {
+    capture_logs();
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, _agent) = cluster.worker("w1");
+    worker.set_behavior(Behavior::StartsLate);
+    entry.submit_job(0xa4, one_task_job()).await;
+    sleep(Duration::from_millis(2_500)).await;
+    let task = "task=00000000000000a4.0.0.0";
+    let bound = first_line_with(&["event=task_bound", task, "run=1"]);
+    let named = [
+        "event=runs_not_started",
+        "runs=1",
+        task,
+        "run=1",
+        "worker=w1",
+    ];
+    assert!(bound < first_line_with(&named));
+}
+
+/// A run whose start got no answer, or that a predecessor has started, would count as one that is not running.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_goes_on_is_not_named_as_unstarted() {
+    capture_logs();
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    worker.set_behavior(Behavior::LosesStartReplies);
+    entry.submit_job(0xa5, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    sleep(Duration::from_secs(3)).await;
+    agent.detach_all();
+    let successor = Cluster::agent(cluster.log.client());
+    successor.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(worker.started_runs().len(), 1);
+    let named = lines_with(&["event=runs_not_started"]);
+    assert!(named.is_empty(), "{named:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_lost_run_is_traced_to_the_silent_worker() {
     capture_logs();
--- a/crates/agate_node/tests/it/takeovers.rs
+++ b/crates/agate_node/tests/it/takeovers.rs
@@ -537,6 +537,7 @@
             agent: AgentState::Serving,
             heartbeat: 0,
             started_jobs: Vec::new(),
+            not_started: Vec::new(),
         };
         put(Stream::Main, &Record::new(Body::Worker(report)));
     }
