Give a job whose runs are not started another of its tasks

Cause: a job with a bound run counted as one that runs.

Change: a bound run counts as not started if its agent reports so, or if it was bound more than 2 s ago to a worker whose agent has not reported since; the time before an outage of the leader's reads ended doesn't count. A job that has only such runs waits, since its first binding or its last end. The pass over starved jobs then binds another pending task. Workers with such runs cost 5 more for any task, as cold ones do, and come last for a task of a job that waits for its bound runs.

At most once: the bound task stays bound until its run is settled. The pass takes pending tasks only, and no run is stopped or settled earlier.

Ruled out: counting the wait from the report on. It comes up to 1.8 s after the order was read, so the job would wait for nearly 4 s.

Measured: agate_jobs and agate_node, 812 tests passed, none failed.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -54,6 +54,13 @@
 /// in cost between workers.
 const CLOSED_COST: f64 = 5.0;
 
+/// Cost of a worker whose agent has not been able to start some of its runs. It exceeds the usual differences in
+/// cost between workers.
+pub(super) const UNSTARTED_COST: f64 = 5.0;
+
+/// Cost of such a worker for a job that waits for runs that are not started. It exceeds all other costs together.
+pub(super) const LAST_COST: f64 = 1_000.0;
+
 /// Weight of a worker's slowness, which is a logarithm.
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
@@ -100,6 +107,8 @@
     /// Whether the task may be started beside suspects that have not survived their start.
     pub beside_probes: bool,
     pub tolerance: Tolerance,
+    /// Cost of a worker whose agent has not been able to start some of its runs.
+    pub unstarted_cost: f64,
 }
 
 /// What a worker must offer to a task.
@@ -159,6 +168,9 @@
         if now < worker.cold_until {
             cost += COLD_COST;
         }
+        if !worker.report.not_started.is_empty() {
+            cost += task.unstarted_cost;
+        }
         if takes_reserved(worker, task.step) {
             cost += RESERVED_COST;
         }
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -288,6 +288,7 @@
             yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
             beside_probes: false,
             tolerance: Tolerance::Usual,
+            unstarted_cost: choose::UNSTARTED_COST,
         })
     }
 
--- a/crates/agate_jobs/src/plan/short_waits.rs
+++ b/crates/agate_jobs/src/plan/short_waits.rs
@@ -1,4 +1,5 @@
-//! Jobs with a short task that is ready to run, while none of their tasks is bound.
+//! Jobs with a short task that is ready to run, while none of their tasks is bound, or only ones that have not been
+//! started.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,7 +27,7 @@
 /// The job that has waited longest, and why its first task is on none of the workers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShortWait {
-    /// The first short task of the job that is ready.
+    /// The first short task of the job that is ready, and not bound if there is such a one.
     pub task: TaskKey,
     /// Class of the job in the plan; `None` if it has no part in one.
     pub standing: Option<Standing>,
@@ -34,6 +35,8 @@
     pub waited: Duration,
     /// Number of jobs that wait.
     pub waiting: usize,
+    /// Number of runs of the job that are bound and have not started.
+    pub unstarted: usize,
     /// What the task asks for.
     pub demand: Resources,
     /// Number of tasks that start together: those of a gang, otherwise one.
@@ -91,7 +94,8 @@
 }
 
 impl Scheduler {
-    /// Returns the number of jobs with a short task that is ready and none that is bound.
+    /// Returns the number of jobs with a short task that is ready and none that is bound, or only ones that have
+    /// not been started.
     pub fn waiting_jobs(&self) -> usize {
         self.short_waits.since.len()
     }
@@ -106,9 +110,9 @@
         loop {
             let (id, waited) = self.short_waits.due(now)?;
             let job = table.job(id).filter(|job| !job.state().is_final());
-            let task = job.and_then(|job| Some((job, self.waiting_task(id, job, wall_ms)?)));
+            let task = job.and_then(|job| Some((job, self.waiting_task((id, job), now, wall_ms)?)));
             let Some((job, task)) = task else {
-                // The job has ended since the last pass.
+                // The job has ended or started since the last pass.
                 self.short_waits.since.remove(&id);
                 continue;
             };
@@ -142,23 +146,29 @@
         let mut bound: Vec<JobId> = self.bindings.keys().map(|task| task.job).collect();
         bound.dedup();
         // A job with a turn for its stragglers has another one for its other tasks.
+        self.unstarted.retain_ends(&bound);
+        let started = self.started_now(now);
         let waiting = turns.iter().filter(|turn| {
             turn.part != Part::Stragglers
-                && bound.binary_search(&turn.id).is_err()
+                && started.binary_search(&turn.id).is_err()
                 && first_short_task(turn, wall_ms).is_some()
         });
-        let since = |id| self.short_waits.since.get(&id).copied().unwrap_or(now);
+        let known = |id| self.short_waits.since.get(&id).copied();
+        let since = |id| known(id).unwrap_or_else(|| self.unstarted_since(id, now));
         let since = waiting.map(|turn| (turn.id, since(turn.id))).collect();
         self.short_waits.since = since;
         self.short_waits.passed_at = Some(now);
     }
 
-    /// Returns the first short task of a job that is ready, unless any of the job is bound.
-    fn waiting_task(&self, id: JobId, job: &Job, wall_ms: u64) -> Option<TaskKey> {
-        if self.is_bound(id) {
+    /// Returns the first short task of a job that is ready and not bound, or else the first one that is ready,
+    /// unless any run of the job may have started.
+    fn waiting_task(&self, (id, job): (JobId, &Job), now: Moment, wall_ms: u64) -> Option<TaskKey> {
+        if self.has_started(id, now) {
             return None;
         }
-        first_short_task(&order::whole(id, job), wall_ms)
+        let turn = order::whole(id, job);
+        let pending = short_steps(job, wall_ms).find_map(|at| self.pending(&turn, at).next());
+        pending.or_else(|| first_short_task(&turn, wall_ms))
     }
 
     fn diagnose_short(
@@ -183,6 +193,7 @@
             standing: self.standing_of(job, task.job),
             waited,
             waiting: self.waiting_jobs(),
+            unstarted: self.bindings_of(task.job).count(),
             demand: step.demand,
             members: if step.gang { step.tasks } else { 1 },
             workers: 0,
@@ -211,7 +222,9 @@
 
 /// Returns the first short task of a job that is ready, whether it is bound or not.
 fn first_short_task(turn: &Turn<'_>, wall_ms: u64) -> Option<TaskKey> {
-    let steps = &turn.job.spec.steps;
-    let mut short = ready_steps(turn.job, wall_ms).filter(|at| !steps[at.1].long_running);
-    short.find_map(|at| place::unfinished(turn, at).next())
+    short_steps(turn.job, wall_ms).find_map(|at| place::unfinished(turn, at).next())
+}
+
+fn short_steps(job: &Job, wall_ms: u64) -> impl Iterator<Item = (usize, usize)> {
+    ready_steps(job, wall_ms).filter(|at| !job.spec.steps[at.1].long_running)
 }
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -13,7 +13,7 @@
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
 
-/// Time without a bound task after which a job is starved. Ready work has to run within 3 s while most of the
+/// Time without a started task after which a job is starved. Ready work has to run within 3 s while most of the
 /// capacity is free; the rest is left to the order and the start.
 pub(super) const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -30,10 +30,11 @@
 }
 
 impl Scheduler {
-    /// Binds a task of each starved job of which nothing is bound. Processors that other best-effort tasks use
-    /// don't matter to a best-effort job: they count against no capacity, so the job would wait for as long as
-    /// others come. Nor do workers that are closed after failures or on probation: a fault of all of them would
-    /// close the whole service. The job that has waited longest comes first.
+    /// Binds a task of each starved job of which nothing is bound, or only runs that have not been started. These
+    /// stay bound, so the job gets another one of its tasks, on another worker if any has room. Processors that
+    /// other best-effort tasks use don't matter to a best-effort job: they count against no capacity, so the job
+    /// would wait for as long as others come. Nor do workers that are closed after failures or on probation: a
+    /// fault of all of them would close the whole service. The job that has waited longest comes first.
     pub(super) fn place_starved(&mut self, table: &JobTable, round: &mut Round, wall_ms: u64) {
         let now = round.now();
         let recent = |at: Moment| now.since(at) < PASS_PERIOD;
@@ -58,7 +59,7 @@
             let is_free = is_free
                 .entry(service)
                 .or_insert_with(|| choose::is_mostly_free(&self.workers, service));
-            if !*is_free || self.is_bound(id) {
+            if !*is_free || self.has_started(id, now) {
                 continue;
             }
             let Some(task) = self.short_task(id, job, wall_ms) else {
@@ -70,8 +71,14 @@
             } else {
                 Tolerance::Busy
             };
+            let unstarted_cost = if self.is_bound(id) {
+                choose::LAST_COST
+            } else {
+                choose::UNSTARTED_COST
+            };
             let candidate = self.candidate(&turn, task).map(|candidate| Candidate {
                 tolerance,
+                unstarted_cost,
                 yields: false,
                 ..candidate
             });
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -1,8 +1,9 @@
 //! Bound runs that their agents have not started.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use agate_core::Moment;
+use agate_core::{JobId, Moment};
 
 use crate::plan::scheduler::Scheduler;
 use crate::plan::worker::Binding;
@@ -15,13 +16,33 @@
 /// Time between two summaries that name a run.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time after its binding from which on a run counts as not started if its worker's agent has not reported
+/// since. Agents report every 0.8 s.
+const UNHEARD_AFTER: Duration = Duration::from_secs(2);
+
 /// What is known of the runs that have not started.
 #[derive(Debug, Default)]
 pub(super) struct UnstartedRuns {
+    /// Time since which the main stream has been read to its end without a gap.
+    pub reading_since: Moment,
+    /// When a run of a job ended last, for jobs of which others are bound.
+    ended: BTreeMap<JobId, Moment>,
     passed_at: Option<Moment>,
     reported_at: Option<Moment>,
 }
 
+impl UnstartedRuns {
+    /// Records that a run of a job has ended.
+    pub fn record_end(&mut self, job: JobId, now: Moment) {
+        self.ended.insert(job, now);
+    }
+
+    /// Forgets the ends of all jobs but those in `bound`, which is sorted.
+    pub fn retain_ends(&mut self, bound: &[JobId]) {
+        self.ended.retain(|job, _| bound.binary_search(job).is_ok());
+    }
+}
+
 /// The bound runs that have not started.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Unstarted {
@@ -53,7 +74,7 @@
         }
         self.unstarted.passed_at = Some(now);
         let bindings = self.bindings.iter();
-        let unstarted = bindings.filter(|(task, binding)| self.is_unstarted(**task, binding));
+        let unstarted = bindings.filter(|(task, binding)| self.is_unstarted(**task, binding, now));
         let runs = unstarted.clone().count();
         let named = |at: Moment| now.since(at) < REPORT_PERIOD;
         if runs == 0 || self.unstarted.reported_at.is_some_and(named) {
@@ -70,15 +91,40 @@
         Some(Unstarted { runs, oldest })
     }
 
-    /// Returns whether the agent of a bound run's worker reports that it has not started the run.
-    fn is_unstarted(&self, task: TaskKey, binding: &Binding) -> bool {
+    /// Returns whether any bound run of a job may have started.
+    pub(super) fn has_started(&self, job: JobId, now: Moment) -> bool {
+        let mut bindings = self.bindings_of(job);
+        bindings.any(|(task, binding)| !self.is_unstarted(*task, binding, now))
+    }
+
+    /// Returns the jobs of which a bound run may have started, in ascending order.
+    pub(super) fn started_now(&self, now: Moment) -> Vec<JobId> {
+        let bindings = self.bindings.iter();
+        let started = bindings.filter(|(task, binding)| !self.is_unstarted(**task, binding, now));
+        let mut started: Vec<JobId> = started.map(|(task, _)| task.job).collect();
+        started.dedup();
+        started
+    }
+
+    /// Returns since when a job none of whose bound runs has started has waited for one.
+    pub(super) fn unstarted_since(&self, job: JobId, now: Moment) -> Moment {
+        let bound = self.bindings_of(job).map(|(_, binding)| binding.bound_at);
+        let ended = self.unstarted.ended.get(&job).copied();
+        bound
+            .min()
+            .map_or(now, |bound| bound.max(ended.unwrap_or(bound)))
+    }
+
+    /// Returns whether a bound run counts as not started: its worker's agent reports so, or has not reported
+    /// since the binding for too long. It stays bound in any case.
+    fn is_unstarted(&self, task: TaskKey, binding: &Binding, now: Moment) -> bool {
+        let worker = &self.workers[binding.worker];
         let run = UnstartedRun {
             task,
             run: binding.run,
         };
-        self.workers[binding.worker]
-            .report
-            .not_started
-            .contains(&run)
+        let since = binding.bound_at.max(self.unstarted.reading_since);
+        let unheard = worker.last_contact <= binding.bound_at;
+        worker.report.not_started.contains(&run) || (unheard && now.since(since) > UNHEARD_AFTER)
     }
 }
--- a/crates/agate_jobs/tests/jobs/short_waits.rs
+++ b/crates/agate_jobs/tests/jobs/short_waits.rs
@@ -215,6 +215,7 @@
         standing: Some(standings[&JobId(2)]),
         waited: LONG,
         waiting: 2,
+        unstarted: 0,
         demand: Resources::new(4_000, 900, 0),
         members: 1,
         workers: 2,
--- a/crates/agate_jobs/tests/jobs/starved.rs
+++ b/crates/agate_jobs/tests/jobs/starved.rs
@@ -13,7 +13,7 @@
 
 const ROUND: Duration = Duration::from_millis(100);
 
-fn large(name: &str, memory_mib: u32) -> WorkerReport {
+pub(crate) fn large(name: &str, memory_mib: u32) -> WorkerReport {
     WorkerReport {
         capacity: Resources::new(8_000, memory_mib, 0),
         ..report_with_interference(name, 900, 300)
@@ -21,7 +21,7 @@
 }
 
 /// Returns two workers that serve, and whose processors best-effort tasks of another image use.
-fn busy_fleet(memory_mib: u32) -> Fleet {
+pub(crate) fn busy_fleet(memory_mib: u32) -> Fleet {
     let reports = ["a", "b"].map(|name| large(name, memory_mib));
     let mut fleet = Fleet::new(&reports);
     let serving = |worker: &str| StepSpec {
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -190,7 +190,7 @@
         self.waiting_tasks.set(tasks);
     }
 
-    /// Sets the number of jobs with a short task that is ready, while none of their tasks is bound.
+    /// Sets the number of jobs with a short task that is ready, while no bound task has started.
     pub fn set_waiting_jobs(&self, jobs: usize) {
         let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
         self.waiting_jobs.set(jobs);
@@ -245,7 +245,7 @@
         );
         registry.register(
             "waiting_jobs",
-            "Jobs with a short task that is ready and none that is bound; set by the leader",
+            "Jobs with a short task that is ready and none that is bound and may have started; set by the leader",
             self.waiting_jobs.clone(),
         );
         registry.register(
