--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::plan::short_waits::ShortWaits;
 use crate::plan::starved::Starved;
 use crate::plan::suspects::Suspects;
+use crate::plan::unstarted::UnstartedRuns;
 use crate::plan::waits::Waits;
 use crate::plan::withdrawal::Withdrawal;
 use crate::plan::worker::{Binding, Worker};
@@ -56,6 +57,7 @@
     pub(super) waits: Waits,
     pub(super) short_waits: ShortWaits,
     pub(super) starved: Starved,
+    pub(super) unstarted: UnstartedRuns,
     mean_slowness: f64,
 }
 
@@ -166,7 +168,10 @@
         }
         let bound_run = self.bindings.get(&end.task).map(|binding| binding.run);
         match bound_run {
-            Some(run) if run <= end.run => self.release(end),
+            Some(run) if run <= end.run => {
+                self.unstarted.record_end(end.task.job, now);
+                self.release(end);
+            }
             // A run that was taken for lost has finished the task.
             Some(_) if end.cause == EndCause::Done => self.stop(end.task),
             _ => {}
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod suspicion;
 mod table;
 mod takeover;
+mod unstarted;
 mod waits;
 mod zone_repeats;
 mod zones;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -136,6 +136,7 @@
             self.report_placement(&placed);
         }
         waits::report(&self.entry, &mut self.scheduler, now);
+        waits::report_unstarted(&self.entry, &mut self.scheduler, now);
         if pause.is_none() {
             waits::report_short(&self.entry, &mut self.scheduler, now, wall_ms);
         }
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -1,4 +1,4 @@
-//! Reports tasks that find no worker, and times in which nothing is placed.
+//! Reports tasks that find no worker, runs that are not started, and times in which nothing is placed.
 
 use std::time::Duration;
 
@@ -40,11 +40,27 @@
     log::info!(
         event = "short_task_waits", task:% = wait.task,
         standing = standing.as_deref().unwrap_or("unplanned"),
-        waited_ms = clock::millis(wait.waited), waiting = wait.waiting, demand:% = wait.demand,
-        members = wait.members, workers = wait.workers, obstacles:% = wait.obstacles,
+        waited_ms = clock::millis(wait.waited), waiting = wait.waiting,
+        unstarted = wait.unstarted, demand:% = wait.demand, members = wait.members, workers = wait.workers, obstacles:% = wait.obstacles,
         unobstructed = wait.unobstructed, busy_percent = wait.load.busy,
         counted_percent = wait.load.counted, memory_percent = wait.load.memory;
-        "none of its job is bound"
+        "none of its job has started"
+    );
+}
+
+/// Sets the gauge of the runs that are bound and not started, and logs the one that was bound first.
+pub(super) fn report_unstarted(entry: &Entry, scheduler: &mut Scheduler, now: Moment) {
+    let Some(unstarted) = scheduler.take_unstarted(now) else {
+        return;
+    };
+    entry.context.metrics.set_unstarted_runs(unstarted.runs);
+    let Some(oldest) = unstarted.oldest else {
+        return;
+    };
+    log::warn!(
+        event = "runs_not_started", runs = unstarted.runs, task:% = oldest.task, run = oldest.run,
+        worker = oldest.worker.as_str(), age_ms = clock::millis(oldest.age);
+        "they are bound, and their agents have not started them"
     );
 }
 
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -110,6 +110,7 @@
     zone_runs: Family<ZoneLabel, Gauge>,
     waiting_tasks: Gauge,
     waiting_jobs: Gauge,
+    unstarted_runs: Gauge,
     read_bytes: ReadBytes,
     page_bytes: Gauge,
     /// Time until a caller was answered, in seconds.
@@ -132,6 +133,7 @@
             zone_runs: Family::default(),
             waiting_tasks: Gauge::default(),
             waiting_jobs: Gauge::default(),
+            unstarted_runs: Gauge::default(),
             read_bytes: ReadBytes::default(),
             page_bytes: Gauge::default(),
             answer_seconds: histogram(),
@@ -190,12 +192,18 @@
         self.waiting_tasks.set(tasks);
     }
 
-    /// Sets the number of jobs with a short task that is ready, while none of their tasks is bound.
+    /// Sets the number of jobs with a short task that is ready, while no bound task has started.
     pub fn set_waiting_jobs(&self, jobs: usize) {
         let jobs = i64::try_from(jobs).unwrap_or(i64::MAX);
         self.waiting_jobs.set(jobs);
     }
 
+    /// Sets the number of runs that are bound and that their agents have not started.
+    pub fn set_unstarted_runs(&self, runs: usize) {
+        let runs = i64::try_from(runs).unwrap_or(i64::MAX);
+        self.unstarted_runs.set(runs);
+    }
+
     /// Counts bytes that were read from a stream of the log.
     pub fn count_read(&self, stream: StreamKind, bytes: usize) {
         self.read_bytes.count(stream, bytes);
@@ -239,9 +247,14 @@
         );
         registry.register(
             "waiting_jobs",
-            "Jobs with a short task that is ready and none that is bound; set by the leader",
+            "Jobs with a short task that is ready and none that is bound and may have started; set by the leader",
             self.waiting_jobs.clone(),
         );
+        registry.register(
+            "unstarted_runs",
+            "Runs that are bound and that their agents have not started; set by the leader",
+            self.unstarted_runs.clone(),
+        );
         registry.register(
             "log_page_bytes",
             "Size of the pages that are requested from the log",
