Test that states agree however a log with repeated batches is read

The product's own log lacked the property that job records have.

Repeats behind the deduplication window are not covered, as they are applied by design.

--- a/crates/agate_state/tests/cases/mod.rs
+++ b/crates/agate_state/tests/cases/mod.rs
@@ -5,6 +5,7 @@
 mod odd;
 mod presets;
 mod recent;
+mod repeats;
 mod runs;
 mod snapshots;
 mod withdrawals;
--- a/crates/agate_state/tests/cases/snapshots.rs
+++ b/crates/agate_state/tests/cases/snapshots.rs
@@ -20,7 +20,7 @@
 use crate::support::{A, B, TestLog, cancel, class, job, publish, task, withdraw};
 
 /// Formats everything that the public API returns for a state.
-fn observable_state(state: &State) -> String {
+pub(super) fn observable_state(state: &State) -> String {
     let jobs: Vec<_> = (0..6).map(|id| state.job(JobId(id))).collect();
     let runnable: Vec<_> = (0..6).map(|id| state.runnable_tasks(JobId(id))).collect();
     let ids = (0..6).flat_map(|id| (0..4).map(move |index| task(id, index)));
@@ -34,7 +34,7 @@
     format!("{jobs:?} {runnable:?} {tasks:?} {holders:?} {parts:?} {config:?} {switches:?}")
 }
 
-fn load(parts: Vec<SnapshotPart>) -> State {
+pub(super) fn load(parts: Vec<SnapshotPart>) -> State {
     let mut loader = SnapshotLoader::new(limits());
     for part in parts {
         loader.add(part);
