Count crashes under starts that were sent after a call had failed, and hold starts back from silent workers

Cause: crashed_runs left out each run that was started after the first failed call, as its start can't have reached a worker that was down. The agent also went on sending starts to a worker that counted as unreachable.

Change: starts sent after the first failed call count, if their call may have reached the worker and was made before its next incarnation started (its clock in the answer that confirms it). As the worker may have been down, such a start never counts as a lone one, and the crash is timed only by the start of the next incarnation, so it can't be decisive: it counts towards the limit of five alone, and makes a suspect. Starts that were refused by the network or withheld don't count. Nothing is started on a worker after two failed calls in a row (orders_overdue reason=unreachable), and after a failed call the lease renewal doesn't wait, so that a worker that answers again is known to within 0.2 s and takes its orders then.

Ruled out: dropping the filter, as the crash would seem to come 0 ms after the first such start and be decisive; moving the time of the crash to such a start, as older runs on the worker would seem to have run for longer and be cleared; returning the held orders at once, as a return is recorded only when the worker answers, which is when it can start them.

Not changed: a start sent between 40 ms after the first unanswered one and the first failed call is still left out. A deadly task that is started there behind another one on a stalled worker is not counted.

Tests: a_crash_under_a_start_after_a_failed_call_counts fails before (no crash is recorded); a_start_is_held_back_until_the_worker_answers fails without the hold (3 attempts) and without the shorter renewal (not running after 0.4 s); a_start_that_was_not_sent_is_not_blamed passes before, and guards the other direction.

--- a/crates/agate_node/src/agent/claims.rs
+++ b/crates/agate_node/src/agent/claims.rs
@@ -57,6 +57,15 @@
     pub names_start: bool,
 }
 
+impl Evidence {
+    /// Returns the latest moment at which the incarnation may have started.
+    pub fn started_at(&self) -> Instant {
+        let now = Instant::now();
+        let age = Duration::from_millis(self.worker_ms);
+        now.checked_sub(age).unwrap_or(now)
+    }
+}
+
 /// The claims that are being checked, the oldest first.
 #[derive(Debug, Default)]
 pub(super) struct PendingClaims(Vec<PendingClaim>);
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -103,13 +103,48 @@
     pub within: Duration,
     /// Newest checkpoint that the worker has listed; empty if there is none.
     pub checkpoint: String,
-    /// Number of other runs that had not been running for noticeably longer.
+    /// Number of other runs that had not been running for noticeably longer; at least one if the worker
+    /// may have been down before this one was started.
     pub peers: usize,
 }
 
-/// Returns the runs that may have been in progress when the worker crashed. Of the starts since its
-/// last answer only the first ones may have reached it: if they did not crash it, it was down already.
-pub(super) fn crashed_runs(state: &State) -> Vec<CrashedRun> {
+/// Returns the runs that may have been in progress when the worker crashed, before `successor_at`.
+pub(super) fn crashed_runs(state: &State, successor_at: Instant) -> Vec<CrashedRun> {
+    let before = runs_before_failure(state);
+    let after = runs_after_failure(state, successor_at);
+    let younger = |limit: Duration| before.iter().filter(|run| run.ran <= limit).count();
+    let peers = |known: &Candidate<'_>| younger(known.ran + RECENT_START) - 1;
+    let first = before.iter().map(|known| known.crashed(peers(known)));
+    // The worker may have been down already, so none of the later ones counts as a lone start.
+    let later_peers = (younger(RECENT_START) + after.len()).max(2) - 1;
+    let later = after.iter().map(|known| known.crashed(later_peers));
+    first.chain(later).collect()
+}
+
+/// A run that may have caused a crash, before it is compared with the others.
+struct Candidate<'a> {
+    task: TaskKey,
+    run: &'a Run,
+    ran: Duration,
+    within: Duration,
+}
+
+impl Candidate<'_> {
+    fn crashed(&self, peers: usize) -> CrashedRun {
+        CrashedRun {
+            task: self.task,
+            run: self.run.number,
+            ran: self.ran,
+            within: self.within,
+            checkpoint: self.run.checkpoint.clone(),
+            peers,
+        }
+    }
+}
+
+/// Returns the runs that were in progress when a call failed first. Of the starts since the worker's last
+/// answer only the first ones may have reached it: if they did not crash it, it was down already.
+fn runs_before_failure(state: &State) -> Vec<Candidate<'_>> {
     let answered_at = state.contact.answered_at;
     let failed_at = state.contact.failed_at.unwrap_or_else(Instant::now);
     let in_progress = |run: &Run| run.phase != Phase::Ended && run.since <= failed_at;
@@ -123,32 +158,43 @@
         first_unanswered.unwrap_or(answered_at)
     };
     let latest = first_unanswered.map_or(failed_at, |first| first + RECENT_START);
-    let known: Vec<_> = runs()
-        .filter(|(_, run)| run.since <= latest)
-        .map(|(task, run)| {
-            let ran = crashed_at.saturating_duration_since(run.since);
-            (*task, run, ran)
-        })
-        .collect();
-    let younger = |limit: Duration| known.iter().filter(|(.., ran)| *ran <= limit).count();
+    let known = runs().filter(|(_, run)| run.since <= latest);
     known
-        .iter()
-        .map(|(task, run, ran)| CrashedRun {
+        .map(|(task, run)| Candidate {
             task: *task,
-            run: run.number,
-            ran: *ran,
+            run,
+            ran: crashed_at.saturating_duration_since(run.since),
             within: failed_at.duration_since(run.since),
-            checkpoint: run.checkpoint.clone(),
-            peers: younger(*ran + RECENT_START) - 1,
         })
         .collect()
 }
 
-/// Logs the crash of a worker, and returns the ends of the runs that were in progress. Returns none if
-/// the worker had announced that it leaves.
+/// Returns the runs whose starts were sent after a call had failed. The worker may have been only silent
+/// then, and have executed them. The crash is only known to have happened before the next incarnation
+/// started.
+fn runs_after_failure(state: &State, successor_at: Instant) -> Vec<Candidate<'_>> {
+    let Some(failed_at) = state.contact.failed_at else {
+        return Vec::new();
+    };
+    let was_sent = |run: &Run| run.since > failed_at && run.may_have_started();
+    let runs = state.runs.iter().filter(|(_, run)| was_sent(run));
+    let reached = runs.filter(|(_, run)| run.since < successor_at);
+    reached
+        .map(|(task, run)| Candidate {
+            task: *task,
+            run,
+            ran: Duration::ZERO,
+            within: successor_at.duration_since(run.since),
+        })
+        .collect()
+}
+
+/// Logs the crash of a worker whose next incarnation started at `successor_at`, and returns the ends of
+/// the runs that were in progress. Returns none if the worker had announced that it leaves.
 pub(super) fn end_runs(
     worker: &ManagedWorker,
     reason: LossReason,
+    successor_at: Instant,
     machines: &mut UnstableMachines,
 ) -> Vec<RunEnd> {
     let mut state = worker.state();
@@ -156,7 +202,7 @@
         return Vec::new();
     }
     let address = state.heartbeat.address.to_string();
-    let runs = crashed_runs(&state);
+    let runs = crashed_runs(&state, successor_at);
     let unstable = machines.contains(&address);
     machines.record(&address, &runs);
     worker.context.metrics.count(Event::WorkerCrashed);
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -156,6 +156,9 @@
         refuse(worker, state, &order, EndCause::Refused);
         return Ok(());
     }
+    if state.contact.is_unreachable() {
+        return Err(WaitReason::Unreachable);
+    }
     let (Some(until), Some(reading)) = (worker.lease_limit(state), state.clock) else {
         return Err(WaitReason::NoLease);
     };
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -150,6 +150,16 @@
         self.unanswered && self.phase != Phase::Ended
     }
 
+    /// Returns whether its start has been sent, and may have reached the worker.
+    pub fn may_have_started(&self) -> bool {
+        match self.phase {
+            Phase::Starting | Phase::Started(_) | Phase::Unconfirmed(_) => true,
+            // Starts that were withheld or not sent are being stopped as well.
+            Phase::Stopping | Phase::Stopped(_) => self.unanswered,
+            Phase::Ended => false,
+        }
+    }
+
     /// Creates a run that enters `phase` now.
     pub fn new(number: u32, phase: Phase) -> Self {
         Self {
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -238,11 +238,14 @@
         let Book {
             workers, unstable, ..
         } = book;
+        let started_at = evidence.started_at();
         let known = workers.get(&heartbeat.name);
         let crash_ends = known
-            .map(|known| crash::end_runs(&known.worker, LossReason::Restarted, unstable))
+            .map(|known| {
+                crash::end_runs(&known.worker, LossReason::Restarted, started_at, unstable)
+            })
             .unwrap_or_default();
-        record_predecessors_gone(workers, &heartbeat, unstable);
+        record_predecessors_gone(workers, &heartbeat, started_at, unstable);
         forget_departed(workers, &heartbeat);
         if workers.len() >= MAX_WORKERS && !workers.contains_key(&heartbeat.name) {
             return Err(Doubt::TooManyWorkers);
@@ -303,6 +306,7 @@
 fn record_predecessors_gone(
     workers: &HashMap<String, RegisteredWorker>,
     heartbeat: &Heartbeat,
+    started_at: Instant,
     unstable: &mut UnstableMachines,
 ) {
     for registered in workers.values() {
@@ -313,7 +317,12 @@
                 && state.status != WorkerState::Gone
         };
         if older {
-            let ends = crash::end_runs(&registered.worker, LossReason::Replaced, unstable);
+            let ends = crash::end_runs(
+                &registered.worker,
+                LossReason::Replaced,
+                started_at,
+                unstable,
+            );
             registered.worker.state().crash_ends.extend(ends);
             let mut state = registered.worker.state();
             registered.worker.record_gone(&mut state);
--- a/crates/agate_node/src/agent/renewal.rs
+++ b/crates/agate_node/src/agent/renewal.rs
@@ -95,7 +95,9 @@
     let wait = {
         let state = worker.state();
         let settling = state.runs.values().any(Run::is_settling);
-        if !state.introduction.is_done() || state.clock.is_none() {
+        // Starts are held back until a worker that has not answered does so.
+        let is_awaited = state.clock.is_none() || state.contact.has_failed();
+        if !state.introduction.is_done() || is_awaited {
             Duration::ZERO
         } else if settling {
             SETTLING_RENEWAL_WAIT
--- a/crates/agate_node/src/agent/waiting.rs
+++ b/crates/agate_node/src/agent/waiting.rs
@@ -33,6 +33,8 @@
     NoList,
     /// The worker has restarted under its name, and the new incarnation has not sent a heartbeat yet.
     WorkerRestarted,
+    /// The worker doesn't answer. Nobody could tell whether a start sent now has crashed it.
+    Unreachable,
     /// The order is for another incarnation of the worker.
     OtherIncarnation,
     /// The order is for an earlier term of this incarnation.
--- a/crates/agate_node/tests/it/crashes.rs
+++ b/crates/agate_node/tests/it/crashes.rs
@@ -3,17 +3,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::{JobState, TaskKey};
+use agate_jobs::crash::Crash;
+use agate_jobs::record::Body;
+use agate_jobs::{JobState, Record, TaskKey};
 use agate_node::agent::WorkerRegistry;
 use agate_node::entry::Answer;
+use agate_node::store::Stream;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::support::{Caller as _, Cluster, FakeWorker, job_id, one_task_job, wait_until};
+use crate::support::{
+    Behavior, Caller as _, Cluster, FakeWorker, job_id, one_task_job, wait_until,
+};
 
 /// Time for which a crashed worker is away.
 const OUTAGE: Duration = Duration::from_secs(3);
 
+/// Time from the moment at which a worker falls silent until one call has failed and the next one has not.
+const ONE_FAILED_CALL: Duration = Duration::from_millis(1_400);
+
 /// Number of starts of a task that are too many: three more after three workers have crashed.
 const STARTS_TOO_MANY: usize = 6;
 
@@ -261,3 +269,96 @@
     agent.apply_heartbeat(FakeWorker::heartbeat("w1-3", "w1", 3));
     assert!(agent.worker_count() <= 2, "a delayed heartbeat counts");
 }
+
+/// Returns the recorded crashes under the runs of a task.
+fn recorded_crashes(cluster: &Cluster, task: TaskKey) -> Vec<Crash> {
+    let keys = cluster.log.keys(Stream::Main).into_iter();
+    let records = keys.zip(cluster.log.values(Stream::Main));
+    let crash_of = |(key, value): (String, Vec<u8>)| match Record::parse(key, &value).ok()?.body {
+        Some(Body::Ended(end)) if end.task == task => end.crash,
+        _ => None,
+    };
+    records.filter_map(crash_of).collect()
+}
+
+async fn replace_after_crash(worker: &FakeWorker, agent: &WorkerRegistry) {
+    sleep(OUTAGE).await;
+    worker.recover();
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1-2", "w1", 2));
+    sleep(Duration::from_millis(500)).await;
+}
+
+/// The start had been sent after a call had failed, but the worker was only silent, and executed it: the
+/// crash was not counted, and the task was started once more than allowed.
+#[tokio::test(start_paused = true)]
+async fn a_crash_under_a_start_after_a_failed_call_counts() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.crash_under(job_id(1));
+    sleep(Duration::from_secs(2)).await;
+    worker.set_behavior(Behavior::LosesReplies);
+    sleep(ONE_FAILED_CALL).await;
+    entry.submit_job(1, one_task_job()).await;
+    wait_until("it crashes", || worker.crashes() == 1).await;
+    replace_after_crash(&worker, &agent).await;
+    let crashes = recorded_crashes(&cluster, first_task(1));
+    let [crash, ..] = crashes.as_slice() else {
+        panic!("the crash is not recorded");
+    };
+    assert!(crash.peers > 0, "the worker may have been down before");
+    assert!(crash.within_ms > 1_000, "nor is it known when it crashed");
+}
+
+/// The first start without an answer would no longer count as a lone one, so that a task that crashes its
+/// workers would be given up later.
+#[tokio::test(start_paused = true)]
+async fn starts_after_a_failed_call_do_not_change_what_the_first_one_proves() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(2)).await;
+    worker.set_behavior(Behavior::Silent);
+    entry.submit_job(1, one_task_job()).await;
+    sleep(ONE_FAILED_CALL).await;
+    entry.submit_job(2, one_task_job()).await;
+    wait_until("both are sent", || worker.start_attempts() == 2).await;
+    worker.crash();
+    replace_after_crash(&worker, &agent).await;
+    let peers = |job| {
+        let crashes = recorded_crashes(&cluster, first_task(job));
+        crashes.iter().map(|crash| crash.peers).collect::<Vec<_>>()
+    };
+    assert_eq!((peers(1), peers(2)), (vec![0], vec![1]));
+}
+
+/// A start that was refused by the network would count as the cause of the crash before it.
+#[tokio::test(start_paused = true)]
+async fn a_start_that_was_not_sent_is_not_blamed() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(2)).await;
+    entry.submit_job(1, one_task_job()).await;
+    worker.crash();
+    wait_until("it is attempted", || worker.start_attempts() > 0).await;
+    replace_after_crash(&worker, &agent).await;
+    assert_eq!(recorded_crashes(&cluster, first_task(1)), []);
+}
+
+/// A start on a worker that did not answer was sent again and again, and could crash it as it woke up.
+#[tokio::test(start_paused = true)]
+async fn a_start_is_held_back_until_the_worker_answers() {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let (worker, _agent) = cluster.worker("w1");
+    sleep(Duration::from_secs(2)).await;
+    entry.submit_job(1, one_task_job()).await;
+    worker.set_behavior(Behavior::Unreachable);
+    sleep(Duration::from_millis(900)).await;
+    let attempts = worker.start_attempts();
+    assert!(attempts <= 2, "{attempts} attempts");
+    worker.set_behavior(Behavior::Healthy);
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(worker.running(), 1);
+}
