Don't begin a wait anew when a run is returned unstarted

Cause: a job of which no bound run is started waits since its last end, and a run that its agent returned (refused, no_room) counted as such an end although it never ran.

Change: these two causes leave the wait as it is.

Ruled out: the causes untraced and lost, under which the run may have been in progress.

Test seen to fail before: a_run_that_is_returned_does_not_end_a_wait, both cases. Measured: agate_jobs, 424 tests passed, none failed.

--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -162,7 +162,7 @@
         let bound_run = self.bindings.get(&end.task).map(|binding| binding.run);
         match bound_run {
             Some(run) if run <= end.run => {
-                self.unstarted.record_end(end.task.job, now);
+                self.unstarted.record_end(end, now);
                 self.release(end);
             }
             // A run that was taken for lost has finished the task.
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -7,6 +7,7 @@
 
 use crate::plan::scheduler::Scheduler;
 use crate::plan::worker::Binding;
+use crate::record::{EndCause, RunEnd};
 use crate::task::TaskKey;
 use crate::worker::UnstartedRun;
 
@@ -32,9 +33,11 @@
 }
 
 impl UnstartedRuns {
-    /// Records that a run of a job has ended.
-    pub fn record_end(&mut self, job: JobId, now: Moment) {
-        self.ended.insert(job, now);
+    /// Records the end of a run, unless its agent has returned it unstarted.
+    pub fn record_end(&mut self, end: &RunEnd, now: Moment) {
+        if !matches!(end.cause, EndCause::NoRoom | EndCause::Refused) {
+            self.ended.insert(end.task.job, now);
+        }
     }
 
     /// Forgets the ends of all jobs but those in `bound`, which is sorted.
--- a/crates/agate_jobs/tests/jobs/unstarted.rs
+++ b/crates/agate_jobs/tests/jobs/unstarted.rs
@@ -285,3 +285,18 @@
     let workers = fleet.place().into_iter().map(|placed| placed.worker);
     assert_eq!(workers.collect::<Vec<_>>(), ["b", "a"]);
 }
+
+/// A run that was returned unstarted began the wait of its job anew.
+#[rstest]
+#[case::refused(EndCause::Refused)]
+#[case::no_room(EndCause::NoRoom)]
+fn a_run_that_is_returned_does_not_end_a_wait(#[case] cause: EndCause) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    let placed = fleet.place();
+    fleet.now = fleet.now + Duration::from_millis(1_500);
+    fleet.fold(ended(placed[0].task, 1, cause, "a"));
+    fleet.fold(reporting("a", &placed[1..]));
+    let wait = wait_of(&mut fleet).expect("the job waits");
+    assert_eq!(wait.waited, Duration::from_millis(1_500));
+}
