--- a/crates/agate_log/tests/cases/links.rs
+++ b/crates/agate_log/tests/cases/links.rs
@@ -15,9 +15,13 @@
 type Sizes = Arc<Mutex<Vec<usize>>>;
 
 fn store(address: SocketAddr) -> HttpStore {
+    store_with_timeout(address, Duration::from_millis(300))
+}
+
+fn store_with_timeout(address: SocketAddr, limit: Duration) -> HttpStore {
     let settings = HttpSettings::builder()
         .address(address)
-        .call_timeout(Duration::from_millis(300))
+        .call_timeout(limit)
         .build();
     HttpStore::new(settings)
 }
@@ -79,13 +83,14 @@
 #[tokio::test]
 async fn a_long_response_that_makes_progress_is_complete() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let store = store(listener.local_addr().expect("bound"));
+    let address = listener.local_addr().expect("bound");
+    let store = store_with_timeout(address, Duration::from_millis(1_500));
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("accept");
         requested_size(&mut stream).await.expect("a read");
         send_head(&mut stream).await;
         for part in EMPTY_PAGE.as_bytes().chunks(EMPTY_PAGE.len() / 5) {
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
             let sent = stream.write_all(part).await;
             sent.expect("the client is there");
         }
