--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -51,7 +51,7 @@
 /// in cost between workers.
 const RESERVED_COST: f64 = 5.0;
 
-/// Cost of a worker that is closed after failures or stalls, or on probation. It exceeds the usual differences
+/// Cost of a worker that is closed by stalls, or on probation. It exceeds the usual differences
 /// in cost between workers.
 const CLOSED_COST: f64 = 5.0;
 
@@ -85,7 +85,7 @@
     Usual,
     /// The processors of a worker may be in use by best-effort tasks, and the task may be slow beside them.
     Busy,
-    /// The worker may also be closed after failures or stalls, or on probation.
+    /// The worker may also be closed by stalls, or on probation.
     Closed,
 }
 
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -34,8 +34,8 @@
     /// Binds a task of each starved job of which nothing is bound, or only runs that have not been started. These
     /// stay bound, so the job gets another one of its tasks, on another worker if any has room. Processors that
     /// other best-effort tasks use don't matter to a best-effort job: they count against no capacity, so the job
-    /// would wait for as long as others come. Nor do workers that are closed after failures or on probation: a
-    /// fault of all of them would close the whole service. The job that has waited longest comes first.
+    /// would wait for as long as others come. Nor does it matter that a worker is closed by stalls or on probation:
+    /// a fault of all of them would close the whole service. The job that has waited longest comes first.
     pub(super) fn place_starved(&mut self, table: &JobTable, round: &mut Round, wall_ms: u64) {
         let now = round.now();
         let recent = |at: Moment| now.since(at) < PASS_PERIOD;
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -41,7 +41,8 @@
         event = "short_task_waits", task:% = wait.task,
         standing = standing.as_deref().unwrap_or("unplanned"),
         waited_ms = clock::millis(wait.waited), waiting = wait.waiting,
-        unstarted = wait.unstarted, demand:% = wait.demand, members = wait.members, workers = wait.workers, obstacles:% = wait.obstacles,
+        unstarted = wait.unstarted, demand:% = wait.demand, members = wait.members,
+        workers = wait.workers, obstacles:% = wait.obstacles,
         unobstructed = wait.unobstructed, busy_percent = wait.load.busy,
         counted_percent = wait.load.counted, memory_percent = wait.load.memory;
         "none of its job has started"
