--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -86,9 +86,8 @@
         now >= self.quarantined_until && !self.has_rejected(now)
     }
 
-    /// Returns whether a task may be bound that has waited for long while most of the capacity is free. It
-    /// would run on a worker that lets tasks stall, as far as the callers see, and lose an attempt on one that
-    /// fails them.
+    /// Returns whether a task may be bound that has waited for long while most of the capacity is free. A worker
+    /// in quarantine takes one only if no run has failed there: unlike a stall, a failure costs an attempt.
     pub fn accepts_waiting_task(&self, now: Moment) -> bool {
         let recent = |at: Moment| now.since(at) < WAITING_PAUSE;
         let is_paused = self.probed_at.is_some_and(recent);
--- a/crates/agate_jobs/src/plan/suspicion.rs
+++ b/crates/agate_jobs/src/plan/suspicion.rs
@@ -24,7 +24,6 @@
     /// Raises, clears and settles suspicions. `reading_since` is the time since which the main
     /// stream has been read to its end without a gap.
     pub fn update_suspicions(&mut self, now: Moment, reading_since: Moment, lease: Duration) {
-        self.unstarted.reading_since = reading_since;
         for slot in 0..self.workers.len() {
             self.workers[slot].reading_since = reading_since;
             self.update_suspicion(slot, now, reading_since, lease);
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -24,8 +24,6 @@
 /// What is known of the runs that have not started.
 #[derive(Debug, Default)]
 pub(super) struct UnstartedRuns {
-    /// Time since which the main stream has been read to its end without a gap.
-    pub reading_since: Moment,
     /// When a run of a job ended last, for jobs of which others are bound.
     ended: BTreeMap<JobId, Moment>,
     passed_at: Option<Moment>,
@@ -126,7 +124,7 @@
             task,
             run: binding.run,
         };
-        let since = binding.bound_at.max(self.unstarted.reading_since);
+        let since = binding.bound_at.max(worker.reading_since);
         let unheard = worker.last_contact <= binding.bound_at;
         worker.report.not_started.contains(&run) || (unheard && now.since(since) > UNHEARD_AFTER)
     }
