Report how much of the capacity started runs use

The leader gives starved jobs a task while under half of the capacity is bound.

short_task_waits has started_percent: processors or memory, whichever is more, that started runs use of the workers that have not left. Usage keeps the sums that choose::is_mostly_free made; what it decides is unchanged.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -208,25 +208,6 @@
     used * 2 > total
 }
 
-/// Returns whether under half of the capacity of a service is in use, as far as it counts. Workers that have not
-/// left count, also those that take no orders.
-pub(super) fn is_mostly_free(workers: &[Worker], service: &str) -> bool {
-    let present = workers.iter();
-    let present = present.filter(|worker| worker.report.service == service && !worker.is_gone());
-    let (mut used, mut total) = ([0_u64; 2], [0_u64; 2]);
-    for worker in present {
-        let counts = [
-            (worker.used, &mut used),
-            (worker.report.capacity, &mut total),
-        ];
-        for (resources, sums) in counts {
-            sums[0] += u64::from(resources.millicores);
-            sums[1] += u64::from(resources.memory_mib);
-        }
-    }
-    (0..2).all(|at| used[at] * 2 < total[at])
-}
-
 /// Returns the processors in use, and all of them, on the same workers.
 fn busy_millicores(workers: &[Worker], service: &str) -> (u64, u64) {
     in_service(workers, service).fold((0, 0), |(used, total), worker| {
@@ -238,8 +219,9 @@
     })
 }
 
-/// Returns the percentages of the processors and of the memory of the same workers that are in use.
-pub(super) fn load(workers: &[Worker], service: &str) -> Load {
+/// Returns the percentages of the processors and of the memory of the same workers that are in use, with `started`
+/// as that of started runs.
+pub(super) fn load(workers: &[Worker], service: &str, started: u64) -> Load {
     let (busy, millicores) = busy_millicores(workers, service);
     let (mut counted, mut used_mib, mut memory_mib) = (0, 0, 0);
     for worker in in_service(workers, service) {
@@ -252,6 +234,7 @@
         busy: percent(busy, millicores),
         counted: percent(counted, millicores),
         memory: percent(used_mib, memory_mib),
+        started,
     }
 }
 
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -19,6 +19,7 @@
 mod suspicion;
 mod suspicion_times;
 mod unstarted;
+mod usage;
 mod waits;
 mod withdrawal;
 mod worker;
--- a/crates/agate_jobs/src/plan/short_waits.rs
+++ b/crates/agate_jobs/src/plan/short_waits.rs
@@ -47,11 +47,11 @@
     pub obstacles: Obstacles,
     /// Number of those that nothing excludes.
     pub unobstructed: usize,
-    /// What is in use on the workers of its service that are in service.
+    /// What is in use on the workers of its service.
     pub load: Load,
 }
 
-/// Percentages of what a set of workers has.
+/// Percentages of what the workers of a service have, those in service where nothing else is said.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
     /// Processors that all bound tasks ask for.
@@ -60,6 +60,9 @@
     pub counted: u64,
     /// Memory.
     pub memory: u64,
+    /// Processors or memory, whichever is more, that started runs use of all workers that have not left. Starved
+    /// jobs get tasks while it is below 50.
+    pub started: u64,
 }
 
 /// The waiting jobs.
@@ -188,6 +191,7 @@
         let candidate = self.candidate(&turn, task)?;
         let step = candidate.step;
         let search = Search::new(&self.workers, &self.interference, candidate, now);
+        let started = self.usage(candidate.service, now).started_percent();
         let mut wait = ShortWait {
             task,
             standing: self.standing_of(job, task.job),
@@ -199,7 +203,7 @@
             workers: 0,
             obstacles: Obstacles::default(),
             unobstructed: 0,
-            load: choose::load(&self.workers, candidate.service),
+            load: choose::load(&self.workers, candidate.service, started),
         };
         for (slot, worker) in self.workers.iter().enumerate() {
             if worker.report.service != candidate.service || worker.is_gone() {
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -11,6 +11,7 @@
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
 use crate::plan::suspects;
+use crate::plan::usage::Usage;
 use crate::table::{Job, JobTable, TaskProgress};
 use crate::task::TaskKey;
 
@@ -45,7 +46,7 @@
         self.starved.passed_at = Some(now);
         let is_open = |id: &JobId| table.job(*id).is_some_and(|job| !job.state().is_final());
         self.starved.jobs.retain(is_open);
-        let mut is_free: HashMap<&str, bool> = HashMap::new();
+        let mut usages: HashMap<&str, Usage> = HashMap::new();
         let mut misses = StarvedMisses::default();
         for (id, waited) in self.short_waits.longest_first(now) {
             if round.is_full() {
@@ -58,10 +59,10 @@
                 continue;
             };
             let service = job.policy.service.as_str();
-            let may_place = *is_free
+            let usage = usages
                 .entry(service)
-                .or_insert_with(|| choose::is_mostly_free(&self.workers, service));
-            if !may_place || self.has_started(id, now) {
+                .or_insert_with(|| self.usage(service, now));
+            if !usage.is_mostly_free() || self.has_started(id, now) {
                 continue;
             }
             let Some((task, slot)) =
@@ -72,7 +73,9 @@
             let placement = self.bind(job, task, (slot, None), now);
             round.add(placement);
             self.starved.jobs.insert(id);
-            is_free.remove(service);
+            if let Some(binding) = self.bindings.get(&task) {
+                usage.add_bound(binding.counted());
+            }
         }
     }
 
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -118,7 +118,7 @@
 
     /// Returns whether a bound run counts as not started: its worker's agent reports so, or has not reported
     /// since the binding for too long. It stays bound in any case.
-    fn is_unstarted(&self, task: TaskKey, binding: &Binding, now: Moment) -> bool {
+    pub(super) fn is_unstarted(&self, task: TaskKey, binding: &Binding, now: Moment) -> bool {
         let worker = &self.workers[binding.worker];
         let run = UnstartedRun {
             task,
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -57,6 +57,17 @@
     pub probe_until: Option<Moment>,
 }
 
+impl Binding {
+    /// Returns the demand that counts against the capacity of the worker.
+    pub const fn counted(&self) -> Resources {
+        if self.best_effort {
+            without_cpu(self.demand)
+        } else {
+            self.demand
+        }
+    }
+}
+
 /// A worker and the tasks bound to it.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -283,10 +294,8 @@
         if binding.best_effort {
             let millicores = self.best_effort_millicores;
             self.best_effort_millicores = millicores.saturating_add(demand.millicores);
-            self.used += without_cpu(demand);
-        } else {
-            self.used += demand;
         }
+        self.used += binding.counted();
         if binding.long_running {
             self.long_running += demand;
         }
@@ -324,10 +333,8 @@
             self.best_effort_millicores = self
                 .best_effort_millicores
                 .saturating_sub(demand.millicores);
-            self.used = self.used.saturating_sub(without_cpu(demand));
-        } else {
-            self.used = self.used.saturating_sub(demand);
         }
+        self.used = self.used.saturating_sub(binding.counted());
         if binding.long_running {
             self.long_running = self.long_running.saturating_sub(demand);
         }
--- a/crates/agate_jobs/tests/jobs/short_waits.rs
+++ b/crates/agate_jobs/tests/jobs/short_waits.rs
@@ -225,6 +225,7 @@
             busy: 87,
             counted: 87,
             memory: 35,
+            started: 87,
         },
     };
     assert_eq!(wait, expected);
--- a/crates/agate_node/src/entry/lead/waits.rs
+++ b/crates/agate_node/src/entry/lead/waits.rs
@@ -44,7 +44,8 @@
         unstarted = wait.unstarted, demand:% = wait.demand, members = wait.members,
         workers = wait.workers, obstacles:% = wait.obstacles,
         unobstructed = wait.unobstructed, busy_percent = wait.load.busy,
-        counted_percent = wait.load.counted, memory_percent = wait.load.memory;
+        counted_percent = wait.load.counted, memory_percent = wait.load.memory,
+        started_percent = wait.load.started;
         "none of its job has started"
     );
 }
