Test that starved jobs ignore departed workers and get last attempts

Two changes went unnoticed by the tests: counting the capacity of workers that have left, and leaving out jobs of which only a last attempt is left. Each of the two tests fails with its change and passes without.

--- a/crates/agate_jobs/tests/jobs/starved.rs
+++ b/crates/agate_jobs/tests/jobs/starved.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use agate_core::Resources;
+use agate_core::{JobId, Resources};
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, Record, StepSpec, TaskKey, WorkerReport};
+use agate_jobs::{EndCause, Record, StepSpec, TaskKey, WorkerReport, WorkerState};
 use rstest::rstest;
 
 use crate::fleet::Fleet;
 use crate::place::{best_effort_step, report_with_interference, serving_step};
-use crate::support::{ended, submitted};
+use crate::support::{ended, submitted, task};
 
 const ROUND: Duration = Duration::from_millis(100);
 
@@ -27,7 +27,7 @@
 
 /// Returns two workers that serve with these resources, and whose other processors best-effort tasks of
 /// another image use.
-fn serving_fleet(serving: [Resources; 2], memory_mib: u32) -> Fleet {
+pub(crate) fn serving_fleet(serving: [Resources; 2], memory_mib: u32) -> Fleet {
     let reports = ["a", "b"].map(|name| large(name, memory_mib));
     let mut fleet = Fleet::new(&reports);
     let steps = ["a", "b"].into_iter().zip(serving);
@@ -136,6 +136,30 @@
     assert_eq!(placed(&mut fleet, 40).len(), expected);
 }
 
+/// What a worker had that has left would count as free.
+#[test]
+fn workers_that_have_left_do_not_count_for_starved_jobs() {
+    let mut fleet = serving_fleet([Resources::new(5_000, 100, 0); 2], 8_000);
+    let gone = WorkerReport {
+        state: WorkerState::Gone,
+        ..large("c", 8_000)
+    };
+    fleet.fold(Record::new(Body::Worker(gone)));
+    fleet.fold(submitted(3, vec![best_effort_step()]));
+    assert_eq!(placed(&mut fleet, 40), []);
+}
+
+/// A job with a single task waits for as long as others come, once that task may fail only once more.
+#[test]
+fn the_last_attempt_of_a_starved_job_runs_where_others_use_the_processors() {
+    let mut fleet = busy_fleet(8_000);
+    fleet.fold(submitted(3, vec![best_effort_step()]));
+    fleet.fold(ended(task(3, 0, 0), 1, EndCause::Failed, "z"));
+    let progress = &fleet.table.job(JobId(3)).expect("it is open").progress;
+    assert_eq!(progress[0][0].tasks[0].failures, 1);
+    assert_eq!(placed(&mut fleet, 30).len(), 1);
+}
+
 /// A starved job ignores processors of best-effort tasks only, and no other reason for which a task may not run.
 #[test]
 fn a_starved_job_starts_on_no_worker_that_is_out_of_service() {
