Add failing tests of jobs that wait while little is at work

Runs that nobody has started count as in use, so that the pass stops once they use half of the capacity.

--- a/crates/agate_jobs/tests/jobs/closed_gaps/attempts.rs
+++ b/crates/agate_jobs/tests/jobs/closed_gaps/attempts.rs
@@ -1,11 +1,20 @@
 //! Attempts that closed workers use up.
 
+use std::time::Duration;
+
+use agate_core::{JobId, Moment};
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, WorkerReport};
 
 use super::ROUND;
 use crate::fleet::Fleet;
-use crate::support::{ended, report, step, submitted};
+use crate::support::{ended, report, step, submitted, task};
+
+/// Time after which an agent stops a run that makes no progress.
+const STALL_TIME: Duration = Duration::from_millis(1_200);
+
+/// Longest time for which ready work may wait while most of the capacity is free.
+const BOUND: Duration = Duration::from_secs(3);
 
 /// A worker that fails everything took all attempts but one of each waiting job within seconds.
 #[test]
@@ -38,3 +47,37 @@
     let spent = failures.iter().filter(|failures| **failures >= 3).count();
     assert!(spent <= 5, "{failures:?}");
 }
+
+/// Jobs that stall took each probe of workers on probation, so that the last attempt of another one waited for as long
+/// as they went on.
+#[test]
+fn the_last_attempt_of_a_task_runs_between_runs_that_stall() {
+    let mut fleet = Fleet::new(&["a", "b"].map(|name| report(name, 1)));
+    for job in 1..=6 {
+        fleet.fold(submitted(job, vec![step(1)]));
+    }
+    fleet.fold(submitted(7, vec![step(1)]));
+    fleet.fold(ended(task(7, 0, 0), 1, EndCause::Failed, "z"));
+    let mut runs: Vec<(Moment, Record)> = Vec::new();
+    let mut idle_since = Some(fleet.now);
+    let mut longest = Duration::ZERO;
+    for _ in 0..300 {
+        let now = fleet.now;
+        for (_, end) in runs.extract_if(.., |(at, _)| now.since(*at) >= STALL_TIME) {
+            if matches!(&end.body, Some(Body::Ended(end)) if end.task.job == JobId(7)) {
+                idle_since = Some(now);
+            }
+            fleet.fold(end);
+        }
+        for placed in fleet.place() {
+            if placed.task.job == JobId(7) {
+                idle_since = None;
+            }
+            let end = ended(placed.task, placed.run, EndCause::Stalled, &placed.worker);
+            runs.push((now, end));
+        }
+        longest = longest.max(idle_since.map_or(Duration::ZERO, |since| now.since(since)));
+        fleet.now = now + ROUND;
+    }
+    assert!(longest <= BOUND, "waited for {longest:?}");
+}
--- a/crates/agate_jobs/tests/jobs/unstarted.rs
+++ b/crates/agate_jobs/tests/jobs/unstarted.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use agate_core::Moment;
-use agate_jobs::plan::{OldestUnstarted, Placement, ShortWait, Unstarted};
+use agate_core::{Moment, Resources};
+use agate_jobs::plan::{OldestUnstarted, Placement, ShortWait, Trust, Unstarted};
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, StepSpec, UnstartedRun, WorkerReport};
 use rstest::rstest;
 
 use crate::fleet::{Fleet, LEASE};
 use crate::place::best_effort_step;
-use crate::starved::{busy_fleet, large};
+use crate::starved::{busy_fleet, large, serving_fleet};
 use crate::support::{ended, report, step, submitted, task};
 
 const ROUND: Duration = Duration::from_millis(100);
@@ -201,6 +201,34 @@
     assert_eq!(place_rounds(&mut fleet, 40, &[first]), []);
 }
 
+/// Returns the newest runs of a job as placements.
+fn ordered_runs(fleet: &Fleet, job: u64) -> Vec<Placement> {
+    let orders = fleet.newest_orders().into_iter();
+    let orders = orders.filter(|order| order.task.job.0 == job);
+    let runs = orders.map(|order| Placement {
+        task: order.task,
+        run: order.run,
+        worker: order.incarnation.name,
+        trust: Trust::Full,
+    });
+    runs.collect()
+}
+
+/// Bound runs that nobody had started counted as in use, so that starved jobs waited while little was at work.
+#[rstest]
+#[case::processors(Resources::new(5_000, 3_000, 0))]
+#[case::memory(Resources::new(3_500, 4_500, 0))]
+fn starved_jobs_run_while_the_runs_that_use_half_are_not_started(#[case] serving: Resources) {
+    let mut fleet = serving_fleet([serving; 2], 8_000);
+    let unstarted = ordered_runs(&fleet, 1);
+    assert_eq!(unstarted.len(), 2);
+    fleet.fold(submitted(3, vec![best_effort_step()]));
+    let placed = place_rounds_with(&mut fleet, 30, |name| {
+        unstarted_on(large(name, 8_000), &unstarted)
+    });
+    assert_eq!(placed.len(), 1);
+}
+
 /// Returns the wait of job 1, whose only task has been bound to `a`.
 fn wait_of(fleet: &mut Fleet) -> Option<ShortWait> {
     fleet.place();
