Count only started runs as in use where jobs starve

Callers saw jobs of which nothing ran while little was at work. The leader stopped giving tasks to jobs that had waited for 2 s once half of the capacity was bound, whether the bound runs had started or not: late orders, or agents that can't start, filled it with runs that nobody carried out.

A run of which its agent reports that it has not started no longer counts as in use. It stays bound and keeps its room, so that nothing is overcommitted. A run on a silent worker counts as before, as it may be at work.

Ruled out: counting unheard runs as unstarted, too. Workers whose agents are silent would look free, and starved jobs would take room from those that are served; existing tests of half-used services fail with it.

--- a/crates/agate_jobs/src/plan/short_waits.rs
+++ b/crates/agate_jobs/src/plan/short_waits.rs
@@ -191,7 +191,7 @@
         let candidate = self.candidate(&turn, task)?;
         let step = candidate.step;
         let search = Search::new(&self.workers, &self.interference, candidate, now);
-        let started = self.usage(candidate.service, now).started_percent();
+        let started = self.usage(candidate.service).started_percent();
         let mut wait = ShortWait {
             task,
             standing: self.standing_of(job, task.job),
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -59,9 +59,7 @@
                 continue;
             };
             let service = job.policy.service.as_str();
-            let usage = usages
-                .entry(service)
-                .or_insert_with(|| self.usage(service, now));
+            let usage = usages.entry(service).or_insert_with(|| self.usage(service));
             if !usage.is_mostly_free() || self.has_started(id, now) {
                 continue;
             }
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -118,14 +118,20 @@
 
     /// Returns whether a bound run counts as not started: its worker's agent reports so, or has not reported
     /// since the binding for too long. It stays bound in any case.
-    pub(super) fn is_unstarted(&self, task: TaskKey, binding: &Binding, now: Moment) -> bool {
+    fn is_unstarted(&self, task: TaskKey, binding: &Binding, now: Moment) -> bool {
         let worker = &self.workers[binding.worker];
+        let since = binding.bound_at.max(worker.reading_since);
+        let unheard = worker.last_contact <= binding.bound_at;
+        self.is_reported_unstarted(task, binding) || (unheard && now.since(since) > UNHEARD_AFTER)
+    }
+
+    /// Returns whether the agent of its worker reports that a bound run has not started.
+    pub(super) fn is_reported_unstarted(&self, task: TaskKey, binding: &Binding) -> bool {
         let run = UnstartedRun {
             task,
             run: binding.run,
         };
-        let since = binding.bound_at.max(worker.reading_since);
-        let unheard = worker.last_contact <= binding.bound_at;
-        worker.report.not_started.contains(&run) || (unheard && now.since(since) > UNHEARD_AFTER)
+        let worker = &self.workers[binding.worker];
+        worker.report.not_started.contains(&run)
     }
 }
--- a/crates/agate_jobs/src/plan/usage.rs
+++ b/crates/agate_jobs/src/plan/usage.rs
@@ -1,6 +1,6 @@
 //! How much of a service's capacity is in use by runs that have started.
 
-use agate_core::{Moment, Resources};
+use agate_core::Resources;
 
 use crate::plan::scheduler::Scheduler;
 
@@ -9,15 +9,16 @@
 pub(super) struct Usage {
     /// What is bound, as far as it counts against the capacity.
     bound: [u64; 2],
-    /// The part of it that belongs to runs that have not started.
+    /// The part of it that belongs to runs of which agents report that they have not started. A run on a worker
+    /// that is silent may be at work.
     unstarted: [u64; 2],
     total: [u64; 2],
 }
 
 impl Usage {
-    /// Returns whether under half of the capacity is in use.
+    /// Returns whether under half of the capacity is in use. Runs that nobody has started use nothing yet.
     pub fn is_mostly_free(&self) -> bool {
-        (0..2).all(|at| self.bound[at] * 2 < self.total[at])
+        (0..2).all(|at| self.started(at) * 2 < self.total[at])
     }
 
     /// Returns the larger one of the percentages of processors and memory that started runs use.
@@ -38,7 +39,7 @@
 
 impl Scheduler {
     /// Returns the usage of a service.
-    pub(super) fn usage(&self, service: &str, now: Moment) -> Usage {
+    pub(super) fn usage(&self, service: &str) -> Usage {
         let mut usage = Usage::default();
         let of_service = |worker: &usize| {
             let worker = &self.workers[*worker];
@@ -49,7 +50,7 @@
             add(&mut usage.total, self.workers[slot].report.capacity);
         }
         for (task, binding) in &self.bindings {
-            if of_service(&binding.worker) && self.is_unstarted(*task, binding, now) {
+            if of_service(&binding.worker) && self.is_reported_unstarted(*task, binding) {
                 add(&mut usage.unstarted, binding.counted());
             }
         }
