Let last attempts run on workers on probation while most of the capacity is free

Callers saw a job of which nothing ran for as long as tasks of other jobs stalled. A task that may fail only once more took open workers alone, however long it waited: stalls close a worker for 2.5 s, and the first probe after that goes to a job that is ahead in the order, which stalls again. The wait had no limit.

After 2 s a last attempt takes workers on probation, as other starved tasks do; after 2.5 s it takes those closed by stalls alone. A stall costs no attempt. Workers that fail what they start stay closed to it.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -85,7 +85,9 @@
     Usual,
     /// The processors of a worker may be in use by best-effort tasks, and the task may be slow beside them.
     Busy,
-    /// The worker may also be closed by stalls, or on probation.
+    /// The worker may also be on probation.
+    Probation,
+    /// The worker may also be closed by stalls.
     Closed,
 }
 
@@ -175,7 +177,7 @@
         if takes_reserved(worker, task.step) {
             cost += RESERVED_COST;
         }
-        if task.tolerance == Tolerance::Closed && worker.health.trust(now) != Trust::Full {
+        if task.tolerance >= Tolerance::Probation && worker.health.trust(now) != Trust::Full {
             cost += CLOSED_COST + worker.health.quarantine_left(now);
         }
         if best.is_none_or(|(least, _)| cost < least) {
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -112,14 +112,16 @@
 }
 
 fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
+    let health = &worker.health;
     match task.tolerance {
-        Tolerance::Closed => !worker.health.accepts_waiting_task(now),
-        Tolerance::Usual | Tolerance::Busy => !worker.health.accepts_tasks(now),
+        Tolerance::Closed => !health.accepts_waiting_task(now),
+        Tolerance::Probation => !health.accepts_tasks(now) || !health.accepts_waiting_task(now),
+        Tolerance::Usual | Tolerance::Busy => !health.accepts_tasks(now),
     }
 }
 
 fn is_on_probation(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
-    task.tolerance < Tolerance::Closed
+    task.tolerance < Tolerance::Probation
         && !task.step.long_running
         && !worker.health.accepts_short_task(task.task, task.step, now)
 }
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -19,6 +19,10 @@
 /// capacity is free; the rest is left to the order and the start.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
+/// Wait after which a last attempt takes a worker that is closed by stalls as well. A quarantine that began with the
+/// wait has ended by then.
+const LAST_ATTEMPT_WAIT: Duration = Duration::from_millis(2_500);
+
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
 
@@ -36,7 +40,8 @@
     /// stay bound, so the job gets another one of its tasks, on another worker if any has room. Processors that
     /// other best-effort tasks use don't matter to a best-effort job: they count against no capacity, so the job
     /// would wait for as long as others come. Nor does it matter that a worker is closed by stalls or on probation:
-    /// a fault of all of them would close the whole service. The job that has waited longest comes first.
+    /// a fault of all of them would close the whole service. A last attempt waits longer for one that isn't closed.
+    /// The job that has waited longest comes first.
     pub(super) fn place_starved(&mut self, table: &JobTable, round: &mut Round, wall_ms: u64) {
         let now = round.now();
         let recent = |at: Moment| now.since(at) < PASS_PERIOD;
@@ -88,11 +93,7 @@
         let mut tasks = self.short_tasks(id, job, wall_ms).into_iter();
         tasks.find_map(|task| {
             let turn = self.turn_of(job, task);
-            let tolerance = if waited >= MAX_WAIT && has_spare_attempt(job, task) {
-                Tolerance::Closed
-            } else {
-                Tolerance::Busy
-            };
+            let tolerance = tolerance_after(waited, has_spare_attempt(job, task));
             let unstarted_cost = if self.is_bound(id) {
                 choose::LAST_COST
             } else {
@@ -138,10 +139,22 @@
     }
 }
 
+/// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer.
+fn tolerance_after(waited: Duration, has_spare_attempt: bool) -> Tolerance {
+    if waited < MAX_WAIT {
+        Tolerance::Busy
+    } else if has_spare_attempt || waited >= LAST_ATTEMPT_WAIT {
+        Tolerance::Closed
+    } else {
+        Tolerance::Probation
+    }
+}
+
 /// The tasks that found no worker in a pass, by what they accept.
 #[derive(Debug, Default)]
 struct StarvedMisses {
     busy: Misses,
+    probation: Misses,
     closed: Misses,
 }
 
@@ -149,6 +162,7 @@
     const fn of(&mut self, tolerance: Tolerance) -> &mut Misses {
         match tolerance {
             Tolerance::Usual | Tolerance::Busy => &mut self.busy,
+            Tolerance::Probation => &mut self.probation,
             Tolerance::Closed => &mut self.closed,
         }
     }
@@ -158,7 +172,7 @@
     progress_of(job, task).is_some_and(suspects::is_suspected)
 }
 
-/// Returns whether a task may fail once more. A worker that isn't trusted is likely to fail it.
+/// Returns whether a task may fail once more. A worker that is closed is likely to fail it.
 fn has_spare_attempt(job: &Job, task: TaskKey) -> bool {
     let progress = progress_of(job, task);
     progress.is_some_and(|progress| progress.failures + 1 < job.policy.max_attempts)
