Count orders that an agent can't have read as not started

A job waited for a whole lease, beside pending tasks and room, after its run was bound to a worker whose agent had stopped reading orders. An agent lists the runs that it has read and not started, so an unread one was in no report, and it counted as running: its job was not starved, and it counted as in use.

A run that was bound up to 2.7 s before the first report that orders can't be read, or since, counts as not started while the agent says so. It stays bound; the job gets another of its tasks.

Ruled out: counting each run on such a worker. Those bound earlier have been read and run on until the lease lapses.

--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -21,6 +21,11 @@
 /// since. Agents report every 0.8 s.
 const UNHEARD_AFTER: Duration = Duration::from_secs(2);
 
+/// Time for which an agent has read no orders when its first report of that is read: it reports after 2.2 s, which it
+/// checks each 0.25 s, and the report takes its time. Runs that were bound since may be unread, and the agent can't
+/// list those.
+const UNREAD_BEFORE_REPORT: Duration = Duration::from_millis(2_700);
+
 /// What is known of the runs that have not started.
 #[derive(Debug, Default)]
 pub(super) struct UnstartedRuns {
@@ -125,13 +130,15 @@
         self.is_reported_unstarted(task, binding) || (unheard && now.since(since) > UNHEARD_AFTER)
     }
 
-    /// Returns whether the agent of its worker reports that a bound run has not started.
+    /// Returns whether the agent of its worker reports that a bound run has not started, or that it could not read
+    /// its orders when the run was bound.
     pub(super) fn is_reported_unstarted(&self, task: TaskKey, binding: &Binding) -> bool {
         let run = UnstartedRun {
             task,
             run: binding.run,
         };
         let worker = &self.workers[binding.worker];
-        worker.report.not_started.contains(&run)
+        let is_unread = |since: Moment| binding.bound_at + UNREAD_BEFORE_REPORT > since;
+        worker.unread_since.is_some_and(is_unread) || worker.report.not_started.contains(&run)
     }
 }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -11,7 +11,7 @@
 use crate::record::SuspicionRecord;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
-use crate::worker::{WorkerReport, WorkerState};
+use crate::worker::{StartBlock, WorkerReport, WorkerState};
 
 /// Share of their processor demand that long-running tasks leave idle on average, in percent.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
@@ -77,6 +77,8 @@
     /// recorded.
     pub suspected_at: Option<Moment>,
     pub last_contact: Moment,
+    /// Time since which the agent has reported that it can't read its orders; `None` while it can.
+    pub unread_since: Option<Moment>,
     /// Time since which the main stream has been read to its end without a gap.
     pub reading_since: Moment,
     /// Demand that counts against the capacity. Excludes the processor demand of best-effort tasks.
@@ -124,6 +126,7 @@
             suspicion,
             suspected_at: None,
             last_contact: now,
+            unread_since: None,
             reading_since: Moment::ZERO,
             used: Resources::ZERO,
             best_effort_millicores: 0,
@@ -156,6 +159,8 @@
     /// Replaces the report, which was read at `now`.
     pub fn set_report(&mut self, report: &WorkerReport, now: Moment) {
         self.cold_until = now + Duration::from_millis(report.cold_ms);
+        let is_unread = report.start_block == Some(StartBlock::OrdersStale);
+        self.unread_since = is_unread.then(|| self.unread_since.unwrap_or(now));
         self.report = report.clone();
         self.records_dropped = false;
     }
--- a/crates/agate_jobs/tests/jobs/unstarted.rs
+++ b/crates/agate_jobs/tests/jobs/unstarted.rs
@@ -5,7 +5,7 @@
 use agate_core::{Moment, Resources};
 use agate_jobs::plan::{OldestUnstarted, Placement, ShortWait, Trust, Unstarted};
 use agate_jobs::record::Body;
-use agate_jobs::{EndCause, Record, StepSpec, UnstartedRun, WorkerReport};
+use agate_jobs::{EndCause, Record, StartBlock, StepSpec, UnstartedRun, WorkerReport};
 use rstest::rstest;
 
 use crate::fleet::{Fleet, LEASE};
@@ -167,6 +167,22 @@
     );
 }
 
+/// An agent that can't read its orders can't list a run as not started, and the job waited for the lease.
+#[test]
+fn a_job_whose_order_is_not_read_gets_another_task_on_another_worker() {
+    let (mut fleet, first) = fleet_with_starved_job(3);
+    assert_eq!(place_rounds(&mut fleet, 16, &[]), []);
+    let second = place_rounds_with(&mut fleet, 14, |name| {
+        let start_block = (name == first.worker).then_some(StartBlock::OrdersStale);
+        Record::new(Body::Worker(WorkerReport {
+            start_block,
+            ..large(name, 8_000)
+        }))
+    });
+    let workers: Vec<&str> = second.iter().map(|placed| placed.worker.as_str()).collect();
+    assert_eq!(workers, ["b"]);
+}
+
 /// The cost of a worker that is cold outweighed that of one on which the job already waits.
 #[test]
 fn another_task_goes_to_the_other_worker_even_if_that_is_cold() {
