Bind one last attempt at a time to a worker that fails its tasks

Since last attempts run on workers on probation after 2 s, a worker that fails each task after a while took one of them each 100 ms until the first one had failed, and all failed with it: their jobs ended without having run elsewhere. Ordinary rounds bind one probe at a time there.

A last attempt of a starved job leaves a worker on probation after failures to the probe that runs there, until that has run for 1.5 s, as ordinary rounds do. Workers on probation after stalls take one each 100 ms as before, since a stall costs no attempt.

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -79,7 +79,7 @@
 }
 
 /// What a task accepts in a worker. It accepts more once it has waited for long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) enum Tolerance {
     /// An open worker on which it runs fast enough.
     Usual,
@@ -110,6 +110,8 @@
     /// Whether the task may be started beside suspects that have not survived their start.
     pub beside_probes: bool,
     pub tolerance: Tolerance,
+    /// Whether the task may fail only once more.
+    pub last_attempt: bool,
     /// Cost of a worker whose agent has not been able to start some of its runs.
     pub unstarted_cost: f64,
 }
--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -99,6 +99,13 @@
         accepts && !self.has_rejected(now)
     }
 
+    /// Returns whether a task that may fail only once more leaves the worker to others: a probe runs there that has
+    /// not proven it, after failures. All tasks that were bound beside it would fail with it.
+    pub fn rejects_last_attempt(&self, now: Moment) -> bool {
+        let is_unproven = |since: &Moment| now.since(*since) < PROBE_TIME;
+        self.on_probation && self.has_failed && self.probes.values().any(is_unproven)
+    }
+
     fn has_rejected(&self, now: Moment) -> bool {
         now < self.rejected_until
     }
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -113,9 +113,12 @@
 
 fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     let health = &worker.health;
+    let accepts_waiting = || {
+        health.accepts_waiting_task(now) && !(task.last_attempt && health.rejects_last_attempt(now))
+    };
     match task.tolerance {
-        Tolerance::Closed => !health.accepts_waiting_task(now),
-        Tolerance::Probation => !health.accepts_tasks(now) || !health.accepts_waiting_task(now),
+        Tolerance::Closed => !accepts_waiting(),
+        Tolerance::Probation => !health.accepts_tasks(now) || !accepts_waiting(),
         Tolerance::Usual | Tolerance::Busy => !health.accepts_tasks(now),
     }
 }
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -283,6 +283,7 @@
             yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
             beside_probes: false,
             tolerance: Tolerance::Usual,
+            last_attempt: progress.failures + 1 >= job.policy.max_attempts,
             unstarted_cost: choose::UNSTARTED_COST,
         })
     }
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -93,7 +93,8 @@
         let mut tasks = self.short_tasks(id, job, wall_ms).into_iter();
         tasks.find_map(|task| {
             let turn = self.turn_of(job, task);
-            let tolerance = tolerance_after(waited, has_spare_attempt(job, task));
+            let candidate = self.candidate(&turn, task)?;
+            let tolerance = tolerance_after(waited, candidate.last_attempt);
             let unstarted_cost = if self.is_bound(id) {
                 choose::LAST_COST
             } else {
@@ -103,9 +104,9 @@
                 tolerance,
                 unstarted_cost,
                 yields: false,
-                ..self.candidate(&turn, task)?
+                ..candidate
             };
-            let misses = misses.of(tolerance);
+            let misses = misses.of(&candidate);
             if misses.covers(&turn, candidate.step) {
                 return None;
             }
@@ -140,31 +141,24 @@
 }
 
 /// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer.
-fn tolerance_after(waited: Duration, has_spare_attempt: bool) -> Tolerance {
+fn tolerance_after(waited: Duration, last_attempt: bool) -> Tolerance {
     if waited < MAX_WAIT {
         Tolerance::Busy
-    } else if has_spare_attempt || waited >= LAST_ATTEMPT_WAIT {
+    } else if !last_attempt || waited >= LAST_ATTEMPT_WAIT {
         Tolerance::Closed
     } else {
         Tolerance::Probation
     }
 }
 
-/// The tasks that found no worker in a pass, by what they accept.
+/// The tasks that found no worker in a pass, by what they accept and whether they may fail only once more.
 #[derive(Debug, Default)]
-struct StarvedMisses {
-    busy: Misses,
-    probation: Misses,
-    closed: Misses,
-}
+struct StarvedMisses(HashMap<(Tolerance, bool), Misses>);
 
 impl StarvedMisses {
-    const fn of(&mut self, tolerance: Tolerance) -> &mut Misses {
-        match tolerance {
-            Tolerance::Usual | Tolerance::Busy => &mut self.busy,
-            Tolerance::Probation => &mut self.probation,
-            Tolerance::Closed => &mut self.closed,
-        }
+    fn of(&mut self, task: &Candidate<'_>) -> &mut Misses {
+        let key = (task.tolerance, task.last_attempt);
+        self.0.entry(key).or_default()
     }
 }
 
--- a/crates/agate_jobs/tests/jobs/closed_gaps/attempts.rs
+++ b/crates/agate_jobs/tests/jobs/closed_gaps/attempts.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use agate_core::{JobId, Moment};
+use agate_jobs::plan::Placement;
 use agate_jobs::record::Body;
 use agate_jobs::{EndCause, Record, WorkerReport};
 
 use super::ROUND;
 use crate::fleet::Fleet;
+use crate::starved::large;
 use crate::support::{ended, report, step, submitted, task};
 
 /// Time after which an agent stops a run that makes no progress.
@@ -81,3 +83,28 @@
     }
     assert!(longest <= BOUND, "waited for {longest:?}");
 }
+
+/// Workers that fail what they start after a while took the last attempts of one job after another while the first
+/// one ran.
+#[test]
+fn workers_that_fail_late_take_one_last_attempt_at_a_time() {
+    let names = ["a", "b"];
+    let mut fleet = Fleet::new(&names.map(|name| large(name, 8_000)));
+    for job in 1..=40 {
+        fleet.fold(submitted(job, vec![step(1)]));
+        fleet.fold(ended(task(job, 0, 0), 1, EndCause::Failed, "z"));
+    }
+    let mut runs: Vec<(Moment, Placement)> = Vec::new();
+    for round in 0..80 {
+        let now = fleet.now;
+        for (_, run) in runs.extract_if(.., |(at, _)| now.since(*at) >= Duration::from_secs(1)) {
+            fleet.fold(ended(run.task, run.run, EndCause::Failed, &run.worker));
+        }
+        runs.extend(fleet.place().into_iter().map(|placed| (now, placed)));
+        for name in names {
+            let running = runs.iter().filter(|(_, run)| run.worker == name).count();
+            assert!(round < 10 || running <= 1, "{running} in round {round}");
+        }
+        fleet.now = now + ROUND;
+    }
+}
