Give workers to the gangs of starved jobs

Callers saw a job with a gang wait for as long as others used the processors of a best-effort service, with nothing counted as in use, or as long as one worker at a time was closed: each quarantine of 2.5 s ends, but a gang whose members need all workers needs them open at once. The pass over starved jobs, which ends both for other tasks, left gangs out.

A starved job of which no other task finds a worker gets a gang of short tasks as a whole, under the conditions of its other tasks. Members that start together don't count against the pause of 100 ms between waiting tasks, and a gang that doesn't fit leaves the pause as it was.

--- a/crates/agate_jobs/src/plan/health.rs
+++ b/crates/agate_jobs/src/plan/health.rs
@@ -67,8 +67,8 @@
     quarantined_until: Moment,
     /// Whether a run has failed since the last quarantine began, or led to it.
     has_failed: bool,
-    /// Time of the newest binding to the worker while it wasn't trusted.
-    probed_at: Option<Moment>,
+    /// The newest task that was bound to the worker while it wasn't trusted, and when.
+    probed: Option<(TaskKey, Moment)>,
     /// Time until which the worker takes nothing after it has rejected a start.
     rejected_until: Moment,
     /// Jobs whose runs led to a quarantine and when, since the last success.
@@ -87,10 +87,13 @@
     }
 
     /// Returns whether a task may be bound that has waited for long while most of the capacity is free. A worker
-    /// in quarantine takes one only if no run has failed there: unlike a stall, a failure costs an attempt.
-    pub fn accepts_waiting_task(&self, now: Moment) -> bool {
-        let recent = |at: Moment| now.since(at) < WAITING_PAUSE;
-        let is_paused = self.probed_at.is_some_and(recent);
+    /// in quarantine takes one only if no run has failed there: unlike a stall, a failure costs an attempt. The
+    /// members of a gang start together.
+    pub fn accepts_waiting_task(&self, task: TaskKey, step: &StepSpec, now: Moment) -> bool {
+        let is_paused = self.probed.is_some_and(|(other, at)| {
+            let is_member = step.gang && other.is_sibling(task);
+            now.since(at) < WAITING_PAUSE && !is_member
+        });
         let accepts = match self.trust(now) {
             Trust::Full => true,
             Trust::Probation => !is_paused,
@@ -101,9 +104,11 @@
 
     /// Returns whether a task that may fail only once more leaves the worker to others: a probe runs there that has
     /// not proven it, after failures. All tasks that were bound beside it would fail with it.
-    pub fn rejects_last_attempt(&self, now: Moment) -> bool {
-        let is_unproven = |since: &Moment| now.since(*since) < PROBE_TIME;
-        self.on_probation && self.has_failed && self.probes.values().any(is_unproven)
+    pub fn rejects_last_attempt(&self, task: TaskKey, step: &StepSpec, now: Moment) -> bool {
+        let is_member = |other: &TaskKey| step.gang && other.is_sibling(task);
+        let mut others = self.probes.iter().filter(|(other, _)| !is_member(other));
+        let is_unproven = others.any(|(_, since)| now.since(*since) < PROBE_TIME);
+        self.on_probation && self.has_failed && is_unproven
     }
 
     fn has_rejected(&self, now: Moment) -> bool {
@@ -160,7 +165,17 @@
             Trust::Probation => drop(self.probes.insert(task, now)),
             Trust::Quarantine => {}
         }
-        self.probed_at = Some(now);
+        self.probed = Some((task, now));
+    }
+
+    /// Returns the newest probe.
+    pub const fn newest_probe(&self) -> Option<(TaskKey, Moment)> {
+        self.probed
+    }
+
+    /// Forgets a binding that was never ordered; `earlier` was the newest probe before it.
+    pub fn undo_binding(&mut self, earlier: Option<(TaskKey, Moment)>) {
+        self.probed = earlier;
     }
 
     /// Records that a task is no longer bound, whether its run has ended or was never ordered.
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -114,7 +114,8 @@
 fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
     let health = &worker.health;
     let accepts_waiting = || {
-        health.accepts_waiting_task(now) && !(task.last_attempt && health.rejects_last_attempt(now))
+        health.accepts_waiting_task(task.task, task.step, now)
+            && !(task.last_attempt && health.rejects_last_attempt(task.task, task.step, now))
     };
     match task.tolerance {
         Tolerance::Closed => !accepts_waiting(),
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -94,7 +94,7 @@
             }
             for at in ready_steps(turn.job, wall_ms) {
                 if turn.job.spec.steps[at.1].gang {
-                    self.place_gang(turn, at, &mut round);
+                    self.place_gang(turn, at, Tolerance::Usual, &mut round);
                 } else {
                     self.place_step(turn, at, &mut round);
                 }
@@ -196,7 +196,13 @@
     }
 
     /// Places all tasks of a gang or none.
-    fn place_gang(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
+    pub(super) fn place_gang(
+        &mut self,
+        turn: &Turn<'_>,
+        at: (usize, usize),
+        tolerance: Tolerance,
+        round: &mut Round,
+    ) {
         let job = turn.job;
         let pending_tasks = self.pending_tasks(turn, at);
         let step = &job.progress[at.0][at.1];
@@ -207,24 +213,29 @@
         let run = step.last_run() + 1;
         let effects = self.effects.len();
         let mut members: Vec<Placement> = Vec::new();
+        let mut earlier_probes = Vec::new();
         for task in pending_tasks {
-            let Some(slot) = self.choose(turn, task, round.now) else {
+            let Some(slot) = self.choose_tolerant(turn, task, tolerance, round.now) else {
                 self.effects.truncate(effects);
-                for member in members {
-                    self.unbind(member.task);
+                for (member, probe) in members.iter().zip(earlier_probes).rev() {
+                    self.unbind(member.task, probe);
                 }
                 self.note_zone_wait(job, task);
                 return;
             };
+            earlier_probes.push(self.workers[slot].health.newest_probe());
             members.push(self.bind(job, task, (slot, Some(run)), round.now));
         }
         round.left = round.left.saturating_sub(members.len());
         round.placed.append(&mut members);
     }
 
-    fn unbind(&mut self, task: TaskKey) {
+    /// Undoes a binding that has not been ordered; `earlier` was the newest probe of the worker before it.
+    fn unbind(&mut self, task: TaskKey, earlier: Option<(TaskKey, Moment)>) {
         if let Some(binding) = self.bindings.remove(&task) {
-            self.workers[binding.worker].release(task, &binding);
+            let worker = &mut self.workers[binding.worker];
+            worker.release(task, &binding);
+            worker.health.undo_binding(earlier);
         }
     }
 
@@ -252,6 +263,25 @@
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
+    /// Returns a worker for a task that accepts more than usual in it.
+    fn choose_tolerant(
+        &self,
+        turn: &Turn<'_>,
+        task: TaskKey,
+        tolerance: Tolerance,
+        now: Moment,
+    ) -> Option<usize> {
+        if tolerance == Tolerance::Usual {
+            return self.choose(turn, task, now);
+        }
+        let candidate = Candidate {
+            tolerance,
+            yields: false,
+            ..self.candidate(turn, task)?
+        };
+        choose::choose(&self.workers, &self.interference, candidate, now)
+    }
+
     /// Returns whether short tasks leave room to long-running ones for which it has been reserved for
     /// long. The short tasks in their way may run for long as well, while most processors are idle.
     fn short_tasks_yield(&self, service: &str) -> bool {
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -68,16 +68,50 @@
             if !usage.is_mostly_free() || self.has_started(id, now) {
                 continue;
             }
-            let Some((task, slot)) =
+            let known = round.placed().len();
+            if let Some((task, slot)) =
                 self.choose_starved((id, job, waited), &mut misses, now, wall_ms)
-            else {
+            {
+                let placement = self.bind(job, task, (slot, None), now);
+                round.add(placement);
+            } else {
+                self.place_starved_gang((id, job, waited), round, wall_ms);
+            }
+            let placed = &round.placed()[known..];
+            if !placed.is_empty() {
+                self.starved.jobs.insert(id);
+            }
+            for binding in placed
+                .iter()
+                .filter_map(|placed| self.bindings.get(&placed.task))
+            {
+                usage.add_bound(binding.counted());
+            }
+        }
+    }
+
+    /// Binds the first gang of short tasks of a starved job for which there are workers.
+    fn place_starved_gang(
+        &mut self,
+        (id, job, waited): (JobId, &Job, Duration),
+        round: &mut Round,
+        wall_ms: u64,
+    ) {
+        let turn = order::whole(id, job);
+        let known = round.placed().len();
+        for at in ready_steps(job, wall_ms) {
+            let step = &job.spec.steps[at.1];
+            if !step.gang || step.long_running {
                 continue;
+            }
+            let last_attempt = {
+                let mut members = self.pending(&turn, at);
+                members.any(|task| !has_spare_attempt(job, task))
             };
-            let placement = self.bind(job, task, (slot, None), now);
-            round.add(placement);
-            self.starved.jobs.insert(id);
-            if let Some(binding) = self.bindings.get(&task) {
-                usage.add_bound(binding.counted());
+            let tolerance = tolerance_after(waited, last_attempt);
+            self.place_gang(&turn, at, tolerance, round);
+            if round.placed().len() > known {
+                return;
             }
         }
     }
--- a/crates/agate_jobs/tests/jobs/closed_gaps/mod.rs
+++ b/crates/agate_jobs/tests/jobs/closed_gaps/mod.rs
@@ -5,6 +5,7 @@
 mod burst;
 mod first;
 mod kinds;
+mod left_out;
 mod rejected;
 mod sound;
 
