Let suspects that have waited run where others use the processors

A best-effort task that may have crashed a worker waited for as long as others used the processors, with nothing counted as in use: after 2.5 s suspects give up being kept apart, but no other obstacle, and the pass over starved jobs leaves them out.

A short suspect of a job of which nothing runs accepts after 2.5 s what other starved tasks accept, while under half of the capacity is in use.

The case failed before.

--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -5,17 +5,18 @@
 //! that run nothing else are preferred, so that a crash takes nothing else down. Both have a limit in time,
 //! after which tasks no longer wait for it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use agate_core::Moment;
 
 use crate::crash::{Attribution, CrashHistory, RECENT_START};
-use crate::plan::choose::{self, Candidate};
+use crate::plan::choose::{self, Candidate, Tolerance};
 use crate::plan::obstacle::Obstacle;
 use crate::plan::order;
 use crate::plan::place::{Round, ready_steps};
 use crate::plan::scheduler::Scheduler;
+use crate::plan::usage::Usage;
 use crate::plan::worker::Worker;
 use crate::spec::StepSpec;
 use crate::table::{Job, JobTable, TaskProgress};
@@ -81,15 +82,21 @@
             return;
         }
         let mut busy = self.recently_used(round.now());
+        let mut usages = HashMap::new();
         for suspect in pending {
             if round.is_full() {
                 return;
             }
-            let Some(slot) = self.choose_for_suspect(&suspect, &busy, round.now()) else {
+            let Some(slot) = self.choose_for_suspect(&suspect, &busy, &mut usages, round.now())
+            else {
                 continue;
             };
             let placement = self.bind(suspect.job, suspect.task, (slot, None), round.now());
             self.suspects.0.remove(&suspect.task);
+            let usage = usages.get_mut(suspect.job.policy.service.as_str());
+            if let (Some(usage), Some(binding)) = (usage, self.bindings.get(&suspect.task)) {
+                usage.add_bound(binding.counted());
+            }
             round.add(placement);
             busy.insert(slot);
         }
@@ -146,15 +153,17 @@
         recent.map(|binding| binding.worker).collect()
     }
 
-    fn choose_for_suspect(
+    fn choose_for_suspect<'a>(
         &self,
-        suspect: &Pending<'_>,
+        suspect: &Pending<'a>,
         busy: &BTreeSet<usize>,
+        usages: &mut HashMap<&'a str, Usage>,
         now: Moment,
     ) -> Option<usize> {
         let turn = order::whole(suspect.task.job, suspect.job);
         let candidate = self.candidate(&turn, suspect.task)?;
         let Some(isolation) = self.isolation(suspect.waited, busy, now) else {
+            let candidate = self.starved_suspect(suspect, candidate, usages, now);
             return self.choose_for_late_suspect(candidate, busy, now);
         };
         let slots = choose::fitting(&self.workers, candidate, now);
@@ -171,6 +180,29 @@
         })
     }
 
+    /// Lets a short suspect that has waited for long accept what other starved tasks do.
+    fn starved_suspect<'a, 'b>(
+        &self,
+        suspect: &Pending<'a>,
+        candidate: Candidate<'b>,
+        usages: &mut HashMap<&'a str, Usage>,
+        now: Moment,
+    ) -> Candidate<'b> {
+        let service = suspect.job.policy.service.as_str();
+        let mut usage = || *usages.entry(service).or_insert_with(|| self.usage(service));
+        let is_starved = !candidate.step.long_running
+            && !self.has_started(suspect.task.job, now)
+            && usage().is_mostly_free();
+        if !is_starved {
+            return candidate;
+        }
+        Candidate {
+            tolerance: Tolerance::Closed,
+            yields: false,
+            ..candidate
+        }
+    }
+
     /// Returns a worker for a suspect that has waited for long: one on which no other suspect or start is
     /// taken for the cause of a crash, as long as there is one.
     fn choose_for_late_suspect(
--- a/crates/agate_jobs/tests/jobs/closed_gaps/left_out.rs
+++ b/crates/agate_jobs/tests/jobs/closed_gaps/left_out.rs
@@ -13,6 +13,7 @@
 /// capacity free.
 #[rstest]
 #[case::gang(StepSpec { gang: true, tasks: 2, ..best_effort_step() }, false)]
+#[case::suspect(best_effort_step(), true)]
 fn best_effort_tasks_of_each_kind_run_where_others_use_the_processors(
     #[case] step: StepSpec,
     #[case] suspected: bool,
