Let starved jobs take reserved room after 2.5 s

Room that is reserved for a long-running task is kept from short ones for 2.5 s. Where such tasks come and go one after another, each reservation is a new one, and a job waited for as long as they did, with under half of the capacity in use.

After 2.5 s a starved task takes reserved room as well, if no other is left: a reservation that began with its wait has ended by then. One task of each job runs so, and only while under half of the capacity is in use.

What a task leaves to reservations is a type of its own now; the flag meant one thing for short tasks and another one for long-running ones.

The test failed before (not placed within 3 s).

--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -89,6 +89,29 @@
     Probation,
     /// The worker may also be closed by stalls.
     Closed,
+    /// The room may also be reserved for long-running tasks.
+    Reserved,
+}
+
+impl Tolerance {
+    /// Returns the reserved room that a task leaves that has waited for long.
+    pub(super) const fn yields(self) -> Yield {
+        match self {
+            Self::Reserved => Yield::Nothing,
+            Self::Usual | Self::Busy | Self::Probation | Self::Closed => Yield::Recent,
+        }
+    }
+}
+
+/// The reserved room that a task leaves to the long-running ones that wait for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Yield {
+    /// None of it.
+    Nothing,
+    /// What was reserved recently.
+    Recent,
+    /// All of it.
+    All,
 }
 
 /// A task to be placed.
@@ -104,9 +127,8 @@
     /// than half of the service's processors are in use.
     pub min_speed: f64,
     pub preference: Preference,
-    /// Whether a long-running task leaves room to an earlier one that waits for it, and whether a short
-    /// task leaves room to long-running ones that have waited for long.
-    pub yields: bool,
+    /// The reserved room that the task leaves to long-running ones.
+    pub yields: Yield,
     /// Whether the task may be started beside suspects that have not survived their start.
     pub beside_probes: bool,
     pub tolerance: Tolerance,
@@ -191,7 +213,9 @@
 
 /// Returns whether a short task would take room that is reserved.
 fn takes_reserved(worker: &Worker, step: &StepSpec) -> bool {
-    !step.long_running && !worker.reservations.is_empty() && worker.shortage(step, true).is_some()
+    !step.long_running
+        && !worker.reservations.is_empty()
+        && worker.shortage(step, Yield::All).is_some()
 }
 
 /// Returns the workers that a task fits on.
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -118,7 +118,7 @@
             && !(task.last_attempt && health.rejects_last_attempt(task.task, task.step, now))
     };
     match task.tolerance {
-        Tolerance::Closed => !accepts_waiting(),
+        Tolerance::Closed | Tolerance::Reserved => !accepts_waiting(),
         Tolerance::Probation => !health.accepts_tasks(now) || !accepts_waiting(),
         Tolerance::Usual | Tolerance::Busy => !health.accepts_tasks(now),
     }
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -3,7 +3,7 @@
 use agate_core::{JobId, Moment};
 
 use crate::backlog::Part;
-use crate::plan::choose::{self, Candidate, Preference, Tolerance};
+use crate::plan::choose::{self, Candidate, Preference, Tolerance, Yield};
 use crate::plan::effect::Effect;
 use crate::plan::misses::Misses;
 use crate::plan::order::{self, Turn};
@@ -11,6 +11,7 @@
 use crate::plan::suspects;
 use crate::plan::worker::{Binding, FIRST_TIME};
 use crate::record::{Order, OrderKind};
+use crate::spec::StepSpec;
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
 
@@ -258,7 +259,11 @@
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
+            candidate.yields = if !moves && self.waits.waited(task, now) < FIRST_TIME {
+                Yield::Recent
+            } else {
+                Yield::Nothing
+            };
         }
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
@@ -276,12 +281,23 @@
         }
         let candidate = Candidate {
             tolerance,
-            yields: false,
+            yields: tolerance.yields(),
             ..self.candidate(turn, task)?
         };
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
+    /// Returns what a task leaves to long-running ones, whatever its wait.
+    fn usual_yield(&self, step: &StepSpec, service: &str) -> Yield {
+        if step.long_running {
+            Yield::Nothing
+        } else if self.short_tasks_yield(service) {
+            Yield::All
+        } else {
+            Yield::Recent
+        }
+    }
+
     /// Returns whether short tasks leave room to long-running ones for which it has been reserved for
     /// long. The short tasks in their way may run for long as well, while most processors are idle.
     fn short_tasks_yield(&self, service: &str) -> bool {
@@ -310,7 +326,7 @@
                 Part::Stragglers => Preference::Fastest,
                 Part::Others | Part::All => Preference::Balanced,
             },
-            yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
+            yields: self.usual_yield(step, &job.policy.service),
             beside_probes: false,
             tolerance: Tolerance::Usual,
             last_attempt: progress.failures + 1 >= job.policy.max_attempts,
--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -19,9 +19,10 @@
 /// capacity is free; the rest is left to the order and the start.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Wait after which a last attempt takes a worker that is closed by stalls as well. A quarantine that began with the
-/// wait has ended by then.
-const LAST_ATTEMPT_WAIT: Duration = Duration::from_millis(2_500);
+/// Wait after which a last attempt takes a worker that is closed by stalls as well, and any task takes room that is
+/// reserved. A quarantine or a reservation that began with the wait has ended by then, or is old; what is left renews
+/// itself.
+const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
@@ -137,7 +138,7 @@
             let candidate = Candidate {
                 tolerance,
                 unstarted_cost,
-                yields: false,
+                yields: tolerance.yields(),
                 ..candidate
             };
             let misses = misses.of(&candidate);
@@ -174,11 +175,14 @@
     }
 }
 
-/// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer.
+/// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer, and all tasks
+/// from room that is reserved.
 fn tolerance_after(waited: Duration, last_attempt: bool) -> Tolerance {
     if waited < MAX_WAIT {
         Tolerance::Busy
-    } else if !last_attempt || waited >= LAST_ATTEMPT_WAIT {
+    } else if waited >= LONGEST_WAIT {
+        Tolerance::Reserved
+    } else if !last_attempt {
         Tolerance::Closed
     } else {
         Tolerance::Probation
--- a/crates/agate_jobs/src/plan/suspects.rs
+++ b/crates/agate_jobs/src/plan/suspects.rs
@@ -197,8 +197,8 @@
             return candidate;
         }
         Candidate {
-            tolerance: Tolerance::Closed,
-            yields: false,
+            tolerance: Tolerance::Reserved,
+            yields: Tolerance::Reserved.yields(),
             ..candidate
         }
     }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -6,6 +6,7 @@
 use agate_core::{JobId, Moment, Resources};
 
 use crate::crash::Crash;
+use crate::plan::choose::Yield;
 use crate::plan::health::Health;
 use crate::plan::obstacle::Obstacle;
 use crate::record::SuspicionRecord;
@@ -202,10 +203,9 @@
         self.runs() == self.probes.len()
     }
 
-    /// Returns why a task of a step doesn't fit beside the bound tasks and the reservations that it
-    /// yields to.
+    /// Returns why a task of a step doesn't fit beside the bound tasks and what it leaves of the reserved room.
     #[inline]
-    pub fn shortage(&self, step: &StepSpec, yields: bool) -> Option<Obstacle> {
+    pub fn shortage(&self, step: &StepSpec, yields: Yield) -> Option<Obstacle> {
         let room = self.room_for(step);
         let reserved = self.reserved_from(step, yields);
         let unreserved = room.saturating_sub(reserved);
@@ -235,13 +235,12 @@
         }
     }
 
-    /// Returns what is kept from a task of a step. A long-running task that doesn't yield ignores all
-    /// reservations; a short one yields to the new ones in any case.
-    fn reserved_from(&self, step: &StepSpec, yields: bool) -> Resources {
-        let reserved = match (step.long_running, yields) {
-            (true, true) | (false, false) => self.reserved_first,
-            (true, false) => Resources::ZERO,
-            (false, true) => self.reserved,
+    /// Returns what is kept from a task of a step.
+    fn reserved_from(&self, step: &StepSpec, yields: Yield) -> Resources {
+        let reserved = match yields {
+            Yield::Nothing => Resources::ZERO,
+            Yield::Recent => self.reserved_first,
+            Yield::All => self.reserved,
         };
         let kept = reserved + self.held;
         if step.best_effort {
--- a/crates/agate_jobs/tests/jobs/starved.rs
+++ b/crates/agate_jobs/tests/jobs/starved.rs
@@ -9,7 +9,7 @@
 
 use crate::fleet::Fleet;
 use crate::place::{best_effort_step, report_with_interference, serving_step};
-use crate::support::{ended, submitted, task};
+use crate::support::{cancelled, ended, step, submitted, task};
 
 const ROUND: Duration = Duration::from_millis(100);
 
@@ -173,3 +173,35 @@
     }
     assert_eq!(placed(&mut fleet, 40), []);
 }
+
+/// Room for long-running tasks that come and go one after another was kept from a starved job for as long as they did.
+#[test]
+fn a_starved_job_does_not_wait_for_a_series_of_reservations() {
+    let half = Resources::new(3_500, 3_500, 0);
+    let mut fleet = Fleet::new(&["a", "b"].map(|name| large(name, 8_000)));
+    let holders = ["a", "b"].map(|worker| StepSpec {
+        label: format!("r-{worker}"),
+        demand: half,
+        ..step(1)
+    });
+    fleet.fold(submitted(1, holders.to_vec()));
+    assert_eq!(fleet.place().len(), 2);
+    fleet.fold(submitted(3, vec![step(1)]));
+    let waiting = StepSpec {
+        long_running: true,
+        demand: Resources::new(7_500, 7_500, 0),
+        ..step(2)
+    };
+    for round in 0..=30_u64 {
+        if round.is_multiple_of(10) {
+            fleet.fold(submitted(10 + round, vec![waiting.clone()]));
+            fleet.fold(cancelled(round));
+        }
+        let placed = fleet.place();
+        if placed.iter().any(|placed| placed.task.job.0 == 3) {
+            return;
+        }
+        fleet.now = fleet.now + ROUND;
+    }
+    panic!("not placed within 3 s");
+}
