--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -19,9 +19,10 @@
 /// capacity is free; the rest is left to the order and the start.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Wait after which a last attempt takes a worker that is closed by stalls as well. A quarantine that began with the
-/// wait has ended by then.
-const LAST_ATTEMPT_WAIT: Duration = Duration::from_millis(2_500);
+/// Wait after which a last attempt takes a worker that is closed by stalls as well, and any task takes room that is
+/// reserved. A quarantine or a reservation that began with the wait has ended by then, or is old; what is left renews
+/// itself.
+const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
 const PASS_PERIOD: Duration = Duration::from_millis(100);
@@ -68,16 +69,50 @@
             if !usage.is_mostly_free() || self.has_started(id, now) {
                 continue;
             }
-            let Some((task, slot)) =
+            let known = round.placed().len();
+            if let Some((task, slot)) =
                 self.choose_starved((id, job, waited), &mut misses, now, wall_ms)
-            else {
+            {
+                let placement = self.bind(job, task, (slot, None), now);
+                round.add(placement);
+            } else {
+                self.place_starved_gang((id, job, waited), round, wall_ms);
+            }
+            let placed = &round.placed()[known..];
+            if !placed.is_empty() {
+                self.starved.jobs.insert(id);
+            }
+            for binding in placed
+                .iter()
+                .filter_map(|placed| self.bindings.get(&placed.task))
+            {
+                usage.add_bound(binding.counted());
+            }
+        }
+    }
+
+    /// Binds the first gang of short tasks of a starved job for which there are workers.
+    fn place_starved_gang(
+        &mut self,
+        (id, job, waited): (JobId, &Job, Duration),
+        round: &mut Round,
+        wall_ms: u64,
+    ) {
+        let turn = order::whole(id, job);
+        let known = round.placed().len();
+        for at in ready_steps(job, wall_ms) {
+            let step = &job.spec.steps[at.1];
+            if !step.gang || step.long_running {
                 continue;
+            }
+            let last_attempt = {
+                let mut members = self.pending(&turn, at);
+                members.any(|task| !has_spare_attempt(job, task))
             };
-            let placement = self.bind(job, task, (slot, None), now);
-            round.add(placement);
-            self.starved.jobs.insert(id);
-            if let Some(binding) = self.bindings.get(&task) {
-                usage.add_bound(binding.counted());
+            let tolerance = tolerance_after(waited, last_attempt);
+            self.place_gang(&turn, at, tolerance, round);
+            if round.placed().len() > known {
+                return;
             }
         }
     }
@@ -93,7 +128,8 @@
         let mut tasks = self.short_tasks(id, job, wall_ms).into_iter();
         tasks.find_map(|task| {
             let turn = self.turn_of(job, task);
-            let tolerance = tolerance_after(waited, has_spare_attempt(job, task));
+            let candidate = self.candidate(&turn, task)?;
+            let tolerance = tolerance_after(waited, candidate.last_attempt);
             let unstarted_cost = if self.is_bound(id) {
                 choose::LAST_COST
             } else {
@@ -102,10 +138,10 @@
             let candidate = Candidate {
                 tolerance,
                 unstarted_cost,
-                yields: false,
-                ..self.candidate(&turn, task)?
+                yields: tolerance.yields(),
+                ..candidate
             };
-            let misses = misses.of(tolerance);
+            let misses = misses.of(&candidate);
             if misses.covers(&turn, candidate.step) {
                 return None;
             }
@@ -139,32 +175,28 @@
     }
 }
 
-/// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer.
-fn tolerance_after(waited: Duration, has_spare_attempt: bool) -> Tolerance {
+/// Returns what a task accepts after a wait. A last attempt stays away from closed workers for longer, and all tasks
+/// from room that is reserved.
+fn tolerance_after(waited: Duration, last_attempt: bool) -> Tolerance {
     if waited < MAX_WAIT {
         Tolerance::Busy
-    } else if has_spare_attempt || waited >= LAST_ATTEMPT_WAIT {
+    } else if waited >= LONGEST_WAIT {
+        Tolerance::Reserved
+    } else if !last_attempt {
         Tolerance::Closed
     } else {
         Tolerance::Probation
     }
 }
 
-/// The tasks that found no worker in a pass, by what they accept.
+/// The tasks that found no worker in a pass, by what they accept and whether they may fail only once more.
 #[derive(Debug, Default)]
-struct StarvedMisses {
-    busy: Misses,
-    probation: Misses,
-    closed: Misses,
-}
+struct StarvedMisses(HashMap<(Tolerance, bool), Misses>);
 
 impl StarvedMisses {
-    const fn of(&mut self, tolerance: Tolerance) -> &mut Misses {
-        match tolerance {
-            Tolerance::Usual | Tolerance::Busy => &mut self.busy,
-            Tolerance::Probation => &mut self.probation,
-            Tolerance::Closed => &mut self.closed,
-        }
+    fn of(&mut self, task: &Candidate<'_>) -> &mut Misses {
+        let key = (task.tolerance, task.last_attempt);
+        self.0.entry(key).or_default()
     }
 }
 
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -6,12 +6,13 @@
 use agate_core::{JobId, Moment, Resources};
 
 use crate::crash::Crash;
+use crate::plan::choose::Yield;
 use crate::plan::health::Health;
 use crate::plan::obstacle::Obstacle;
 use crate::record::SuspicionRecord;
 use crate::spec::StepSpec;
 use crate::task::TaskKey;
-use crate::worker::{WorkerReport, WorkerState};
+use crate::worker::{StartBlock, WorkerReport, WorkerState};
 
 /// Share of their processor demand that long-running tasks leave idle on average, in percent.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
@@ -77,6 +78,8 @@
     /// recorded.
     pub suspected_at: Option<Moment>,
     pub last_contact: Moment,
+    /// Time since which the agent has reported that it can't read its orders; `None` while it can.
+    pub unread_since: Option<Moment>,
     /// Time since which the main stream has been read to its end without a gap.
     pub reading_since: Moment,
     /// Demand that counts against the capacity. Excludes the processor demand of best-effort tasks.
@@ -124,6 +127,7 @@
             suspicion,
             suspected_at: None,
             last_contact: now,
+            unread_since: None,
             reading_since: Moment::ZERO,
             used: Resources::ZERO,
             best_effort_millicores: 0,
@@ -156,6 +160,8 @@
     /// Replaces the report, which was read at `now`.
     pub fn set_report(&mut self, report: &WorkerReport, now: Moment) {
         self.cold_until = now + Duration::from_millis(report.cold_ms);
+        let is_unread = report.start_block == Some(StartBlock::OrdersStale);
+        self.unread_since = is_unread.then(|| self.unread_since.unwrap_or(now));
         self.report = report.clone();
         self.records_dropped = false;
     }
@@ -197,10 +203,9 @@
         self.runs() == self.probes.len()
     }
 
-    /// Returns why a task of a step doesn't fit beside the bound tasks and the reservations that it
-    /// yields to.
+    /// Returns why a task of a step doesn't fit beside the bound tasks and what it leaves of the reserved room.
     #[inline]
-    pub fn shortage(&self, step: &StepSpec, yields: bool) -> Option<Obstacle> {
+    pub fn shortage(&self, step: &StepSpec, yields: Yield) -> Option<Obstacle> {
         let room = self.room_for(step);
         let reserved = self.reserved_from(step, yields);
         let unreserved = room.saturating_sub(reserved);
@@ -230,13 +235,12 @@
         }
     }
 
-    /// Returns what is kept from a task of a step. A long-running task that doesn't yield ignores all
-    /// reservations; a short one yields to the new ones in any case.
-    fn reserved_from(&self, step: &StepSpec, yields: bool) -> Resources {
-        let reserved = match (step.long_running, yields) {
-            (true, true) | (false, false) => self.reserved_first,
-            (true, false) => Resources::ZERO,
-            (false, true) => self.reserved,
+    /// Returns what is kept from a task of a step.
+    fn reserved_from(&self, step: &StepSpec, yields: Yield) -> Resources {
+        let reserved = match yields {
+            Yield::Nothing => Resources::ZERO,
+            Yield::Recent => self.reserved_first,
+            Yield::All => self.reserved,
         };
         let kept = reserved + self.held;
         if step.best_effort {
