--- a/crates/agate_jobs/src/plan/choose.rs
+++ b/crates/agate_jobs/src/plan/choose.rs
@@ -79,14 +79,39 @@
 }
 
 /// What a task accepts in a worker. It accepts more once it has waited for long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) enum Tolerance {
     /// An open worker on which it runs fast enough.
     Usual,
     /// The processors of a worker may be in use by best-effort tasks, and the task may be slow beside them.
     Busy,
-    /// The worker may also be closed by stalls, or on probation.
+    /// The worker may also be on probation.
+    Probation,
+    /// The worker may also be closed by stalls.
     Closed,
+    /// The room may also be reserved for long-running tasks.
+    Reserved,
+}
+
+impl Tolerance {
+    /// Returns the reserved room that a task leaves that has waited for long.
+    pub(super) const fn yields(self) -> Yield {
+        match self {
+            Self::Reserved => Yield::Nothing,
+            Self::Usual | Self::Busy | Self::Probation | Self::Closed => Yield::Recent,
+        }
+    }
+}
+
+/// The reserved room that a task leaves to the long-running ones that wait for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Yield {
+    /// None of it.
+    Nothing,
+    /// What was reserved recently.
+    Recent,
+    /// All of it.
+    All,
 }
 
 /// A task to be placed.
@@ -102,12 +127,13 @@
     /// than half of the service's processors are in use.
     pub min_speed: f64,
     pub preference: Preference,
-    /// Whether a long-running task leaves room to an earlier one that waits for it, and whether a short
-    /// task leaves room to long-running ones that have waited for long.
-    pub yields: bool,
+    /// The reserved room that the task leaves to long-running ones.
+    pub yields: Yield,
     /// Whether the task may be started beside suspects that have not survived their start.
     pub beside_probes: bool,
     pub tolerance: Tolerance,
+    /// Whether the task may fail only once more.
+    pub last_attempt: bool,
     /// Cost of a worker whose agent has not been able to start some of its runs.
     pub unstarted_cost: f64,
 }
@@ -175,7 +201,7 @@
         if takes_reserved(worker, task.step) {
             cost += RESERVED_COST;
         }
-        if task.tolerance == Tolerance::Closed && worker.health.trust(now) != Trust::Full {
+        if task.tolerance >= Tolerance::Probation && worker.health.trust(now) != Trust::Full {
             cost += CLOSED_COST + worker.health.quarantine_left(now);
         }
         if best.is_none_or(|(least, _)| cost < least) {
@@ -187,7 +213,9 @@
 
 /// Returns whether a short task would take room that is reserved.
 fn takes_reserved(worker: &Worker, step: &StepSpec) -> bool {
-    !step.long_running && !worker.reservations.is_empty() && worker.shortage(step, true).is_some()
+    !step.long_running
+        && !worker.reservations.is_empty()
+        && worker.shortage(step, Yield::All).is_some()
 }
 
 /// Returns the workers that a task fits on.
@@ -208,25 +236,6 @@
     used * 2 > total
 }
 
-/// Returns whether under half of the capacity of a service is in use, as far as it counts. Workers that have not
-/// left count, also those that take no orders.
-pub(super) fn is_mostly_free(workers: &[Worker], service: &str) -> bool {
-    let present = workers.iter();
-    let present = present.filter(|worker| worker.report.service == service && !worker.is_gone());
-    let (mut used, mut total) = ([0_u64; 2], [0_u64; 2]);
-    for worker in present {
-        let counts = [
-            (worker.used, &mut used),
-            (worker.report.capacity, &mut total),
-        ];
-        for (resources, sums) in counts {
-            sums[0] += u64::from(resources.millicores);
-            sums[1] += u64::from(resources.memory_mib);
-        }
-    }
-    (0..2).all(|at| used[at] * 2 < total[at])
-}
-
 /// Returns the processors in use, and all of them, on the same workers.
 fn busy_millicores(workers: &[Worker], service: &str) -> (u64, u64) {
     in_service(workers, service).fold((0, 0), |(used, total), worker| {
@@ -238,8 +247,9 @@
     })
 }
 
-/// Returns the percentages of the processors and of the memory of the same workers that are in use.
-pub(super) fn load(workers: &[Worker], service: &str) -> Load {
+/// Returns the percentages of the processors and of the memory of the same workers that are in use, with `started`
+/// as that of started runs.
+pub(super) fn load(workers: &[Worker], service: &str, started: u64) -> Load {
     let (busy, millicores) = busy_millicores(workers, service);
     let (mut counted, mut used_mib, mut memory_mib) = (0, 0, 0);
     for worker in in_service(workers, service) {
@@ -252,6 +262,7 @@
         busy: percent(busy, millicores),
         counted: percent(counted, millicores),
         memory: percent(used_mib, memory_mib),
+        started,
     }
 }
 
--- a/crates/agate_jobs/src/plan/obstacle.rs
+++ b/crates/agate_jobs/src/plan/obstacle.rs
@@ -112,14 +112,20 @@
 }
 
 fn is_closed(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
+    let health = &worker.health;
+    let accepts_waiting = || {
+        health.accepts_waiting_task(task.task, task.step, now)
+            && !(task.last_attempt && health.rejects_last_attempt(task.task, task.step, now))
+    };
     match task.tolerance {
-        Tolerance::Closed => !worker.health.accepts_waiting_task(now),
-        Tolerance::Usual | Tolerance::Busy => !worker.health.accepts_tasks(now),
+        Tolerance::Closed | Tolerance::Reserved => !accepts_waiting(),
+        Tolerance::Probation => !health.accepts_tasks(now) || !accepts_waiting(),
+        Tolerance::Usual | Tolerance::Busy => !health.accepts_tasks(now),
     }
 }
 
 fn is_on_probation(worker: &Worker, task: Candidate<'_>, now: Moment) -> bool {
-    task.tolerance < Tolerance::Closed
+    task.tolerance < Tolerance::Probation
         && !task.step.long_running
         && !worker.health.accepts_short_task(task.task, task.step, now)
 }
--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -3,7 +3,7 @@
 use agate_core::{JobId, Moment};
 
 use crate::backlog::Part;
-use crate::plan::choose::{self, Candidate, Preference, Tolerance};
+use crate::plan::choose::{self, Candidate, Preference, Tolerance, Yield};
 use crate::plan::effect::Effect;
 use crate::plan::misses::Misses;
 use crate::plan::order::{self, Turn};
@@ -11,6 +11,7 @@
 use crate::plan::suspects;
 use crate::plan::worker::{Binding, FIRST_TIME};
 use crate::record::{Order, OrderKind};
+use crate::spec::StepSpec;
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
 
@@ -94,7 +95,7 @@
             }
             for at in ready_steps(turn.job, wall_ms) {
                 if turn.job.spec.steps[at.1].gang {
-                    self.place_gang(turn, at, &mut round);
+                    self.place_gang(turn, at, Tolerance::Usual, &mut round);
                 } else {
                     self.place_step(turn, at, &mut round);
                 }
@@ -196,7 +197,13 @@
     }
 
     /// Places all tasks of a gang or none.
-    fn place_gang(&mut self, turn: &Turn<'_>, at: (usize, usize), round: &mut Round) {
+    pub(super) fn place_gang(
+        &mut self,
+        turn: &Turn<'_>,
+        at: (usize, usize),
+        tolerance: Tolerance,
+        round: &mut Round,
+    ) {
         let job = turn.job;
         let pending_tasks = self.pending_tasks(turn, at);
         let step = &job.progress[at.0][at.1];
@@ -207,24 +214,29 @@
         let run = step.last_run() + 1;
         let effects = self.effects.len();
         let mut members: Vec<Placement> = Vec::new();
+        let mut earlier_probes = Vec::new();
         for task in pending_tasks {
-            let Some(slot) = self.choose(turn, task, round.now) else {
+            let Some(slot) = self.choose_tolerant(turn, task, tolerance, round.now) else {
                 self.effects.truncate(effects);
-                for member in members {
-                    self.unbind(member.task);
+                for (member, probe) in members.iter().zip(earlier_probes).rev() {
+                    self.unbind(member.task, probe);
                 }
                 self.note_zone_wait(job, task);
                 return;
             };
+            earlier_probes.push(self.workers[slot].health.newest_probe());
             members.push(self.bind(job, task, (slot, Some(run)), round.now));
         }
         round.left = round.left.saturating_sub(members.len());
         round.placed.append(&mut members);
     }
 
-    fn unbind(&mut self, task: TaskKey) {
+    /// Undoes a binding that has not been ordered; `earlier` was the newest probe of the worker before it.
+    fn unbind(&mut self, task: TaskKey, earlier: Option<(TaskKey, Moment)>) {
         if let Some(binding) = self.bindings.remove(&task) {
-            self.workers[binding.worker].release(task, &binding);
+            let worker = &mut self.workers[binding.worker];
+            worker.release(task, &binding);
+            worker.health.undo_binding(earlier);
         }
     }
 
@@ -247,11 +259,45 @@
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
+            candidate.yields = if !moves && self.waits.waited(task, now) < FIRST_TIME {
+                Yield::Recent
+            } else {
+                Yield::Nothing
+            };
+        }
+        choose::choose(&self.workers, &self.interference, candidate, now)
+    }
+
+    /// Returns a worker for a task that accepts more than usual in it.
+    fn choose_tolerant(
+        &self,
+        turn: &Turn<'_>,
+        task: TaskKey,
+        tolerance: Tolerance,
+        now: Moment,
+    ) -> Option<usize> {
+        if tolerance == Tolerance::Usual {
+            return self.choose(turn, task, now);
         }
+        let candidate = Candidate {
+            tolerance,
+            yields: tolerance.yields(),
+            ..self.candidate(turn, task)?
+        };
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
 
+    /// Returns what a task leaves to long-running ones, whatever its wait.
+    fn usual_yield(&self, step: &StepSpec, service: &str) -> Yield {
+        if step.long_running {
+            Yield::Nothing
+        } else if self.short_tasks_yield(service) {
+            Yield::All
+        } else {
+            Yield::Recent
+        }
+    }
+
     /// Returns whether short tasks leave room to long-running ones for which it has been reserved for
     /// long. The short tasks in their way may run for long as well, while most processors are idle.
     fn short_tasks_yield(&self, service: &str) -> bool {
@@ -280,9 +326,10 @@
                 Part::Stragglers => Preference::Fastest,
                 Part::Others | Part::All => Preference::Balanced,
             },
-            yields: !step.long_running && self.short_tasks_yield(&job.policy.service),
+            yields: self.usual_yield(step, &job.policy.service),
             beside_probes: false,
             tolerance: Tolerance::Usual,
+            last_attempt: progress.failures + 1 >= job.policy.max_attempts,
             unstarted_cost: choose::UNSTARTED_COST,
         })
     }
