Limit reservations in time where they take much of a small fleet

Callers with one worker saw nothing start for as long as a large job waited for the runs there: its reservation was extended each time the job reached the head of the queue. With two workers it kept half from all others.

With up to three workers, a worker is reserved during the holds of the rule for quotas only: for ageing_ms after as long a wait, then after a pause as long, for twice as long, and so on, counted from one wait at a time. A large job still starts, within five times as long as runs take.

--- a/crates/agate_place/src/scheduler/blocked.rs
+++ b/crates/agate_place/src/scheduler/blocked.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use super::Scheduler;
+use super::holds::Held;
 use crate::TeamKey;
 use crate::queue::{Head, JobKey};
 use crate::workers::WorkerKey;
@@ -19,6 +20,9 @@
 /// Number of workers per allowed reservation.
 const WORKERS_PER_RESERVATION: usize = 16;
 
+/// Number of workers per reservation below which reservations hold others back for a limited time only.
+const MIN_WORKERS_PER_RESERVATION: usize = 4;
+
 /// Number of workers sampled for a reservation.
 const RESERVATION_CANDIDATES: usize = 32;
 
@@ -42,8 +46,8 @@
 pub(super) struct Reservation {
     pub(super) job: JobKey,
     pub(super) worker: WorkerKey,
-    /// When the reservation expires. Reaching the head of the queue extends it, which happens
-    /// regularly unless the job is withdrawn or its team is capped.
+    /// When the reservation expires. Reaching the head of the queue extends it, up to the end of a hold, which
+    /// happens regularly unless the job is withdrawn or its team is capped.
     until: Moment,
 }
 
@@ -171,15 +175,33 @@
         self.refresh_admission(worker);
     }
 
+    /// Returns until when a worker may be reserved for a job, or `None` while others pass it. Reservations that
+    /// take few of the workers hold nobody back.
+    fn reservation_until(&mut self, now: Moment, job: JobKey) -> Option<Moment> {
+        let renewed = now + RESERVATION_TTL;
+        if self.max_reservations() * MIN_WORKERS_PER_RESERVATION <= self.workers.len() {
+            return Some(renewed);
+        }
+        let until = self.hold_until(now, Held::Worker, job)?;
+        Some(until.min(renewed))
+    }
+
+    fn max_reservations(&self) -> usize {
+        1 + self.workers.len() / WORKERS_PER_RESERVATION
+    }
+
     /// Reserves the worker with the least allocated memory, among sampled workers that are large
     /// enough.
     fn reserve(&mut self, now: Moment, job: JobKey, demand: Resources, rng: &mut impl Rng) {
+        let Some(until) = self.reservation_until(now, job) else {
+            self.drop_reservation(job);
+            return;
+        };
         if let Some(reservation) = self.reservations.iter_mut().find(|r| r.job == job) {
-            reservation.until = now + RESERVATION_TTL;
+            reservation.until = until;
             return;
         }
-        let max_reservations = 1 + self.workers.len() / WORKERS_PER_RESERVATION;
-        if self.reservations.len() >= max_reservations {
+        if self.reservations.len() >= self.max_reservations() {
             return;
         }
         let candidates = self.workers.sample_all(RESERVATION_CANDIDATES, rng);
@@ -195,11 +217,7 @@
         let Some(worker) = best else {
             return;
         };
-        self.reservations.push(Reservation {
-            job,
-            worker,
-            until: now + RESERVATION_TTL,
-        });
+        self.reservations.push(Reservation { job, worker, until });
         self.refresh_admission(worker);
     }
 }
--- a/crates/agate_place/src/scheduler/holds.rs
+++ b/crates/agate_place/src/scheduler/holds.rs
@@ -18,6 +18,8 @@
 /// What waits for a job that doesn't fit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) enum Held {
+    /// A worker with a reservation.
+    Worker,
     /// The other jobs of a team that may not borrow.
     Team(TeamKey),
 }
--- a/crates/agate_place/tests/place/order.rs
+++ b/crates/agate_place/tests/place/order.rs
@@ -6,6 +6,7 @@
 use agate_core::{JobId, Moment, Resources};
 use agate_place::{Placement, Policy, RunOutcome, Scheduler};
 use agate_preset::TeamQuota;
+use rstest::rstest;
 
 use crate::support::{at, class, job, join, rng, scheduler, team};
 
@@ -224,6 +225,56 @@
     assert!(matches!(small[..], [500..=602]), "{small:?}");
 }
 
+/// A job that waited for a worker's runs kept all others from it until they ended, however long that took.
+#[rstest]
+#[case::one_worker(1)]
+#[case::two_workers(2)]
+fn a_reservation_of_a_small_fleet_lets_others_pass(#[case] workers: u64) {
+    let mut s = scheduler(Policy::default(), workers);
+    let mut wide = job(1, workers as u32);
+    wide.declared = Resources::new(9_000, 1_024, 0);
+    s.push(at(0), &wide);
+    assert_eq!(place_all(&mut s, at(0)).len(), workers as usize);
+    for id in 10..20 {
+        s.push(at(0), &all_of_quota(id));
+    }
+    assert_eq!(place_small(&mut s, 0..500), [0; 0]);
+    s.push(at(500), &job(3, 4 * workers as u32));
+    let small = place_small(&mut s, 500..700);
+    assert_eq!(small.len(), 4 * workers as usize);
+    // The first hold begins after 300 s and lasts as long.
+    assert!(small.iter().all(|secs| *secs <= 602), "{small:?}");
+}
+
+/// Small tasks that pass between the holds could keep the only worker from a large one for good.
+#[test]
+fn a_task_of_a_whole_worker_starts_among_small_ones_that_take_longer_than_a_hold() {
+    let mut s = scheduler(Policy::default(), 1);
+    s.push(at(0), &job(3, 100_000));
+    let mut running: Vec<_> = place_all(&mut s, at(0))
+        .into_iter()
+        .map(|p| (0, p))
+        .collect();
+    let mut large = all_of_quota(2);
+    large.declared = Resources::new(14_000, 1_024, 0);
+    s.push(at(1), &large);
+    let run_secs = 700;
+    let mut first = None;
+    for secs in 2..10_000 {
+        for (_, ended) in running.extract_if(.., |(since, _)| secs - *since >= run_secs) {
+            s.ended(at(secs), ended.task, RunOutcome::Finished, Resources::ZERO);
+        }
+        let placed = place_all(&mut s, at(secs));
+        if placed.iter().any(|p| p.task.job.0 == 2) {
+            first = Some(secs);
+            break;
+        }
+        running.extend(placed.into_iter().map(|p| (secs, p)));
+    }
+    let waited = first.expect("the large task is placed");
+    assert!(waited <= 5 * run_secs, "waited {waited} s");
+}
+
 /// Returns a job with a task that needs the whole quota of 8 cores.
 fn all_of_quota(id: u64) -> agate_place::JobSpec {
     let mut large = job(id, 1);
