Test that the product's scheduler takes repeated records once

Entries read a batch again that was appended again after an append without an answer. agate_state has a property test of that; the scheduler behind it had none.

The property plays presets, jobs, workers, withdrawals and ends, each once or up to three times, and compares placements, what is given up and the next wake-up.

--- a/crates/agate_place/tests/place/main.rs
+++ b/crates/agate_place/tests/place/main.rs
@@ -18,5 +18,6 @@
 mod queue;
 mod ready;
 mod rehome;
+mod repeats;
 mod sizing;
 mod support;
