--- a/crates/agate_place/src/scheduler/blocked.rs
+++ b/crates/agate_place/src/scheduler/blocked.rs
@@ -6,6 +6,8 @@
 use rand::Rng;
 
 use super::Scheduler;
+use super::holds::Held;
+use crate::TeamKey;
 use crate::queue::{Head, JobKey};
 use crate::workers::WorkerKey;
 
@@ -18,6 +20,9 @@
 /// Number of workers per allowed reservation.
 const WORKERS_PER_RESERVATION: usize = 16;
 
+/// Number of workers per reservation below which reservations hold others back for a limited time only.
+const MIN_WORKERS_PER_RESERVATION: usize = 4;
+
 /// Number of workers sampled for a reservation.
 const RESERVATION_CANDIDATES: usize = 32;
 
@@ -28,13 +33,21 @@
     pub(super) demand: Resources,
 }
 
+/// A job that exceeds what its team has left of its quota.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OverQuota {
+    job: JobKey,
+    team: TeamKey,
+    demand: Resources,
+}
+
 /// A worker that takes no other work until the next task of a job fits.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Reservation {
     pub(super) job: JobKey,
     pub(super) worker: WorkerKey,
-    /// When the reservation expires. Reaching the head of the queue extends it, which happens
-    /// regularly unless the job is withdrawn or its team is capped.
+    /// When the reservation expires. Reaching the head of the queue extends it, up to the end of a hold, which
+    /// happens regularly unless the job is withdrawn or its team is capped.
     until: Moment,
 }
 
@@ -46,6 +59,17 @@
         self.retry_times.insert((now + RETRY_INTERVAL, job));
     }
 
+    /// Blocks a job that exceeds what its team has left of its quota, so that smaller ones pass it.
+    pub(super) fn block_for_quota(&mut self, now: Moment, head: &Head, demand: Resources) {
+        self.queue.block(head.key);
+        self.over_quota.push(OverQuota {
+            job: head.key,
+            team: head.team,
+            demand,
+        });
+        self.retry_times.insert((now + RETRY_INTERVAL, head.key));
+    }
+
     /// Defers a job that waits for something other than a worker.
     pub(super) fn defer(&mut self, now: Moment, job: JobKey) {
         self.queue.defer(job);
@@ -70,6 +94,7 @@
 
     pub(super) fn unblock(&mut self, job: JobKey) {
         self.blocked.retain(|blocked| blocked.job != job);
+        self.over_quota.retain(|over| over.job != job);
         self.queue.unblock(job);
     }
 
@@ -78,9 +103,27 @@
             self.queue.unblock(job);
         }
         self.blocked.clear();
+        self.over_quota.clear();
     }
 
-    /// Unblocks jobs whose retry time has come, and drops an expired reservation.
+    /// Unblocks jobs that fit into what a team has left of its quota, as far as it has enough for all of them.
+    pub(super) fn unblock_within_quota(&mut self, team: TeamKey) {
+        let (queue, mut taken) = (&self.queue, Resources::ZERO);
+        let fits = |over: &mut OverQuota| {
+            let fits = over.team == team && !queue.exceeds_quota(team, taken + over.demand);
+            if fits {
+                taken += over.demand;
+            }
+            fits
+        };
+        let fitting: Vec<OverQuota> = self.over_quota.extract_if(.., fits).collect();
+        for over in fitting {
+            self.queue.unblock(over.job);
+        }
+    }
+
+    /// Unblocks jobs whose retry time has come and teams that are held back no longer, and drops an expired
+    /// reservation.
     pub(super) fn unblock_due(&mut self, now: Moment) {
         while let Some(&(at, job)) = self.retry_times.first() {
             if at > now {
@@ -89,6 +132,13 @@
             self.retry_times.pop_first();
             self.unblock(job);
         }
+        while let Some(&(at, team)) = self.cap_times.first() {
+            if at > now {
+                break;
+            }
+            self.cap_times.pop_first();
+            self.queue.uncap(team);
+        }
         let expired = self.reservations.iter().find(|r| r.until <= now);
         if let Some(job) = expired.map(|r| r.job) {
             self.drop_reservation(job);
@@ -125,15 +175,33 @@
         self.refresh_admission(worker);
     }
 
+    /// Returns until when a worker may be reserved for a job, or `None` while others pass it. Reservations that
+    /// take few of the workers hold nobody back.
+    fn reservation_until(&mut self, now: Moment, job: JobKey) -> Option<Moment> {
+        let renewed = now + RESERVATION_TTL;
+        if self.max_reservations() * MIN_WORKERS_PER_RESERVATION <= self.workers.len() {
+            return Some(renewed);
+        }
+        let until = self.hold_until(now, Held::Worker, job)?;
+        Some(until.min(renewed))
+    }
+
+    fn max_reservations(&self) -> usize {
+        1 + self.workers.len() / WORKERS_PER_RESERVATION
+    }
+
     /// Reserves the worker with the least allocated memory, among sampled workers that are large
     /// enough.
     fn reserve(&mut self, now: Moment, job: JobKey, demand: Resources, rng: &mut impl Rng) {
+        let Some(until) = self.reservation_until(now, job) else {
+            self.drop_reservation(job);
+            return;
+        };
         if let Some(reservation) = self.reservations.iter_mut().find(|r| r.job == job) {
-            reservation.until = now + RESERVATION_TTL;
+            reservation.until = until;
             return;
         }
-        let max_reservations = 1 + self.workers.len() / WORKERS_PER_RESERVATION;
-        if self.reservations.len() >= max_reservations {
+        if self.reservations.len() >= self.max_reservations() {
             return;
         }
         let candidates = self.workers.sample_all(RESERVATION_CANDIDATES, rng);
@@ -149,11 +217,7 @@
         let Some(worker) = best else {
             return;
         };
-        self.reservations.push(Reservation {
-            job,
-            worker,
-            until: now + RESERVATION_TTL,
-        });
+        self.reservations.push(Reservation { job, worker, until });
         self.refresh_admission(worker);
     }
 }
