Let the scheduler end runs whose orders the log has refused

An order that is known not to be stored leaves its task bound to a worker that never reads it. The scheduler can now end such a run (order_refused); its task is bound again under the next number, by this leader or the next one, as the end is a record of the main stream. The end is no contact with the agent, and counts neither as an attempt nor as a start of the job.

Ruled out: the end that an agent writes when it returns an order.

Nothing calls it yet.

--- a/crates/agate_jobs/src/loss.rs
+++ b/crates/agate_jobs/src/loss.rs
@@ -19,6 +19,8 @@
     Silent,
     /// An earlier leader ended the incarnation or term.
     Superseded,
+    /// The log has refused the order to start the run, which was never stored.
+    OrderRefused,
 }
 
 impl LossReason {
--- a/crates/agate_jobs/src/plan/mod.rs
+++ b/crates/agate_jobs/src/plan/mod.rs
@@ -11,6 +11,7 @@
 mod order;
 mod pause;
 mod place;
+mod refused;
 mod restore;
 mod scheduler;
 mod short_waits;
--- a/crates/agate_jobs/src/plan/unstarted.rs
+++ b/crates/agate_jobs/src/plan/unstarted.rs
@@ -5,6 +5,7 @@
 
 use agate_core::{JobId, Moment};
 
+use crate::loss::LossReason;
 use crate::plan::scheduler::Scheduler;
 use crate::plan::worker::Binding;
 use crate::record::{EndCause, RunEnd};
@@ -31,9 +32,10 @@
 }
 
 impl UnstartedRuns {
-    /// Records the end of a run, unless its agent has returned it unstarted.
+    /// Records the end of a run, unless its agent has returned it unstarted or the log has refused its order.
     pub fn record_end(&mut self, end: &RunEnd, now: Moment) {
-        if !matches!(end.cause, EndCause::NoRoom | EndCause::Refused) {
+        let is_returned = matches!(end.cause, EndCause::NoRoom | EndCause::Refused);
+        if !is_returned && end.loss != Some(LossReason::OrderRefused) {
             self.ended.insert(end.task.job, now);
         }
     }
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -19,6 +19,7 @@
 mod probation;
 mod ready;
 mod records;
+mod refused;
 mod repeats;
 mod short_waits;
 mod stalls;
