Give back orders that the log refuses while it takes others

What is bound as a part of the log begins to answer 503 waited for the end of the outage beside idle workers. An append of which each attempt was certainly refused has had no effect, so after 0.6 s its orders to start runs are replaced by tombstones, with those queued behind it, and their runs are ended. An append of which an attempt had no answer keeps its orders, as it may still be carried out. Appends of the leader are made over its own connection only, so no relayed attempt can be behind one.

The tombstones keep the attempts going, which show when the stream can be used again. Nothing is given back while the main stream is refused as well: the ends couldn't be recorded.

Ruled out: a return after the first refusal. A refusal that ends soon costs less than two records, and only a heartbeat, each 0.5 s, shows whether the main stream is refused.

Tests: refused_orders. Without the return, two fail; if an unanswered attempt is ignored, two others; without the check of the main stream, one.

--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -113,6 +113,11 @@
                     self.unlisted_since.get_or_insert(now);
                 }
             }
+            Outcome::OrdersRefused(orders) => {
+                for order in &orders {
+                    self.scheduler.end_refused(order);
+                }
+            }
             Outcome::Deposed(stream) => {
                 log::warn!(event = "leader_deposed", epoch = self.epoch, lane:% = stream; "");
                 return true;
--- a/crates/agate_node/src/entry/mod.rs
+++ b/crates/agate_node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod continuity;
 mod follow;
 mod lead;
+mod refusals;
 mod shared;
 mod writers;
 mod zones;
--- a/crates/agate_node/src/entry/writers.rs
+++ b/crates/agate_node/src/entry/writers.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use agate_jobs::record::Body;
-use agate_jobs::{Record, SuspicionRecord};
+use agate_jobs::{Order, Record, SuspicionRecord};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::Entry;
+use super::refusals::{self, Refusals};
 use crate::outage::OutageMonitor;
 use crate::store::{AppendError, Fence, Stream};
 
@@ -38,6 +39,8 @@
     SuspicionRecorded(SuspicionRecord),
     /// A heartbeat is recorded.
     HeartbeatRecorded,
+    /// Orders to start runs that the log has refused and that won't be appended again.
+    OrdersRefused(Vec<Order>),
     /// Another entry has taken over this stream.
     Deposed(Stream),
 }
@@ -156,6 +159,18 @@
     }
 }
 
+/// Returns the keys and values of records.
+fn encode(group: &[Record]) -> Vec<(String, Vec<u8>)> {
+    let mut encoded = Vec::with_capacity(group.len());
+    for record in group {
+        match record.value() {
+            Ok(value) => encoded.push((record.key.clone(), value)),
+            Err(error) => log::error!(event = "record_unwritable", cause:% = error; ""),
+        }
+    }
+    encoded
+}
+
 struct StreamWriter {
     entry: Arc<Entry>,
     stream: Stream,
@@ -168,8 +183,8 @@
 
 impl StreamWriter {
     async fn run(mut self, mut records: UnboundedReceiver<Record>) {
-        while let Some(group) = self.next_group(&mut records).await {
-            if !self.append(&group).await {
+        while let Some(mut group) = self.next_group(&mut records).await {
+            if !self.append(&mut group, &mut records).await {
                 self.notify(Outcome::Deposed(self.stream));
                 return;
             }
@@ -203,17 +218,16 @@
         (!group.is_empty()).then_some(group)
     }
 
-    /// Appends until the log has confirmed it. Returns whether this entry still leads.
-    async fn append(&mut self, group: &[Record]) -> bool {
-        let mut encoded = Vec::with_capacity(group.len());
-        for record in group {
-            match record.value() {
-                Ok(value) => encoded.push((record.key.clone(), value)),
-                Err(error) => log::error!(event = "record_unwritable", cause:% = error; ""),
-            }
-        }
+    /// Appends until the log has confirmed it. Returns whether this entry still leads. Orders that the log
+    /// refuses for long are given back, also those in `records`.
+    async fn append(
+        &mut self,
+        group: &mut Vec<Record>,
+        records: &mut UnboundedReceiver<Record>,
+    ) -> bool {
+        let mut encoded = encode(group);
         let mut in_flight = Some(InFlight::new(&self.in_flight, group));
-        let mut uncertain = false;
+        let mut refusals = Refusals::default();
         self.fence.sequence += 1;
         loop {
             match self.append_once(&encoded).await {
@@ -223,7 +237,8 @@
                     return true;
                 }
                 Err(AppendError::Fenced) => return false,
-                Err(AppendError::OutOfSequence(next)) => {
+                Err(error @ AppendError::OutOfSequence(next)) => {
+                    let uncertain = refusals.is_uncertain();
                     if uncertain && next == self.fence.sequence + 1 {
                         return true;
                     }
@@ -231,20 +246,47 @@
                         return false;
                     }
                     self.fence.sequence = next;
-                    uncertain = true;
+                    refusals.record(&error);
                 }
                 Err(error) => {
                     drop(in_flight.take());
                     self.held.streams().insert(self.stream);
-                    uncertain |= matches!(error, AppendError::Unknown(_));
+                    refusals.record(&error);
                     self.monitor
                         .record_result(&self.entry.context.metrics, Some(&error));
+                    if refusals.allow_return() && self.return_starts(group, records) {
+                        encoded = encode(group);
+                    }
                     sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
+    /// Gives back the orders to start runs in a group that certainly was not appended, and in those queued
+    /// behind it, unless the ends of their runs couldn't be recorded. Returns whether the group has changed.
+    fn return_starts(
+        &self,
+        group: &mut Vec<Record>,
+        records: &mut UnboundedReceiver<Record>,
+    ) -> bool {
+        if self.held.streams().contains(&Stream::Main) {
+            return false;
+        }
+        let queued = group.len();
+        while group.len() < MAX_GROUP_RECORDS
+            && let Ok(record) = records.try_recv()
+        {
+            group.push(record);
+        }
+        let starts = refusals::take_starts(group);
+        let has_changed = group.len() > queued || !starts.is_empty();
+        if !starts.is_empty() {
+            self.notify(Outcome::OrdersRefused(starts));
+        }
+        has_changed
+    }
+
     /// Makes one attempt at an append. The stream is held while it has no answer for long.
     async fn append_once(&self, encoded: &[(String, Vec<u8>)]) -> Result<u64, AppendError> {
         let log = &self.entry.context.log;
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod odd_workers;
 mod orders;
 mod pages;
+mod refused_orders;
 mod relay;
 mod relay_answers;
 mod relay_clusters;
