Send starts again that got no answer

A start without an answer within 250 ms was sent no more. Its late copy missed the deadline, so the run was looked for in lists, stopped, recorded as returned and bound anew, and where half of the calls are late the next one failed as often.

The agent now sends the same run again, on another connection, until the window of its first attempt ends: the same deadline, up to five times, after the incarnation has answered a list that was requested after the attempt failed, and while the order, the lease, the zones, the room and the worker's state allow it. Two lists are requested at a time; they renew and acknowledge nothing. A token bucket for each worker bounds the resends. A list that contains the run settles it at once. 200 and ends in lists settle it; 'old' leaves it to the lists; any other rejection leaves it to the lists and a stop, since an earlier copy may run. A stop ends the resends.

Starts without an answer are remembered for 30 s. The next incarnation under the worker's name is told to reject them before it is reported: it has forgotten the run's end, and would carry out a late copy. That could happen before this change, too, with orders that had been returned.

Ruled out: resends without a list. A task that crashes its worker before it answers would be sent to the next incarnation, which is back under the same name before its heartbeat.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -202,6 +202,8 @@
     if let Some(known) = known.filter(|r| r.number == run && r.phase != Phase::Ended) {
         known.phase = phase;
         known.missing_lists = 0;
-        known.unanswered |= matches!(phase, Phase::Unconfirmed(_));
+        if matches!(phase, Phase::Unconfirmed(_)) {
+            known.unanswered.get_or_insert(known.since);
+        }
     }
 }
--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agate_jobs::{EndCause, Order, OrderKind, TaskKey, WorkerState};
+use agate_jobs::{EndCause, Order, OrderKind, TaskKey, WorkerIncarnation, WorkerState};
 use tokio::time::{Instant, timeout};
 
 use super::client::{CallError, Rejection, StartOrder, StartReply};
@@ -11,7 +11,7 @@
 use super::managed::{ManagedWorker, Phase, Run, State};
 use super::waiting::WaitReason;
 use super::zones::{self, PREDECESSOR_START_WAIT, Verdict};
-use super::{ends, pacing, start_block, unstarted};
+use super::{ends, pacing, resend, start_block, unstarted};
 use crate::clock;
 use crate::metrics::Event;
 
@@ -19,7 +19,7 @@
 const START_WINDOW: Duration = Duration::from_millis(1_500);
 
 /// Remaining lease below which no run is started.
-const MIN_LEASE: Duration = Duration::from_secs(1);
+pub(super) const MIN_LEASE: Duration = Duration::from_secs(1);
 
 /// Time between attempts at orders that could not be executed.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
@@ -192,7 +192,9 @@
     match known {
         Some(run) if run.number > order.run => return,
         Some(run) if run.number == order.run => match run.phase {
-            Phase::Started(_) | Phase::Unconfirmed(_) => run.phase = Phase::Stopping,
+            Phase::Started(_) | Phase::Resending | Phase::Unconfirmed(_) => {
+                run.phase = Phase::Stopping;
+            }
             Phase::Starting | Phase::Stopping | Phase::Stopped(_) | Phase::Ended => return,
         },
         _ => insert(state, order, Phase::Stopping),
@@ -206,7 +208,7 @@
         checkpoint,
         ticket,
         ..
-    } = order.kind
+    } = order.kind.clone()
     else {
         return;
     };
@@ -218,17 +220,40 @@
         checkpoint,
         ticket,
     };
-    let started = Instant::now();
     if !is_in_time(worker, deadline_ms) {
         return_stopped(worker, task, run, EndCause::Refused);
         return;
     }
-    let reply = worker
-        .client
-        .start(&order.incarnation, &call, deadline_ms)
-        .await;
+    let reply = send(worker, &order.incarnation, &call, deadline_ms).await;
+    let is_started = if matches!(reply, Err(CallError::Unknown(_))) {
+        resend::run(worker, &order, &call, deadline_ms).await
+    } else {
+        handle_reply(worker, task, run, &reply);
+        matches!(reply, Ok(StartReply::Started))
+    };
+    if is_started {
+        pacing::adjust_started(worker, &call).await;
+    }
+}
+
+/// Sends a start once, and records what the answer says about the worker.
+pub(super) async fn send(
+    worker: &ManagedWorker,
+    incarnation: &WorkerIncarnation,
+    call: &StartOrder,
+    deadline_ms: u64,
+) -> Result<StartReply, CallError> {
+    let (task, run) = (call.task, call.run);
+    let started = Instant::now();
+    worker.state().late_starts.record(task, run);
+    let reply = worker.client.start(incarnation, call, deadline_ms).await;
     {
         let mut state = worker.state();
+        let known = state.runs.get(&task).filter(|known| known.number == run);
+        let is_answered = !matches!(reply, Err(CallError::Unknown(_)));
+        if is_answered && known.is_some_and(|known| known.unanswered.is_none()) {
+            state.late_starts.forget(task, run);
+        }
         if !matches!(reply, Err(CallError::NotSent(_))) {
             state.record_grant(deadline_ms);
         }
@@ -248,13 +273,10 @@
         .start_seconds
         .observe(took.as_secs_f64());
     log::info!(
-        event = "start_answered", task:% = task, run = run, worker:% = order.incarnation,
+        event = "start_answered", task:% = task, run = run, worker:% = incarnation,
         deadline_ms = deadline_ms, reply:? = reply, took_ms = clock::millis(took); ""
     );
-    handle_reply(worker, task, run, &reply);
-    if matches!(reply, Ok(StartReply::Started)) {
-        pacing::adjust_started(worker, &call).await;
-    }
+    reply
 }
 
 /// Returns whether the start can still begin in time by the clock that includes suspended time.
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -8,7 +8,7 @@
 use super::client::{LeaseReply, ListedEnd, ListedRun};
 use super::doubts::Doubt;
 use super::managed::{ManagedWorker, Phase, Run, State};
-use super::{ends, introduction};
+use super::{ends, introduction, resend};
 use crate::clock;
 
 /// Maximum number of ends between two lists.
@@ -26,6 +26,7 @@
     let mut state = worker.state();
     let first = !state.has_listed;
     state.record_answer();
+    state.resends.record_list(began);
     if state.synced_at.is_none() {
         state.has_listed = false;
         return;
@@ -37,6 +38,7 @@
     end_missing(worker, &mut state, reply, began);
     introduction::update(worker, &mut state, reply, began);
     drop(state);
+    worker.listed.notify_waiters();
     if first {
         worker.changed.notify_waiters();
     }
@@ -73,7 +75,7 @@
             cause,
             &end.checkpoint,
         ));
-        mark_ended(state, end.task, end.run);
+        mark_ended(worker, state, end.task, end.run);
     }
     if up_to > state.recording_up_to {
         state.recording_up_to = up_to;
@@ -101,12 +103,13 @@
     }
 }
 
-fn mark_ended(state: &mut State, task: TaskKey, number: u32) {
+fn mark_ended(worker: &ManagedWorker, state: &mut State, task: TaskKey, number: u32) {
     let run = state.runs.entry(task);
     let run = run.or_insert_with(|| Run::new(number, Phase::Ended));
     if run.number <= number {
         run.number = number;
         run.phase = Phase::Ended;
+        resend::record_settled(worker, task, run);
     }
 }
 
@@ -125,11 +128,8 @@
     if run.number == row.run {
         run.checkpoint.clone_from(&row.checkpoint);
         run.missing_lists = 0;
-        run.unanswered = false;
-        if let Phase::Unconfirmed(_) = run.phase {
-            run.phase = Phase::Started(clock::boottime());
-        }
     }
+    resend::confirm_listed(worker, state, row.task, row.run);
     state.confirm_start(row.task, row.run);
     stop_stalled(worker, state, row);
 }
@@ -178,13 +178,13 @@
     for (task, run) in &mut state.runs {
         let at = match run.phase {
             Phase::Started(at) | Phase::Stopped(at) | Phase::Unconfirmed(at) => at,
-            Phase::Starting | Phase::Stopping | Phase::Ended => continue,
+            Phase::Starting | Phase::Resending | Phase::Stopping | Phase::Ended => continue,
         };
         if at >= began || listed(task, run.number) {
             continue;
         }
         run.missing_lists += 1;
-        let limit = if run.unanswered {
+        let limit = if run.unanswered.is_some() {
             MISSING_UNANSWERED_LISTS
         } else {
             MISSING_LISTS
@@ -198,6 +198,7 @@
             unconfirmed.push((*task, run.number));
         } else {
             run.phase = Phase::Ended;
+            resend::record_settled(worker, *task, run);
             lost.push((*task, run.number));
         }
     }
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -23,6 +23,7 @@
 use super::identity::Identity;
 use super::introduction::Introduction;
 use super::pacing::Pacing;
+use super::resend::{LateStarts, Resends};
 use super::sequence::SequenceOrder;
 use super::stall::Progress;
 use super::unstarted::UnstartedRuns;
@@ -42,6 +43,8 @@
 pub(super) enum Phase {
     /// The start has been sent.
     Starting,
+    /// The start has got no answer so far and is sent again while its window lasts.
+    Resending,
     /// The worker answered the start at this boot time.
     Started(Duration),
     /// A stop has been sent.
@@ -68,8 +71,8 @@
     pub stalled: bool,
     /// Number of consecutive lists, requested after the worker's answer, that lacked the run.
     pub missing_lists: u32,
-    /// Whether the start got no answer and no list has contained the run since.
-    pub unanswered: bool,
+    /// When the start was first sent, if it got no answer and nothing has confirmed the run since.
+    pub unanswered: Option<Instant>,
     /// Whether the worker has confirmed the start or has listed the run.
     pub confirmed: bool,
 }
@@ -87,6 +90,8 @@
     pub skipped: SkippedRecords,
     /// Notified when orders, suspicion or state have changed.
     pub changed: Notify,
+    /// Notified when a list that a resend waits for has been answered or has failed.
+    pub listed: Notify,
     /// Cancelled once it is recorded that the worker has left.
     pub departed: CancellationToken,
     state: Mutex<State>,
@@ -122,6 +127,9 @@
     /// Boot time at which every lease granted so far has certainly lapsed.
     pub lapses_at: Duration,
     pub runs: HashMap<TaskKey, Run>,
+    pub resends: Resends,
+    /// Starts that this incarnation or an earlier one may still carry out.
+    pub late_starts: LateStarts,
     /// Ends up to this number are recorded.
     pub recorded_up_to: u64,
     /// Ends up to this number are recorded or being recorded.
@@ -130,6 +138,8 @@
     pub rejected_end: Option<u64>,
     pub pacing: Pacing,
     pub introduction: Introduction,
+    /// Starts of earlier incarnations that this one may carry out.
+    pub earlier_starts: HashSet<(TaskKey, u32)>,
     pub reported_at: Option<Instant>,
     /// The states in the newest report that is recorded.
     pub recorded: Option<(WorkerState, AgentState)>,
@@ -149,15 +159,15 @@
 impl Run {
     /// Returns whether the next lists decide what becomes of an unanswered start.
     pub fn is_settling(&self) -> bool {
-        self.unanswered && self.phase != Phase::Ended
+        self.unanswered.is_some() && self.phase != Phase::Ended
     }
 
     /// Returns whether its start has been sent, and may have reached the worker.
     pub fn may_have_started(&self) -> bool {
         match self.phase {
-            Phase::Starting | Phase::Started(_) | Phase::Unconfirmed(_) => true,
+            Phase::Starting | Phase::Resending | Phase::Started(_) | Phase::Unconfirmed(_) => true,
             // Starts that were withheld or not sent are being stopped as well.
-            Phase::Stopping | Phase::Stopped(_) => self.unanswered,
+            Phase::Stopping | Phase::Stopped(_) => self.unanswered.is_some(),
             Phase::Ended => false,
         }
     }
@@ -172,7 +182,7 @@
             checkpoint: String::new(),
             stalled: false,
             missing_lists: 0,
-            unanswered: false,
+            unanswered: None,
             confirmed: false,
         }
     }
@@ -184,7 +194,9 @@
         doubts: Arc<Doubts>,
         zones: Option<Arc<ZoneWatch>>,
         heartbeat: Heartbeat,
+        late_starts: LateStarts,
     ) -> Self {
+        let earlier_starts = late_starts.runs().collect();
         let client = (context.dial)(heartbeat.address);
         let lease = lease::duration(context.max_lease);
         let state = State {
@@ -212,11 +224,14 @@
             identity: Identity::Unconfirmed,
             lapses_at: clock::boottime() + lease::expiry_delay(lease),
             runs: HashMap::new(),
+            resends: Resends::default(),
+            late_starts,
             recorded_up_to: 0,
             recording_up_to: 0,
             rejected_end: None,
             pacing: Pacing::default(),
             introduction: Introduction::default(),
+            earlier_starts,
             reported_at: None,
             recorded: None,
             crash_ends: Vec::new(),
@@ -233,6 +248,7 @@
             created_at: clock::boottime(),
             skipped: SkippedRecords::default(),
             changed: Notify::new(),
+            listed: Notify::new(),
             departed: CancellationToken::new(),
             state: Mutex::new(state),
         }
@@ -402,13 +418,16 @@
         order.is_some_and(|order| order.run == run && self.is_current(order))
     }
 
-    /// Returns whether a run fits beside the runs in progress, those that are being stopped included. The
+    /// Returns whether a run fits beside the other runs in progress, those that are being stopped included. The
     /// worker's capacity may have shrunk since the scheduler bound the run.
     pub fn has_room(&self, order: &Order) -> bool {
-        let in_progress = self.orders.values().filter(|known| {
-            let run = self.runs.get(&known.task);
-            run.is_some_and(|run| run.number == known.run && run.phase != Phase::Ended)
-        });
+        let others = self.orders.values();
+        let in_progress = others
+            .filter(|known| known.task != order.task)
+            .filter(|known| {
+                let run = self.runs.get(&known.task);
+                run.is_some_and(|run| run.number == known.run && run.phase != Phase::Ended)
+            });
         let used = in_progress.fold(Resources::ZERO, |used, known| used + known.occupies());
         (used + order.occupies()).fits_in(self.heartbeat.capacity)
     }
@@ -421,12 +440,14 @@
         }
     }
 
-    /// Returns the runs that were ordered for earlier incarnations of the worker.
+    /// Returns the runs that were ordered for earlier incarnations of the worker, or whose starts these
+    /// have not answered.
     pub fn earlier_runs(&self) -> HashSet<(TaskKey, u32)> {
         let earlier = self.orders.values();
         earlier
             .filter(|order| order.incarnation.started_ms < self.incarnation.started_ms)
             .map(|order| (order.task, order.run))
+            .chain(self.earlier_starts.iter().copied())
             .collect()
     }
 
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod renewal;
 mod report;
+mod resend;
 mod sequence;
 mod shutdown;
 mod stall;
--- a/crates/agate_node/src/agent/registry.rs
+++ b/crates/agate_node/src/agent/registry.rs
@@ -16,6 +16,7 @@
 use super::crash::UnstableMachines;
 use super::doubts::{Doubt, Doubts};
 use super::managed::ManagedWorker;
+use super::resend::LateStarts;
 use super::zones::{self, ZoneWatch};
 use super::{AgentContext, crash, execute, follow, renewal, report, shutdown};
 use crate::clock;
@@ -245,25 +246,34 @@
                 crash::end_runs(&known.worker, LossReason::Restarted, started_at, unstable)
             })
             .unwrap_or_default();
+        let late_starts = known
+            .map(|known| known.worker.state().late_starts.clone())
+            .unwrap_or_default();
         record_predecessors_gone(workers, &heartbeat, started_at, unstable);
         forget_departed(workers, &heartbeat);
         if workers.len() >= MAX_WORKERS && !workers.contains_key(&heartbeat.name) {
             return Err(Doubt::TooManyWorkers);
         }
         let name = heartbeat.name.clone();
-        let registered = self.register(heartbeat, crash_ends);
+        let registered = self.register(heartbeat, crash_ends, late_starts);
         if let Some(old) = workers.insert(name, registered) {
             old.stop.cancel();
         }
         Ok(())
     }
 
-    fn register(&self, heartbeat: Heartbeat, crash_ends: Vec<RunEnd>) -> RegisteredWorker {
+    fn register(
+        &self,
+        heartbeat: Heartbeat,
+        crash_ends: Vec<RunEnd>,
+        late_starts: LateStarts,
+    ) -> RegisteredWorker {
         let worker = Arc::new(ManagedWorker::new(
             self.context.clone(),
             Arc::clone(&self.doubts),
             self.zones.clone(),
             heartbeat,
+            late_starts,
         ));
         worker.state().crash_ends = crash_ends;
         if self.stopping.is_cancelled() {
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -163,7 +163,7 @@
 
 /// Waits until no start or stop is in progress.
 async fn wait_for_calls(worker: &ManagedWorker) {
-    let is_calling = |phase| matches!(phase, Phase::Starting | Phase::Stopping);
+    let is_calling = |phase| matches!(phase, Phase::Starting | Phase::Resending | Phase::Stopping);
     wait_while(worker, |state| {
         state.runs.values().any(|run| is_calling(run.phase))
     })
--- a/crates/agate_node/src/agent/unstarted.rs
+++ b/crates/agate_node/src/agent/unstarted.rs
@@ -65,8 +65,10 @@
     }
     match run.phase {
         Phase::Started(_) | Phase::Ended => false,
-        Phase::Starting | Phase::Unconfirmed(_) | Phase::Stopping | Phase::Stopped(_) => {
-            !run.confirmed
-        }
+        Phase::Starting
+        | Phase::Resending
+        | Phase::Unconfirmed(_)
+        | Phase::Stopping
+        | Phase::Stopped(_) => !run.confirmed,
     }
 }
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -35,6 +35,8 @@
     WorkerProbed,
     /// A worker started a run.
     TaskStarted,
+    /// A start that got no answer was sent again.
+    StartResent,
     /// A worker rejected a start.
     StartRejected,
     /// A start or stop got no answer.
@@ -119,6 +121,8 @@
     pub append_seconds: Histogram,
     /// Time until a worker answered a start, in seconds.
     pub start_seconds: Histogram,
+    /// Time from a start without an answer until it was known what became of it, in seconds.
+    pub start_settled_seconds: Histogram,
     /// Metrics of the backlog.
     pub backlog: BacklogMetrics,
 }
@@ -139,6 +143,7 @@
             answer_seconds: histogram(),
             append_seconds: histogram(),
             start_seconds: histogram(),
+            start_settled_seconds: histogram(),
             backlog: BacklogMetrics::default(),
         };
         metrics.register();
@@ -275,5 +280,10 @@
             "Time until a worker answered a start",
             self.start_seconds.clone(),
         );
+        registry.register(
+            "start_settled_seconds",
+            "Time from a start without an answer until it was known what became of it",
+            self.start_settled_seconds.clone(),
+        );
     }
 }
--- a/crates/agate_node/tests/it/main.rs
+++ b/crates/agate_node/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod relay_links;
 mod relay_protocol;
 mod relay_state;
+mod resends;
 mod restarts;
 mod starts;
 mod stops;
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -1,6 +1,6 @@
 //! An in-memory worker that honors leases.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -33,6 +33,28 @@
 /// Time after which a call that gets no answer fails.
 const SILENT_CALL_TIME: Duration = Duration::from_millis(1_200);
 
+/// Time after which a start that gets no answer fails.
+const START_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What becomes of a single start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StartFate {
+    /// It gets no answer, and is carried out after this time, whichever incarnation is there by then.
+    Late(Duration),
+    /// It is rejected.
+    Rejected(Rejection),
+    /// It is not sent.
+    NotSent,
+}
+
+/// A start that reached the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SentStart {
+    pub task: TaskKey,
+    pub run: u32,
+    pub deadline_ms: u64,
+}
+
 /// How the worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Behavior {
@@ -83,8 +105,10 @@
     highest: HashMap<TaskKey, u32>,
     lease_ms: u64,
     until_stopped: bool,
-    /// Number of starts that were attempted, also while no connection is accepted.
-    start_attempts: u32,
+    /// What becomes of the next starts, before the behavior applies.
+    fates: VecDeque<StartFate>,
+    /// Starts that were attempted, also while no connection is accepted.
+    sent_starts: Vec<SentStart>,
     /// Every run that was started.
     started_runs: Vec<(TaskKey, u32)>,
     finished_tasks: HashSet<TaskKey>,
@@ -138,7 +162,8 @@
             highest: HashMap::new(),
             lease_ms: 0,
             until_stopped: false,
-            start_attempts: 0,
+            fates: VecDeque::new(),
+            sent_starts: Vec::new(),
             started_runs: Vec::new(),
             finished_tasks: HashSet::new(),
             crashing_job: None,
@@ -260,7 +285,30 @@
     }
 
     pub(crate) fn start_attempts(&self) -> u32 {
-        self.state().start_attempts
+        u32::try_from(self.state().sent_starts.len()).expect("tests are short")
+    }
+
+    /// Returns the starts that were attempted.
+    pub(crate) fn sent_starts(&self) -> Vec<SentStart> {
+        self.state().sent_starts.clone()
+    }
+
+    /// Sets what becomes of the next starts.
+    pub(crate) fn set_fates(&self, fates: impl IntoIterator<Item = StartFate>) {
+        self.state().fates = fates.into_iter().collect();
+    }
+
+    /// Carries out a start after `delay`, if the worker is up by then.
+    fn start_late(&self, name: String, order: StartOrder, deadline_ms: u64, delay: Duration) {
+        let worker = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let mut state = worker.state();
+            if state.behavior != Behavior::Unreachable && state.name == name {
+                state.advance();
+                state.start(&order, deadline_ms);
+            }
+        });
     }
 
     pub(crate) fn started_runs(&self) -> Vec<(TaskKey, u32)> {
@@ -385,8 +433,29 @@
         order: &StartOrder,
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
-        self.state().start_attempts += 1;
+        let fate = {
+            let mut state = self.state();
+            state.sent_starts.push(SentStart {
+                task: order.task,
+                run: order.run,
+                deadline_ms,
+            });
+            state.fates.pop_front()
+        };
+        if fate == Some(StartFate::NotSent) {
+            return Err(CallError::NotSent("refused".to_owned()));
+        }
         self.ensure_reachable(incarnation).await?;
+        match fate {
+            Some(StartFate::Late(delay)) => {
+                let name = incarnation.name.clone();
+                self.start_late(name, order.clone(), deadline_ms, delay);
+                sleep(START_TIMEOUT).await;
+                return Err(CallError::Unknown("timed out".to_owned()));
+            }
+            Some(StartFate::Rejected(rejection)) => return Ok(StartReply::Rejected(rejection)),
+            Some(StartFate::NotSent) | None => {}
+        }
         let behavior = self.state().behavior;
         match behavior {
             Behavior::StartsLate => sleep(LATE_START_TIME).await,
