Keep jobs over quota by team, without a search for each retry

A backlog of teams at their quota has up to 256 blocked jobs for each team and class, and each second each retried one was looked for in a list of all. They are kept by team now, in the order of their retries; a stale entry costs one early retry.

--- a/crates/agate_place/src/scheduler/blocked.rs
+++ b/crates/agate_place/src/scheduler/blocked.rs
@@ -37,8 +37,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OverQuota {
     job: JobKey,
-    team: TeamKey,
     demand: Resources,
+    /// When the job is retried in any case. It may be retried earlier.
+    retry_at: Moment,
 }
 
 /// A worker that takes no other work until the next task of a job fits.
@@ -62,12 +63,18 @@
     /// Blocks a job that exceeds what its team has left of its quota, so that smaller ones pass it.
     pub(super) fn block_for_quota(&mut self, now: Moment, head: &Head, demand: Resources) {
         self.queue.block(head.key);
-        self.over_quota.push(OverQuota {
+        let retry_at = now + RETRY_INTERVAL;
+        let waiting = self.over_quota.entry(head.team).or_default();
+        // Retried jobs aren't looked for one by one: a backlog behind a full quota has many.
+        while waiting.front().is_some_and(|over| over.retry_at <= now) {
+            waiting.pop_front();
+        }
+        waiting.push_back(OverQuota {
             job: head.key,
-            team: head.team,
             demand,
+            retry_at,
         });
-        self.retry_times.insert((now + RETRY_INTERVAL, head.key));
+        self.retry_times.insert((retry_at, head.key));
     }
 
     /// Defers a job that waits for something other than a worker.
@@ -94,7 +101,6 @@
 
     pub(super) fn unblock(&mut self, job: JobKey) {
         self.blocked.retain(|blocked| blocked.job != job);
-        self.over_quota.retain(|over| over.job != job);
         self.queue.unblock(job);
     }
 
@@ -108,18 +114,18 @@
 
     /// Unblocks jobs that fit into what a team has left of its quota, as far as it has enough for all of them.
     pub(super) fn unblock_within_quota(&mut self, team: TeamKey) {
-        let (queue, mut taken) = (&self.queue, Resources::ZERO);
-        let fits = |over: &mut OverQuota| {
-            let fits = over.team == team && !queue.exceeds_quota(team, taken + over.demand);
+        let Some(waiting) = self.over_quota.get_mut(&team) else {
+            return;
+        };
+        let mut taken = Resources::ZERO;
+        waiting.retain(|over| {
+            let fits = !self.queue.exceeds_quota(team, taken + over.demand);
             if fits {
                 taken += over.demand;
+                self.queue.unblock(over.job);
             }
-            fits
-        };
-        let fitting: Vec<OverQuota> = self.over_quota.extract_if(.., fits).collect();
-        for over in fitting {
-            self.queue.unblock(over.job);
-        }
+            !fits
+        });
     }
 
     /// Unblocks jobs whose retry time has come and teams that are held back no longer, and drops an expired
--- a/crates/agate_place/src/scheduler/mod.rs
+++ b/crates/agate_place/src/scheduler/mod.rs
@@ -15,7 +15,7 @@
 mod steps;
 mod types;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::ops::Range;
 
 use agate_core::{JobId, Moment, TaskId};
@@ -63,8 +63,9 @@
     /// When blocked and deferred jobs are retried.
     retry_times: BTreeSet<(Moment, JobKey)>,
     reservations: Vec<Reservation>,
-    /// Jobs that exceed the quota of their team, in the order in which they were blocked.
-    over_quota: Vec<OverQuota>,
+    /// Jobs that exceed the quota of their team, in the order in which they were blocked. Some may have been
+    /// retried since.
+    over_quota: BTreeMap<TeamKey, VecDeque<OverQuota>>,
     /// When teams that are skipped are no longer held back.
     cap_times: BTreeSet<(Moment, TeamKey)>,
     holds: Holds,
@@ -96,7 +97,7 @@
             blocked: Vec::new(),
             retry_times: BTreeSet::new(),
             reservations: Vec::new(),
-            over_quota: Vec::new(),
+            over_quota: BTreeMap::new(),
             cap_times: BTreeSet::new(),
             holds: Holds::default(),
             waiting_since: SparseSecondaryMap::new(),
