Count holds from the longest wait, and retry jobs over quota each 10 s

Holds of a team were counted from the wait of whichever of its jobs came first. If that was a job with many small tasks, its wait began anew with each task, and the hold that a large task needs never began: with retries each 10 s in place of 1 s, a_task_of_the_whole_quota_starts_among_small_ones failed, as the large task came first less often. The longest known wait counts now.

Jobs over quota are retried each 10 s: a run of their team that ends wakes those that fit.

--- a/crates/agate_place/src/scheduler/blocked.rs
+++ b/crates/agate_place/src/scheduler/blocked.rs
@@ -14,6 +14,10 @@
 /// Interval after which a blocked job is retried even if no capacity was freed.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval after which a job over its team's quota is retried though no run of the team has ended. Until then only
+/// the beginning of a hold can matter to it, and a backlog behind a full quota has many such jobs.
+const QUOTA_RETRY_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Lifetime of a reservation whose job doesn't reach the head of the queue.
 const RESERVATION_TTL: Duration = Duration::from_secs(10);
 
@@ -63,7 +67,7 @@
     /// Blocks a job that exceeds what its team has left of its quota, so that smaller ones pass it.
     pub(super) fn block_for_quota(&mut self, now: Moment, head: &Head, demand: Resources) {
         self.queue.block(head.key);
-        let retry_at = now + RETRY_INTERVAL;
+        let retry_at = now + QUOTA_RETRY_INTERVAL;
         let waiting = self.over_quota.entry(head.team).or_default();
         // Retried jobs aren't looked for one by one: a backlog behind a full quota has many.
         while waiting.front().is_some_and(|over| over.retry_at <= now) {
--- a/crates/agate_place/src/scheduler/holds.rs
+++ b/crates/agate_place/src/scheduler/holds.rs
@@ -24,7 +24,8 @@
     Team(TeamKey),
 }
 
-/// The jobs from whose wait the holds are counted. Each job by itself would start a hold as that of another one ends.
+/// The jobs from whose wait the holds are counted, which is the longest known one. Each job by itself would start a hold
+/// as that of another one ends, and a job with many tasks begins a new wait with each.
 #[derive(Debug, Default)]
 pub(super) struct Holds(HashMap<Held, (JobKey, Moment)>);
 
@@ -35,7 +36,8 @@
         self.waiting_since.insert(job, own);
         let counted = self.holds.0.get(&held).copied();
         let counted = counted.filter(|(key, since)| {
-            self.waiting_since.get(*key) == Some(since) && !self.queue.is_withdrawn(*key)
+            let is_waiting = self.waiting_since.get(*key) == Some(since);
+            is_waiting && !self.queue.is_withdrawn(*key) && *since <= own
         });
         let (_, since) = *self
             .holds
