Keep reserved room from long-running tasks that have waited for a short time

Cause: a long-running task that had waited for 2.5 s ignored all reservations. While a service is full, nearly all waiting tasks have waited for as long, so smaller ones took the room that was reserved for the one that had waited longest, while the last short tasks there ended.

Change: such a task leaves reserved room to the one that has waited longer for as long as it can be back within 6 s itself. A reservation still keeps room from long-running tasks for 2.5 s only.

Test: the case of room_that_short_tasks_are_about_to_leave_is_kept_from in which a task that has waited for 3 s takes the room stated the rule that is changed here. In its place, one that has waited for 4.9 s leaves the room (it failed on the code before), and one that has waited for 5 s takes it. The new test reserved_room_is_left_to_tasks_that_wait_after_a_while holds the limit of 2.5 s, which no test of two waiting tasks did; it passes on the code before as well.

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -9,7 +9,7 @@
 use crate::plan::order::{self, Turn};
 use crate::plan::scheduler::{Placement, Scheduler};
 use crate::plan::suspects;
-use crate::plan::worker::{Binding, FIRST_TIME};
+use crate::plan::worker::{Binding, YIELD_TIME};
 use crate::record::{Order, OrderKind};
 use crate::table::{Job, JobTable};
 use crate::task::TaskKey;
@@ -247,7 +247,7 @@
         if candidate.step.long_running {
             // A task that is being moved is bound, and its zone has to be left.
             let moves = self.bindings.contains_key(&task);
-            candidate.yields = !moves && self.waits.waited(task, now) < FIRST_TIME;
+            candidate.yields = !moves && self.waits.waited(task, now) < YIELD_TIME;
         }
         choose::choose(&self.workers, &self.interference, candidate, now)
     }
--- a/crates/agate_jobs/src/plan/worker.rs
+++ b/crates/agate_jobs/src/plan/worker.rs
@@ -16,10 +16,15 @@
 /// Share of their processor demand that long-running tasks leave idle on average, in percent.
 const LONG_RUNNING_IDLE_PERCENT: u32 = 60;
 
-/// Time for which later long-running tasks leave room to one that waits for short tasks to end, and for
-/// which each of them does so. Most short tasks have ended by then; the later tasks would otherwise wait
-/// beside room for as long as it does.
-pub(super) const FIRST_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which later long-running tasks leave room to one that waits for short tasks to end. Most short
+/// tasks have ended by then; the later tasks would otherwise wait beside room for as long as it does.
+const FIRST_TIME: Duration = Duration::from_millis(2_500);
+
+/// Wait up to which a long-running task leaves reserved room to one that has waited longer. It has to be back within
+/// 6 s after its last run, which ended about a second before the wait began. With 2.5 s, smaller tasks took nearly all
+/// room that was reserved while a service was full; without a limit, room stood empty beside tasks that had waited
+/// for 13 s.
+pub(super) const YIELD_TIME: Duration = Duration::from_secs(5);
 
 /// Longest time for which suspects, one after the other, close a worker to other tasks. Tasks that are ready
 /// would otherwise wait beside room for as long as there are suspects that have to survive their start.
--- a/crates/agate_jobs/tests/jobs/long_running.rs
+++ b/crates/agate_jobs/tests/jobs/long_running.rs
@@ -58,12 +58,15 @@
 }
 
 /// The time for which new tasks leave room to a large one was over before there was a worker on which it
-/// only had to wait for short tasks. A task that has waited as well takes the room: it stood empty else.
+/// only had to wait for short tasks. Tasks that had waited for 2.5 s themselves took such room, so that the
+/// largest ones found none while a service was full. One that has waited for long does take it: it stood
+/// empty else.
 #[rstest]
 #[case::new_ones_leave_it(0, &[], &[3])]
-#[case::those_that_wait_take_it(3, &[4], &[])]
+#[case::those_that_wait_leave_it(4_900, &[], &[3])]
+#[case::those_that_have_waited_for_long_take_it(5_000, &[4], &[])]
 fn room_that_short_tasks_are_about_to_leave_is_kept_from(
-    #[case] waited_s: u64,
+    #[case] waited_ms: u64,
     #[case] at_once: &[u64],
     #[case] later: &[u64],
 ) {
@@ -78,12 +81,12 @@
     assert_eq!(fleet.place().len(), 3);
     fleet.fold(submitted(3, vec![long_running(3_000)]));
     assert!(fleet.place().is_empty());
-    fleet.now = fleet.now + std::time::Duration::from_secs(3 - waited_s);
+    fleet.now = fleet.now + std::time::Duration::from_secs(3);
     fleet.fold(submitted(4, vec![long_running(2_000)]));
-    if waited_s > 0 {
+    if waited_ms > 0 {
         assert!(fleet.place().is_empty());
     }
-    fleet.now = fleet.now + std::time::Duration::from_secs(waited_s);
+    fleet.now = fleet.now + std::time::Duration::from_millis(waited_ms);
     fleet.fold(cancelled(1));
     fleet.fold(ended(task(1, 0, 0), 1, EndCause::Stopped, "a"));
     assert_eq!(placed_jobs(&mut fleet), at_once);
@@ -91,6 +94,27 @@
     assert_eq!(placed_jobs(&mut fleet), later);
 }
 
+/// Room that is kept for a task whose way short tasks don't clear was kept from those that waited as well.
+#[test]
+fn reserved_room_is_left_to_tasks_that_wait_after_a_while() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let long_running = |millicores| StepSpec {
+        long_running: true,
+        demand: agate_core::Resources::new(millicores, 1, 0),
+        ..step(1)
+    };
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert_eq!(fleet.place().len(), 1);
+    fleet.fold(submitted(2, vec![long_running(4_000)]));
+    assert!(fleet.place().is_empty());
+    fleet.fold(submitted(3, vec![long_running(2_000)]));
+    assert!(fleet.place().is_empty());
+    fleet.now = fleet.now + std::time::Duration::from_millis(2_499);
+    assert!(fleet.place().is_empty());
+    fleet.now = fleet.now + std::time::Duration::from_millis(1);
+    assert_eq!(placed_jobs(&mut fleet), [3]);
+}
+
 /// A short task that ran for long kept a long-running one from a worker, and the room that was reserved
 /// for that one kept all other short tasks from nearly idle workers.
 #[rstest]
