--- a/crates/agate_jobs/src/plan/usage.rs
+++ b/crates/agate_jobs/src/plan/usage.rs
@@ -9,8 +9,8 @@
 pub(super) struct Usage {
     /// What is bound, as far as it counts against the capacity.
     bound: [u64; 2],
-    /// The part of it that belongs to runs of which agents report that they have not started. A run on a worker
-    /// that is silent may be at work.
+    /// The part of it that belongs to runs that have not started by the newest reports of their agents. Any other
+    /// run may be at work.
     unstarted: [u64; 2],
     total: [u64; 2],
 }
