--- a/crates/agate_node/src/agent/execute.rs
+++ b/crates/agate_node/src/agent/execute.rs
@@ -245,7 +245,7 @@
 ) -> Result<StartReply, CallError> {
     let (task, run) = (call.task, call.run);
     let started = Instant::now();
-    worker.state().late_starts.record(task, run);
+    worker.state().late_starts.record(task, run, started);
     let reply = worker.client.start(incarnation, call, deadline_ms).await;
     {
         let mut state = worker.state();
--- a/crates/agate_node/src/agent/resend.rs
+++ b/crates/agate_node/src/agent/resend.rs
@@ -102,10 +102,11 @@
 pub(super) struct LateStarts(HashMap<(TaskKey, u32), Instant>);
 
 impl LateStarts {
-    /// Records that a start is being sent.
-    pub fn record(&mut self, task: TaskKey, run: u32) {
-        self.0.retain(|_, sent_at| sent_at.elapsed() < LATE_TIME);
-        self.0.insert((task, run), Instant::now());
+    /// Records that a start is being sent at `now`.
+    pub fn record(&mut self, task: TaskKey, run: u32, now: Instant) {
+        self.0
+            .retain(|_, sent_at| now.duration_since(*sent_at) < LATE_TIME);
+        self.0.insert((task, run), now);
     }
 
     /// Forgets a start all of whose attempts were answered.
