--- a/crates/agate_jobs/src/plan/starved.rs
+++ b/crates/agate_jobs/src/plan/starved.rs
@@ -20,8 +20,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// Wait after which a last attempt takes a worker that is closed by stalls as well, and any task takes room that is
-/// reserved. A quarantine or a reservation that began with the wait has ended by then, or is old; what is left renews
-/// itself.
+/// reserved. A quarantine and a reservation that began with the wait no longer count by then. Those that still do have
+/// been renewed, which may go on without a limit.
 const LONGEST_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Time between two passes over the waiting jobs. Rounds follow each record, and much faster at times.
