--- a/crates/agate_node/tests/it/resends.rs
+++ b/crates/agate_node/tests/it/resends.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeWorker, StartFate, job_id, one_task_job, wait_until,
+    Behavior, Caller as _, Cluster, FakeWorker, StartOutcome, job_id, one_task_job, wait_until,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -66,7 +66,10 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, _agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(4 * SECOND), StartFate::Late(3 * SECOND)]);
+    worker.set_outcomes([
+        StartOutcome::Late(4 * SECOND),
+        StartOutcome::Late(3 * SECOND),
+    ]);
     entry.submit_job(1, one_task_job()).await;
     sleep(Duration::from_millis(700)).await;
     assert_eq!(worker.started_runs(), [(task(1), 1)]);
@@ -85,7 +88,7 @@
     let (worker, _agent) = cluster.worker("w1");
     worker.keep_tasks_running();
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(SEND_TIME)]);
+    worker.set_outcomes([StartOutcome::Late(SEND_TIME)]);
     entry.submit_job(1, one_task_job()).await;
     sleep(3 * SECOND).await;
     assert_eq!(worker.started_runs(), [(task(1), 1)]);
@@ -100,7 +103,7 @@
     let (worker, _agent) = cluster.worker("w1");
     worker.keep_tasks_running();
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(9 * SECOND / 10); 6]);
+    worker.set_outcomes([StartOutcome::Late(9 * SECOND / 10); 6]);
     entry.submit_job(1, one_task_job()).await;
     wait_until("it is sent again", || worker.start_attempts() == 2).await;
     entry.cancel_job(1).await;
@@ -117,7 +120,7 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, agent) = cluster.worker("w1");
     sleep(3 * SECOND).await;
-    worker.set_fates([StartFate::Late(6 * SECOND)]);
+    worker.set_outcomes([StartOutcome::Late(6 * SECOND)]);
     entry.submit_job(1, one_task_job()).await;
     entry.wait_for_answer(1, COMPLETED).await;
     sleep(2 * SECOND).await;
@@ -134,7 +137,7 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(SECOND), StartFate::Late(3 * SECOND)]);
+    worker.set_outcomes([StartOutcome::Late(SECOND), StartOutcome::Late(3 * SECOND)]);
     entry.submit_job(1, one_task_job()).await;
     wait_until("it is sent again", || worker.start_attempts() == 2).await;
     assert_one_deadline(&worker);
@@ -159,11 +162,11 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, _agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    let fates = [
-        StartFate::Late(AFTER_RESEND),
-        StartFate::Rejected(rejection),
+    let outcomes = [
+        StartOutcome::Late(AFTER_RESEND),
+        StartOutcome::Rejected(rejection),
     ];
-    worker.set_fates(fates);
+    worker.set_outcomes(outcomes);
     entry.submit_job(1, one_task_job()).await;
     entry.wait_for_answer(1, COMPLETED).await;
     sleep(3 * SECOND).await;
@@ -178,11 +181,11 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, _agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    let fates = [
-        StartFate::Late(Duration::from_millis(20)),
-        StartFate::Rejected(Rejection::Old),
+    let outcomes = [
+        StartOutcome::Late(Duration::from_millis(20)),
+        StartOutcome::Rejected(Rejection::Old),
     ];
-    worker.set_fates(fates);
+    worker.set_outcomes(outcomes);
     entry.submit_job(1, one_task_job()).await;
     entry.wait_for_answer(1, COMPLETED).await;
     assert_eq!(worker.started_runs(), [(task(1), 1)]);
@@ -196,7 +199,7 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, _agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(3 * SECOND), StartFate::NotSent]);
+    worker.set_outcomes([StartOutcome::Late(3 * SECOND), StartOutcome::NotSent]);
     entry.submit_job(1, one_task_job()).await;
     sleep(WINDOW).await;
     assert_eq!(worker.started_runs(), [(task(1), 1)]);
@@ -231,7 +234,7 @@
     let entry = cluster.entry("e1", cluster.log.client()).await;
     let (worker, agent) = cluster.worker("w1");
     sleep(2 * SECOND).await;
-    worker.set_fates([StartFate::Late(9 * SECOND); 6]);
+    worker.set_outcomes([StartOutcome::Late(9 * SECOND); 6]);
     entry.submit_job(1, one_task_job()).await;
     wait_until("it is sent", || worker.start_attempts() == 1).await;
     let mut heartbeat = FakeWorker::heartbeat("w1", "w1", 1);
--- a/crates/agate_node/tests/it/support/mod.rs
+++ b/crates/agate_node/tests/it/support/mod.rs
@@ -11,4 +11,4 @@
 };
 pub(crate) use log::{FakeLog, Fault, LATE_APPEND_TIME, SlowLink};
 pub(crate) use network::{Link, Network, address};
-pub(crate) use worker::{Behavior, FakeWorker, StartFate, address_of};
+pub(crate) use worker::{Behavior, FakeWorker, StartOutcome, address_of};
--- a/crates/agate_node/tests/it/support/worker.rs
+++ b/crates/agate_node/tests/it/support/worker.rs
@@ -38,7 +38,7 @@
 
 /// What becomes of a single start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StartFate {
+pub(crate) enum StartOutcome {
     /// It gets no answer, and is carried out after this time, whichever incarnation is there by then.
     Late(Duration),
     /// It is rejected.
@@ -106,7 +106,7 @@
     lease_ms: u64,
     until_stopped: bool,
     /// What becomes of the next starts, before the behavior applies.
-    fates: VecDeque<StartFate>,
+    outcomes: VecDeque<StartOutcome>,
     /// Starts that were attempted, also while no connection is accepted.
     sent_starts: Vec<SentStart>,
     /// Every run that was started.
@@ -162,7 +162,7 @@
             highest: HashMap::new(),
             lease_ms: 0,
             until_stopped: false,
-            fates: VecDeque::new(),
+            outcomes: VecDeque::new(),
             sent_starts: Vec::new(),
             started_runs: Vec::new(),
             finished_tasks: HashSet::new(),
@@ -294,8 +294,8 @@
     }
 
     /// Sets what becomes of the next starts.
-    pub(crate) fn set_fates(&self, fates: impl IntoIterator<Item = StartFate>) {
-        self.state().fates = fates.into_iter().collect();
+    pub(crate) fn set_outcomes(&self, outcomes: impl IntoIterator<Item = StartOutcome>) {
+        self.state().outcomes = outcomes.into_iter().collect();
     }
 
     /// Carries out a start after `delay`, if the worker is up by then.
@@ -433,28 +433,28 @@
         order: &StartOrder,
         deadline_ms: u64,
     ) -> Result<StartReply, CallError> {
-        let fate = {
+        let outcome = {
             let mut state = self.state();
             state.sent_starts.push(SentStart {
                 task: order.task,
                 run: order.run,
                 deadline_ms,
             });
-            state.fates.pop_front()
+            state.outcomes.pop_front()
         };
-        if fate == Some(StartFate::NotSent) {
+        if outcome == Some(StartOutcome::NotSent) {
             return Err(CallError::NotSent("refused".to_owned()));
         }
         self.ensure_reachable(incarnation).await?;
-        match fate {
-            Some(StartFate::Late(delay)) => {
+        match outcome {
+            Some(StartOutcome::Late(delay)) => {
                 let name = incarnation.name.clone();
                 self.start_late(name, order.clone(), deadline_ms, delay);
                 sleep(START_TIMEOUT).await;
                 return Err(CallError::Unknown("timed out".to_owned()));
             }
-            Some(StartFate::Rejected(rejection)) => return Ok(StartReply::Rejected(rejection)),
-            Some(StartFate::NotSent) | None => {}
+            Some(StartOutcome::Rejected(rejection)) => return Ok(StartReply::Rejected(rejection)),
+            Some(StartOutcome::NotSent) | None => {}
         }
         let behavior = self.state().behavior;
         match behavior {
