Add review case 6: a task runs twice around the lapse of a lease

A start that is on its way isn't counted as a grant, so its worker is reported as lapsed while it works on the task.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A job whose checkpoints are longer than 16 KiB."""
+"""A start is on its way when the agent takes the lease of a silent worker for lapsed."""
 
 import asyncio
 import os
@@ -10,61 +10,72 @@
 import standins as s
 
 PREFIX = "/lohu930/"
-# Length of the checkpoints of the job that saves its progress.
-CHECKPOINT_BYTES = 20000 if s.TROUBLE else 1000
-SAVING_WORK = 8.0
+# Time from the beginning of the outage from which on the worker leaves its calls without an answer.
+SILENT_FROM = 4.65
+# Time from the first of these calls, a /hold, to the end of the outage. The call is given up after 1.2 s.
+RETURN_AFTER = 1.15
+# Time for which the worker answers nothing.
+MUTE = 2.5
 
 
 async def body(make):
-    cluster = make(entries=2, agents=3, capacity=(16000, 32768), routes=[("r-3hwrr6x", PREFIX)])
-    saving = s.job_id()
-
-    def checkpoint(spec, task, seconds):
-        if spec != "saving" or seconds < 0.5:
-            return ""
-        return ("%s:%06d:" % (task, seconds * 2)).ljust(CHECKPOINT_BYTES, "x")
-
+    cluster = make(entries=2, agents=2, capacity=(16000, 65536), routes=[("r-3hwrr6x", PREFIX)])
+    first, second = cluster.minions
     for minion in cluster.minions:
-        minion.work_of = lambda spec: SAVING_WORK if spec == "saving" else 0.5
-        minion.checkpoint_of = checkpoint
-        minion.demand_of = lambda task: (1000, 512)
+        minion.demand_of = lambda task: (50, 16)
+        minion.work_of = lambda spec: 2.0
     await cluster.begin()
-    step = {"count": 1, "cpu": 1000, "memMb": 512}
-    saves = dict(step, estimateMs=int(SAVING_WORK * 1000), checkpointing=True)
-    assert await cluster.submit(PREFIX, saving, {"spec": "saving", "phases": [saves]})
-    others = []
-    # Ordinary jobs, one each second; the last ones after the workers were first called in vain.
-    for _ in range(45):
-        await asyncio.sleep(1.0)
-        job = s.job_id()
-        plain = dict(step, estimateMs=500)
-        if await cluster.submit(PREFIX, job, {"spec": "plain", "phases": [plain]}, attempts=2):
-            others.append(job)
-    cluster.record.line("the traffic has ended")
-    await asyncio.sleep(s.FINISH)
-    return await ask(cluster, [saving] + others)
+    step = {"count": 1, "cpu": 50, "memMb": 16, "estimateMs": 2000}
+    calls = set()
+
+    async def submit(seconds, until=lambda: False):
+        """Submits a small job each 50 ms."""
+        end = s.time.monotonic() + seconds
+        while s.time.monotonic() < end and not until():
+            job = {"spec": "plain", "phases": [step]}
+            call = asyncio.create_task(cluster.call("POST", PREFIX, s.job_id(), job))
+            calls.add(call)
+            call.add_done_callback(calls.discard)
+            await asyncio.sleep(0.05)
+
+    at_once = {}
+
+    async def look():
+        while True:
+            for task in set(first.running) & set(second.running):
+                if task not in at_once:
+                    runs = first.running[task].number, second.running[task].number
+                    at_once[task] = runs
+                    cluster.record.line("%s: runs %d and %d at the same time" % ((task,) + runs))
+            await asyncio.sleep(0.01)
+
+    looking = asyncio.create_task(look())
+    await submit(1.5)
+    if s.TROUBLE:
+        place = cluster.store.orders_of(first.id)
+        cluster.store.silent[place] = asyncio.Event()
+        began = s.time.monotonic()
+        cluster.record.line("store: partition %s of %s is silent" % (place[1], place[0]))
+        held = []
 
+        def called(target):
+            late = s.time.monotonic() > began + SILENT_FROM
+            if target == "/hold" and late and not held:
+                held.append(s.time.monotonic())
+                first.mute = True
+                cluster.record.line("%s carries out its calls and answers none" % first.id)
 
-async def ask(cluster, jobs):
-    """LOST: for 3 s, a job has nothing running while its turn has come and there is room."""
-    open_jobs = [job for job in jobs if await cluster.state(PREFIX, job) != "completed"]
-    idle = set(open_jobs)
-    until = s.time.monotonic() + 3.2
-    while s.time.monotonic() < until:
-        for minion in cluster.minions:
-            for task in minion.running:
-                idle.discard(task.split(".")[0])
-            # Room for the task twice over, under half of the capacity in use, on each worker.
-            if minion.used()[0] * 2 >= minion.capacity[0]:
-                return []
-        await asyncio.sleep(0.05)
-    broken = []
-    for job in sorted(idle):
-        state = await cluster.state(PREFIX, job)
-        if state != "completed":
-            text = "LOST: %s was accepted and isn't finished (%s), and for 3 s nothing of it runs"
-            broken.append(text % (job, state))
-    return broken
+        first.called = called
+        await submit(10, until=lambda: held)
+        await submit(held[0] + RETURN_AFTER - s.time.monotonic())
+        cluster.store.silent.pop(place).set()
+        cluster.record.line("store: it answers again after %.1f s" % (s.time.monotonic() - began))
+    await submit(MUTE)
+    first.mute = False
+    await asyncio.sleep(5)
+    looking.cancel()
+    text = "TWICE: %s was at work on both workers at the same time, runs %d and %d"
+    return [text % ((task,) + runs) for task, runs in sorted(at_once.items())]
 
 
 s.main(FOLDER, body)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -158,6 +158,8 @@
     def __init__(self, record):
         self.record = record
         self.partitions = {}
+        # Partitions that answer nothing, and the event that ends that.
+        self.silent = {}
         self.appended = asyncio.Event()
 
     def partition(self, topic, part):
@@ -167,6 +169,14 @@
         """Appends a record as another writer does."""
         self.store(self.partition(topic, part), [(key.encode(), value)])
 
+    def orders_of(self, minion):
+        """Returns the partition in which the system keeps the orders for a worker."""
+        prefix = ("r/%s/" % minion).encode()
+        for place, partition in self.partitions.items():
+            if any(key.startswith(prefix) for key, _ in partition.records):
+                return place
+        return None
+
     def store(self, partition, records):
         for key, value in records:
             offset = partition.end()
@@ -185,6 +195,9 @@
             name, _, value = pair.partition("=")
             query[name] = unquote(value)
         await asyncio.sleep(ANSWER_S)
+        place = (query.get("topic", ""), query.get("part", "0"))
+        while place in self.silent:
+            await self.silent[place].wait()
         partition = self.partition(query.get("topic", ""), query.get("part", "0"))
         if path == "/log-append":
             return await self.append(partition, query, body)
@@ -343,6 +356,9 @@
         self.checkpoint_of = lambda spec, task, seconds: ""
         self.demand_of = lambda task: (0, 0)
         self.acked = 0
+        # Carries out calls and doesn't answer them.
+        self.mute = False
+        self.called = lambda target: None
 
     def clock(self):
         return int((time.monotonic() - self.clock0) * 1000)
@@ -379,6 +395,14 @@
             self.lease = max(self.lease, min(deadline, latest))
 
     async def handle(self, method, target, headers, body):
+        self.called(target)
+        answer = await self.carry_out(method, target, headers, body)
+        if self.mute and target != "/healthz":
+            self.record.line("%s doesn't answer %s" % (self.id, target))
+            return None
+        return answer
+
+    async def carry_out(self, method, target, headers, body):
         if target == "/healthz":
             return 200, {}
         if headers.get("x-agatenotch-expect-instance", self.id) != self.id:
@@ -529,7 +553,6 @@
         self.store = Store(self.record)
         self.minions = [Minion(self, number, capacity) for number in range(agents)]
         self.routes = routes
-        self.stopping = set()
 
     def entry_ip(self, number):
         return "127.77.%d.%d" % (self.net, 10 + number)
