--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,9 +5,9 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 sys.dont_write_bytecode = True
-import standins as s
+import standins_2 as s
 
 PREFIX = "/lohu930/"
 # A task that lasts runs again within this time after its last run, and is looked at for 3 s more.
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,6 +3,7 @@
 set -uo pipefail
 cd "$(dirname "$0")" || exit 2
 command -v python3 >/dev/null || exit 2
+[ -f ../standins_2.py ] || exit 2
 for program in entry agent; do
     [ -x "../../target/release/agate-platform-$program" ] || exit 2
 done
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,9 +5,9 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
+sys.path.insert(0, os.path.dirname(FOLDER))
 sys.dont_write_bytecode = True
-import standins as s
+import standins_2 as s
 
 PREFIX = "/lohu930/"
 # Time from the beginning of the outage from which on the worker leaves its calls without an answer.
@@ -19,13 +19,13 @@
 
 
 async def body(make):
-    cluster = make(entries=2, agents=2, capacity=(16000, 65536), routes=[("r-3hwrr6x", PREFIX)])
-    first, second = cluster.minions
+    cluster = make(entries=2, agents=11, capacity=(16000, 65536), routes=[("r-3hwrr6x", PREFIX)])
+    first, *others = cluster.minions
     for minion in cluster.minions:
-        minion.demand_of = lambda task: (50, 16)
+        minion.demand_of = lambda task: (500, 16)
         minion.work_of = lambda spec: 2.0
     await cluster.begin()
-    step = {"count": 1, "cpu": 50, "memMb": 16, "estimateMs": 2000}
+    step = {"count": 1, "cpu": 500, "memMb": 16, "estimateMs": 2000}
     calls = set()
 
     async def submit(seconds, until=lambda: False):
@@ -42,9 +42,10 @@
 
     async def look():
         while True:
-            for task in set(first.running) & set(second.running):
-                if task not in at_once:
-                    runs = first.running[task].number, second.running[task].number
+            for task in first.running:
+                again = [other.running[task] for other in others if task in other.running]
+                if again and task not in at_once:
+                    runs = first.running[task].number, again[0].number
                     at_once[task] = runs
                     cluster.record.line("%s: runs %d and %d at the same time" % ((task,) + runs))
             await asyncio.sleep(0.01)
@@ -74,7 +75,7 @@
     first.mute = False
     await asyncio.sleep(5)
     looking.cancel()
-    text = "TWICE: %s was at work on both workers at the same time, runs %d and %d"
+    text = "TWICE: %s was at work on two workers at the same time, runs %d and %d"
     return [text % ((task,) + runs) for task, runs in sorted(at_once.items())]
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 8))'
 shopt -s nullglob
-for source in standins-2/standins.py [6-9]/case.py 10/case.py; do
+for source in standins_2.py [6-9]/case.py 10/case.py; do
     [ -f "$source" ] || continue
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$source"
 done
--- a/review/standins-2/standins.py
+++ b/review/standins_2.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # Bounds of the site kehilla-seats (SYSTEM.md) in seconds.
@@ -524,11 +524,11 @@
 
 
 def free_ports(count):
-    """Returns ports that are free on all loopback addresses."""
+    """Returns ports that nothing listens on."""
     found, held = [], []
     while len(found) < count:
         probe = socket.socket()
-        probe.bind(("0.0.0.0", 0))
+        probe.bind(("127.0.0.1", 0))
         held.append(probe)
         found.append(probe.getsockname()[1])
     for probe in held:
@@ -711,6 +711,10 @@
             clusters.append(Cluster(folder, **settings))
             return clusters[-1]
 
+        # A signal ends the case, and the processes that it started with it.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             broken = await asyncio.wait_for(body(make), 112)
         finally:
@@ -731,7 +735,7 @@
 
     try:
         code = asyncio.run(run())
-    except (Exception, SystemExit) as error:
+    except (Exception, SystemExit, asyncio.CancelledError) as error:
         print("the case could not run: %r" % error)
         code = 2
     sys.stdout.flush()
