Run a long-running task again after an end done

Cause: TaskProgress took any end `done` for the end of the task, whatever the step. Placement, the backlog, moves and the attribution of crashes leave finished tasks out. Attempts are handled apart for long-running steps in both places where they count; the end wasn't.

Change: a step knows what such an end means for its tasks. A long-running task is never `done`; that a run of it has ended `done` is kept as `completed`, for steps that depend on it, which start as before. The same cause on related paths: a late end `done` of a run that was taken for lost stopped the run that followed it; a new leader stopped that run when it took over; one end `done` finished a long-running gang for good; and a task that had ended `done` once was never given up, however many workers crashed under it.

Why this works: everything that asks whether a task still has to run asks `done`, and that is derived from the recorded ends whatever their order, so tables of older builds and loaded ones agree.

Ruled out: the agent (it records the end and acknowledges it), and the worker (it would take the next run: the number is higher).

The product's own path (agate_place, agate_state) has no long-running tasks.

--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -173,7 +173,9 @@
                 self.release(end);
             }
             // A run that was taken for lost has finished the task.
-            Some(_) if end.cause == EndCause::Done => self.stop(end.task),
+            Some(_) if end.cause == EndCause::Done && !runs_again(table, end) => {
+                self.stop(end.task);
+            }
             _ => {}
         }
         let job = table.job(end.task.job);
@@ -360,6 +362,12 @@
     }
 }
 
+/// Returns whether the task of an ended run is long-running.
+fn runs_again(table: &JobTable, end: &RunEnd) -> bool {
+    let job = table.job(end.task.job);
+    job.is_some_and(|job| job.is_long_running(end.task))
+}
+
 fn no_suspicion(incarnation: WorkerIncarnation) -> SuspicionRecord {
     SuspicionRecord {
         incarnation,
--- a/crates/agate_jobs/src/table/job.rs
+++ b/crates/agate_jobs/src/table/job.rs
@@ -40,7 +40,7 @@
     pub(super) fn new(spec: JobSpec, policy: QueuePolicy, at_ms: u64) -> Self {
         let occurrence = |_| {
             let steps = spec.steps.iter();
-            steps.map(|step| StepProgress::new(step.tasks)).collect()
+            steps.map(StepProgress::new).collect()
         };
         let progress: Vec<Vec<StepProgress>> = (0..spec.occurrences()).map(occurrence).collect();
         let open_steps = progress.iter().flatten().filter(|s| !s.is_done()).count();
@@ -88,12 +88,20 @@
 
     /// Returns whether a run of a task before the given one has finished it.
     pub(crate) fn has_finished_before(&self, task: TaskKey, run: u32) -> bool {
+        if self.is_long_running(task) {
+            return false;
+        }
         let step = self.step_progress(task);
         let progress = step.and_then(|step| step.tasks.get(task.index as usize));
         progress.is_some_and(|progress| progress.has_finished_before(run))
     }
 
-    /// Returns whether all dependencies of `step` have finished.
+    /// Returns whether a task is long-running, so that it runs again however its runs end.
+    pub(crate) fn is_long_running(&self, task: TaskKey) -> bool {
+        self.step(task).is_some_and(|step| step.long_running)
+    }
+
+    /// Returns whether all dependencies of `step` have been completed.
     pub fn is_ready(&self, occurrence: usize, step: usize) -> bool {
         let Some(progress) = self.progress.get(occurrence) else {
             return false;
@@ -101,7 +109,7 @@
         let after = self.spec.steps[step].after.iter();
         after.copied().all(|earlier| {
             let earlier = progress.get(earlier as usize);
-            earlier.is_some_and(StepProgress::is_done)
+            earlier.is_some_and(StepProgress::is_completed)
         })
     }
 
@@ -173,7 +181,7 @@
         if end.ran_ms > 0 {
             self.started = true;
         }
-        if !was_done && step.is_done() && !spec.long_running {
+        if !was_done && step.is_done() {
             self.open_steps -= 1;
         }
         // A task that seemed to have failed is done if one of its runs turns out to have finished.
--- a/crates/agate_jobs/src/table/progress.rs
+++ b/crates/agate_jobs/src/table/progress.rs
@@ -2,15 +2,37 @@
 
 use crate::crash::CrashHistory;
 use crate::record::{EndCause, RunEnd};
+use crate::spec::StepSpec;
 use crate::table::ended_run::EndedRun;
 
+/// What a run that ends [`EndCause::Done`] means for its task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Completion {
+    /// The task has finished, and never runs again.
+    Finishes,
+    /// The task is long-running: it runs again, however a run ends.
+    RunsAgain,
+}
+
+impl Completion {
+    const fn of(step: &StepSpec) -> Self {
+        if step.long_running {
+            Self::RunsAgain
+        } else {
+            Self::Finishes
+        }
+    }
+}
+
 /// Progress of a single task. It depends on which ends are recorded and not on their order: an end whose
 /// append got no answer is recorded again, and a table that is loaded from the newest record of each key then
 /// reads it behind those of later runs.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct TaskProgress {
-    /// Whether the task has finished.
+    /// Whether the task has finished. A long-running task never does.
     pub done: bool,
+    /// Whether a run has ended [`EndCause::Done`], which is all that dependent steps wait for.
+    pub completed: bool,
     /// Number of failed runs.
     pub failures: u32,
     /// Highest run whose end has been recorded.
@@ -40,7 +62,7 @@
         earlier.any(|known| known.cause == EndCause::Done)
     }
 
-    fn record(&mut self, end: &RunEnd) {
+    fn record(&mut self, end: &RunEnd, completion: Completion) {
         match self.runs.binary_search_by_key(&end.run, |run| run.run) {
             Ok(at) => self.runs[at].merge(end),
             Err(at) => {
@@ -50,6 +72,7 @@
             }
         }
         self.update();
+        self.done = self.completed && completion == Completion::Finishes;
     }
 
     /// Derives the progress from the ends of all runs.
@@ -66,7 +89,7 @@
                 None => self.crashes.record_end(run.ran_ms),
             }
             match run.cause {
-                EndCause::Done => self.done = true,
+                EndCause::Done => self.completed = true,
                 EndCause::Failed => {
                     self.failures += 1;
                     self.failed_on.clone_from(&run.failed_on);
@@ -84,19 +107,21 @@
 }
 
 /// Progress of a step within one occurrence.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StepProgress {
     /// Tasks by index.
     pub tasks: Vec<TaskProgress>,
     /// Number of finished tasks.
     pub done: u32,
+    completion: Completion,
 }
 
 impl StepProgress {
-    pub(super) fn new(tasks: u32) -> Self {
+    pub(super) fn new(step: &StepSpec) -> Self {
         Self {
-            tasks: vec![TaskProgress::default(); tasks as usize],
+            tasks: vec![TaskProgress::default(); step.tasks as usize],
             done: 0,
+            completion: Completion::of(step),
         }
     }
 
@@ -105,6 +130,15 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Returns whether the steps that depend on this one may start: a run of each task has ended
+    /// [`EndCause::Done`], also if the tasks are long-running.
+    pub fn is_completed(&self) -> bool {
+        match self.completion {
+            Completion::Finishes => self.is_done(),
+            Completion::RunsAgain => self.tasks.iter().all(|task| task.completed),
+        }
+    }
+
     /// Returns the highest run of any task whose end has been recorded. The members of a gang are bound
     /// with the number after it.
     pub fn last_run(&self) -> u32 {
@@ -120,20 +154,26 @@
         let Some(task) = self.tasks.get_mut(end.task.index as usize) else {
             return;
         };
-        let was_done = task.done;
-        task.record(end);
-        if task.done && !was_done {
+        let was_completed = task.completed;
+        task.record(end, self.completion);
+        if !task.completed || was_completed {
+            return;
+        }
+        if gang {
+            self.complete_all();
+        } else if task.done {
             self.done += 1;
-            if gang {
-                self.finish_all();
-            }
         }
     }
 
-    fn finish_all(&mut self) {
+    fn complete_all(&mut self) {
+        let finishes = self.completion == Completion::Finishes;
         for task in &mut self.tasks {
-            task.done = true;
+            task.completed = true;
+            task.done = finishes;
+        }
+        if finishes {
+            self.done = u32::try_from(self.tasks.len()).unwrap_or(u32::MAX);
         }
-        self.done = u32::try_from(self.tasks.len()).unwrap_or(u32::MAX);
     }
 }
--- a/crates/agate_jobs/tests/jobs/main.rs
+++ b/crates/agate_jobs/tests/jobs/main.rs
@@ -21,6 +21,7 @@
 mod records;
 mod refused;
 mod repeats;
+mod restarts;
 mod short_waits;
 mod stalls;
 mod start_blocks;
--- /dev/null
+++ b/crates/agate_jobs/tests/jobs/restarts.rs
@@ -0,0 +1,176 @@
+//! Restarts of long-running tasks, which run until their job is cancelled, however their runs end.
+
+use std::time::Duration;
+
+use agate_core::JobId;
+use agate_jobs::crash::Crash;
+use agate_jobs::record::{Body, OrderKind};
+use agate_jobs::{EndCause, JobState, LossReason, Record, RunEnd, StepSpec};
+use rstest::rstest;
+
+use crate::fleet::Fleet;
+use crate::support::{cancelled, ended, report, step, submitted, task};
+
+/// Returns a step of long-running tasks.
+fn long_running(tasks: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(tasks)
+    }
+}
+
+/// Places what is ready, and returns the steps, indices and runs.
+fn placed(fleet: &mut Fleet) -> Vec<(u32, u32, u32)> {
+    let placed = fleet.place().into_iter();
+    placed.map(|p| (p.task.step, p.task.index, p.run)).collect()
+}
+
+/// Returns the end of a run that lasted for `ran_ms`.
+fn ended_after(ran_ms: u64, run: u32, cause: EndCause) -> Record {
+    let mut record = ended(task(1, 0, 0), run, cause, "a");
+    if let Some(Body::Ended(end)) = &mut record.body {
+        end.ran_ms = ran_ms;
+    }
+    record
+}
+
+/// The end `done` of a long-running task counted as the end of the task, which never ran again, while its job
+/// stayed running (LOST, review/10). Any other task must not be started after such an end (TWICE).
+#[rstest]
+#[case::long_running(long_running(1), &[(0, 0, 2)], JobState::Running)]
+#[case::others(step(1), &[], JobState::Completed)]
+fn a_task_whose_run_ended_done(
+    #[case] step: StepSpec,
+    #[case] expected: &[(u32, u32, u32)],
+    #[case] state: JobState,
+    #[values(false, true)] read_by_new_leader: bool,
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1)]);
+    let end = ended_after(60_000, 1, EndCause::Done);
+    if read_by_new_leader {
+        fleet.table.fold(end);
+        fleet.take_over();
+    } else {
+        fleet.fold(end);
+    }
+    assert_eq!(placed(&mut fleet), expected);
+    assert_eq!(fleet.table.state(JobId(1)), Some(state));
+}
+
+/// A leader that takes over after the end of the first run would stop the second one, or drop its order.
+#[rstest]
+fn the_second_run_of_a_long_running_task_goes_on_after_a_takeover(
+    #[values(EndCause::Done, EndCause::Untraced)] first: EndCause,
+    #[values(false, true)] again: bool,
+) {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(1)]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1)]);
+    fleet.fold(ended_after(60_000, 1, first));
+    assert_eq!(placed(&mut fleet), [(0, 0, 2)]);
+    if again {
+        // The first run was taken for lost, and had ended done.
+        fleet.fold(ended_after(60_000, 1, EndCause::Done));
+    }
+    fleet.take_over();
+    assert_eq!(placed(&mut fleet), []);
+    assert!(fleet.scheduler.is_bound(JobId(1)), "its order is dropped");
+    let kinds = fleet.orders.iter().filter_map(|record| match &record.body {
+        Some(Body::Order(order)) => Some(&order.kind),
+        _ => None,
+    });
+    let stops = kinds.filter(|kind| matches!(kind, OrderKind::Stop { .. }));
+    assert_eq!(stops.count(), 0, "it is stopped");
+}
+
+/// Steps wait until the tasks of the steps that they depend on have all ended `done` once. Those of long-running ones
+/// go on beside them.
+#[test]
+fn a_step_that_depends_on_a_long_running_one_starts_once_its_tasks_have_ended_done() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let after = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    fleet.fold(submitted(1, vec![long_running(2), after]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1), (0, 1, 1)]);
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), [(0, 0, 2)]);
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Failed, "a"));
+    assert_eq!(placed(&mut fleet), [(0, 1, 2)]);
+    fleet.fold(ended(task(1, 0, 1), 2, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), [(0, 1, 3), (1, 0, 1)]);
+    fleet.fold(ended(task(1, 1, 0), 1, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), []);
+    assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Running));
+}
+
+/// One end `done` stands for all members of a gang, which finished a long-running one for good.
+#[test]
+fn a_long_running_gang_is_started_again_as_a_whole() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let gang = StepSpec {
+        gang: true,
+        ..long_running(2)
+    };
+    fleet.fold(submitted(1, vec![gang]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1), (0, 1, 1)]);
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), [], "the other one is still there");
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), [(0, 0, 2), (0, 1, 2)]);
+}
+
+/// Ends `done` are no failures, however many there are, and the job stays running.
+#[test]
+fn ends_done_of_a_long_running_task_do_not_use_up_its_attempts() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(1)]));
+    for run in 1..10 {
+        assert_eq!(placed(&mut fleet), [(0, 0, run)]);
+        fleet.fold(ended_after(60_000, run, EndCause::Done));
+        assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Running));
+    }
+}
+
+/// A run that ends by itself while it is being stopped is not started again once its job is cancelled.
+#[test]
+fn a_long_running_task_that_ends_done_after_a_cancel_stays_cancelled() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(1)]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1)]);
+    fleet.fold(cancelled(1));
+    fleet.fold(ended_after(60_000, 1, EndCause::Done));
+    fleet.now = fleet.now + Duration::from_secs(10);
+    assert_eq!(placed(&mut fleet), []);
+    assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Cancelled));
+}
+
+/// A task that had once ended `done` was never taken for the cause of a crash, and would crash worker after worker.
+#[test]
+fn a_long_running_task_that_crashes_its_workers_is_given_up_after_an_end_done() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(1)]));
+    fleet.fold(ended_after(60_000, 1, EndCause::Done));
+    for run in 2..=7 {
+        fleet.fold(Record::new(Body::Ended(RunEnd {
+            task: task(1, 0, 0),
+            run,
+            cause: EndCause::Lost,
+            checkpoint: String::new(),
+            worker: format!("w{run}"),
+            ran_ms: 10,
+            loss: Some(LossReason::Restarted),
+            crash: Some(Crash {
+                address: format!("w{run}:1"),
+                ran_ms: 10,
+                within_ms: 10,
+                peers: 0,
+                unstable: false,
+            }),
+        })));
+    }
+    assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Failed));
+}
