Delay restarts of long-running tasks that end soon after each start

Cause: a long-running task now runs again after an end `done`. One whose program ends at once would be started as fast as its orders reach a worker, three records and a start each time, for as long as its job is not cancelled.

Change: after the second and each further run in a row that ends `done` within 4 s, the next one waits for 0.25, 0.5, 1 and then 2 s. The first restart is at once, and so is any after a run that lasts or an end of another cause. The number of short runs is derived from the recorded ends; the pause itself is the leader's, so a task may run again at once after a takeover. `restart_delayed` and its counter name the task.

Bound: the rule wants a task back 6 s after its last run and a job at work every 3 s, so the pause stays at 2 s. At that rate a task costs half a start a second.

Ruled out: counting such ends as failures, as attempts don't apply to these tasks; the same pause after failures, which may be the worker's, so that tasks on a failing worker would come back later than now.

Tests: `restarts`, seven cases: pauses by run time and cause, other tasks of the job, gangs. 1,071 tests of agate_jobs, agate_node and agate_docs pass.

--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -74,6 +74,7 @@
             return Vec::new();
         }
         self.prune_zone_waits(table);
+        self.restarts.expire(now);
         let mut round = Round {
             now,
             left: limit,
@@ -132,7 +133,7 @@
         let progress = turn.job.step_progress(task);
         let progress = progress.and_then(|step| step.tasks.get(task.index as usize));
         progress.is_some_and(|progress| !progress.done && !suspects::is_suspected(progress))
-            && !self.bindings.contains_key(&task)
+            && self.is_free(task)
     }
 
     fn place_long_running(&mut self, turn: &Turn<'_>, task: TaskKey, round: &mut Round) {
@@ -240,7 +241,8 @@
         }
     }
 
-    /// Returns the tasks of a step that are neither finished, nor bound, nor given up.
+    /// Returns the tasks of a step that may be bound: those that are neither finished, nor given up, nor bound, and
+    /// don't wait before they run again.
     pub(super) fn pending_tasks(&self, turn: &Turn<'_>, at: (usize, usize)) -> Vec<TaskKey> {
         self.pending(turn, at).collect()
     }
@@ -251,7 +253,12 @@
         turn: &Turn<'a>,
         at: (usize, usize),
     ) -> impl Iterator<Item = TaskKey> + 'a {
-        unfinished(turn, at).filter(|task| !self.bindings.contains_key(task))
+        unfinished(turn, at).filter(|task| self.is_free(*task))
+    }
+
+    /// Returns whether a task is neither bound nor waits before it runs again.
+    fn is_free(&self, task: TaskKey) -> bool {
+        !self.bindings.contains_key(&task) && !self.restarts.contains(task)
     }
 
     pub(super) fn choose(&self, turn: &Turn<'_>, task: TaskKey, now: Moment) -> Option<usize> {
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::plan::interference::InterferenceTable;
 use crate::plan::moves::Moves;
 use crate::plan::order::JobOrder;
+use crate::plan::restarts::Restarts;
 use crate::plan::short_waits::ShortWaits;
 use crate::plan::starved::Starved;
 use crate::plan::suspects::Suspects;
@@ -58,6 +59,7 @@
     pub(super) short_waits: ShortWaits,
     pub(super) starved: Starved,
     pub(super) unstarted: UnstartedRuns,
+    pub(super) restarts: Restarts,
     mean_slowness: f64,
 }
 
@@ -171,6 +173,7 @@
             Some(run) if run <= end.run => {
                 self.unstarted.record_end(end, now);
                 self.release(end);
+                self.delay_restart(table, end, now);
             }
             // A run that was taken for lost has finished the task.
             Some(_) if end.cause == EndCause::Done && !runs_again(table, end) => {
--- a/crates/agate_jobs/src/table/progress.rs
+++ b/crates/agate_jobs/src/table/progress.rs
@@ -5,6 +5,10 @@
 use crate::spec::StepSpec;
 use crate::table::ended_run::EndedRun;
 
+/// Run time below which a run of a long-running task counts as short, in milliseconds. A task that runs for longer loses
+/// less than a third of its time to pauses of up to 2 s.
+const SHORT_RUN_MS: u64 = 4_000;
+
 /// What a run that ends [`EndCause::Done`] means for its task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Completion {
@@ -44,6 +48,8 @@
     /// Run time of the runs that count: the one that finished and those that it continued, in
     /// milliseconds.
     pub ran_ms: u64,
+    /// Number of its last runs, in a row, that ended [`EndCause::Done`] soon after their start.
+    pub short_runs: u32,
     /// Crashes of workers under the task's runs.
     pub crashes: CrashHistory,
     /// Runs of which an end is recorded, in ascending order.
@@ -81,9 +87,15 @@
         self.failed_on.clear();
         self.checkpoint.clear();
         self.ran_ms = 0;
+        self.short_runs = 0;
         self.crashes = CrashHistory::default();
         for run in &self.runs {
             self.last_run = run.run;
+            self.short_runs = if run.cause == EndCause::Done && run.ran_ms < SHORT_RUN_MS {
+                self.short_runs.saturating_add(1)
+            } else {
+                0
+            };
             match &run.crash {
                 Some(crash) => self.crashes.record(run.run, crash),
                 None => self.crashes.record_end(run.ran_ms),
--- a/crates/agate_jobs/tests/jobs/restarts.rs
+++ b/crates/agate_jobs/tests/jobs/restarts.rs
@@ -174,3 +174,83 @@
     }
     assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Failed));
 }
+
+/// Ends the runs of a long-running task `ran_ms` after each start, and returns the pauses before the next ones.
+fn pauses(ends: &[(u64, EndCause)]) -> Vec<u64> {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(1)]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1)]);
+    let mut found = Vec::new();
+    for (run, (ran_ms, cause)) in (1..).zip(ends) {
+        fleet.fold(ended_after(*ran_ms, run, *cause));
+        let ended_at = fleet.now;
+        while placed(&mut fleet).is_empty() {
+            fleet.now = fleet.now + Duration::from_millis(50);
+            assert!(
+                fleet.now.since(ended_at) < Duration::from_secs(3),
+                "run {run} is not followed by another one"
+            );
+        }
+        let waited = fleet.now.since(ended_at).as_millis();
+        found.push(u64::try_from(waited).expect("it is short"));
+    }
+    found
+}
+
+/// A task whose program ends at once would be started without a pause for as long as its job is not cancelled. Runs
+/// that last, and ends that are not the program's own, are followed by the next run at once.
+#[rstest]
+#[case::short_runs(&[(10, EndCause::Done); 7], &[0, 250, 500, 1_000, 2_000, 2_000, 2_000])]
+#[case::runs_that_last(&[(4_000, EndCause::Done); 4], &[0, 0, 0, 0])]
+#[case::stops(&[(10, EndCause::Stopped); 4], &[0, 0, 0, 0])]
+#[case::a_longer_run_between(
+    &[(10, EndCause::Done), (10, EndCause::Done), (5_000, EndCause::Done), (10, EndCause::Done)],
+    &[0, 250, 0, 0]
+)]
+#[case::a_stop_between(
+    &[(10, EndCause::Done), (10, EndCause::Done), (10, EndCause::Stopped), (10, EndCause::Done)],
+    &[0, 250, 0, 0]
+)]
+fn restarts_of_a_task_that_ends_at_once_are_delayed(
+    #[case] ends: &[(u64, EndCause)],
+    #[case] expected: &[u64],
+) {
+    assert_eq!(pauses(ends), expected);
+}
+
+/// The pause holds for the task alone: another one of the same job runs at once.
+#[test]
+fn a_pause_holds_back_no_other_task() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![long_running(2)]));
+    assert_eq!(placed(&mut fleet), [(0, 0, 1), (0, 1, 1)]);
+    fleet.fold(ended_after(10, 1, EndCause::Done));
+    assert_eq!(placed(&mut fleet), [(0, 0, 2)]);
+    fleet.fold(ended_after(10, 2, EndCause::Done));
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Done, "a"));
+    assert_eq!(placed(&mut fleet), [(0, 1, 2)]);
+    let delayed = fleet.scheduler.take_delayed_restarts();
+    let delayed: Vec<_> = delayed.iter().map(|d| (d.task, d.short_runs)).collect();
+    assert_eq!(delayed, [(task(1, 0, 0), 2)]);
+    assert!(fleet.scheduler.take_delayed_restarts().is_empty());
+}
+
+/// The members of a gang are started together, so that the pause of one holds back all of them.
+#[test]
+fn a_delayed_gang_waits_for_all_of_its_members() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    let gang = StepSpec {
+        gang: true,
+        ..long_running(2)
+    };
+    fleet.fold(submitted(1, vec![gang]));
+    for run in 1..=2 {
+        assert_eq!(placed(&mut fleet), [(0, 0, run), (0, 1, run)]);
+        for index in 0..2 {
+            fleet.fold(ended(task(1, 0, index), run, EndCause::Done, "a"));
+        }
+    }
+    assert_eq!(placed(&mut fleet), []);
+    fleet.now = fleet.now + Duration::from_millis(250);
+    assert_eq!(placed(&mut fleet), [(0, 0, 3), (0, 1, 3)]);
+}
--- a/crates/agate_node/src/entry/lead/mod.rs
+++ b/crates/agate_node/src/entry/lead/mod.rs
@@ -5,6 +5,7 @@
 mod delay;
 mod election;
 mod resign;
+mod restarts;
 mod restore;
 mod schedule;
 mod takeover;
--- a/crates/agate_node/src/entry/lead/schedule.rs
+++ b/crates/agate_node/src/entry/lead/schedule.rs
@@ -11,7 +11,9 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::{HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, crashes, heartbeat, waits, zones};
+use super::{
+    HEARTBEAT_PERIOD, RESIGN_TIMEOUT, backlog, crashes, heartbeat, restarts, waits, zones,
+};
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::writers::{Outcome, StreamWriters};
@@ -140,6 +142,7 @@
         for placed in decided.unwrap_or_default() {
             self.report_placement(&placed);
         }
+        restarts::report(&self.entry, &mut self.scheduler);
         waits::report(&self.entry, &mut self.scheduler, now);
         waits::report_unstarted(&self.entry, &mut self.scheduler, now);
         if pause.is_none() {
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -49,6 +49,8 @@
     TaskMoved,
     /// An order was returned because the worker's zone is withdrawn.
     ZoneRefused,
+    /// The next run of a long-running task was delayed because its last ones were short.
+    RestartDelayed,
     /// The end of a run was recorded.
     EndRecorded,
     /// The pace of a best-effort task was changed.
