Keep runs bound whose worker's report can't be read

Cause: a load finds the newest record of each key. An unreadable one under a worker's key hides its report, and the restore dropped the orders for workers without one as if their runs had ended. A takeover fenced and read only the order streams of known workers.

Change: the streams of workers whose key gave no report are fenced and read, too, and an order whose run has no recorded end registers its worker, out of service and silent since the takeover. Its agent's report makes it known again; otherwise it is suspected, and its runs are settled once their leases have surely lapsed. `worker_unlisted` names it.

Why this works: what a load doesn't know is no longer taken for an end, and the silence of such an agent passes the same checks as that of any other.

Ruled out: fencing all 240 order streams at each takeover, which costs as many calls to the log; taking the report from the order, which lacks the capacity.

--- a/crates/agate_jobs/src/plan/restore.rs
+++ b/crates/agate_jobs/src/plan/restore.rs
@@ -3,6 +3,9 @@
 //! A worker is described by its newest report, by its suspicion record and by its orders. Appends
 //! of agents may take effect late, so each of the three may be older than the others. The newest
 //! incarnation and term that any of them names is the current one.
+//!
+//! A worker without a report is not known to have left: its report may be hidden by a record that can't be
+//! read. Its runs stay bound until its agent reports, or until their leases have surely lapsed.
 
 use agate_core::{JobId, Moment};
 
@@ -15,7 +18,8 @@
 use crate::plan::worker::Binding;
 use crate::record::{Body, Order, OrderKind, Record, SuspicionRecord};
 use crate::spec::StepSpec;
-use crate::table::{JobTable, StepProgress, follows};
+use crate::table::{JobTable, follows};
+use crate::worker::WorkerReport;
 
 /// What an entry has read so far.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +36,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Part {
     Workers,
+    Unlisted,
     Suspicions,
     Incarnations,
     Reports,
@@ -117,7 +122,7 @@
         match self.part {
             Part::Workers | Part::Reports => self.workers.len(),
             Part::Suspicions => self.suspicions.len(),
-            Part::Incarnations | Part::Orders => self.orders.len(),
+            Part::Unlisted | Part::Incarnations | Part::Orders => self.orders.len(),
             Part::LostRuns => self.scheduler.workers.len(),
             Part::Jobs => self.jobs.len(),
             Part::Done => 0,
@@ -133,6 +138,7 @@
                     scheduler.register(report, contact);
                 }
             }
+            Part::Unlisted => scheduler.register_unlisted(known.table, &self.orders[at], now),
             Part::Suspicions => {
                 let suspicion = self.suspicions[at].clone();
                 let stored_at = known.suspicion_times.get_or(&suspicion, now);
@@ -158,7 +164,8 @@
 impl Part {
     const fn next(self) -> Option<Self> {
         match self {
-            Self::Workers => Some(Self::Suspicions),
+            Self::Workers => Some(Self::Unlisted),
+            Self::Unlisted => Some(Self::Suspicions),
             Self::Suspicions => Some(Self::Incarnations),
             Self::Incarnations => Some(Self::Reports),
             Self::Reports => Some(Self::Orders),
@@ -171,6 +178,22 @@
 }
 
 impl Scheduler {
+    /// Registers the worker of an open order if it has no report. Its agent's silence counts from now on, as that
+    /// of any other worker.
+    fn register_unlisted(&mut self, table: &JobTable, order: &Order, now: Moment) {
+        let name = &order.incarnation.name;
+        if self.slots.contains_key(name) || !is_open(table, order) {
+            return;
+        }
+        self.register(&WorkerReport::unlisted(order.incarnation.clone()), now);
+        self.unlisted.push(name.clone());
+    }
+
+    /// Returns the workers that were found without a report since the last call.
+    pub fn take_unlisted(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.unlisted)
+    }
+
     fn restore_suspicion(&mut self, suspicion: SuspicionRecord, stored_at: Moment) {
         let Some(slot) = self.slots.get(&suspicion.incarnation.name).copied() else {
             let name = suspicion.incarnation.name;
@@ -191,14 +214,7 @@
         let job = table.job(order.task.job);
         let progress = job.and_then(|job| job.step_progress(order.task));
         let task = progress.and_then(|step| step.tasks.get(order.task.index as usize));
-        let gang = job
-            .and_then(|job| job.step(order.task))
-            .is_some_and(|step| step.gang);
-        let step_run = progress.filter(|_| gang).map_or(0, StepProgress::last_run);
-        let ended = task.is_none_or(|task| {
-            let last_run = task.last_run.max(step_run);
-            task.last_run >= order.run || !follows(order.run, last_run)
-        });
+        let ended = !is_open(table, order);
         let newer = self.bindings.get(&order.task);
         let superseded = newer.is_some_and(|binding| binding.run > order.run);
         let slot = self.slots.get(&name).copied();
@@ -261,3 +277,19 @@
         self.adopt_moves(id, job);
     }
 }
+
+/// Returns whether the run of an order may be active: its task is known, and no end of the run is recorded.
+fn is_open(table: &JobTable, order: &Order) -> bool {
+    let Some(job) = table.job(order.task.job) else {
+        return false;
+    };
+    let Some(progress) = job.step_progress(order.task) else {
+        return false;
+    };
+    let Some(task) = progress.tasks.get(order.task.index as usize) else {
+        return false;
+    };
+    let is_gang = job.step(order.task).is_some_and(|step| step.gang);
+    let step_run = if is_gang { progress.last_run() } else { 0 };
+    task.last_run < order.run && follows(order.run, task.last_run.max(step_run))
+}
--- a/crates/agate_jobs/src/plan/scheduler.rs
+++ b/crates/agate_jobs/src/plan/scheduler.rs
@@ -60,6 +60,8 @@
     pub(super) starved: Starved,
     pub(super) unstarted: UnstartedRuns,
     pub(super) restarts: Restarts,
+    /// Workers that were found without a report in a restore.
+    pub(super) unlisted: Vec<String>,
     mean_slowness: f64,
 }
 
--- a/crates/agate_jobs/src/worker.rs
+++ b/crates/agate_jobs/src/worker.rs
@@ -148,6 +148,31 @@
     pub not_started: Vec<UnstartedRun>,
 }
 
+impl WorkerReport {
+    /// Returns what is known of a worker without a report: nothing can be started there.
+    pub(crate) fn unlisted(incarnation: WorkerIncarnation) -> Self {
+        Self {
+            incarnation,
+            state: WorkerState::Draining,
+            service: String::new(),
+            capacity: Resources::ZERO,
+            labels: Vec::new(),
+            address: String::new(),
+            zone: String::new(),
+            acked_suspicion: 0,
+            headroom: Vec::new(),
+            interference: Vec::new(),
+            cold_ms: 0,
+            unreachable: false,
+            start_block: None,
+            agent: AgentState::Serving,
+            heartbeat: 0,
+            started_jobs: Vec::new(),
+            not_started: Vec::new(),
+        }
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
--- a/crates/agate_jobs/tests/jobs/takeover.rs
+++ b/crates/agate_jobs/tests/jobs/takeover.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use agate_jobs::plan::SuspicionTimes;
+use agate_core::JobId;
+use agate_jobs::plan::{SUSPECT_AFTER, SuspicionTimes};
 use agate_jobs::record::Body;
 use agate_jobs::{
-    EndCause, LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation, WorkerReport,
-    WorkerState,
+    EndCause, JobState, LeaderHeartbeat, Record, Suspect, SuspicionRecord, WorkerIncarnation,
+    WorkerReport, WorkerState,
 };
 
 use crate::fleet::{Fleet, LEASE};
@@ -281,3 +282,67 @@
         ..report("z", 9)
     }
 }
+
+/// Removes the report on worker `a`, as a table lacks it that was loaded while an unreadable record had replaced it.
+fn hide_report(fleet: &mut Fleet) {
+    fleet.table.fold(Record::tombstone("w/a".to_owned()));
+    fleet.take_over();
+}
+
+/// The runs of a worker whose report could not be read were dropped as if they had ended, and bound again beside it
+/// (TWICE, review/7). They stay bound until their leases have surely lapsed.
+#[test]
+fn runs_of_a_worker_without_a_report_stay_bound_until_their_leases_have_lapsed() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    assert_eq!(fleet.place().len(), 2);
+    hide_report(&mut fleet);
+    assert_eq!(fleet.scheduler.take_unlisted(), ["a"]);
+    let began = fleet.now;
+    let lapses_at = began + SUSPECT_AFTER + LEASE;
+    while fleet.now < lapses_at {
+        fleet.fold(Record::new(Body::Worker(report("b", 1))));
+        assert!(fleet.place().is_empty(), "{:?}", fleet.now.since(began));
+        fleet.advance(Duration::from_millis(100));
+    }
+    fleet.fold(Record::new(Body::Worker(report("b", 1))));
+    fleet.advance(EXPIRY.saturating_sub(LEASE));
+    let placed = fleet.place().into_iter();
+    let placed: Vec<_> = placed.map(|p| (p.run, p.worker)).collect();
+    assert_eq!(placed, [(2, "b".to_owned()), (2, "b".to_owned())]);
+}
+
+/// The worker is known again once its agent reports, and its runs go on.
+#[test]
+fn runs_of_a_worker_without_a_report_go_on_once_it_reports() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(2)]));
+    assert_eq!(fleet.place().len(), 2);
+    hide_report(&mut fleet);
+    fleet.advance(Duration::from_millis(800));
+    fleet.fold(Record::new(Body::Worker(report("a", 1))));
+    for _ in 0..30 {
+        assert!(fleet.place().is_empty());
+        fleet.advance(Duration::from_millis(500));
+        fleet.fold(Record::new(Body::Worker(report("a", 1))));
+    }
+    fleet.fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    fleet.fold(ended(task(1, 0, 1), 1, EndCause::Done, "a"));
+    assert_eq!(fleet.table.state(JobId(1)), Some(JobState::Completed));
+    fleet.fold(submitted(2, vec![step(4)]));
+    assert_eq!(fleet.place().len(), 4, "its room is free again");
+}
+
+/// Orders without an open run don't make a worker known: it would be suspected again and again.
+#[test]
+fn a_worker_whose_runs_have_ended_is_not_known_by_its_orders() {
+    let mut fleet = Fleet::new(&[report("a", 1)]);
+    fleet.fold(submitted(1, vec![step(1)]));
+    assert_eq!(fleet.place().len(), 1);
+    fleet
+        .table
+        .fold(ended(task(1, 0, 0), 1, EndCause::Done, "a"));
+    hide_report(&mut fleet);
+    assert!(fleet.scheduler.take_unlisted().is_empty());
+    assert!(!fleet.scheduler.is_bound(JobId(1)));
+}
--- a/crates/agate_node/src/entry/follow.rs
+++ b/crates/agate_node/src/entry/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the main stream.
 
+use std::collections::BTreeSet;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use crate::clock;
 use crate::outage::OutageMonitor;
 use crate::skipped::Place;
-use crate::store::{ReadError, StoredRecord, Stream};
+use crate::store::{ReadError, StoredRecord, Stream, order_stream};
 
 /// Longest wait of a read for new records; bounds how stale the entry's view is.
 const POLL_WAIT: Duration = Duration::from_secs(1);
@@ -59,8 +60,13 @@
     };
     let mut job_table = JobTable::default();
     let records = newest.records.len();
+    let order_streams = entry.context.log.order_streams();
+    let mut unread_streams = BTreeSet::new();
     for stored in newest.records {
+        let worker = stored.key.strip_prefix("w/").map(str::to_owned);
         fold_stored(entry, &mut job_table, stored);
+        let unread = worker.filter(|name| job_table.worker(name).is_none());
+        unread_streams.extend(unread.map(|name| order_stream(&name, order_streams)));
     }
     let jobs = job_table.jobs().count();
     let mut view = entry.view();
@@ -68,6 +74,7 @@
     view.last_contact = LastContact::from_table(&job_table, now);
     view.suspicion_times.apply(job_table.leader(), now);
     view.job_table = job_table;
+    view.unread_streams = unread_streams;
     view.leader_seen_at = now;
     view.is_leader = false;
     view.pending_changes.clear();
--- a/crates/agate_node/src/entry/lead/takeover.rs
+++ b/crates/agate_node/src/entry/lead/takeover.rs
@@ -20,8 +20,8 @@
 const TAKEOVER_CONCURRENCY: usize = 24;
 
 /// Reads up to the record of this entry's claim, then fences and reads the order streams of the
-/// workers that are known there. An earlier leader knows no other worker, since it stops when it
-/// reads the claim. Restores the scheduler's state from them.
+/// workers that are known there, or whose reports can't be read. An earlier leader knows no other worker, since
+/// it stops when it reads the claim. Restores the scheduler's state from them.
 pub(super) async fn take_over(entry: &Entry, epoch: u64) -> Result<Scheduler, AppendError> {
     let began = Instant::now();
     if !wait_for_own_claim(entry, epoch).await {
@@ -31,7 +31,13 @@
     let read_at = Instant::now();
     let orders = fence_streams(entry, epoch, order_streams(entry)).await?;
     let (records, fenced_at) = (orders.len(), Instant::now());
-    let scheduler = restore::restore(entry, epoch, orders).await?;
+    let mut scheduler = restore::restore(entry, epoch, orders).await?;
+    for worker in scheduler.take_unlisted() {
+        log::warn!(
+            event = "worker_unlisted", worker = worker.as_str(), epoch = epoch;
+            "it has no report that can be read; its runs stay bound until it reports or they have lapsed"
+        );
+    }
     log::info!(
         event = "orders_restored", epoch = epoch, records = records,
         claim_ms = clock::millis(read_at - began), fence_ms = clock::millis(fenced_at - read_at),
@@ -40,14 +46,13 @@
     Ok(scheduler)
 }
 
-/// Returns the order streams of the known workers.
+/// Returns the order streams of the known workers and of those whose reports could not be read.
 fn order_streams(entry: &Entry) -> BTreeSet<Stream> {
     let count = entry.context.log.order_streams();
     let view = entry.view();
     let workers = view.job_table.workers();
-    workers
-        .map(|report| order_stream(&report.incarnation.name, count))
-        .collect()
+    let known = workers.map(|report| order_stream(&report.incarnation.name, count));
+    known.chain(view.unread_streams.iter().copied()).collect()
 }
 
 /// Sends heartbeats during a takeover, which may take longer than the silence after which another
--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by the tasks of an entry.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use super::zones::EntryZones;
 use crate::appender::Appender;
 use crate::skipped::SkippedRecords;
+use crate::store::Stream;
 
 /// An entry.
 #[derive(Debug)]
@@ -45,6 +47,8 @@
     /// Whether the main stream has been read to its end once.
     pub synced: bool,
     pub reading: ReadContinuity,
+    /// Order streams of the workers whose newest report could not be read when the main stream was loaded.
+    pub unread_streams: BTreeSet<Stream>,
     /// When each agent last reported.
     pub last_contact: LastContact,
     /// When each open suspicion was first read in a heartbeat.
--- a/crates/agate_node/tests/it/odd.rs
+++ b/crates/agate_node/tests/it/odd.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::diagnosis::{capture_logs, lines_with};
-use crate::support::{Caller as _, Cluster, Fault, one_task_job, wait_until};
+use crate::support::{Caller as _, Cluster, FakeWorker, Fault, one_task_job, wait_until};
 
 const COMPLETED: Answer = Answer::State(JobState::Completed);
 
@@ -149,3 +149,43 @@
         assert_eq!(lines.len(), 1, "{key}");
     }
 }
+
+/// After a loss of power, the new leader found an unreadable record in place of the report on a worker. It dropped the
+/// orders for that worker, whose stream it hadn't even fenced, and bound the running tasks again (TWICE, review/7).
+#[rstest]
+#[case::bytes("w/w1", &[0xff, 0xfe, b'{'])]
+#[case::another_type("w/w1", b"[]")]
+#[case::another_worker("w/w1", br#"{"worker":{"life":{"name":"w9"}}}"#)]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_report_hides_no_runs_from_the_next_leader(
+    #[case] key: &str,
+    #[case] value: &[u8],
+    #[values(true, false)] reports_again: bool,
+) {
+    let cluster = Cluster::new();
+    let before = cluster.log.client();
+    let first = cluster.entry("e1", before.clone()).await;
+    let (worker, agent) = cluster.worker("w1");
+    worker.keep_tasks_running();
+    first.submit_job(1, one_task_job()).await;
+    wait_until("it runs", || worker.running() == 1).await;
+    sleep(Duration::from_secs(2)).await;
+    before.set_fault(Fault::RefusesAll);
+    agent.detach_all();
+    cluster.log.put(Stream::Main, key, value);
+    let (other, _agent) = cluster.worker("w2");
+    other.keep_tasks_running();
+    let _second = cluster.entry("e2", cluster.log.client()).await;
+    let next = Cluster::agent(cluster.log.client());
+    if reports_again {
+        sleep(Duration::from_secs(3)).await;
+        next.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    }
+    for _ in 0..2_000 {
+        let running = worker.running() + other.running();
+        assert!(running <= 1, "two runs of the task");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let expected = if reports_again { (1, 0) } else { (0, 1) };
+    assert_eq!((worker.running(), other.running()), expected);
+}
