Let a checkpoint that is too long cost only itself

Cause: a checkpoint over 16,384 bytes made the whole list of its worker an error. The agent counted the worker as unreachable and let its lease lapse; the task went on to the next worker.

Change: the border lists such a checkpoint as too long, with its length. The agent keeps the last one that could be recorded, logs `checkpoint_dropped` once for each run and counts it, and records and acknowledges the end.

Ruled out: a limit of what a record carries (262,144 bytes), as the groups of the leader's and the callers' appends are limited by count, and 120 such orders exceed a call.

Tests: the case long_checkpoint of a_malformed_list_is_an_error asked for the fault; it is replaced by a_long_checkpoint_leaves_its_list_valid, which checks every row at the limit, one byte over it and far over it.

--- a/crates/agate_node/src/agent/client.rs
+++ b/crates/agate_node/src/agent/client.rs
@@ -74,6 +74,16 @@
     Other,
 }
 
+/// Checkpoint of a run as its worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListedCheckpoint {
+    /// The text to resume from; empty if there is none.
+    Text(String),
+    /// It is too long to be recorded; its length in bytes. The run goes on, and resumes from the last one that
+    /// was not.
+    TooLong(usize),
+}
+
 /// A run that the worker lists as in progress.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedRun {
@@ -81,8 +91,8 @@
     pub task: TaskKey,
     /// Number of the run.
     pub run: u32,
-    /// Its newest checkpoint; empty if there is none.
-    pub checkpoint: String,
+    /// Its newest checkpoint.
+    pub checkpoint: ListedCheckpoint,
     /// Progress in percent.
     pub percent: u32,
     /// Tail latency in milliseconds for a task with a latency target; otherwise the processor time
@@ -101,8 +111,8 @@
     pub run: u32,
     /// Why it ended.
     pub cause: EndCause,
-    /// Checkpoint to resume from; empty if there is none.
-    pub checkpoint: String,
+    /// Checkpoint to resume from.
+    pub checkpoint: ListedCheckpoint,
 }
 
 /// Lists of a worker's runs.
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -8,7 +8,7 @@
 use super::client::{LeaseReply, ListedEnd, ListedRun};
 use super::doubts::Doubt;
 use super::managed::{ManagedWorker, Phase, Run, State};
-use super::{ends, introduction, resend};
+use super::{checkpoints, ends, introduction, resend};
 use crate::clock;
 
 /// Maximum number of ends between two lists.
@@ -68,13 +68,9 @@
             continue;
         }
         let cause = cause_of(state, end);
-        found.push(ends::end_of(
-            state,
-            end.task,
-            end.run,
-            cause,
-            &end.checkpoint,
-        ));
+        let run = (end.task, end.run);
+        let checkpoint = checkpoints::of_end(worker, state, run, &end.checkpoint);
+        found.push(ends::end_of(state, end.task, end.run, cause, checkpoint));
         mark_ended(worker, state, end.task, end.run);
     }
     if up_to > state.recording_up_to {
@@ -126,7 +122,7 @@
     let run = state.runs.entry(row.task);
     let run = run.or_insert_with(|| Run::new(row.run, Phase::Started(clock::boottime())));
     if run.number == row.run {
-        run.checkpoint.clone_from(&row.checkpoint);
+        checkpoints::keep(worker, row.task, run, &row.checkpoint);
         run.missing_lists = 0;
     }
     resend::confirm_listed(worker, state, row.task, row.run);
--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -63,8 +63,10 @@
     /// When it was first known to run, or when its start was sent.
     pub since: Instant,
     pub progress: Progress,
-    /// Newest checkpoint that the worker has listed; empty if there is none.
+    /// Newest checkpoint that the worker has listed and that can be recorded; empty if there is none.
     pub checkpoint: String,
+    /// Whether the worker has listed one that can't be.
+    pub long_checkpoint: bool,
     /// Whether it was stopped for lack of progress.
     pub stalled: bool,
     /// Number of consecutive lists, requested after the worker's answer, that lacked the run.
@@ -177,6 +179,7 @@
             since: Instant::now(),
             progress: Progress::default(),
             checkpoint: String::new(),
+            long_checkpoint: false,
             stalled: false,
             missing_lists: 0,
             unanswered: None,
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! An agent runs what the leader orders on the workers of its machine.
 
+mod checkpoints;
 mod claims;
 mod client;
 mod clock_check;
@@ -33,8 +34,8 @@
 use tokio_util::sync::CancellationToken;
 
 pub use client::{
-    CallError, Heartbeat, LeaseReply, ListedEnd, ListedRun, Rejection, StartOrder, StartReply,
-    WorkerClient,
+    CallError, Heartbeat, LeaseReply, ListedCheckpoint, ListedEnd, ListedRun, Rejection,
+    StartOrder, StartReply, WorkerClient,
 };
 pub use doubts::Doubt;
 pub use registry::WorkerRegistry;
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -51,6 +51,8 @@
     ZoneRefused,
     /// The next run of a long-running task was delayed because its last ones were short.
     RestartDelayed,
+    /// A run has a checkpoint that is too long to be recorded.
+    CheckpointDropped,
     /// The end of a run was recorded.
     EndRecorded,
     /// The pace of a best-effort task was changed.
