Split the ends of a list by bytes

Cause: an agent appends the new ends of a list in one call, up to 500 of them. With the longest checkpoints that is 8 MB, while the log takes 2 MB: it refused the call again and again, and the worker's ends were never acknowledged.

Change: groups of at most 256 KiB of checkpoints, appended one after the other.

--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -14,6 +14,9 @@
 /// Timeout of an attempt to record ends.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Most bytes of checkpoints in one append. Escapes may lengthen them sixfold, and the log takes 2 MB in one call.
+const MAX_APPENDED_BYTES: usize = 256 * 1024;
+
 /// Age of the last report from which on the next one is made early, to share an append with ends:
 /// half of the usual report period.
 const EARLY_REPORT_AGE: Duration = Duration::from_millis(400);
@@ -80,6 +83,29 @@
         );
     }
     report_early(worker);
+    for group in split(ends) {
+        append_group(worker, group).await;
+    }
+}
+
+/// Splits ends into groups that the log takes in one call.
+fn split(ends: Vec<RunEnd>) -> Vec<Vec<RunEnd>> {
+    let mut groups: Vec<Vec<RunEnd>> = Vec::new();
+    let mut bytes = 0;
+    for end in ends {
+        bytes += end.checkpoint.len();
+        match groups.last_mut() {
+            Some(group) if bytes <= MAX_APPENDED_BYTES => group.push(end),
+            _ => {
+                bytes = end.checkpoint.len();
+                groups.push(vec![end]);
+            }
+        }
+    }
+    groups
+}
+
+async fn append_group(worker: &ManagedWorker, ends: Vec<RunEnd>) {
     let records: Vec<Record> = ends
         .into_iter()
         .map(|end| Record::new(Body::Ended(end)))
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -13,7 +13,7 @@
 
 use crate::diagnosis::{capture_logs, lines_with};
 use crate::support::{
-    Behavior, Caller as _, Cluster, FakeWorker, MAX_LEASE, address_of, job_id, one_task_job,
+    Behavior, Caller as _, Cluster, FakeWorker, Fault, MAX_LEASE, address_of, job_id, one_task_job,
     wait_until,
 };
 
@@ -264,6 +264,29 @@
     assert_eq!(worker.checkpoint_of(first_task(1)), "first");
 }
 
+/// The ends of a list were appended in one call. With long checkpoints the log refused it again and again, and the worker's
+/// ends were never acknowledged.
+#[tokio::test(start_paused = true)]
+async fn ends_with_long_checkpoints_are_recorded_in_calls_that_the_log_takes() {
+    const TASKS: u32 = 40;
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let log = cluster.log.client();
+    log.set_fault(Fault::RefusesAppendsOver(400_000));
+    let agent = Cluster::agent(log);
+    agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+    worker.set_checkpoint(ListedCheckpoint::Text("a".repeat(16_384)));
+    let mut job = one_task_job();
+    job.steps[0].tasks = TASKS;
+    job.steps[0].demand = agate_core::Resources::new(50, 10, 0);
+    entry.submit_job(1, job).await;
+    entry
+        .wait_for_answer(1, Answer::State(JobState::Completed))
+        .await;
+    assert_eq!(worker.started_runs().len(), TASKS as usize);
+}
+
 /// A worker that answers has not left, whoever says so.
 #[tokio::test(start_paused = true)]
 async fn an_odd_departure_leaves_the_worker_in_service() {
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -50,6 +50,8 @@
     RefusesAppendsTo(Stream),
     /// Refuses appends to the main stream, but takes those to others and answers reads.
     RefusesMainAppends,
+    /// Refuses appends of more than this many bytes.
+    RefusesAppendsOver(usize),
     /// Refuses reads of the main stream, but takes appends.
     RefusesMainReads,
     /// Rejects appends after [`REJECTION_TIME`], but answers reads.
@@ -317,6 +319,9 @@
             Fault::RefusesAll | Fault::RefusesAppends => true,
             Fault::RefusesMainAppends => stream == Stream::Main,
             Fault::RefusesAppendsTo(refused) => stream == refused,
+            Fault::RefusesAppendsOver(bytes) => {
+                records.iter().map(|(_, value)| value.len()).sum::<usize>() > bytes
+            }
             Fault::RefusesOrderAppends => matches!(stream, Stream::Orders(_)),
             _ => false,
         };
