Believe that a worker drains whatever the number of its heartbeat

Cause: a heartbeat whose number rises by more than 16 counts as odd and is ignored, though it is answered with 200. A worker may number its heartbeats in any steps, and one that takes its clock is out of range with each of them.

Change: a later heartbeat that is out of range and says that the worker drains is believed as far as that goes, until one in range says otherwise.

Ruled out by a trial: accepting any rising numbers. One odd number would be the highest in the agent's reports, and after a restart of the agent its true reports would count as older, so that the worker stays out of service.

--- a/crates/agate_node/src/agent/managed.rs
+++ b/crates/agate_node/src/agent/managed.rs
@@ -337,7 +337,7 @@
             return Err(Doubt::OtherAddress);
         }
         if !self.sequence.accept(heartbeat.sequence) {
-            return Err(Doubt::OutOfSequence);
+            return self.apply_doubted(&heartbeat);
         }
         let was = (
             self.status,
@@ -358,6 +358,21 @@
         Ok(was != is)
     }
 
+    /// Applies a heartbeat whose number is out of range. That the worker drains is believed until a heartbeat in
+    /// range says otherwise: a start on a worker that leaves is worse than a pause of a second, and a worker may number
+    /// its heartbeats in any steps. Returns whether anything has changed.
+    fn apply_doubted(&mut self, heartbeat: &Heartbeat) -> Result<bool, Doubt> {
+        if !heartbeat.draining || !self.sequence.is_later(heartbeat.sequence) {
+            return Err(Doubt::OutOfSequence);
+        }
+        let was = self.status;
+        self.heartbeat.draining = true;
+        if self.status == WorkerState::Ready {
+            self.status = WorkerState::Draining;
+        }
+        Ok(was != self.status)
+    }
+
     /// Returns whether the newest suspicion that has been read is open.
     pub fn is_suspected(&self) -> bool {
         self.suspicion.as_ref().is_some_and(|s| s.suspected)
--- a/crates/agate_node/src/agent/sequence.rs
+++ b/crates/agate_node/src/agent/sequence.rs
@@ -46,6 +46,11 @@
         self.highest
     }
 
+    /// Returns whether a heartbeat with this number comes after all that were accepted, by whatever step.
+    pub const fn is_later(&self, number: u64) -> bool {
+        number > self.newest.number
+    }
+
     /// Returns whether the heartbeat with this number is the newest one.
     pub fn accept(&mut self, number: u64) -> bool {
         let at = Instant::now();
--- a/crates/agate_node/tests/it/odd_workers.rs
+++ b/crates/agate_node/tests/it/odd_workers.rs
@@ -171,6 +171,44 @@
     assert!(worker.started_runs().is_empty());
 }
 
+/// Heartbeats numbered in steps of more than 16, by a clock for instance, were ignored, and tasks started on a worker that
+/// had been draining for 10 s (DRAIN, second review).
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_drains_starts_nothing_whatever_the_steps_of_its_numbers(
+    #[values(17, 100, 1_100, 1_000_000_000)] step: u64,
+    #[values(1, 2, 5)] ready: u64,
+) {
+    let cluster = Cluster::new();
+    let entry = cluster.entry("e1", cluster.log.client()).await;
+    let worker = FakeWorker::open("w1");
+    let agent = Cluster::agent(cluster.log.client());
+    for call in 0..ready + 3 {
+        agent.apply_heartbeat(Heartbeat {
+            draining: call >= ready,
+            sequence: 1 + call * step,
+            ..FakeWorker::heartbeat("w1", "w1", 1)
+        });
+        sleep(HEARTBEAT_PERIOD).await;
+    }
+    entry.submit_job(1, one_task_job()).await;
+    sleep(Duration::from_secs(10)).await;
+    assert!(worker.started_runs().is_empty());
+}
+
+/// An odd heartbeat that says that the worker drains keeps it out of service until the next one in range.
+#[tokio::test(start_paused = true)]
+async fn a_drain_out_of_range_ends_with_the_next_heartbeat() {
+    assert_in_service(false, async |agent| {
+        agent.apply_heartbeat(Heartbeat {
+            draining: true,
+            sequence: u64::MAX,
+            ..FakeWorker::heartbeat("w1", "w1", 1)
+        });
+    })
+    .await;
+}
+
 /// Calls that were delayed arrive together, after a later one.
 #[tokio::test(start_paused = true)]
 async fn late_heartbeats_do_not_end_a_drain() {
