Play random orders of calls, answers and lapses against the leases of a worker

Ten seeds of eight outages each, with over 50 reported lapses; the test acts as the leader and raises the term at once.

--- a/crates/agate_node/tests/it/grants.rs
+++ b/crates/agate_node/tests/it/grants.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use agate_jobs::record::Body;
-use agate_jobs::{Record, WorkerState};
+use agate_jobs::{Record, SuspicionRecord, WorkerIncarnation, WorkerReport, WorkerState};
 use agate_node::store::Stream;
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
 use rstest::rstest;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -22,18 +24,21 @@
 /// (0.11 s), the margin (0.2 s), the next call (0.15 s) and the report.
 const LAPSE_LIMIT: Duration = Duration::from_millis(600);
 
-/// Returns the state of a worker in its newest report.
-fn reported_state(log: &FakeLog, worker: &str) -> Option<WorkerState> {
+/// Returns the newest report on a worker.
+fn newest_report(log: &FakeLog, worker: &str) -> Option<WorkerReport> {
     let key = format!("w/{worker}");
-    let keys = log.keys(Stream::Main).into_iter();
-    let records = keys.zip(log.values(Stream::Main));
-    let newest = records.rev().find(|(known, _)| *known == key)?;
-    match Record::parse(newest.0, &newest.1).ok()?.body {
-        Some(Body::Worker(report)) => Some(report.state),
+    let newest = log.newest_value(Stream::Main, &key)?;
+    match Record::parse(key, &newest).ok()?.body {
+        Some(Body::Worker(report)) => Some(report),
         _ => None,
     }
 }
 
+/// Returns the state of a worker in its newest report.
+fn reported_state(log: &FakeLog, worker: &str) -> Option<WorkerState> {
+    newest_report(log, worker).map(|report| report.state)
+}
+
 /// Checks for some time that nothing runs on a worker whose lapse is reported: the leader starts its tasks
 /// elsewhere at once.
 async fn assert_lapse_is_final(log: &FakeLog, worker: &FakeWorker, name: &str) {
@@ -174,3 +179,103 @@
     let took = expired_at.elapsed();
     assert!(took <= LAPSE_LIMIT, "{took:?}");
 }
+
+/// A worker whose leader raises its term as soon as its lapse is reported.
+struct Terms {
+    log: FakeLog,
+    worker: FakeWorker,
+    term: u32,
+    /// Number of tasks so far.
+    tasks: u32,
+}
+
+impl Terms {
+    /// Orders the first run of the next task.
+    fn order(&mut self) {
+        let Some(Body::Order(mut order)) = start_order("w1", self.term, 1).body else {
+            return;
+        };
+        order.task.index = self.tasks;
+        self.tasks += 1;
+        put(&self.log, "w1", &Record::new(Body::Order(order)));
+    }
+
+    /// Follows the reports for some time. Returns the number of lapses.
+    async fn watch(&mut self, ms: u64) -> u32 {
+        let until = Instant::now() + Duration::from_millis(ms);
+        let mut lapses = 0;
+        while Instant::now() < until {
+            lapses += self.follow();
+            sleep(Duration::from_millis(5)).await;
+        }
+        lapses
+    }
+
+    /// Raises the term if the lapse of the current one is reported. No run of it may be at work by then.
+    fn follow(&mut self) -> u32 {
+        let lapsed = newest_report(&self.log, "w1").filter(|report| {
+            report.state == WorkerState::Lapsed && report.incarnation.term == self.term
+        });
+        let Some(report) = lapsed else {
+            return 0;
+        };
+        assert_eq!(self.worker.running(), 0, "it runs after its lapse");
+        self.term += 1;
+        let raised = SuspicionRecord {
+            incarnation: WorkerIncarnation {
+                term: self.term,
+                ..report.incarnation
+            },
+            number: report.acked_suspicion,
+            suspected: false,
+        };
+        put(&self.log, "w1", &Record::new(Body::Suspicion(raised)));
+        1
+    }
+}
+
+/// Whatever the order in which starts and renewals are sent, carried out, answered and given up around the end of a lease,
+/// no run of a term is at work once the lapse of the term is reported (TWICE, review/6).
+#[tokio::test(start_paused = true)]
+async fn no_run_outlasts_the_reported_lapse_of_its_term() {
+    /// Number of lapses below which the test shows nothing.
+    const MIN_LAPSES: u32 = 50;
+    const SEEDS: u64 = 10;
+    let mut lapses = 0;
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let cluster = Cluster::new();
+        let worker = FakeWorker::open("w1");
+        worker.keep_tasks_running();
+        let log = cluster.log.client();
+        let agent = Cluster::agent(log.clone());
+        agent.apply_heartbeat(FakeWorker::heartbeat("w1", "w1", 1));
+        let mut terms = Terms {
+            log: cluster.log.clone(),
+            worker: worker.clone(),
+            term: 0,
+            tasks: 0,
+        };
+        lapses += terms.watch(3_000).await;
+        for _ in 0..8 {
+            log.set_fault(Fault::RefusesOrderReads);
+            lapses += terms.watch(rng.random_range(4_400..5_600)).await;
+            worker.set_behavior(Behavior::LosesReplies);
+            let late = Duration::from_millis(rng.random_range(0..200));
+            worker.set_outcomes([StartOutcome::Late(late); 2]);
+            terms.order();
+            lapses += terms.watch(rng.random_range(0..1_200)).await;
+            log.set_fault(Fault::None);
+            terms.order();
+            lapses += terms.watch(rng.random_range(0..400)).await;
+            if rng.random_bool(0.7) {
+                worker.set_behavior(Behavior::Unreachable);
+            }
+            lapses += terms.watch(rng.random_range(0..9_000)).await;
+            worker.set_behavior(Behavior::Healthy);
+            lapses += terms.watch(1_500).await;
+        }
+        agent.detach_all();
+    }
+    assert!(lapses >= MIN_LAPSES, "{lapses} lapses");
+}
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -179,6 +179,14 @@
         records.map(|entry| entry.key.clone()).collect()
     }
 
+    /// Returns the value of the newest record of a key.
+    pub(crate) fn newest_value(&self, stream: Stream, key: &str) -> Option<Vec<u8>> {
+        let shared = self.shared.lock().expect("the lock is not poisoned");
+        let mut records = shared.streams.get(&stream)?.iter().rev();
+        let newest = records.find(|entry| entry.key == key)?;
+        Some(newest.value.clone())
+    }
+
     /// Returns the number of appends with records to the order streams.
     pub(crate) fn order_appends(&self) -> usize {
         let shared = self.shared.lock().expect("the lock is not poisoned");
