--- a/crates/agate_jobs/src/plan/place.rs
+++ b/crates/agate_jobs/src/plan/place.rs
@@ -256,7 +256,7 @@
         unfinished(turn, at).filter(|task| self.is_free(*task))
     }
 
-    /// Returns whether a task is neither bound nor waits before it runs again.
+    /// Returns whether a task is neither bound nor has to wait before it runs again.
     fn is_free(&self, task: TaskKey) -> bool {
         !self.bindings.contains_key(&task) && !self.restarts.contains(task)
     }
--- a/crates/agate_jobs/src/plan/restarts.rs
+++ b/crates/agate_jobs/src/plan/restarts.rs
@@ -67,15 +67,16 @@
 
     /// Delays the next run of a long-running task if its last ones were short.
     pub(super) fn delay_restart(&mut self, table: &JobTable, end: &RunEnd, now: Moment) {
-        let Some(job) = table.job(end.task.job) else {
+        let job = table.job(end.task.job);
+        let Some(job) = job.filter(|job| job.is_long_running(end.task)) else {
             return;
         };
+        if end.cause != EndCause::Done {
+            return;
+        }
         let progress = job.step_progress(end.task);
         let progress = progress.and_then(|step| step.tasks.get(end.task.index as usize));
         let short_runs = progress.map_or(0, |task| task.short_runs);
-        if end.cause != EndCause::Done || !job.is_long_running(end.task) {
-            return;
-        }
         let Some(pause) = pause_after(short_runs) else {
             return;
         };
--- a/crates/agate_node/src/agent/checkpoints.rs
+++ b/crates/agate_node/src/agent/checkpoints.rs
@@ -3,7 +3,8 @@
 use agate_jobs::TaskKey;
 
 use super::client::ListedCheckpoint;
-use super::managed::{ManagedWorker, Run, State};
+use super::managed::{ManagedWorker, State};
+use super::run::Run;
 use crate::metrics::Event;
 
 /// Keeps the checkpoint of a listed run, unless it is too long to be recorded: then the last one that was not
--- a/crates/agate_node/src/agent/crash.rs
+++ b/crates/agate_node/src/agent/crash.rs
@@ -10,7 +10,8 @@
 use agate_jobs::{EndCause, LossReason, RunEnd, TaskKey};
 use tokio::time::Instant;
 
-use super::managed::{ManagedWorker, Phase, Run, State};
+use super::managed::{ManagedWorker, State};
+use super::run::{Phase, Run};
 use crate::clock;
 use crate::metrics::Event;
 
--- a/crates/agate_node/src/agent/ends.rs
+++ b/crates/agate_node/src/agent/ends.rs
@@ -7,7 +7,8 @@
 use agate_jobs::{EndCause, Record, RunEnd, TaskKey};
 use tokio::time::sleep;
 
-use super::managed::{ManagedWorker, Phase, State};
+use super::managed::{ManagedWorker, State};
+use super::run::Phase;
 use crate::clock;
 use crate::metrics::Event;
 
--- a/crates/agate_node/src/agent/follow.rs
+++ b/crates/agate_node/src/agent/follow.rs
@@ -7,7 +7,8 @@
 use agate_jobs::{Record, SuspicionRecord};
 use tokio::time::sleep;
 
-use super::managed::{ManagedWorker, Phase, State};
+use super::managed::{ManagedWorker, State};
+use super::run::Phase;
 use crate::clock;
 use crate::outage::OutageMonitor;
 use crate::store::{ReadError, StoredRecord, Stream, order_stream};
--- a/crates/agate_node/src/agent/lists.rs
+++ b/crates/agate_node/src/agent/lists.rs
@@ -7,7 +7,8 @@
 
 use super::client::{LeaseReply, ListedEnd, ListedRun};
 use super::doubts::Doubt;
-use super::managed::{ManagedWorker, Phase, Run, State};
+use super::managed::{ManagedWorker, State};
+use super::run::{Phase, Run};
 use super::{checkpoints, ends, introduction, resend};
 use crate::clock;
 
--- a/crates/agate_node/src/agent/mod.rs
+++ b/crates/agate_node/src/agent/mod.rs
@@ -19,6 +19,7 @@
 mod renewal;
 mod report;
 mod resend;
+mod run;
 mod sequence;
 mod shutdown;
 mod stall;
--- a/crates/agate_node/src/agent/pacing.rs
+++ b/crates/agate_node/src/agent/pacing.rs
@@ -13,7 +13,8 @@
 
 use super::client::{LeaseReply, ListedRun, StartOrder};
 use super::ends;
-use super::managed::{ManagedWorker, Phase, Run};
+use super::managed::ManagedWorker;
+use super::run::{Phase, Run};
 use crate::clock;
 use crate::metrics::Event;
 
--- a/crates/agate_node/src/agent/shutdown.rs
+++ b/crates/agate_node/src/agent/shutdown.rs
@@ -11,7 +11,8 @@
 use rand::Rng as _;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use super::managed::{ManagedWorker, Phase, State};
+use super::managed::{ManagedWorker, State};
+use super::run::Phase;
 use super::{renewal, report};
 use crate::clock;
 
--- a/crates/agate_node/src/agent/unstarted.rs
+++ b/crates/agate_node/src/agent/unstarted.rs
@@ -6,7 +6,8 @@
 use agate_jobs::{Order, OrderKind, TaskKey, UnstartedRun};
 use tokio::time::Instant;
 
-use super::managed::{Phase, State};
+use super::managed::State;
+use super::run::Phase;
 
 /// Time after the order was read from which on a run is reported.
 const REPORT_AFTER: Duration = Duration::from_secs(1);
