--- a/crates/agate_jobs/tests/jobs/restarts.rs
+++ b/crates/agate_jobs/tests/jobs/restarts.rs
@@ -34,8 +34,7 @@
     record
 }
 
-/// The end `done` of a long-running task counted as the end of the task, which never ran again, while its job
-/// stayed running (LOST, review/10). Any other task must not be started after such an end (TWICE).
+/// A long-running task never ran again after an end `done` (LOST, review/10); any other must not (TWICE).
 #[rstest]
 #[case::long_running(long_running(1), &[(0, 0, 2)], JobState::Running)]
 #[case::others(step(1), &[], JobState::Completed)]
@@ -85,8 +84,7 @@
     assert_eq!(stops.count(), 0, "it is stopped");
 }
 
-/// Steps wait until the tasks of the steps that they depend on have all ended `done` once. Those of long-running ones
-/// go on beside them.
+/// A step that depends on a long-running one would never start, as the tasks of that one never finish.
 #[test]
 fn a_step_that_depends_on_a_long_running_one_starts_once_its_tasks_have_ended_done() {
     let mut fleet = Fleet::new(&[report("a", 1)]);
@@ -197,8 +195,7 @@
     found
 }
 
-/// A task whose program ends at once would be started without a pause for as long as its job is not cancelled. Runs
-/// that last, and ends that are not the program's own, are followed by the next run at once.
+/// A task whose program ends at once would be started without a pause until its job is cancelled.
 #[rstest]
 #[case::short_runs(&[(10, EndCause::Done); 7], &[0, 250, 500, 1_000, 2_000, 2_000, 2_000])]
 #[case::runs_that_last(&[(4_000, EndCause::Done); 4], &[0, 0, 0, 0])]
--- a/crates/agate_node/tests/it/grants.rs
+++ b/crates/agate_node/tests/it/grants.rs
@@ -53,8 +53,7 @@
     }
 }
 
-/// The worker was reported as lapsed while a start was on its way that gave it another lease, and the task
-/// ran on two workers (TWICE, review/6).
+/// The worker was reported as lapsed beside a start that gave it another lease (TWICE, review/6).
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_lease_does_not_lapse_while_a_start_on_its_way_extends_it(
@@ -81,8 +80,7 @@
     assert_lapse_is_final(&cluster.log, &worker, "w1").await;
 }
 
-/// A renewal counted only once the call was over. A stopping agent, which checks its workers meanwhile,
-/// reported that the lease before had lapsed.
+/// A stopping agent reported a lapse beside a renewal, which counted only once the call was over.
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_lease_does_not_lapse_while_a_renewal_on_its_way_extends_it(
@@ -116,8 +114,7 @@
     tokio::join!(stopping, disruption, checks);
 }
 
-/// Starts went to a worker that had not answered for over a second, and gave it another lease although
-/// nobody could tell whether they arrived (TWICE, review/6).
+/// Starts gave another lease to a worker that had answered nothing for over a second (TWICE, review/6).
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_silent_worker_gets_no_start(#[values(200, 300, 500)] ordered_after_ms: u64) {
@@ -132,8 +129,7 @@
     assert_eq!(worker.start_attempts(), 0);
 }
 
-/// A start that had waited for the worker's next answer waited for the next check of the orders as well, up to
-/// 0.25 s.
+/// A held start waited for the next check of the orders after the worker's answer, for up to 0.25 s.
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_held_start_is_sent_once_the_worker_answers(
@@ -159,8 +155,7 @@
     assert_eq!(worker.running(), 1);
 }
 
-/// Calls to a worker that refuses connections would delay its lapse, and with it the next runs of its tasks, by
-/// up to the 2 s for which it is called with a later deadline.
+/// Calls to a worker that refuses connections would delay its lapse, and the next runs of its tasks, by 2 s.
 #[tokio::test(start_paused = true)]
 async fn calls_that_are_not_sent_do_not_delay_the_lapse() {
     let cluster = Cluster::new();
@@ -234,8 +229,7 @@
     }
 }
 
-/// Whatever the order in which starts and renewals are sent, carried out, answered and given up around the end of a lease,
-/// no run of a term is at work once the lapse of the term is reported (TWICE, review/6).
+/// Some order of calls, answers and a lapse would leave a run at work after the lapse (TWICE, review/6).
 #[tokio::test(start_paused = true)]
 async fn no_run_outlasts_the_reported_lapse_of_its_term() {
     /// Number of lapses below which the test shows nothing.
