Limit what clients hold of a process together

Callers saw: 400 clients that sent all but the last byte of a body of legal size made an entry take 117 MB, and in pieces 155 MB; 400 heartbeats of 64 KiB made an agent take 39 to 106 MB. 600 clients that sent nothing took a descriptor each on every listener, for ever, so that accepting, the store and the workers had none left.

Cause: each request had a limit of its own, and nothing limited all of them together; a connection that stopped in the middle of a request, or never began one, was kept without a limit of time. A drain waited for such connections until its grace period was over.

The test that counts the documented metrics expects 18 in place of 15, as three are new.

Ruled out: refusing new connections, which serves the crowd that came first; not reading while the limit is reached, which leaves the bytes in the kernel and the places taken.

Clients that read no answers still keep ordinary callers out.

--- a/crates/agate_docs/tests/operate.rs
+++ b/crates/agate_docs/tests/operate.rs
@@ -131,7 +131,7 @@
     let text: String = files.into_iter().map(|(_, text)| text).collect();
     let text = text.replace([' ', '\n'], "");
     let metrics = names_after(&text, "registry.register(\"");
-    assert_eq!(metrics.len(), 15, "{metrics:?}");
+    assert_eq!(metrics.len(), 18, "{metrics:?}");
     for metric in metrics {
         assert!(page.contains(&format!("agatenotch_{metric}")), "{metric}");
     }
--- a/crates/agate_jobs/src/route.rs
+++ b/crates/agate_jobs/src/route.rs
@@ -22,6 +22,8 @@
     pub routes: Vec<Route>,
     /// Maximum size of a request body, in bytes.
     pub body_limit: usize,
+    /// Maximum size of a request's head, in bytes, if the configuration has one.
+    pub head_limit: Option<usize>,
 }
 
 impl RouteTable {
--- a/crates/agate_node/src/metrics/mod.rs
+++ b/crates/agate_node/src/metrics/mod.rs
@@ -1,9 +1,11 @@
 //! Counters and latency histograms of a process.
 
 mod backlog;
+mod intake;
 mod read_bytes;
 
 pub use backlog::BacklogMetrics;
+pub use intake::IntakeMetrics;
 pub use read_bytes::{ReadBytes, StreamKind};
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -129,6 +131,8 @@
     pub start_settled_seconds: Histogram,
     /// Metrics of the backlog.
     pub backlog: BacklogMetrics,
+    /// Metrics of what clients hold.
+    pub intake: IntakeMetrics,
 }
 
 impl Default for Metrics {
@@ -149,6 +153,7 @@
             start_seconds: histogram(),
             start_settled_seconds: histogram(),
             backlog: BacklogMetrics::default(),
+            intake: IntakeMetrics::default(),
         };
         metrics.register();
         metrics
@@ -237,6 +242,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.backlog.register(registry);
+        self.intake.register(registry);
         self.read_bytes.register(registry);
         registry.register("events", "Events by kind", self.events.clone());
         registry.register(
--- a/crates/agate_node/tests/it/support/cluster.rs
+++ b/crates/agate_node/tests/it/support/cluster.rs
@@ -212,6 +212,7 @@
         version,
         routes: (0..queues).map(queue).collect(),
         body_limit: 1_000,
+        head_limit: None,
     }))
 }
 
--- a/crates/agate_settings/src/values.rs
+++ b/crates/agate_settings/src/values.rs
@@ -58,12 +58,17 @@
         Duration::from_millis(self.number(setting))
     }
 
-    /// Returns an optional number of milliseconds as a duration.
-    pub fn optional_millis(&self, setting: S) -> Option<Duration> {
+    /// Returns an optional whole number.
+    pub fn optional_number(&self, setting: S) -> Option<u64> {
         let Value::OptionalNumber(number) = self.value(setting) else {
             panic_on_kind_mismatch(setting)
         };
-        number.map(Duration::from_millis)
+        *number
+    }
+
+    /// Returns an optional number of milliseconds as a duration.
+    pub fn optional_millis(&self, setting: S) -> Option<Duration> {
+        self.optional_number(setting).map(Duration::from_millis)
     }
 
     /// Returns a decimal number in thousandths, or `None` if it is absent.
