Share reads of the log's end among queries of unknown jobs

Callers saw: 400 clients that asked for unknown jobs made an entry open a connection to the store each (622 descriptors for 400 clients), and one call to the store for each query.

Cause: an entry that doesn't know a job reads the end of the main stream before it answers 410, and each query made a read of its own.

Change: queries that arrive before a read begins share it, and its failure, as requests for unknown queues share the read of the configuration. A read that began before the query doesn't count.

Evidence: 400 queries at once made 400 reads, now 5 at most.

--- a/crates/agate_node/src/entry/shared.rs
+++ b/crates/agate_node/src/entry/shared.rs
@@ -29,6 +29,9 @@
     /// When the newest read of the configuration stream for callers began that reached its end. Locked
     /// during such a read, so that callers who arrive together share one.
     pub(super) config_read_at: tokio::sync::Mutex<Option<tokio::time::Instant>>,
+    /// When the newest read of the main stream's end for callers began, and the end unless it failed. Locked
+    /// during such a read, so that callers who arrive together share one.
+    main_end: tokio::sync::Mutex<Option<(tokio::time::Instant, Option<u64>)>>,
     /// The withdrawn zones; `None` if the deployment has no withdrawal of zones.
     pub(super) zones: Option<EntryZones>,
     pub(super) skipped: SkippedRecords,
@@ -71,6 +74,7 @@
             routes: watch::Sender::new(Arc::default()),
             config_end: AtomicU64::new(0),
             config_read_at: tokio::sync::Mutex::default(),
+            main_end: tokio::sync::Mutex::default(),
             skipped: SkippedRecords::default(),
             folded: watch::Sender::new(0),
             changed: Notify::new(),
@@ -145,16 +149,8 @@
             if folded.wait_for(|_| self.has_loaded()).await.is_err() {
                 return false;
             }
-            let from = *self.folded.borrow();
-            let stream = crate::store::Stream::Main;
-            // Only the end is needed; the records arrive through the reader of the stream.
-            let read = self.context.log.read_page(stream, from, Duration::ZERO, 1);
-            let end = match read.await {
-                Ok(page) => page.end,
-                Err(error) => {
-                    log::warn!(event = "catch_up_failed", from = from, cause:% = error; "");
-                    return false;
-                }
+            let Some(end) = self.read_main_end().await else {
+                return false;
             };
             folded.wait_for(|at| *at >= end).await.is_ok()
         };
@@ -162,4 +158,29 @@
             .await
             .unwrap_or(false)
     }
+
+    /// Returns the end of the main stream at the time of the call or later, or `None` if it can't be read.
+    /// A read that another caller began after that serves for this one, too: clients that ask for many
+    /// unknown jobs would take a connection to the log each.
+    async fn read_main_end(&self) -> Option<u64> {
+        let arrived = tokio::time::Instant::now();
+        let mut newest = self.main_end.lock().await;
+        if let Some((_, end)) = newest.filter(|(began, _)| *began >= arrived) {
+            return end;
+        }
+        let began = tokio::time::Instant::now();
+        let from = *self.folded.borrow();
+        let stream = crate::store::Stream::Main;
+        // Only the end is needed; the records arrive through the reader of the stream.
+        let read = self.context.log.read_page(stream, from, Duration::ZERO, 1);
+        let end = match read.await {
+            Ok(page) => Some(page.end),
+            Err(error) => {
+                log::warn!(event = "catch_up_failed", from = from, cause:% = error; "");
+                None
+            }
+        };
+        *newest = Some((began, end));
+        end
+    }
 }
--- a/crates/agate_node/tests/it/callers.rs
+++ b/crates/agate_node/tests/it/callers.rs
@@ -264,3 +264,18 @@
     assert_eq!(state, Answer::State(JobState::Completed));
     assert_eq!(submit(1).await, Answer::Refused, "it has ended");
 }
+
+/// Guards against a call to the log, and a connection, for each of many clients that ask for unknown jobs.
+#[tokio::test(start_paused = true)]
+async fn queries_of_unknown_jobs_that_arrive_together_share_a_read() {
+    let cluster = Cluster::new();
+    let log = cluster.log.client();
+    let entry = cluster.entry("e1", log.clone()).await;
+    let before = log.main_reads();
+    let queries = (0..400).map(|number| entry.query_state(1_000 + number));
+    for answer in futures::future::join_all(queries).await {
+        assert_eq!(answer, Answer::NoJob);
+    }
+    let reads = log.main_reads() - before;
+    assert!(reads <= 5, "{reads} reads");
+}
--- a/crates/agate_node/tests/it/support/log.rs
+++ b/crates/agate_node/tests/it/support/log.rs
@@ -128,6 +128,7 @@
     fault: Arc<Mutex<Fault>>,
     attempts: Arc<AtomicUsize>,
     config_reads: Arc<AtomicUsize>,
+    main_reads: Arc<AtomicUsize>,
     order_reads: Arc<AtomicUsize>,
     link: Option<Arc<SlowLink>>,
 }
@@ -141,6 +142,7 @@
             fault: Arc::default(),
             attempts: Arc::default(),
             config_reads: Arc::default(),
+            main_reads: Arc::default(),
             order_reads: Arc::default(),
             link: None,
         }
@@ -207,6 +209,11 @@
         self.config_reads.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of reads of the main stream that this client has attempted.
+    pub(crate) fn main_reads(&self) -> usize {
+        self.main_reads.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of answers that this client has had about the newest records of order streams.
     pub(crate) fn order_reads(&self) -> usize {
         self.order_reads.load(Ordering::Relaxed)
@@ -223,6 +230,9 @@
         let is_config = stream == Stream::Config;
         self.config_reads
             .fetch_add(usize::from(is_config), Ordering::Relaxed);
+        let is_main = stream == Stream::Main;
+        self.main_reads
+            .fetch_add(usize::from(is_main), Ordering::Relaxed);
     }
 
     fn refuses_read(&self, stream: Stream) -> bool {
