Close connections after their response while others are refused

Callers saw: while 400 clients sent requests without reading the responses, an ordinary caller got no connection for a minute.

Cause: the next request of such a client is in the server's buffer when a response is sent, so each of its connections always has a complete request, which is never closed for a new connection.

Ruled out: closing connections with complete requests, as those may have taken effect.

--- a/crates/agate_intake/src/lib.rs
+++ b/crates/agate_intake/src/lib.rs
@@ -17,5 +17,5 @@
 pub use limits::{Limits, MachineError};
 pub use phase::Phase;
 pub use stream::CountedStream;
-pub use table::{Admission, ConnectionKey, Table};
+pub use table::{Admission, ConnectionKey, Reuse, Table};
 pub use ticket::{Closed, Ticket};
--- a/crates/agate_intake/src/table.rs
+++ b/crates/agate_intake/src/table.rs
@@ -13,6 +13,9 @@
 /// Time after a response for which a connection is kept open, as the client may send again.
 const REUSE_TIME: Duration = Duration::from_secs(1);
 
+/// Time after a refused connection for which connections are closed after their response.
+const REFUSAL_TIME: Duration = Duration::from_secs(2);
+
 /// Weight of the time of a connection with a request, relative to one that waits for the next. A client
 /// that was served before is likely to send another request.
 const REQUEST_WEIGHT: u64 = 4;
@@ -38,6 +41,15 @@
     ahead: usize,
 }
 
+/// Whether a connection may be used for another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It has to be closed after the response, as connections were refused for lack of room.
+    Denied,
+}
+
 /// Whether a connection is admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -57,6 +69,8 @@
     limits: Limits,
     connections: SlotMap<ConnectionKey, Connection>,
     held: usize,
+    /// When a connection was last refused.
+    refused_at: Option<Moment>,
 }
 
 impl Table {
@@ -66,6 +80,7 @@
             limits,
             connections: SlotMap::with_key(),
             held: 0,
+            refused_at: None,
         }
     }
 
@@ -100,6 +115,7 @@
         if self.connections.len() >= self.limits.connections {
             displaced = self.costliest(now, 0);
             let Some(key) = displaced else {
+                self.refused_at = Some(now);
                 return Admission::Refused;
             };
             self.close(key);
@@ -162,12 +178,21 @@
         }
     }
 
-    /// Records a response of this many bytes, in place of the request.
-    pub fn begin_response(&mut self, key: ConnectionKey, bytes: usize, now: Moment) {
+    /// Records a response of this many bytes, in place of the request. Returns whether the connection may
+    /// be used for another request: clients that send one after the other would keep all others out.
+    pub fn begin_response(&mut self, key: ConnectionKey, bytes: usize, now: Moment) -> Reuse {
         if let Some(connection) = self.connections.get_mut(key) {
             connection.enter(Phase::Response, now);
             self.hold(key, bytes);
         }
+        let refused = self
+            .refused_at
+            .is_some_and(|at| now.since(at) < REFUSAL_TIME);
+        if refused {
+            Reuse::Denied
+        } else {
+            Reuse::Allowed
+        }
     }
 
     /// Records bytes of a response that were sent.
--- a/crates/agate_intake/src/ticket.rs
+++ b/crates/agate_intake/src/ticket.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use tokio_util::sync::CancellationToken;
 
-use crate::{ConnectionKey, Intake};
+use crate::{ConnectionKey, Intake, Reuse};
 
 /// the connection was closed to make room for others
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -84,10 +84,15 @@
         if is_open { Ok(()) } else { Err(Closed) }
     }
 
-    /// Records that a response with a body of this many bytes is ready.
-    pub fn begin_response(&self, bytes: usize) {
+    /// Records that a response with a body of this many bytes is ready. Returns whether the connection
+    /// may be used for another request.
+    pub fn begin_response(&self, bytes: usize) -> Reuse {
         let Inner { intake, key, .. } = &*self.0;
-        intake.update(*key, |table, now| table.begin_response(*key, bytes, now));
+        let mut reuse = Reuse::Allowed;
+        intake.update(*key, |table, now| {
+            reuse = table.begin_response(*key, bytes, now);
+        });
+        reuse
     }
 
     pub(crate) fn receive(&self, bytes: usize) {
--- a/crates/agate_intake/tests/table.rs
+++ b/crates/agate_intake/tests/table.rs
@@ -1,7 +1,7 @@
 //! Which connection is closed when a limit is reached.
 
 use agate_core::Moment;
-use agate_intake::{Admission, Cause, ConnectionKey, Limits, MachineError, Phase, Table};
+use agate_intake::{Admission, Cause, ConnectionKey, Limits, MachineError, Phase, Reuse, Table};
 use rstest::rstest;
 
 const KIB: usize = 1_024;
@@ -85,6 +85,21 @@
     assert_eq!(table.close_late(at(600_000)), []);
 }
 
+/// Clients that send one request after the other on all connections must not keep all others out.
+#[test]
+fn a_connection_is_not_reused_after_a_refusal() {
+    let mut table = Table::new(limits());
+    let keys: Vec<_> = (0..3).map(|_| upload(&mut table, 1, at(0))).collect();
+    for key in &keys {
+        table.complete(*key, at(0));
+    }
+    assert_eq!(table.begin_response(keys[0], 1, at(1)), Reuse::Allowed);
+    table.complete(keys[0], at(1));
+    assert_eq!(table.open(at(2)), Admission::Refused);
+    assert_eq!(table.begin_response(keys[1], 1, at(3)), Reuse::Denied);
+    assert_eq!(table.begin_response(keys[2], 1, at(2_002)), Reuse::Allowed);
+}
+
 /// A client may send its next request right after a response.
 #[rstest]
 #[case::just_served(500, false)]
@@ -118,7 +133,7 @@
 #[case::head(|table: &mut Table, key| table.receive(key, 1, at(0)), 15_000, Cause::HeadTimeout)]
 #[case::body(|table: &mut Table, key| table.begin_body(key, at(0)), 15_000, Cause::Stalled)]
 #[case::response(
-    |table: &mut Table, key| table.begin_response(key, 9, at(0)), 15_000, Cause::Stalled
+    |table: &mut Table, key| { table.begin_response(key, 9, at(0)); }, 15_000, Cause::Stalled
 )]
 fn a_phase_has_a_time_limit(
     #[case] enter: impl Fn(&mut Table, ConnectionKey),
