Bound the log queue in bytes, and the length of logged values

Callers saw: 100 clients that asked an unknown host for paths of 20 KB, 60 times each, made an entry whose log nobody read take 95 MB of 40 MB.

Cause: the queue of lines for standard output holds 4,096 lines, whatever their length, and lines carry hosts, paths and causes as clients send them.

Change: the queue holds 2 MiB, lines being written included; a value is cut after 4 KiB.

--- a/crates/agate_telemetry/src/logs/bounded.rs
+++ b/crates/agate_telemetry/src/logs/bounded.rs
@@ -1,7 +1,7 @@
 //! A logger that never blocks on a slow reader of its output.
 
 use std::io::Write as _;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
 use std::thread;
@@ -15,6 +15,9 @@
 /// Maximum number of queued lines. Further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4_096;
 
+/// Maximum size of the lines that are queued or being written. Further lines are dropped and counted.
+const MAX_QUEUED_BYTES: usize = 2 << 20;
+
 /// Longest wait of [`flush`].
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -27,13 +30,26 @@
 
 struct Queue {
     lines: SyncSender<Item>,
-    dropped: Arc<AtomicU64>,
+    counts: Arc<Counts>,
+}
+
+#[derive(Default)]
+struct Counts {
+    /// Lines that were dropped since the last report.
+    dropped: AtomicU64,
+    /// Bytes of the lines that are queued or being written.
+    queued: AtomicUsize,
 }
 
 impl std::io::Write for Queue {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(Item::Line(buf.to_vec())) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        let Counts { dropped, queued } = &*self.counts;
+        if queued.fetch_add(buf.len(), Ordering::Relaxed) + buf.len() > MAX_QUEUED_BYTES {
+            queued.fetch_sub(buf.len(), Ordering::Relaxed);
+            dropped.fetch_add(1, Ordering::Relaxed);
+        } else if let Err(TrySendError::Full(_)) = self.lines.try_send(Item::Line(buf.to_vec())) {
+            queued.fetch_sub(buf.len(), Ordering::Relaxed);
+            dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
     }
@@ -52,16 +68,16 @@
 /// Fails if the process already has a logger.
 pub fn init_bounded(level: LevelFilter) -> Result<(), SetLoggerError> {
     let (lines, receiver) = sync_channel(MAX_QUEUED_LINES);
-    let dropped = Arc::new(AtomicU64::new(0));
+    let counts = Arc::new(Counts::default());
     let queue = Queue {
         lines: lines.clone(),
-        dropped: Arc::clone(&dropped),
+        counts: Arc::clone(&counts),
     };
     let mut builder = builder(level);
     builder.write_style(WriteStyle::Never);
     builder.target(Target::Pipe(Box::new(queue)));
     builder.try_init()?;
-    thread::spawn(move || write_lines(&receiver, &dropped));
+    thread::spawn(move || write_lines(&receiver, &counts));
     // Only the first logger of a process gets here, so the queue is not set yet.
     let _ = QUEUE.set(lines);
     Ok(())
@@ -79,7 +95,7 @@
     }
 }
 
-fn write_lines(queue: &Receiver<Item>, dropped: &AtomicU64) {
+fn write_lines(queue: &Receiver<Item>, counts: &Counts) {
     let mut text = Vec::new();
     while let Ok(item) = queue.recv() {
         let mut waiting = Vec::new();
@@ -91,7 +107,8 @@
             }
             next = queue.try_recv().ok();
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
+        let taken = text.len();
+        let lost = counts.dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             text.extend_from_slice(
                 format!("level=warn event=lines_dropped lines={lost}\n").as_bytes(),
@@ -100,6 +117,7 @@
         let mut out = std::io::stdout().lock();
         // If standard output fails, there is nowhere left to report it.
         let _ = out.write_all(&text).and_then(|()| out.flush());
+        counts.queued.fetch_sub(taken, Ordering::Relaxed);
         text.clear();
         for done in waiting {
             // Fails if the waiting side has timed out.
--- a/crates/agate_telemetry/src/logs/line.rs
+++ b/crates/agate_telemetry/src/logs/line.rs
@@ -5,8 +5,13 @@
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
 
+/// Longest value that is written in full, in bytes. Values may be texts of clients.
+const MAX_VALUE_BYTES: usize = 4_096;
+
 /// Formats an event as key=value pairs: time, level, target, the event's own pairs, message.
 ///
+/// A value of more than 4 KiB is cut and ends with dots.
+///
 /// Empty values and values with whitespace, quotes, equals signs, backslashes or control characters
 /// are quoted and escaped, so that an event always takes exactly one line.
 pub fn line(record: &Record<'_>, time: &str) -> String {
@@ -28,11 +33,14 @@
 
 impl Pairs {
     fn push(&mut self, key: &str, value: &str) {
+        let end = value.floor_char_boundary(MAX_VALUE_BYTES);
+        let rest = if end < value.len() { "..." } else { "" };
+        let value = &value[..end];
         // Writing to a string cannot fail.
         let _ = if is_plain(value) {
-            write!(self.0, " {key}={value}")
+            write!(self.0, " {key}={value}{rest}")
         } else {
-            write!(self.0, " {key}={value:?}")
+            write!(self.0, " {key}={value:?}{rest}")
         };
     }
 }
--- a/crates/agate_telemetry/tests/logs.rs
+++ b/crates/agate_telemetry/tests/logs.rs
@@ -36,3 +36,13 @@
     );
     assert_eq!(line.lines().count(), 1);
 }
+
+/// Guards against lines as long as what clients send.
+#[rstest]
+#[case::plain("x")]
+#[case::wide("\u{fc}")]
+fn a_long_value_is_cut(#[case] letter: &str) {
+    let line = format_event(&[("path", &letter.repeat(50_000))], "");
+    assert!(line.ends_with("..."), "it ends with dots");
+    assert!(line.len() < 5_000, "{} bytes", line.len());
+}
