Limit the number of steps of a job

Callers saw: 100 jobs of 256 KiB with 87,000 empty steps each made an entry take 212 MB of 40 MB and answer nothing else for 40 s (debug build); a list of steps that is a text made it log and return the whole text.

Cause: an empty step takes three bytes of a body and over a hundred in memory, and the list was decoded as a whole before its length was checked.

More steps with processors and memory don't fit into a body of 256 KiB, so no sound job meets the limit.

--- a/crates/agate_jobs/src/validity.rs
+++ b/crates/agate_jobs/src/validity.rs
@@ -14,6 +14,10 @@
 /// the log's limits.
 pub const MAX_TASKS: u64 = 100_000;
 
+/// Most steps of a job. Every entry holds them until the job has ended, also those without tasks. More steps with
+/// processors and memory don't fit into the 256 KiB of a body.
+pub const MAX_STEPS: usize = 10_000;
+
 /// Longest time of a job or queue, ten years, in milliseconds.
 pub const MAX_SPAN_MS: u64 = 10 * 366 * 86_400_000;
 
@@ -61,6 +65,9 @@
     /// Returns the first problem.
     pub fn validate(&self) -> Result<(), Invalid> {
         check(!self.steps.is_empty(), || "it has no phases".to_owned())?;
+        check(self.steps.len() <= MAX_STEPS, || {
+            format!("it has more than {MAX_STEPS} phases")
+        })?;
         let occurrences = u64::from(self.occurrences());
         let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
         check(tasks.saturating_mul(occurrences) <= MAX_TASKS, || {
