Limit the bodies of callers that an agate-entry holds together

Cause: a body had a limit of its own and 30 s; nothing limited all of them together, and open requests counted from the head on.

At a limit, the body that has held the most for longest is given up: its caller gets 503, which is true, as nothing of the request was handed on. A request counts as open once it is complete.

Evidence: both cases of callers_that_stop_short_make_way_for_others fail when the limits are taken out. Open: connections and heads of agate-entry and agate-agent belong to the servers of dropshot and jsonrpsee, which limit neither.

--- a/crates/agate_entry/src/app/config.rs
+++ b/crates/agate_entry/src/app/config.rs
@@ -73,6 +73,7 @@
         .max_body_bytes(size(EntrySetting::BodyBytes))
         .max_connections(values.number_u32(EntrySetting::Connections))
         .max_inflight(size(EntrySetting::Inflight))
+        .max_unfinished(size(EntrySetting::Unfinished) << 20)
         .drain_timeout(Duration::from_secs(values.number(EntrySetting::Drain)))
         .leave_delay(values.millis(EntrySetting::Leave))
         .append_linger(values.millis(EntrySetting::Group))
--- a/crates/agate_entry/src/app/shared.rs
+++ b/crates/agate_entry/src/app/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use agate_core::Incarnation;
+use agate_intake::Intake;
 use agate_log::{HttpSettings, HttpStore, LogStore, Stream};
 use agate_telemetry::spans::Tracer;
 use agate_wire::message::EntryInfo;
@@ -44,6 +45,7 @@
         .tracer(tracer(config, incarnation)?)
         .metrics(Metrics::new())
         .drain(Drain::new(config.limits.max_inflight))
+        .intake(intake(config))
         .writer(writer(Stream::Main))
         .key_writer(writer(Stream::Keys))
         .batch(Batch::new())
@@ -52,6 +54,14 @@
     Ok(Arc::new(entry))
 }
 
+/// Returns the limits of bodies. As many requests as may be open can be received beside them.
+fn intake(config: &EntryConfig) -> Intake {
+    let limits = agate_intake::Limits::builder()
+        .connections(config.limits.max_inflight * 2)
+        .bytes(config.limits.max_unfinished);
+    Intake::new(limits.build())
+}
+
 fn tracer(config: &EntryConfig, incarnation: Incarnation) -> Result<Tracer, StartError> {
     let Some(endpoint) = &config.otlp else {
         return Ok(Tracer::without_export(SERVICE));
--- a/crates/agate_entry/src/app/start.rs
+++ b/crates/agate_entry/src/app/start.rs
@@ -86,6 +86,7 @@
         rpc::announce(entry, Arc::clone(&seeds), stop)
     });
     add(&mut back, "sweep", entry, members::sweep);
+    add(&mut back, "intake", entry, check_intake);
     add(&mut back, "redial", entry, members::redial);
     add(&mut back, "config-push", entry, configuration::push);
     add_log(&mut back, entry);
@@ -97,6 +98,20 @@
     back
 }
 
+/// Refuses requests whose bodies stall, and logs how many were refused for others.
+async fn check_intake(entry: Arc<Entry>, stop: CancellationToken) -> Result<(), ChildError> {
+    let checks = entry.intake.clone().run(|census| {
+        for (cause, count) in &census.closed {
+            log::warn!(
+                event = "bodies_given_up", cause:% = cause, count = *count,
+                open = census.connections, held_bytes = census.held; ""
+            );
+        }
+    });
+    stop.run_until_cancelled(checks).await;
+    Ok(())
+}
+
 /// Adds the tasks that read and write the log.
 fn add_log(back: &mut Supervisor, entry: &Arc<Entry>) {
     let snapshots = Writer::new(
--- a/crates/agate_entry/src/entry/limits.rs
+++ b/crates/agate_entry/src/entry/limits.rs
@@ -16,6 +16,9 @@
     /// Maximum number of open requests from callers.
     #[builder(default = 1_024)]
     pub max_inflight: usize,
+    /// Most bytes that the bodies of all open requests may take together.
+    #[builder(default = 64 << 20)]
+    pub max_unfinished: usize,
     /// Time limit of a graceful shutdown.
     #[builder(default = Duration::from_secs(30))]
     pub drain_timeout: Duration,
--- a/crates/agate_entry/src/entry/mod.rs
+++ b/crates/agate_entry/src/entry/mod.rs
@@ -17,6 +17,8 @@
 use bon::Builder;
 
 use crate::batch::Batch;
+use agate_intake::Intake;
+
 use crate::clock::ProcessClock;
 use crate::config::CurrentConfig;
 use crate::keys::KeyTable;
@@ -46,6 +48,8 @@
     pub(crate) tracer: Tracer,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
+    /// Limits of what unfinished requests may hold.
+    pub(crate) intake: Intake,
     pub(crate) store: Arc<dyn LogStore>,
     pub(crate) writer: Writer,
     pub(crate) key_writer: Writer,
--- a/crates/agate_entry/src/http/caller/jobs.rs
+++ b/crates/agate_entry/src/http/caller/jobs.rs
@@ -103,8 +103,12 @@
 pub(crate) async fn submit(entry: &Entry, headers: &HeaderMap, input: StreamingBody) -> Reply {
     let mut findings = Findings::new();
     let caller = head::read_caller(headers, &mut findings);
-    let bytes = body::read(input, MAX_BODY_BYTES, &mut findings).await;
-    let submitted = job_body::read(&bytes, caller, &mut findings);
+    let received = body::read(&entry.intake, input, MAX_BODY_BYTES, &mut findings).await;
+    let received = match received {
+        Ok(received) => received,
+        Err(refusal) => return refusal,
+    };
+    let submitted = job_body::read(&received.bytes, caller, &mut findings);
     let Some(submitted) = submitted.filter(|_| findings.is_empty()) else {
         entry.metrics.count_invalid();
         return reply::invalid(&findings);
--- a/crates/agate_entry/src/http/caller/requests.rs
+++ b/crates/agate_entry/src/http/caller/requests.rs
@@ -46,6 +46,17 @@
         .start(Hop::EntryRequest, head::read_trace(headers));
     let mut findings = Findings::new();
     let prior_send = head::prior_send(headers);
+    let class = path.into_inner().target;
+    let head = head::read(headers, &class, rules(entry), &mut findings);
+    let limit = entry.limits.max_body_bytes;
+    let received = match body::read(&entry.intake, input, limit, &mut findings).await {
+        Ok(received) => received,
+        Err(refusal) => {
+            span.fail("busy");
+            return Ok(refusal);
+        }
+    };
+    // Counts only requests that are complete, which clients that stop short must not keep out.
     let Some(_open) = entry.drain.open() else {
         let call_outcome = CallOutcome::unsent(
             prior_send,
@@ -54,9 +65,6 @@
         );
         return Ok(reply_to(entry, &mut span, call_outcome));
     };
-    let class = path.into_inner().target;
-    let head = head::read(headers, &class, rules(entry), &mut findings);
-    let bytes = body::read(input, entry.limits.max_body_bytes, &mut findings).await;
     let Some(head) = head.filter(|_| findings.is_empty()) else {
         span.fail("invalid");
         entry.metrics.count_invalid();
@@ -64,7 +72,7 @@
     };
     span.note("class", &head.class);
     let binding = head.binding;
-    let call = to_call(entry, head, &bytes, &span, prior_send);
+    let call = to_call(entry, head, &received.bytes, &span, prior_send);
     let call_outcome = route(entry, &call, binding).await;
     entry.metrics.count_request(&call.class, &call_outcome);
     Ok(reply_to(entry, &mut span, call_outcome))
--- a/crates/agate_entry/src/http/caller/tickets.rs
+++ b/crates/agate_entry/src/http/caller/tickets.rs
@@ -34,8 +34,12 @@
 ) -> Result<Reply, HttpError> {
     let entry = context.context();
     let mut findings = Findings::new();
-    let bytes = body::read(input, MAX_BODY_BYTES, &mut findings).await;
-    let class = read_class(&bytes, &mut findings);
+    let received = body::read(&entry.intake, input, MAX_BODY_BYTES, &mut findings).await;
+    let received = match received {
+        Ok(received) => received,
+        Err(refusal) => return Ok(refusal),
+    };
+    let class = read_class(&received.bytes, &mut findings);
     let Some(class) = class.filter(|_| findings.is_empty()) else {
         return Ok(reply::invalid(&findings));
     };
--- a/crates/agate_entry/src/http/operator/presets/mod.rs
+++ b/crates/agate_entry/src/http/operator/presets/mod.rs
@@ -32,8 +32,9 @@
     let headers = context.request.headers();
     auth::check(headers, &context.context().token)?;
     let mut findings = Findings::new();
-    let bytes = body::read(input, MAX_BODY_BYTES, &mut findings).await;
-    let record = read(&bytes, headers, &mut findings);
+    let intake = &context.context().intake;
+    let received = body::read(intake, input, MAX_BODY_BYTES, &mut findings).await?;
+    let record = read(&received.bytes, headers, &mut findings);
     let record = record.filter(|_| findings.is_empty());
     record.ok_or_else(|| reply::invalid(&findings))
 }
--- a/crates/agate_entry/src/http/operator/withdrawals.rs
+++ b/crates/agate_entry/src/http/operator/withdrawals.rs
@@ -86,8 +86,12 @@
     }
     let mut findings = Findings::new();
     let operator = auth::operator_name(headers, &mut findings);
-    let bytes = body::read(input, MAX_BODY_BYTES, &mut findings).await;
-    let record = json::parse(&bytes, &mut findings).and_then(|value| {
+    let received = body::read(&entry.intake, input, MAX_BODY_BYTES, &mut findings).await;
+    let received = match received {
+        Ok(received) => received,
+        Err(refusal) => return Ok(refusal),
+    };
+    let record = json::parse(&received.bytes, &mut findings).and_then(|value| {
         let mut reader = Reader::new("", Some(&value), &mut findings);
         let record = read(&mut reader, operator, &mut findings);
         reader.finish(&mut findings);
--- a/crates/agate_entry/src/settings.rs
+++ b/crates/agate_entry/src/settings.rs
@@ -45,6 +45,8 @@
     Connections,
     /// Maximum number of open requests.
     Inflight,
+    /// Most memory of the bodies of all open requests.
+    Unfinished,
     /// Time for which records wait to share an append.
     Group,
     /// Mean interval between checks for a due snapshot.
@@ -67,6 +69,7 @@
             | Self::BodyBytes
             | Self::Connections
             | Self::Inflight
+            | Self::Unfinished
             | Self::Group
             | Self::Snapshot => self.describe_limit(),
         }
@@ -191,6 +194,14 @@
                 1..=100_000,
                 "1024",
             ),
+            Self::Unfinished => (
+                "unfinished-mb",
+                "AGATE_ENTRY_UNFINISHED_MB",
+                "Memory of the bodies of all open requests; beyond it, the request that has held the most for longest and isn't complete is refused",
+                "MiB",
+                4..=65_536,
+                "64",
+            ),
             Self::Group => (
                 "group-ms",
                 "AGATE_ENTRY_GROUP_MS",
--- a/crates/agate_entry/tests/it/main.rs
+++ b/crates/agate_entry/tests/it/main.rs
@@ -4,6 +4,7 @@
     reason = "a fixture that fails is a test that fails"
 )]
 
+mod bodies;
 mod drain;
 mod input;
 mod jobs;
--- a/crates/agate_intake/src/ticket.rs
+++ b/crates/agate_intake/src/ticket.rs
@@ -95,7 +95,8 @@
         reuse
     }
 
-    pub(crate) fn receive(&self, bytes: usize) {
+    /// Records bytes that were received.
+    pub fn receive(&self, bytes: usize) {
         let Inner { intake, key, .. } = &*self.0;
         intake.update(*key, |table, now| table.receive(*key, bytes, now));
     }
