Close unfinished requests in a drain only when they stop short

A draining server closed a connection whose request was incomplete for 0.5 s, also while its body was arriving. It now closes one that has received nothing for 0.5 s. a_slow_request_is_answered_during_a_shutdown fails without the check of progress.

--- a/crates/agate_intake/src/intake.rs
+++ b/crates/agate_intake/src/intake.rs
@@ -131,9 +131,8 @@
         state.table.phase(key).is_some()
     }
 
-    pub(crate) fn is_unfinished(&self, key: ConnectionKey) -> bool {
-        let phase = self.state().table.phase(key);
-        phase.is_some_and(crate::Phase::is_unfinished)
+    pub(crate) fn unfinished(&self, key: ConnectionKey) -> Option<u64> {
+        self.state().table.unfinished(key)
     }
 
     pub(crate) fn close(&self, key: ConnectionKey) {
--- a/crates/agate_intake/src/table.rs
+++ b/crates/agate_intake/src/table.rs
@@ -37,6 +37,8 @@
     moved: usize,
     /// Bytes that are held for the request or the response.
     held: usize,
+    /// Bytes that were received over the connection.
+    received: u64,
     /// Bytes that were received before the response to the current request was sent.
     ahead: usize,
 }
@@ -109,6 +111,16 @@
         self.connections.get(key).map(|connection| connection.phase)
     }
 
+    /// Returns the number of bytes that were received over a connection whose client still owes a part of
+    /// its request, or `None` if it doesn't.
+    pub fn unfinished(&self, key: ConnectionKey) -> Option<u64> {
+        let connection = self.connections.get(key)?;
+        connection
+            .phase
+            .is_unfinished()
+            .then_some(connection.received)
+    }
+
     /// Admits a new connection, if need be in place of another one, which leaves the table.
     pub fn open(&mut self, now: Moment) -> Admission {
         let mut displaced = None;
@@ -126,6 +138,7 @@
             period: now,
             moved: 0,
             held: 0,
+            received: 0,
             ahead: 0,
         });
         Admission::Admitted(key, displaced)
@@ -144,6 +157,7 @@
             return;
         };
         connection.moved += bytes;
+        connection.received += bytes as u64;
         match connection.phase {
             Phase::Silent | Phase::Idle => {
                 connection.enter(Phase::Head, now);
--- a/crates/agate_intake/src/ticket.rs
+++ b/crates/agate_intake/src/ticket.rs
@@ -44,9 +44,10 @@
         self.0.closed.cancelled().await;
     }
 
-    /// Returns whether the client still owes a part of its request.
-    pub fn is_unfinished(&self) -> bool {
-        self.0.intake.is_unfinished(self.0.key)
+    /// Returns the number of bytes that were received so far if the client still owes a part of its
+    /// request, and `None` if it doesn't.
+    pub fn unfinished(&self) -> Option<u64> {
+        self.0.intake.unfinished(self.0.key)
     }
 
     /// Returns the size of the largest body that the limits of the process allow, in bytes. The buffer of
