--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -330,11 +330,10 @@
         self.ends = []  # (time, task, run, how), over all incarnations
         self.up = False
         self.tasks = []
-        self.life = 0
+        self.clock_ahead_ms = 0  # of its machine's time of day
 
     async def start(self):
-        self.life += 1
-        self.born = time.time_ns() // 1_000_000
+        self.born = time.time_ns() // 1_000_000 + self.clock_ahead_ms
         self.steady = time.monotonic()
         self.sequence = 0
         self.runs = {}
