--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -806,6 +806,8 @@
     """Runs a case: returns its exit status, 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     recorder = Recorder(os.path.join(folder, "record.txt"))
     recorder.note(f"trouble: {has_trouble()}")
+    # Ends the processes that the case has started, also if it is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(recorder), 115))
     except Unable as error:
